--- /dev/null
+++ b/internal/member/seamtarget/announcement.go
@@ -0,0 +1,51 @@
+// Package seamtarget holds what a target announces about itself to the node beside it.
+package seamtarget
+
+// Announcement is the body of PUT /v1/target on the announcement address of a node.
+// A target repeats it at least every Life; each answer states the life.
+type Announcement struct {
+	// Service is the name of the service that the target serves.
+	Service string `json:"service"`
+	// Name identifies the run of the target; a restarted target announces another name.
+	Name string `json:"name"`
+	// Address is the ip:port where the target takes HTTP requests.
+	Address string `json:"address"`
+	// Labels are the target's own labels; operators may add more.
+	Labels map[string]string `json:"labels,omitempty"`
+	// Slots is the number of requests that the target runs at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that the target accepts.
+	Connections int `json:"connections"`
+	// Can lists what the target supports: grant, fence, cancel, deadline, standby, drain.
+	Can []string `json:"can,omitempty"`
+	// Cold says that the target starts with empty caches and wants a slow start.
+	Cold bool `json:"cold,omitempty"`
+	// Leaving says that the target is about to stop and wants no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Synced lists the slots, as service/index, for which its standby is up to date.
+	Synced []string `json:"synced,omitempty"`
+}
+
+// Abilities that a target may announce.
+const (
+	// CanGrant means that the target takes grants on /seam/grant.
+	CanGrant = "grant"
+	// CanFence means that the target refuses a request whose epoch is not that of its grant.
+	CanFence = "fence"
+	// CanCancel means that the target stops work when the connection closes.
+	CanCancel = "cancel"
+	// CanDeadline means that the target refuses work that is past the Seam-Deadline header.
+	CanDeadline = "deadline"
+	// CanStandby means that the target copies its slots to a standby before it acknowledges.
+	CanStandby = "standby"
+)
+
+// Has reports whether the target announced the ability.
+func (a Announcement) Has(ability string) bool {
+	for _, c := range a.Can {
+		if c == ability {
+			return true
+		}
+	}
+	return false
+}
