--- /dev/null
+++ b/internal/route/seamsession/config.go
@@ -0,0 +1,140 @@
+// Package seamsession keeps the multiplexed sessions between nodes: a bounded
+// pool of TCP connections, each carrying many streams.
+package seamsession
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+)
+
+// Kind is the first byte of a stream. It says which handler serves it.
+type Kind byte
+
+// Kinds of streams.
+const (
+	Request Kind = 1
+	Void    Kind = 2
+	Rules   Kind = 3
+	Cells   Kind = 4
+	// relay streams are passed on to another peer.
+	relay Kind = 5
+)
+
+// Handler serves streams of one kind. The stream is closed when ServeStream returns.
+// A stream that passed a relay comes from the relay.
+type Handler interface {
+	ServeStream(ctx context.Context, from seampeer.Peer, conn net.Conn)
+}
+
+// Relayer names peers through which another peer may be reached, best first.
+type Relayer interface {
+	Relays(to seampeer.Peer) []seampeer.Peer
+}
+
+// Config holds the bounds of a pool. Zero fields take the defaults.
+type Config struct {
+	// Address is the ip:port to listen on; empty means the address of the node itself.
+	Address string
+	// Listener is used instead of Address, if set.
+	Listener net.Listener
+	// Max is the largest number of sessions, in both directions together.
+	Max int
+	// Idle is the time after which a session without streams is closed.
+	Idle time.Duration
+	// Age is the time after which a session takes no new streams.
+	Age time.Duration
+	// Dial bounds the opening of a connection and its introduction.
+	Dial time.Duration
+	// Keepalive is the time between two probes of a session.
+	Keepalive time.Duration
+	// Silence is the time without an answer after which a session is given up.
+	Silence time.Duration
+	// Relays names detours when the pool is full of busy sessions; may be nil.
+	Relays Relayer
+}
+
+const (
+	defaultMax       = 128
+	defaultIdle      = 60 * time.Second
+	defaultAge       = 15 * time.Minute
+	defaultDial      = 400 * time.Millisecond
+	defaultKeepalive = time.Second
+	defaultSilence   = time.Second
+	// lingerTime is the time between the announcement that a session ends and its end.
+	lingerTime = time.Second
+	// backoffFirst and backoffLast bound the wait after a failed dial.
+	backoffFirst = 50 * time.Millisecond
+	backoffLast  = 2 * time.Second
+	// backoffLimit is the number of addresses whose failures are remembered.
+	backoffLimit = 1024
+	// streamBacklog is the number of streams that may wait to be accepted.
+	streamBacklog = 256
+	// streamWindow is the number of bytes that a stream may receive ahead of its reader.
+	streamWindow = 256 << 10
+	// streamLinger is the time after which a stream that only one side closed is reset.
+	streamLinger = 5 * time.Second
+	// helloLimit is the largest introduction, in bytes.
+	helloLimit = 4 << 10
+)
+
+func (c Config) complete(self seampeer.Peer) Config {
+	if c.Address == "" {
+		c.Address = self.Address
+	}
+	c.Max = fallback(c.Max, defaultMax)
+	c.Idle = fallback(c.Idle, defaultIdle)
+	c.Age = fallback(c.Age, defaultAge)
+	c.Dial = fallback(c.Dial, defaultDial)
+	c.Keepalive = fallback(c.Keepalive, defaultKeepalive)
+	c.Silence = fallback(c.Silence, defaultSilence)
+	return c
+}
+
+func fallback[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+// StalePeerError says that another run than the wanted one answers at the address.
+type StalePeerError struct {
+	Want, Got seampeer.Peer
+}
+
+// Error names both runs.
+func (e *StalePeerError) Error() string {
+	return fmt.Sprintf("peer %s was wanted at %s, but %s answered", e.Want, e.Want.Address, e.Got)
+}
+
+// UnreachableError says that no session to the peer could be opened. Nothing was sent.
+type UnreachableError struct {
+	To    seampeer.Peer
+	Cause error
+	// After is the time until the next dial is tried.
+	After time.Duration
+}
+
+// Error names the peer and the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no session to %s at %s: %v", e.To, e.To.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// BusyError says that the pool of a node is full of sessions in use.
+type BusyError struct {
+	// At is the node whose pool is full.
+	At seampeer.Peer
+}
+
+// Error names the node.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("session pool of %s is full", e.At)
+}
