Ingress: three outcomes, retries within a budget, voiding of lost attempts

A whole route from caller to target over one hop, with the local shortcut, target choice, redirects to owners and typed refusals. Tests run requests of several kinds over two nodes in one process.

--- a/internal/route/seamcall/id.go
+++ b/internal/route/seamcall/id.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"math/rand/v2"
 )
 
@@ -22,3 +23,8 @@
 	id = binary.LittleEndian.AppendUint64(id, rand.Uint64())
 	return binary.LittleEndian.AppendUint64(id, rand.Uint64())
 }
+
+// FormatID returns the id as the target sees it.
+func FormatID(id []byte) string {
+	return hex.EncodeToString(id)
+}
--- a/internal/route/seamegress/stream.go
+++ b/internal/route/seamegress/stream.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamframe"
@@ -99,7 +101,7 @@
 	whole := make([]byte, 0, min(max(head.GetLength(), 0), seamcall.WholeLimit))
 	for {
 		part, err := b.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return wholeBody(head, whole)
 		}
 		if err != nil {
@@ -147,7 +149,7 @@
 		return nil, io.EOF
 	}
 	f, err := b.reader.Next()
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/route/seamingress/ingress.go
@@ -0,0 +1,159 @@
+// Package seamingress takes requests of callers over HTTP, finds the node that
+// may run each, and gives the caller one of three outcomes.
+package seamingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.opentelemetry.io/otel/trace"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/route/seamcall"
+	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seamledger"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seampick"
+	"cardamomseam/internal/route/seamretry"
+	"cardamomseam/internal/route/seamroutewire"
+	"cardamomseam/internal/route/seamsession"
+	"cardamomseam/internal/route/seamspan"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+// Rules decides where a request may go.
+type Rules interface {
+	// Decide returns the choice for a request of a caller in the region. An
+	// error that has methods Status() int and Reason() string states the answer.
+	Decide(r *http.Request, service, region string) (seamrule.Choice, error)
+}
+
+// Directory knows the nodes.
+type Directory interface {
+	// Owner returns the node believed to own a slot.
+	Owner(service string, slot uint32) (seampeer.Peer, bool)
+	// Learn takes note of an owner that a request has found.
+	Learn(service string, slot uint32, owner seampeer.Peer)
+	// Candidates returns the nodes whose targets serve a service.
+	Candidates(service string) []seampick.Candidate
+}
+
+// Sessions opens streams to other nodes.
+type Sessions interface {
+	Open(ctx context.Context, to seampeer.Peer, k seamsession.Kind) (net.Conn, error)
+}
+
+// Local runs requests at the target beside this node.
+type Local interface {
+	Run(ctx context.Context, head *seamroutewire.RequestHead, body io.Reader, out seamcall.Answer) seamoutcome.End
+	Void(v *seamroutewire.Void) seamledger.State
+}
+
+// Config holds the settings of an ingress. Zero fields take the defaults.
+type Config struct {
+	// Address is the ip:port on which callers are served.
+	Address string
+	// Body is the largest body of a request, in bytes.
+	Body int64
+	// Headers is the largest size of a request's headers, in bytes.
+	Headers int
+	// Slow bounds each wait for a caller to take a part of an answer.
+	Slow time.Duration
+	// Pick holds the settings of the choice among targets.
+	Pick seampick.Config
+}
+
+const (
+	defaultBody    = 32 << 20
+	defaultHeaders = 32 << 10
+	defaultSlow    = 10 * time.Second
+)
+
+// Ingress takes requests. It is safe for concurrent use.
+type Ingress struct {
+	cfg       Config
+	self      seampeer.Peer
+	rules     Rules
+	directory Directory
+	sessions  Sessions
+	local     Local
+	picker    *seampick.Picker
+	budgets   *seamretry.Budgets
+	events    seamevent.Sink
+	stats     *stats
+	leaving   atomic.Bool
+}
+
+// New returns an ingress.
+func New(cfg Config, self seampeer.Peer, rules Rules, directory Directory, sessions Sessions, local Local, set *metrics.Set, sink seamevent.Sink) *Ingress {
+	if cfg.Body <= 0 {
+		cfg.Body = defaultBody
+	}
+	if cfg.Headers <= 0 {
+		cfg.Headers = defaultHeaders
+	}
+	if cfg.Slow <= 0 {
+		cfg.Slow = defaultSlow
+	}
+	return &Ingress{
+		cfg:       cfg,
+		self:      self,
+		rules:     rules,
+		directory: directory,
+		sessions:  sessions,
+		local:     local,
+		picker:    seampick.New(cfg.Pick, self, set),
+		budgets:   seamretry.NewBudgets(),
+		events:    sink,
+		stats:     newStats(set),
+	}
+}
+
+// ServeHTTP serves one request of a caller.
+func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	ctx := seamspan.Extract(r.Context(), r.Header.Get(seamspan.Header))
+	ctx, span := seamspan.Start(ctx, "ingress", trace.SpanKindServer)
+	defer span.End()
+	if i.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set(seamheader.Trace, seamspan.ID(ctx))
+	x, refused := i.prepare(w, r, start)
+	if refused != nil {
+		i.finish(ctx, newResponder(w, i.cfg.Slow), refused.End, refused.Status, start)
+		return
+	}
+	end := x.run(ctx)
+	seamspan.Note(span, end)
+	i.finish(ctx, x.answer, end, seamoutcome.Lookup(end.Reason).Status, start)
+}
+
+// finish gives the caller the end of its request. An answer that is cut after
+// its head was sent ends the connection, so that it is never taken as whole.
+func (i *Ingress) finish(ctx context.Context, answer *responder, end seamoutcome.End, status int, start time.Time) {
+	i.stats.counters.Count(end)
+	i.stats.time.UpdateDuration(start)
+	if end.Outcome == seamoutcome.Unknown {
+		i.events.Emit(time.Now(), seamevent.RequestUnknown, seamevent.Fields{
+			"reason": string(end.Reason),
+			"detail": end.Detail,
+			"trace":  seamspan.ID(ctx),
+		})
+	}
+	switch {
+	case end.Outcome == seamoutcome.Done:
+		answer.commit()
+	case answer.started:
+		i.stats.cut.Inc()
+		panic(http.ErrAbortHandler)
+	default:
+		answer.fail(end, status)
+	}
+}
--- /dev/null
+++ b/internal/route/seamingress/node_test.go
@@ -0,0 +1,181 @@
+package seamingress_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seampick"
+	"cardamomseam/internal/route/seamsession"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+// fakeRules gives every request the same choice.
+type fakeRules struct {
+	choice seamrule.Choice
+	err    error
+}
+
+func (f *fakeRules) Decide(*http.Request, string, string) (seamrule.Choice, error) {
+	return f.choice, f.err
+}
+
+// fakeDirectory knows fixed nodes and one owner of all slots.
+type fakeDirectory struct {
+	mu         sync.Mutex
+	owner      seampeer.Peer
+	candidates []seampick.Candidate
+}
+
+func (f *fakeDirectory) Owner(string, uint32) (seampeer.Peer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owner, !f.owner.Zero()
+}
+
+func (f *fakeDirectory) Learn(_ string, _ uint32, p seampeer.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = p
+}
+
+func (f *fakeDirectory) Candidates(string) []seampick.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.candidates
+}
+
+// fakeOwners grants every slot, unless another owner is set.
+type fakeOwners struct {
+	clock *seamclock.Clock
+	mu    sync.Mutex
+	other string
+	life  time.Duration
+}
+
+func (f *fakeOwners) Acquire(_ context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.other != "" {
+		return seamgrant.Grant{}, nil, &seamgrant.NotOwnerError{Slot: id, Owner: f.other}
+	}
+	return seamgrant.Grant{Slot: id, Epoch: 7, Until: f.clock.Now().Add(f.life)}, func() {}, nil
+}
+
+// fakeTarget announces a test server.
+type fakeTarget struct {
+	mu        sync.Mutex
+	announced seamtarget.Announcement
+}
+
+func (f *fakeTarget) Current() (seamtarget.Announcement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announced, f.announced.Address != ""
+}
+
+// node is one node with its target.
+type node struct {
+	peer      seampeer.Peer
+	pool      *seamsession.Pool
+	egress    *seamegress.Egress
+	ingress   *seamingress.Ingress
+	owners    *fakeOwners
+	target    *fakeTarget
+	rules     *fakeRules
+	directory *fakeDirectory
+	server    *seamingress.Server
+}
+
+// url returns the address of the ingress with the path.
+func (n *node) url(path string) string {
+	return "http://" + n.server.Address() + path
+}
+
+func newNode(t testing.TB, name string, handler http.HandlerFunc) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: "ost", Domain: "ost-1"}
+	n := &node{
+		peer:      peer,
+		owners:    &fakeOwners{clock: seamclock.NewClock(), life: time.Minute},
+		target:    &fakeTarget{},
+		rules:     &fakeRules{choice: seamrule.Choice{Limits: seamrule.Limits{Deadline: 2000, Queue: 64}}},
+		directory: &fakeDirectory{},
+	}
+	if handler != nil {
+		target := httptest.NewServer(handler)
+		t.Cleanup(target.Close)
+		n.target.announced = seamtarget.Announcement{
+			Service: "booker",
+			Name:    name + "-target",
+			Address: target.Listener.Addr().String(),
+			Slots:   32,
+		}
+	}
+	set, events := metrics.NewSet(), seamevent.NewStream(name)
+	pool, closePool, err := seamsession.New(seamsession.Config{Listener: l}, peer, set, events)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closePool)
+	n.pool = pool
+	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, set, events)
+	t.Cleanup(closeEgress)
+	n.egress = egress
+	pool.Register(seamsession.Request, egress)
+	pool.Register(seamsession.Void, seamegress.Voider{Egress: egress})
+	n.ingress = seamingress.New(seamingress.Config{Address: "127.0.0.1:0"}, peer, n.rules, n.directory, pool, egress, set, events)
+	if n.server, err = n.ingress.Serve(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.server.Close() })
+	return n
+}
+
+// pair returns a node without a target and one with it.
+func pair(t testing.TB, handler http.HandlerFunc) (front, back *node) {
+	t.Helper()
+	back = newNode(t, "back", handler)
+	front = newNode(t, "front", nil)
+	front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
+	return front, back
+}
+
+// result is what a caller saw.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func do(t testing.TB, r *http.Request) result {
+	t.Helper()
+	r.Header.Set("Seam-Service", "booker")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return result{status: res.StatusCode, header: res.Header, body: string(body), err: err}
+}
--- a/internal/route/seamlimit/limiter.go
+++ b/internal/route/seamlimit/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/route/seamoutcome"
 )
@@ -225,7 +226,7 @@
 		// The verdict came at the same time.
 		return <-w.verdict
 	}
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return Verdict{Reason: seamoutcome.Expired}
 	}
 	return Verdict{Reason: seamoutcome.Gone}
--- a/internal/route/seamoutcome/reason.go
+++ b/internal/route/seamoutcome/reason.go
@@ -46,8 +46,6 @@
 	Fenced Reason = "fenced"
 	// Shed means that the target says that it did not run the request.
 	Shed Reason = "shed"
-	// Budget means that the retry budget of the service is used up.
-	Budget Reason = "budget"
 	// Gone means that the caller left before the request was started.
 	Gone Reason = "gone"
 	// Session means that no session to the target's node could be opened.
@@ -99,7 +97,6 @@
 	{Reason: Voided, Outcome: Refused, Status: http.StatusServiceUnavailable, Elsewhere: true, Again: true},
 	{Reason: Fenced, Outcome: Refused, Status: http.StatusServiceUnavailable, Elsewhere: true, Again: true},
 	{Reason: Shed, Outcome: Refused, Status: http.StatusServiceUnavailable, Elsewhere: true, Again: true},
-	{Reason: Budget, Outcome: Refused, Status: http.StatusServiceUnavailable, Again: true},
 	{Reason: Gone, Outcome: Refused, Status: statusClientClosed},
 	{Reason: Session, Outcome: Refused, Status: http.StatusServiceUnavailable, Elsewhere: true, Again: true},
 	{Reason: Duplicate, Outcome: Unknown, Status: http.StatusConflict},
--- a/internal/route/seamretry/budget.go
+++ b/internal/route/seamretry/budget.go
@@ -15,9 +15,10 @@
 	Floor = 2.0
 	// Burst is the largest number of retries saved up.
 	Burst = 50.0
-	// First and Last bound the wait before a retry.
+	// First is the bound of the wait before the first retry.
 	First = 10 * time.Millisecond
-	Last  = 250 * time.Millisecond
+	// Last is the largest bound of the wait before a retry.
+	Last = 250 * time.Millisecond
 )
 
 // Budget counts the retries that a service may still make. It is safe for concurrent use.
