--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -147,7 +147,7 @@
 	if n.server, err = n.ingress.Serve(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { n.server.Close() })
+	t.Cleanup(func() { _ = n.server.Close() })
 	return n
 }
 
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -69,6 +69,7 @@
 	at := to
 	if p, ok := conn.(interface{ Peer() seampeer.Peer }); ok {
 		at = p.Peer()
+		at.Address = to.Address
 	}
 	if at.Name != "" {
 		x.answer.server = at.Name
--- a/internal/route/seamledger/ledger.go
+++ b/internal/route/seamledger/ledger.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// Begin records that an attempt waits to be started. left is the time until its deadline.
+// Begin records that an attempt waits to be started. left is the time until its
+// deadline. Each attempt begins at most once.
 func (l *Ledger) Begin(now seamclock.Instant, id ID, attempt uint64, left time.Duration) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,7 +171,7 @@
 		if r.started {
 			return Ran
 		}
-		// An attempt arrives once, so there is nothing left to be kept from running.
+		// An attempt arrives once, so that no record has to keep it from running.
 		delete(l.runs, id)
 		return Voided
 	}
--- a/internal/route/seamlimit/adaptive.go
+++ b/internal/route/seamlimit/adaptive.go
@@ -13,10 +13,13 @@
 	tolerance = 2.5
 	// nearLimit is the share of the limit in use from which the limit is tested.
 	nearLimit = 0.8
-	// fastWeight and the usual weights are the weights of one sample in the averages.
-	fastWeight      = 0.05
-	usualDownWeight = 0.05
-	usualUpWeight   = 0.001
+	// fastWeight is the weight of one sample in the present latency.
+	fastWeight = 0.05
+	// fallWeight is the weight of one sample with which the usual latency falls.
+	fallWeight = 0.05
+	// riseTime is the time in which the usual latency follows a higher one, so
+	// that lasting slowness, which fewer requests do not cure, becomes usual.
+	riseTime = 10 * time.Second
 	// windowFloor is the least time between two changes of the limit.
 	windowFloor = 50 * time.Millisecond
 )
@@ -39,6 +42,8 @@
 	fast   float64
 	usual  float64
 	change time.Time
+	// sampled is the time of the last sample.
+	sampled time.Time
 }
 
 // NewAdaptive starts at all slots.
@@ -66,7 +71,7 @@
 		a.cut(now, shedCut, 1)
 		return
 	}
-	a.average(s.Latency.Seconds())
+	a.average(now, s.Latency.Seconds())
 	switch {
 	case a.fast > tolerance*a.usual && float64(s.Running) >= a.limit/2:
 		a.cut(now, max(tolerance*a.usual/a.fast, slowCut), max(slowFloor*a.slots, 1))
@@ -76,15 +81,17 @@
 	}
 }
 
-func (a *Adaptive) average(latency float64) {
+func (a *Adaptive) average(now time.Time, latency float64) {
+	since := now.Sub(a.sampled)
+	a.sampled = now
 	if a.usual == 0 {
 		a.fast, a.usual = latency, latency
 		return
 	}
 	a.fast += (latency - a.fast) * fastWeight
-	weight := usualUpWeight
+	weight := min(max(since.Seconds(), 0)/riseTime.Seconds(), 1)
 	if a.fast < a.usual {
-		weight = usualDownWeight
+		weight = fallWeight
 	}
 	a.usual += (a.fast - a.usual) * weight
 }
--- /dev/null
+++ b/internal/route/seamlimit/limiter_test.go
@@ -0,0 +1,137 @@
+package seamlimit_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/route/seamlimit"
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+func newLimiter(slots int) *seamlimit.Limiter {
+	l := seamlimit.New(0, metrics.NewSet())
+	l.Resize(time.Now(), seamlimit.Capacity{Name: "t", Slots: slots, Connections: 110})
+	return l
+}
+
+func ask(caller string, left time.Duration) seamlimit.Ask {
+	return seamlimit.Ask{Caller: caller, Deadline: time.Now().Add(left), Queue: 4}
+}
+
+func TestLimiterBoundsRunningAndQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(2)
+		ctx := t.Context()
+		for range 2 {
+			if v := l.Admit(ctx, time.Now(), ask("a", time.Second)); !v.Admitted {
+				t.Fatalf("verdict %+v", v)
+			}
+		}
+		waiting := make(chan seamlimit.Verdict, 4)
+		for range 4 {
+			go func() { waiting <- l.Admit(ctx, time.Now(), ask("a", time.Second)) }()
+		}
+		synctest.Wait()
+		if v := l.Admit(ctx, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Full || v.After <= 0 {
+			t.Errorf("full queue: verdict %+v", v)
+		}
+		for range 4 {
+			l.Done(time.Now(), true, seamlimit.Sample{Latency: time.Millisecond})
+			if v := <-waiting; !v.Admitted {
+				t.Errorf("verdict %+v", v)
+			}
+		}
+		if load := l.Load(); load.Running != 2 || load.Queued != 0 {
+			t.Errorf("load %+v", load)
+		}
+	})
+}
+
+func TestLimiterRefusesWhatCannotMeetItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(1)
+		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
+		l.Done(time.Now(), true, seamlimit.Sample{Latency: 100 * time.Millisecond})
+		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
+		if v := l.Admit(t.Context(), time.Now(), ask("a", 150*time.Millisecond)); v.Reason != seamoutcome.Late {
+			t.Errorf("two requests of 100 ms within 150 ms: verdict %+v", v)
+		}
+		if v := l.Admit(t.Context(), time.Now(), ask("a", 0)); v.Reason != seamoutcome.Expired {
+			t.Errorf("no time left: verdict %+v", v)
+		}
+	})
+}
+
+func TestLimiterTellsWhyAWaitEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(1)
+		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
+		expiring, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if v := l.Admit(expiring, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Expired {
+			t.Errorf("verdict %+v at the deadline", v)
+		}
+		leaving, leave := context.WithCancel(t.Context())
+		time.AfterFunc(time.Millisecond, leave)
+		if v := l.Admit(leaving, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Gone {
+			t.Errorf("verdict %+v for a caller that left", v)
+		}
+		if load := l.Load(); load.Queued != 0 {
+			t.Errorf("load %+v", load)
+		}
+	})
+}
+
+func TestColdTargetStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := seamlimit.New(10*time.Second, metrics.NewSet())
+		l.Resize(time.Now(), seamlimit.Capacity{Name: "cold", Slots: 12, Cold: true})
+		var got []int
+		for range 3 {
+			got = append(got, l.Load().Slots)
+			time.Sleep(5 * time.Second)
+		}
+		if got[0] != 1 || got[1] < 5 || got[1] > 7 || got[2] != 12 {
+			t.Errorf("slots at 0, 5 and 10 s: %v", got)
+		}
+	})
+}
+
+func TestAdaptiveLimit(t *testing.T) {
+	const slots = 12
+	feed := func(a *seamlimit.Adaptive, now time.Time, n int, s seamlimit.Sample) time.Time {
+		for range n {
+			now = now.Add(5 * time.Millisecond)
+			s.Running = a.Limit()
+			a.Observe(now, s)
+		}
+		return now
+	}
+	steady := seamlimit.Sample{Latency: 10 * time.Millisecond}
+	a := seamlimit.NewAdaptive(slots)
+	now := feed(a, start, 400, steady)
+	if a.Limit() != slots {
+		t.Fatalf("limit %d at steady latency", a.Limit())
+	}
+	now = feed(a, now, 300, seamlimit.Sample{Latency: 100 * time.Millisecond})
+	slow := a.Limit()
+	if slow > slots/2 || slow < slots/4 {
+		t.Errorf("limit %d when the target is ten times slower", slow)
+	}
+	now = feed(a, now, 1000, steady)
+	if a.Limit() != slots {
+		t.Errorf("limit %d after the target recovered", a.Limit())
+	}
+	now = feed(a, now, 400, seamlimit.Sample{Shed: true})
+	if a.Limit() != 1 {
+		t.Errorf("limit %d when the target sheds everything", a.Limit())
+	}
+	feed(a, now, 1000, steady)
+	if a.Limit() != slots {
+		t.Errorf("limit %d after the shedding ended", a.Limit())
+	}
+}
--- a/internal/route/seampick/picker.go
+++ b/internal/route/seampick/picker.go
@@ -128,11 +128,11 @@
 // nearest weighs distance against load: the own failure domain unless the rest
 // of the region is clearly less loaded, another region only when the own is full.
 func (p *Picker) nearest(s *sample) choice {
-	best := s.best(sameDomain)
-	if rest := s.best(sameRegion); rest.better(best, p.cfg.Margin) {
+	best := s.best(sameDomain, p.cfg.Draw)
+	if rest := s.best(sameRegion, p.cfg.Draw); rest.better(best, p.cfg.Margin) {
 		best = rest
 	}
-	far := s.best(otherRegion)
+	far := s.best(otherRegion, p.cfg.Draw)
 	if best.candidate != nil && (best.load < p.cfg.Cross || !far.better(best, 0)) {
 		return best
 	}
--- a/internal/route/seampick/sample.go
+++ b/internal/route/seampick/sample.go
@@ -35,9 +35,13 @@
 	}
 }
 
-// best returns the less loaded of the two choices of a distance.
-func (s *sample) best(d distance) choice {
+// best returns the less loaded of the two choices of a distance, or either if
+// they are equal.
+func (s *sample) best(d distance, draw func(int) int) choice {
 	a, b := s.pair[d][0], s.pair[d][1]
+	if b.candidate != nil && draw(len(s.pair[d])) == 1 {
+		a, b = b, a
+	}
 	if b.better(a, 0) {
 		return b
 	}
