--- a/internal/route/seamlimit/limiter_test.go
+++ b/internal/route/seamlimit/limiter_test.go
@@ -18,8 +18,8 @@
 	return l
 }
 
-func ask(caller string, left time.Duration) seamlimit.Ask {
-	return seamlimit.Ask{Caller: caller, Deadline: time.Now().Add(left), Queue: 4}
+func ask(left time.Duration) seamlimit.Ask {
+	return seamlimit.Ask{Caller: "a", Deadline: time.Now().Add(left), Queue: 4}
 }
 
 func TestLimiterBoundsRunningAndQueued(t *testing.T) {
@@ -27,16 +27,16 @@
 		l := newLimiter(2)
 		ctx := t.Context()
 		for range 2 {
-			if v := l.Admit(ctx, time.Now(), ask("a", time.Second)); !v.Admitted {
+			if v := l.Admit(ctx, time.Now(), ask(time.Second)); !v.Admitted {
 				t.Fatalf("verdict %+v", v)
 			}
 		}
 		waiting := make(chan seamlimit.Verdict, 4)
 		for range 4 {
-			go func() { waiting <- l.Admit(ctx, time.Now(), ask("a", time.Second)) }()
+			go func() { waiting <- l.Admit(ctx, time.Now(), ask(time.Second)) }()
 		}
 		synctest.Wait()
-		if v := l.Admit(ctx, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Full || v.After <= 0 {
+		if v := l.Admit(ctx, time.Now(), ask(time.Second)); v.Reason != seamoutcome.Full || v.After <= 0 {
 			t.Errorf("full queue: verdict %+v", v)
 		}
 		for range 4 {
@@ -54,13 +54,13 @@
 func TestLimiterRefusesWhatCannotMeetItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimiter(1)
-		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
+		l.Admit(t.Context(), time.Now(), ask(time.Second))
 		l.Done(time.Now(), true, seamlimit.Sample{Latency: 100 * time.Millisecond})
-		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
-		if v := l.Admit(t.Context(), time.Now(), ask("a", 150*time.Millisecond)); v.Reason != seamoutcome.Late {
+		l.Admit(t.Context(), time.Now(), ask(time.Second))
+		if v := l.Admit(t.Context(), time.Now(), ask(150*time.Millisecond)); v.Reason != seamoutcome.Late {
 			t.Errorf("two requests of 100 ms within 150 ms: verdict %+v", v)
 		}
-		if v := l.Admit(t.Context(), time.Now(), ask("a", 0)); v.Reason != seamoutcome.Expired {
+		if v := l.Admit(t.Context(), time.Now(), ask(0)); v.Reason != seamoutcome.Expired {
 			t.Errorf("no time left: verdict %+v", v)
 		}
 	})
@@ -69,15 +69,15 @@
 func TestLimiterTellsWhyAWaitEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimiter(1)
-		l.Admit(t.Context(), time.Now(), ask("a", time.Second))
+		l.Admit(t.Context(), time.Now(), ask(time.Second))
 		expiring, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
-		if v := l.Admit(expiring, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Expired {
+		if v := l.Admit(expiring, time.Now(), ask(time.Second)); v.Reason != seamoutcome.Expired {
 			t.Errorf("verdict %+v at the deadline", v)
 		}
 		leaving, leave := context.WithCancel(t.Context())
 		time.AfterFunc(time.Millisecond, leave)
-		if v := l.Admit(leaving, time.Now(), ask("a", time.Second)); v.Reason != seamoutcome.Gone {
+		if v := l.Admit(leaving, time.Now(), ask(time.Second)); v.Reason != seamoutcome.Gone {
 			t.Errorf("verdict %+v for a caller that left", v)
 		}
 		if load := l.Load(); load.Queued != 0 {
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -65,7 +65,7 @@
 		routes:   map[string]*session{},
 		failures: map[string]failure{},
 	}
-	p.stats = newStats(set, self, p.count)
+	p.stats = newStats(set, self, func() float64 { return float64(p.Len()) })
 	p.handlers[relay] = relayHandler{p}
 	var wg sync.WaitGroup
 	wg.Go(func() { p.listen(l) })
@@ -374,9 +374,11 @@
 	for s := range p.sessions {
 		idle := s.idle(now)
 		switch {
-		case s.leaving.Load() && idle > lingerTime:
-			p.removeLocked(s)
-			go s.mux.Close()
+		case s.leaving.Load():
+			if idle > lingerTime {
+				p.removeLocked(s)
+				go s.mux.Close()
+			}
 		case idle > p.cfg.Idle || now.Sub(s.start) > p.cfg.Age || s.skewed(now):
 			p.dropRouteLocked(s)
 			s.touch(now)
@@ -397,8 +399,9 @@
 	}
 }
 
-func (p *Pool) count() float64 {
+// Len returns the number of sessions.
+func (p *Pool) Len() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(len(p.sessions))
+	return len(p.sessions)
 }
--- /dev/null
+++ b/internal/route/seamsession/pool_test.go
@@ -0,0 +1,253 @@
+package seamsession_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/route/seamsession"
+)
+
+// echo returns what it reads, after the name of the asking peer.
+type echo struct{}
+
+func (echo) ServeStream(_ context.Context, from seampeer.Peer, conn net.Conn) {
+	fmt.Fprint(conn, from.Name, " ")
+	_, _ = io.Copy(conn, conn)
+}
+
+type member struct {
+	pool  *seamsession.Pool
+	peer  seampeer.Peer
+	close func()
+}
+
+func newMember(t testing.TB, name string, cfg seamsession.Config) *member {
+	t.Helper()
+	if cfg.Listener == nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Listener = l
+	}
+	peer := seampeer.Peer{Name: name, Incarnation: 5, Address: cfg.Listener.Addr().String(), Region: "ost"}
+	pool, closePool, err := seamsession.New(cfg, peer, metrics.NewSet(), seamevent.NewStream(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closePool)
+	pool.Register(seamsession.Rules, echo{})
+	return &member{pool: pool, peer: peer, close: closePool}
+}
+
+// say sends text to a peer and returns what came back.
+func (m *member) say(t testing.TB, to seampeer.Peer, text string) (string, error) {
+	t.Helper()
+	conn, err := m.pool.Open(t.Context(), to, seamsession.Rules)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return "", err
+	}
+	back := make([]byte, len(m.peer.Name)+1+len(text))
+	_, err = io.ReadFull(conn, back)
+	return string(back), err
+}
+
+func TestStreamsBothWaysOverOneSession(t *testing.T) {
+	a, b := newMember(t, "a", seamsession.Config{}), newMember(t, "b", seamsession.Config{})
+	for range 3 {
+		if got, err := a.say(t, b.peer, "hello"); err != nil || got != "a hello" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		if got, err := b.say(t, a.peer, "hello"); err != nil || got != "b hello" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+}
+
+func TestAnotherRunIsNoticed(t *testing.T) {
+	a, b := newMember(t, "a", seamsession.Config{}), newMember(t, "b", seamsession.Config{})
+	older, other, anyRun, anyName := b.peer, b.peer, b.peer, b.peer
+	older.Incarnation = 4
+	other.Name = "c"
+	anyRun.Incarnation = 0
+	anyName.Name, anyName.Incarnation = "", 0
+	for range 2 {
+		for _, p := range []seampeer.Peer{older, other} {
+			_, err := a.say(t, p, "x")
+			var stale *seamsession.StalePeerError
+			if !errors.As(err, &stale) || !stale.Got.Same(b.peer) || stale.Want != p {
+				t.Errorf("opening to %v: %v", p, err)
+			}
+		}
+		for _, p := range []seampeer.Peer{b.peer, anyRun, anyName} {
+			if _, err := a.say(t, p, "x"); err != nil {
+				t.Errorf("opening to %v: %v", p, err)
+			}
+		}
+	}
+}
+
+func TestDeadPeerFailsFastAndBacksOff(t *testing.T) {
+	a, b := newMember(t, "a", seamsession.Config{}), newMember(t, "b", seamsession.Config{})
+	if _, err := a.say(t, b.peer, "x"); err != nil {
+		t.Fatal(err)
+	}
+	b.close()
+	start := time.Now()
+	var unreachable *seamsession.UnreachableError
+	for i := range 3 {
+		_, err := a.say(t, b.peer, "x")
+		if i > 0 && (!errors.As(err, &unreachable) || unreachable.After <= 0) {
+			t.Errorf("attempt %d: %v", i, err)
+		}
+	}
+	if d := time.Since(start); d > time.Second {
+		t.Errorf("three attempts took %v", d)
+	}
+}
+
+func TestSilentPeerIsBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	a := newMember(t, "a", seamsession.Config{Dial: 100 * time.Millisecond})
+	start := time.Now()
+	_, err = a.say(t, seampeer.Peer{Name: "mute", Address: l.Addr().String()}, "x")
+	var unreachable *seamsession.UnreachableError
+	if !errors.As(err, &unreachable) || time.Since(start) > time.Second {
+		t.Errorf("%v after %v", err, time.Since(start))
+	}
+}
+
+func TestIdleSessionIsClosedAndOpenedAgain(t *testing.T) {
+	a := newMember(t, "a", seamsession.Config{Idle: 40 * time.Millisecond})
+	b := newMember(t, "b", seamsession.Config{})
+	for range 2 {
+		if _, err := a.say(t, b.peer, "x"); err != nil {
+			t.Fatal(err)
+		}
+		waitFor(t, func() bool { return a.pool.Len() == 0 && b.pool.Len() == 0 })
+	}
+}
+
+func waitFor(t *testing.T, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("timeout")
+}
+
+// through names one relay for every peer.
+type through struct{ peer seampeer.Peer }
+
+func (r *through) Relays(seampeer.Peer) []seampeer.Peer { return []seampeer.Peer{r.peer} }
+
+func TestFullPoolOpensThroughRelay(t *testing.T) {
+	relay := &through{}
+	a := newMember(t, "a", seamsession.Config{Max: 1, Relays: relay})
+	b, c := newMember(t, "b", seamsession.Config{}), newMember(t, "c", seamsession.Config{})
+	relay.peer = b.peer
+	busy, err := a.pool.Open(t.Context(), b.peer, seamsession.Rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer busy.Close()
+	if got, err := a.say(t, c.peer, "x"); err != nil || got != "b x" {
+		t.Errorf("through the relay: %q, %v", got, err)
+	}
+	stale := c.peer
+	stale.Incarnation = 4
+	_, err = a.say(t, stale, "x")
+	var wrong *seamsession.StalePeerError
+	if !errors.As(err, &wrong) || !wrong.Got.Same(c.peer) {
+		t.Errorf("to another run through the relay: %v", err)
+	}
+}
+
+func TestFullPoolClosesTheLongestIdle(t *testing.T) {
+	a := newMember(t, "a", seamsession.Config{Max: 2})
+	for i := range 4 {
+		b := newMember(t, fmt.Sprint("b", i), seamsession.Config{})
+		waitFor(t, func() bool {
+			_, err := a.say(t, b.peer, "x")
+			return err == nil
+		})
+		if n := a.pool.Len(); n > 2 {
+			t.Errorf("%d sessions", n)
+		}
+	}
+}
+
+func TestSlowStreamStallsNoOther(t *testing.T) {
+	a, b := newMember(t, "a", seamsession.Config{}), newMember(t, "b", seamsession.Config{})
+	slow, err := a.pool.Open(t.Context(), b.peer, seamsession.Rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	go func() {
+		// The echo is never read, so that the stream fills up both ways.
+		_, _ = slow.Write(make([]byte, 4<<20))
+	}()
+	time.Sleep(50 * time.Millisecond)
+	start := time.Now()
+	for range 20 {
+		if _, err := a.say(t, b.peer, "quick"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d := time.Since(start); d > 2*time.Second {
+		t.Errorf("20 short streams beside a full one took %v", d)
+	}
+}
+
+// BenchmarkSessionMemory reports the memory of one idle session at both ends together.
+func BenchmarkSessionMemory(b *testing.B) {
+	hub := newMember(b, "hub", seamsession.Config{Max: 1 << 20, Idle: time.Hour})
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	const sessions = 200
+	var before uint64
+	members := make([]*member, sessions)
+	for i := range members {
+		members[i] = newMember(b, fmt.Sprint("m", i), seamsession.Config{})
+	}
+	before = heap()
+	for _, m := range members {
+		if _, err := hub.say(b, m.peer, "x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	each := float64(heap()-before) / sessions / 1024
+	for b.Loop() {
+		if _, err := hub.say(b, members[0].peer, "x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(each, "KB/session-pair")
+}
