--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,7 +39,9 @@
 
 	// hint is the owner that the last attempt named.
 	hint seampeer.Peer
-	// tried are the nodes that are not tried again.
+	// left are the nodes that will not run the request, which are not tried again.
+	left []seampeer.Peer
+	// tried are the nodes that are tried again only if there is no other.
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
@@ -82,15 +85,20 @@
 	}
 	i := x.ingress
 	all := i.directory.Candidates(x.service)
-	pick := func() (seampick.Candidate, bool) {
-		return i.picker.Pick(time.Now(), all, x.choice.Targets, x.wasTried)
-	}
 	if x.named != "" && !x.head.GetIdempotent() {
-		pick = func() (seampick.Candidate, bool) {
-			return i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasTried)
-		}
+		c, ok := i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasLeft)
+		return c.Peer, ok
+	}
+	return x.pick(all, x.choice.Targets)
+}
+
+// pick prefers nodes that were not tried.
+func (x *exchange) pick(all []seampick.Candidate, targets seampick.Labeled) (seampeer.Peer, bool) {
+	now := time.Now()
+	c, ok := x.ingress.picker.Pick(now, all, targets, x.wasTried)
+	if !ok && len(x.tried) > 0 {
+		c, ok = x.ingress.picker.Pick(now, all, targets, x.wasLeft)
 	}
-	c, ok := pick()
 	return c.Peer, ok
 }
 
@@ -116,21 +124,18 @@
 		return x.hint, true
 	}
 	i := x.ingress
-	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasTried(p) {
+	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasLeft(p) {
 		return p, true
 	}
-	all := i.directory.Candidates(x.service)
-	c, ok := i.picker.Pick(time.Now(), all, nil, x.wasTried)
-	return c.Peer, ok
+	return x.pick(i.directory.Candidates(x.service), nil)
+}
+
+func (x *exchange) wasLeft(p seampeer.Peer) bool {
+	return slices.ContainsFunc(x.left, p.Same)
 }
 
 func (x *exchange) wasTried(p seampeer.Peer) bool {
-	for _, t := range x.tried {
-		if t.Same(p) {
-			return true
-		}
-	}
-	return false
+	return x.wasLeft(p) || slices.ContainsFunc(x.tried, p.Same)
 }
 
 // next decides whether another attempt follows, and after which wait.
@@ -203,7 +208,7 @@
 		x.hint = end.Owner
 		return true
 	case seamoutcome.Draining, seamoutcome.Target, seamoutcome.Session:
-		x.tried = append(x.tried, to)
+		x.left = append(x.left, to)
 		return !x.choice.Keyed || end.Reason == seamoutcome.Draining
 	}
 	return false
