Refusals after doubtful attempts, deadlines after pauses

A request whose first attempt may have run is not refused when a retry is refused. The gate compares the clocks with the deadline, because timers lag after a pause of the process.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -25,6 +25,8 @@
 	body      io.Reader
 	out       seamcall.Answer
 	announced seamtarget.Announcement
+	// deadline is the deadline of the request on both clocks.
+	deadline seamclock.Instant
 }
 
 // record keeps a request that must not run twice in the ledger while it is handled.
@@ -152,6 +154,7 @@
 		attempt:    c.head.GetAttempt(),
 		idempotent: c.head.GetIdempotent(),
 		grant:      grant,
+		deadline:   c.deadline,
 	}
 }
 
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -135,6 +135,7 @@
 	if len(head.GetId()) != idSize {
 		return seamoutcome.Refuse(seamoutcome.Malformed, "the request id has a wrong length")
 	}
+	arrived := e.clock.Now()
 	left := time.Duration(head.GetLeft()) * time.Millisecond
 	if left <= 0 {
 		return seamoutcome.Refuse(seamoutcome.Expired, "the deadline passed on the way")
@@ -145,7 +146,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	c := &call{egress: e, head: head, body: body, out: out, announced: announced}
+	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(left)}
 	return c.record(ctx, left)
 }
 
--- a/internal/route/seamegress/gate.go
+++ b/internal/route/seamegress/gate.go
@@ -28,6 +28,9 @@
 	idempotent bool
 	// grant is the right to serve the slot; nil for a service without keys.
 	grant *seamgrant.Grant
+	// deadline is the deadline of the request. The timer of ctx may lag behind
+	// it after a pause of the process.
+	deadline seamclock.Instant
 
 	mu      sync.Mutex
 	started bool
@@ -65,7 +68,7 @@
 	switch {
 	case g.grant != nil && seamclock.Past(now, g.grant.Until):
 		return seamoutcome.Owner
-	case errors.Is(g.ctx.Err(), context.DeadlineExceeded):
+	case seamclock.Past(now, g.deadline), errors.Is(g.ctx.Err(), context.DeadlineExceeded):
 		return seamoutcome.Expired
 	case g.ctx.Err() != nil:
 		return seamoutcome.Gone
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -23,6 +23,8 @@
 	redirectLimit = 4
 	// leastLeft is the time to the deadline below which nothing more is tried.
 	leastLeft = 2 * time.Millisecond
+	// fairTime is the time to the deadline from which a timeout counts as a failure of the node.
+	fairTime = 500 * time.Millisecond
 )
 
 // exchange is one request of a caller with all its attempts.
@@ -45,6 +47,8 @@
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
+	// doubt is the end of an earlier attempt that may have run.
+	doubt *seamoutcome.End
 }
 
 // run makes attempts until one decides the request or no further one is safe and useful.
@@ -60,17 +64,38 @@
 		end := x.attempt(ctx, to)
 		wait, again := x.next(end, to, budget)
 		if !again || !pause(ctx, wait) {
-			return end
+			return x.honest(end)
 		}
+		x.remember(end)
 		last = &end
 	}
 }
 
+// remember notes that an attempt that is repeated may have run.
+func (x *exchange) remember(end seamoutcome.End) {
+	switch end.Outcome {
+	case seamoutcome.Unknown:
+		x.doubt = &end
+	case seamoutcome.Done:
+		doubt := seamoutcome.Doubt(seamoutcome.Shed, "an earlier attempt was answered by a target with too much work")
+		x.doubt = &doubt
+	}
+}
+
+// honest returns the end of the last attempt as the end of the request: if an
+// earlier attempt may have run, the request is not refused.
+func (x *exchange) honest(end seamoutcome.End) seamoutcome.End {
+	if end.Outcome == seamoutcome.Refused && x.doubt != nil {
+		return *x.doubt
+	}
+	return end
+}
+
 // exhausted is the end of a request for which no node is left to try.
 func (x *exchange) exhausted(last *seamoutcome.End) seamoutcome.End {
 	switch {
 	case last != nil:
-		return *last
+		return x.honest(*last)
 	case x.choice.Keyed:
 		return seamoutcome.Refuse(seamoutcome.Owner, "no owner of the key is known")
 	default:
@@ -247,27 +272,31 @@
 	if err != nil {
 		end = x.lost(ctx, at, err, sentAt{start, left})
 	}
-	i.ended(to, end)
+	i.ended(to, end, left)
 	if at.Name != "" && x.choice.Keyed && end.Outcome == seamoutcome.Done && x.redirects > 0 {
 		i.directory.Learn(x.service, x.head.GetSlot(), at)
 	}
 	return end
 }
 
-// ended tells the picker how an attempt ended.
-func (i *Ingress) ended(to seampeer.Peer, end seamoutcome.End) {
+// ended tells the picker how an attempt with so much time left ended.
+func (i *Ingress) ended(to seampeer.Peer, end seamoutcome.End, left time.Duration) {
 	i.picker.Ended(time.Now(), to, seampick.Result{
 		Known:    end.Slots > 0,
 		InFlight: end.InFlight,
 		Slots:    end.Slots,
-		Failed:   failed(end.Reason),
+		Failed:   failed(end.Reason, left),
 	})
 }
 
-func failed(r seamoutcome.Reason) bool {
+// failed reports whether the reason speaks against the node. A timeout does so
+// only if the caller left the node a fair time.
+func failed(r seamoutcome.Reason, left time.Duration) bool {
 	switch r {
-	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Timeout, seamoutcome.Session, seamoutcome.Target:
+	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Session, seamoutcome.Target:
 		return true
+	case seamoutcome.Timeout:
+		return left >= fairTime
 	}
 	return false
 }
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -364,3 +364,16 @@
 	r, _ := http.NewRequest(http.MethodPost, "http://"+server.Address()+"/book", nil)
 	do(t, r).expect(t, 502, seamoutcome.Unknown, seamoutcome.Lost)
 }
+
+func TestRetryThatIsRefusedDoesNotHideAnAttemptThatRan(t *testing.T) {
+	var back *node
+	front, back := pair(t, func(http.ResponseWriter, *http.Request) {
+		back.target.mu.Lock()
+		back.target.announced.Leaving = true
+		back.target.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	})
+	front.rules.choice.Limits.Retries = 2
+	r, _ := http.NewRequest(http.MethodGet, front.url("/page"), nil)
+	do(t, r).expect(t, 502, seamoutcome.Unknown, seamoutcome.Broken)
+}
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -51,8 +51,12 @@
 	Dial time.Duration
 	// Keepalive is the time between two probes of a session.
 	Keepalive time.Duration
-	// Silence is the time without an answer after which a session is given up.
+	// Silence is the time without an acknowledgement of the peer's machine after
+	// which a session is given up.
 	Silence time.Duration
+	// Answer is the time without an answer of the peer's process to a probe
+	// after which a session is given up.
+	Answer time.Duration
 	// Relays names detours when the pool is full of busy sessions; may be nil.
 	Relays Relayer
 }
@@ -64,6 +68,7 @@
 	defaultDial      = 400 * time.Millisecond
 	defaultKeepalive = time.Second
 	defaultSilence   = time.Second
+	defaultAnswer    = 2 * time.Second
 	// lingerTime is the time between the announcement that a session ends and its end.
 	lingerTime = time.Second
 	// backoffFirst and backoffLast bound the wait after a failed dial.
@@ -93,6 +98,7 @@
 	c.Dial = fallback(c.Dial, defaultDial)
 	c.Keepalive = fallback(c.Keepalive, defaultKeepalive)
 	c.Silence = fallback(c.Silence, defaultSilence)
+	c.Answer = fallback(c.Answer, defaultAnswer)
 	return c
 }
 
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -42,7 +42,7 @@
 	y := yamux.DefaultConfig()
 	y.AcceptBacklog = streamBacklog
 	y.KeepAliveInterval = cfg.Keepalive
-	y.ConnectionWriteTimeout = cfg.Silence
+	y.ConnectionWriteTimeout = cfg.Answer
 	y.MaxStreamWindowSize = streamWindow
 	y.StreamCloseTimeout = streamLinger
 	// Probes find a peer that does not answer; the timer of each stream would cost a goroutine.
