Streams between nodes are used again

Each request opened and closed a yamux stream, which cost four frames beside its own two. A stream whose exchange ended cleanly is kept for the next one.

--- a/internal/route/seamegress/stream.go
+++ b/internal/route/seamegress/stream.go
@@ -21,6 +21,8 @@
 const (
 	// headTime bounds the wait for the head of a request after its stream was opened.
 	headTime = time.Second
+	// idleTime bounds the wait for the next request on a stream.
+	idleTime = 10 * time.Second
 	// skewFloor is the difference of session time that is always tolerated.
 	skewFloor = 50 * time.Millisecond
 	// driftShare is the part of a session's age by which its clocks may drift apart.
@@ -32,19 +34,22 @@
 	Age(now time.Time) time.Duration
 }
 
-// ServeStream serves one request from another node.
+// ServeStream serves the requests that another node sends one after the other on a stream.
 func (e *Egress) ServeStream(ctx context.Context, _ seampeer.Peer, conn net.Conn) {
 	reader, done := seamframe.NewReader(conn)
 	defer done()
 	conn.SetReadDeadline(time.Now().Add(headTime))
-	head := new(seamroutewire.RequestHead)
-	if err := reader.Expect(seamframe.RequestHead, head); err != nil {
-		// Without a head there is no id to answer to; the closed stream says that it was lost.
-		return
+	frame, err := reader.Next()
+	for err == nil && frame.Type == seamframe.RequestHead {
+		head := new(seamroutewire.RequestHead)
+		if frame.Decode(head) != nil {
+			// Without a head there is no id to answer to; the closed stream says that it was lost.
+			return
+		}
+		conn.SetReadDeadline(time.Time{})
+		head.Left = min(head.GetLeft(), leftBySession(conn, head.GetExpires(), time.Now()))
+		frame, err = e.serve(seamspan.Extract(ctx, head.GetTrace()), conn, reader, head)
 	}
-	conn.SetReadDeadline(time.Time{})
-	head.Left = min(head.GetLeft(), leftBySession(conn, head.GetExpires(), time.Now()))
-	e.serve(seamspan.Extract(ctx, head.GetTrace()), conn, reader, head)
 }
 
 // leftBySession returns the milliseconds until the deadline on the session's time,
@@ -58,11 +63,11 @@
 	return expires + (skewFloor + age/driftShare - age).Milliseconds()
 }
 
-func (e *Egress) serve(ctx context.Context, conn net.Conn, reader *seamframe.Reader, head *seamroutewire.RequestHead) {
+// serve answers one request and returns the frame that follows it on the stream.
+func (e *Egress) serve(ctx context.Context, conn net.Conn, reader *seamframe.Reader, head *seamroutewire.RequestHead) (seamframe.Frame, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	body := &streamBody{conn: conn, reader: reader, gone: cancel}
-	defer body.stop()
 	answer, done := newStreamAnswer(conn)
 	defer done()
 	var end seamoutcome.End
@@ -72,7 +77,11 @@
 		end = e.Run(ctx, head, in, answer)
 	}
 	// A caller that misses the end takes the answer as cut.
-	_ = answer.end(seamcall.WireEnd(head, end))
+	if err := answer.end(seamcall.WireEnd(head, end)); err != nil {
+		body.stop()
+		return seamframe.Frame{}, err
+	}
+	return body.follow()
 }
 
 // streamBody reads the body of a request from its stream, and afterwards
@@ -89,6 +98,9 @@
 	watching chan struct{}
 	rest     []byte
 	ended    bool
+	// frame and err are what the watch has read.
+	frame seamframe.Frame
+	err   error
 }
 
 // open returns the body. A body that follows in one piece is read at once.
@@ -168,19 +180,35 @@
 	}
 }
 
-// watch waits for the end of the stream, which comes before the answer's end
-// only if the caller left.
+// watch waits for what follows the body. The end of the stream comes before
+// the answer's end only if the caller left.
 func (b *streamBody) watch() {
 	b.watching = make(chan struct{})
 	go func() {
 		defer close(b.watching)
-		// Anything but the timeout set by stop means that the stream is of no more use.
-		_, _ = b.reader.Next()
-		b.gone()
+		b.frame, b.err = b.reader.Next()
+		if b.err != nil {
+			b.gone()
+		}
 	}()
 }
 
-// stop ends the watch, so that the reader can be used again.
+// follow returns the frame that follows the request. There is none if the
+// answer came before the end of the body.
+func (b *streamBody) follow() (seamframe.Frame, error) {
+	b.mu.Lock()
+	watching := b.watching
+	b.mu.Unlock()
+	if watching == nil {
+		b.stop()
+		return seamframe.Frame{}, io.EOF
+	}
+	b.conn.SetReadDeadline(time.Now().Add(idleTime))
+	<-watching
+	return b.frame, b.err
+}
+
+// stop ends the reading, so that the reader can be used again.
 func (b *streamBody) stop() {
 	b.conn.SetReadDeadline(time.Unix(1, 0))
 	b.mu.Lock()
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -47,6 +47,8 @@
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
+	// drained says that nothing follows the last answer on its stream.
+	drained bool
 	// doubt is the end of an earlier attempt that may have run.
 	doubt *seamoutcome.End
 }
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -65,7 +65,8 @@
 	if err != nil {
 		return seamoutcome.Refuse(seamoutcome.Session, err.Error()), to, nil
 	}
-	defer conn.Close()
+	clean := false
+	defer func() { finishStream(conn, clean) }()
 	at := to
 	if p, ok := conn.(interface{ Peer() seampeer.Peer }); ok {
 		at = p.Peer()
@@ -76,14 +77,24 @@
 	}
 	conn.SetDeadline(x.deadline.Add(answerGrace))
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
 	end, err := x.talk(ctx, conn)
+	untouched := stop()
 	if err != nil {
 		return end, at, &lostError{At: at, Cause: err}
 	}
+	clean = untouched && x.body.whole && x.drained
 	return end, at, nil
 }
 
+// finishStream keeps a stream for reuse if nothing of the request is left on it.
+func finishStream(conn net.Conn, clean bool) {
+	if r, ok := conn.(interface{ Release() }); ok && clean {
+		r.Release()
+		return
+	}
+	conn.Close()
+}
+
 func (x *exchange) open(ctx context.Context, to seampeer.Peer) (net.Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
@@ -187,6 +198,7 @@
 		case seamframe.Chunk:
 			err = x.receiveChunk(f, &a)
 		case seamframe.AnswerEnd:
+			x.drained = reader.Buffered() == 0
 			return x.receiveEnd(f, &a)
 		default:
 			err = &seamframe.Error{Fault: "not part of an answer", Type: f.Type}
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -82,6 +82,10 @@
 	streamWindow = 256 << 10
 	// streamLinger is the time after which a stream that only one side closed is reset.
 	streamLinger = 5 * time.Second
+	// spareLimit is the number of streams of a session that are kept for reuse.
+	spareLimit = 64
+	// spareTime is the time after which a stream kept for reuse is closed.
+	spareTime = 2 * time.Second
 	// skewLimit is the difference between a session's monotonic and wall time that retires it.
 	skewLimit = 25 * time.Millisecond
 	// helloLimit is the largest introduction, in bytes.
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -372,6 +372,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
+		go s.closeSpare(now.Add(-spareTime))
 		idle := s.idle(now)
 		switch {
 		case s.leaving.Load():
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,10 @@
 	used atomic.Int64
 	// leaving says that the session takes no new streams.
 	leaving atomic.Bool
+
+	mu sync.Mutex
+	// spare are streams that are open but not in use, the latest last.
+	spare []*stream
 }
 
 func newSession(c net.Conn, peer seampeer.Peer, client bool, cfg Config) (*session, error) {
@@ -66,8 +71,12 @@
 	return now.Sub(time.Unix(0, s.used.Load()))
 }
 
+// open returns a spare stream of the kind or a new one.
 func (s *session) open(k Kind, now time.Time) (net.Conn, error) {
 	s.touch(now)
+	if spare := s.takeSpare(k); spare != nil {
+		return spare, nil
+	}
 	c, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, err
@@ -82,6 +91,7 @@
 	}
 	// A peer that does not hear of the end sees its stream break and voids it.
 	_ = s.mux.GoAway()
+	s.closeSpare(time.Now())
 }
 
 // accept hands the peer's streams to serve until the session ends.
@@ -96,12 +106,59 @@
 	}
 }
 
+func (s *session) takeSpare(k Kind) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.spare) - 1; i >= 0; i-- {
+		if c := s.spare[i]; c.kind == k {
+			s.spare = slices.Delete(s.spare, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// closeSpare closes the streams that were not in use since a time.
+func (s *session) closeSpare(since time.Time) {
+	s.mu.Lock()
+	old := 0
+	for old < len(s.spare) && s.spare[old].released.Before(since) {
+		old++
+	}
+	closing := slices.Clone(s.spare[:old])
+	s.spare = slices.Delete(s.spare, 0, old)
+	s.mu.Unlock()
+	for _, c := range closing {
+		c.Close()
+	}
+}
+
 // stream sends its kind together with its first bytes.
 type stream struct {
 	*yamux.Stream
 	session *session
 	once    sync.Once
 	kind    Kind
+	// released is the time since which the stream is spare.
+	released time.Time
+}
+
+// Release keeps the stream for the next opening of its kind, instead of closing
+// it. Both sides must be done with what was sent.
+func (s *stream) Release() {
+	// A stream that is closed already fails its next user, as a lost one.
+	_ = s.SetDeadline(time.Time{})
+	s.released = time.Now()
+	owner := s.session
+	owner.mu.Lock()
+	full := len(owner.spare) >= spareLimit || !owner.usable()
+	if !full {
+		owner.spare = append(owner.spare, s)
+	}
+	owner.mu.Unlock()
+	if full {
+		s.Close()
+	}
 }
 
 // Write sends p, with the kind of the stream before the first bytes.
