--- /dev/null
+++ b/internal/route/seamegress/egress_test.go
@@ -0,0 +1,252 @@
+package seamegress_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/route/seamcall"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamframe"
+	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seamledger"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamroutewire"
+)
+
+var self = seampeer.Peer{Name: "back", Incarnation: 3}
+
+// granting grants every slot for a time.
+type granting struct {
+	clock *seamclock.Clock
+	life  time.Duration
+}
+
+func (g granting) Acquire(_ context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
+	return seamgrant.Grant{Slot: id, Epoch: 1, Until: g.clock.Now().Add(g.life)}, func() {}, nil
+}
+
+// announcing is a target that announced itself.
+type announcing seamtarget.Announcement
+
+func (a announcing) Current() (seamtarget.Announcement, bool) {
+	return seamtarget.Announcement(a), true
+}
+
+// newEgress returns an egress before a target, and the count of requests that reached it.
+func newEgress(t *testing.T, life time.Duration, can []string, handler http.HandlerFunc) (*seamegress.Egress, *atomic.Int32) {
+	t.Helper()
+	var runs atomic.Int32
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if handler != nil {
+			handler(w, r)
+		}
+	}))
+	t.Cleanup(target.Close)
+	clock := seamclock.NewClock()
+	announced := announcing{Service: "booker", Name: "t", Address: target.Listener.Addr().String(), Slots: 2, Can: can}
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, life}, announced, clock, metrics.NewSet(), seamevent.NewStream("back"))
+	t.Cleanup(closeEgress)
+	return e, &runs
+}
+
+func head(attempt uint64) *seamroutewire.RequestHead {
+	return &seamroutewire.RequestHead{
+		Id:      make([]byte, 16),
+		Attempt: attempt,
+		Service: "booker",
+		Method:  http.MethodPost,
+		Path:    "/book",
+		Left:    2000,
+		Queue:   8,
+		Whole:   true,
+	}
+}
+
+// discard takes an answer.
+type discard struct{ header http.Header }
+
+func (d *discard) Head(h *seamroutewire.AnswerHead) error {
+	seamcall.Header(d.header, h.GetHeaders())
+	return nil
+}
+
+func (*discard) Body([]byte) error { return nil }
+
+func run(e *seamegress.Egress, h *seamroutewire.RequestHead) seamoutcome.End {
+	return e.Run(context.Background(), h, http.NoBody, &discard{http.Header{}})
+}
+
+func expect(t *testing.T, end seamoutcome.End, outcome seamoutcome.Outcome, reason seamoutcome.Reason) {
+	t.Helper()
+	if end.Outcome != outcome || end.Reason != reason {
+		t.Errorf("got %s (%s: %s), want %s (%s)", end.Outcome, end.Reason, end.Detail, outcome, reason)
+	}
+}
+
+func TestVoid(t *testing.T) {
+	e, runs := newEgress(t, time.Minute, nil, nil)
+	ask := func(attempt, incarnation uint64) seamledger.State {
+		return e.Void(&seamroutewire.Void{
+			Id:      make([]byte, 16),
+			Attempt: attempt,
+			Peer:    &seamroutewire.Peer{Name: self.Name, Incarnation: incarnation},
+			Left:    1000,
+		})
+	}
+	if s := ask(1, self.Incarnation-1); s != seamledger.Unknown {
+		t.Errorf("a later run answers %s for an earlier one", s)
+	}
+	if s := ask(1, self.Incarnation); s != seamledger.Voided {
+		t.Errorf("before the attempt: %s", s)
+	}
+	expect(t, run(e, head(1)), seamoutcome.Refused, seamoutcome.Voided)
+	expect(t, run(e, head(2)), seamoutcome.Done, "")
+	if s := ask(2, self.Incarnation); s != seamledger.Ran {
+		t.Errorf("after the attempt: %s", s)
+	}
+	expect(t, run(e, head(3)), seamoutcome.Unknown, seamoutcome.Duplicate)
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the target ran %d requests", n)
+	}
+}
+
+func TestGrantBoundsRequestOfTargetThatDoesNotFence(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		can      []string
+		deadline time.Duration
+	}{
+		{"fences", []string{seamtarget.CanFence}, 2 * time.Second},
+		{"does not fence", nil, 300 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var told time.Duration
+			e, _ := newEgress(t, 300*time.Millisecond, tt.can, func(_ http.ResponseWriter, r *http.Request) {
+				n, _ := strconv.Atoi(r.Header.Get(seamheader.Deadline))
+				told = time.Duration(n) * time.Millisecond
+			})
+			h := head(1)
+			h.Keyed = true
+			expect(t, run(e, h), seamoutcome.Done, "")
+			if told > tt.deadline || told < tt.deadline/2 {
+				t.Errorf("the target was told %v", told)
+			}
+		})
+	}
+}
+
+func TestRequestThatWaitedInASessionIsNotStarted(t *testing.T) {
+	e, runs := newEgress(t, time.Minute, nil, nil)
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() {
+		defer far.Close()
+		e.ServeStream(context.Background(), seampeer.Peer{}, oldConn{far})
+	}()
+	h := head(1)
+	h.Expires = 2000
+	go send(near, h)
+	r, done := seamframe.NewReader(near)
+	defer done()
+	end := new(seamroutewire.AnswerEnd)
+	if err := r.Expect(seamframe.AnswerEnd, end); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, seamcall.End(end), seamoutcome.Refused, seamoutcome.Expired)
+	if n := runs.Load(); n != 0 {
+		t.Errorf("the target ran %d requests", n)
+	}
+}
+
+// oldConn is a stream of a session that is a minute old.
+type oldConn struct{ net.Conn }
+
+func (oldConn) Age(time.Time) time.Duration { return time.Minute }
+
+func send(w io.Writer, h *seamroutewire.RequestHead) {
+	b, done := seamframe.NewBuffer()
+	defer done()
+	_ = b.Message(seamframe.RequestHead, h)
+	_ = b.Message(seamframe.RequestEnd, &seamroutewire.RequestEnd{})
+	_ = b.Flush(w)
+}
+
+func TestBadStreamsReachNoTarget(t *testing.T) {
+	e, runs := newEgress(t, time.Minute, nil, nil)
+	short := head(1)
+	short.Length = 5
+	nameless := head(1)
+	nameless.Id = nil
+	for name, write := range map[string]func(c net.Conn){
+		"nothing": func(net.Conn) {},
+		"noise":   func(c net.Conn) { _, _ = c.Write([]byte("GET / HTTP/1.1\r\n\r\n")) },
+		"other":   func(c net.Conn) { _ = seamframe.Write(c, seamframe.AnswerEnd, &seamroutewire.AnswerEnd{}) },
+		"half":    func(c net.Conn) { _, _ = c.Write([]byte{0x0a, 40, 1, 2, 3}) },
+		"short":   func(c net.Conn) { send(c, short) },
+		"no id":   func(c net.Conn) { send(c, nameless) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				defer far.Close()
+				e.ServeStream(context.Background(), seampeer.Peer{}, far)
+			}()
+			go func() { _, _ = io.Copy(io.Discard, near) }()
+			write(near)
+			near.Close()
+			select {
+			case <-ended:
+			case <-time.After(2 * time.Second):
+				t.Error("the stream is still served")
+			}
+		})
+	}
+	if n := runs.Load(); n != 0 {
+		t.Errorf("the target ran %d requests", n)
+	}
+	if n := e.InFlight(); n != 0 {
+		t.Errorf("%d requests are in flight", n)
+	}
+}
+
+func TestDrainWaitsForRequestsInFlight(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	e, _ := newEgress(t, time.Minute, nil, func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	})
+	first := make(chan seamoutcome.End, 1)
+	go func() { first <- run(e, head(1)) }()
+	<-running
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if err := e.Drain(ctx); err == nil {
+		t.Error("the drain ended before the request")
+	}
+	h := head(2)
+	h.Id = []byte("0123456789abcdef")
+	expect(t, run(e, h), seamoutcome.Refused, seamoutcome.Draining)
+	close(release)
+	if err := e.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	expect(t, <-first, seamoutcome.Done, "")
+}
--- a/internal/route/seampick/picker.go
+++ b/internal/route/seampick/picker.go
@@ -23,7 +23,7 @@
 }
 
 const (
-	defaultMargin = 0.1
+	defaultMargin = 0.05
 	defaultCross  = 1.5
 )
 
--- a/internal/route/seampick/picker_test.go
+++ b/internal/route/seampick/picker_test.go
@@ -43,8 +43,8 @@
 		want               string
 	}{
 		{"idle", 0, 0, 0, "domain"},
-		{"a little more load", 1, 0, 0, "domain"},
-		{"clearly more load", 3, 0, 0, "rest"},
+		{"equal load", 3, 3, 0, "domain"},
+		{"more load", 3, 2, 0, "rest"},
 		{"region busy", 12, 12, 0, "domain"},
 		{"region full", 16, 16, 0, "away"},
 		{"all full", 16, 16, 17, "domain"},
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -400,6 +400,19 @@
 	}
 }
 
+// Peers returns the peers to which sessions are open, in no order.
+func (p *Pool) Peers() []seampeer.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peers := make([]seampeer.Peer, 0, len(p.routes))
+	for _, s := range p.routes {
+		if s.usable() {
+			peers = append(peers, s.peer)
+		}
+	}
+	return peers
+}
+
 // Len returns the number of sessions.
 func (p *Pool) Len() int {
 	p.mu.Lock()
