--- /dev/null
+++ b/internal/route/seamingress/choose.go
@@ -0,0 +1,70 @@
+package seamingress
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seampick"
+)
+
+// choose returns the node for the next attempt.
+func (x *exchange) choose() (seampeer.Peer, bool) {
+	if x.choice.Keyed {
+		return x.owner()
+	}
+	i := x.ingress
+	all := i.directory.Candidates(x.service)
+	if x.named != "" && !x.head.GetIdempotent() {
+		c, ok := i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasLeft)
+		return c.Peer, ok
+	}
+	return x.pick(all, x.choice.Targets)
+}
+
+// pick prefers nodes that were not tried.
+func (x *exchange) pick(all []seampick.Candidate, targets seampick.Labeled) (seampeer.Peer, bool) {
+	now := time.Now()
+	c, ok := x.ingress.picker.Pick(now, all, targets, x.wasTried)
+	if !ok && len(x.tried) > 0 {
+		c, ok = x.ingress.picker.Pick(now, all, targets, x.wasLeft)
+	}
+	return c.Peer, ok
+}
+
+// region returns the region in which duplicates of a named request meet: that
+// of the id's prefix "REGION/", or the own one.
+func (x *exchange) region(all []seampick.Candidate) string {
+	prefix, _, found := strings.Cut(x.named, "/")
+	if !found {
+		return x.ingress.self.Region
+	}
+	for _, c := range all {
+		if c.Peer.Region == prefix {
+			return prefix
+		}
+	}
+	return x.ingress.self.Region
+}
+
+// owner returns the node believed to own the key. If none is known, any node of
+// the service is asked, which names the owner.
+func (x *exchange) owner() (seampeer.Peer, bool) {
+	if x.hint.Address != "" {
+		return x.hint, true
+	}
+	i := x.ingress
+	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasLeft(p) {
+		return p, true
+	}
+	return x.pick(i.directory.Candidates(x.service), nil)
+}
+
+func (x *exchange) wasLeft(p seampeer.Peer) bool {
+	return slices.ContainsFunc(x.left, p.Same)
+}
+
+func (x *exchange) wasTried(p seampeer.Peer) bool {
+	return x.wasLeft(p) || slices.ContainsFunc(x.tried, p.Same)
+}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,7 +10,6 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
-	"cardamomseam/internal/route/seamretry"
 	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/rule/seamrule"
 )
@@ -105,161 +102,6 @@
 	}
 }
 
-// choose returns the node for the next attempt.
-func (x *exchange) choose() (seampeer.Peer, bool) {
-	if x.choice.Keyed {
-		return x.owner()
-	}
-	i := x.ingress
-	all := i.directory.Candidates(x.service)
-	if x.named != "" && !x.head.GetIdempotent() {
-		c, ok := i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasLeft)
-		return c.Peer, ok
-	}
-	return x.pick(all, x.choice.Targets)
-}
-
-// pick prefers nodes that were not tried.
-func (x *exchange) pick(all []seampick.Candidate, targets seampick.Labeled) (seampeer.Peer, bool) {
-	now := time.Now()
-	c, ok := x.ingress.picker.Pick(now, all, targets, x.wasTried)
-	if !ok && len(x.tried) > 0 {
-		c, ok = x.ingress.picker.Pick(now, all, targets, x.wasLeft)
-	}
-	return c.Peer, ok
-}
-
-// region returns the region in which duplicates of a named request meet: that
-// of the id's prefix "REGION/", or the own one.
-func (x *exchange) region(all []seampick.Candidate) string {
-	prefix, _, found := strings.Cut(x.named, "/")
-	if !found {
-		return x.ingress.self.Region
-	}
-	for _, c := range all {
-		if c.Peer.Region == prefix {
-			return prefix
-		}
-	}
-	return x.ingress.self.Region
-}
-
-// owner returns the node believed to own the key. If none is known, any node of
-// the service is asked, which names the owner.
-func (x *exchange) owner() (seampeer.Peer, bool) {
-	if x.hint.Address != "" {
-		return x.hint, true
-	}
-	i := x.ingress
-	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasLeft(p) {
-		return p, true
-	}
-	return x.pick(i.directory.Candidates(x.service), nil)
-}
-
-func (x *exchange) wasLeft(p seampeer.Peer) bool {
-	return slices.ContainsFunc(x.left, p.Same)
-}
-
-func (x *exchange) wasTried(p seampeer.Peer) bool {
-	return x.wasLeft(p) || slices.ContainsFunc(x.tried, p.Same)
-}
-
-// next decides whether another attempt follows, and after which wait.
-func (x *exchange) next(end seamoutcome.End, to seampeer.Peer, budget *seamretry.Budget) (wait time.Duration, again bool) {
-	hint := x.hint
-	x.hint = seampeer.Peer{}
-	if !x.mayRepeat(end) {
-		return 0, false
-	}
-	if x.follow(end, to, hint) {
-		x.redirects++
-		x.ingress.stats.redirects.Inc()
-		return 0, x.hasTime(0)
-	}
-	if x.retries >= x.choice.Limits.Retries {
-		return 0, false
-	}
-	wait = max(seamretry.Wait(x.retries), min(end.After, seamretry.Last))
-	if !x.hasTime(wait) {
-		return 0, false
-	}
-	if !budget.Spend(time.Now()) {
-		x.ingress.stats.starved.Inc()
-		return 0, false
-	}
-	x.retries++
-	x.ingress.stats.retries.Inc()
-	if !x.choice.Keyed {
-		x.tried = append(x.tried, to)
-	}
-	return wait, true
-}
-
-// mayRepeat reports whether another attempt is safe.
-func (x *exchange) mayRepeat(end seamoutcome.End) bool {
-	if x.answer.started || !x.body.again() {
-		return false
-	}
-	switch end.Outcome {
-	case seamoutcome.Refused:
-		return seamoutcome.Lookup(end.Reason).Elsewhere && x.anchored(end.Reason)
-	case seamoutcome.Unknown:
-		return x.head.GetIdempotent() && end.Reason != seamoutcome.Cancelled
-	default:
-		return x.head.GetIdempotent() && !x.choice.Keyed && x.answer.shed()
-	}
-}
-
-// anchored reports whether a request may leave its node for the reason. A
-// request that its caller named leaves only a node that will not run a duplicate
-// of it either.
-func (x *exchange) anchored(r seamoutcome.Reason) bool {
-	if x.named == "" || x.choice.Keyed || x.head.GetIdempotent() {
-		return true
-	}
-	return r == seamoutcome.Draining
-}
-
-// follow reports whether the next attempt goes to another node at once, without
-// a retry being spent: the node that refused did no work.
-func (x *exchange) follow(end seamoutcome.End, to, hint seampeer.Peer) bool {
-	if x.redirects >= redirectLimit || end.Outcome != seamoutcome.Refused {
-		return false
-	}
-	switch end.Reason {
-	case seamoutcome.Owner:
-		if end.Owner.Address == "" || end.Owner.Address == to.Address || end.Owner.Address == hint.Address {
-			return false
-		}
-		x.hint = end.Owner
-		return true
-	case seamoutcome.Draining, seamoutcome.Target, seamoutcome.Session:
-		x.left = append(x.left, to)
-		return !x.choice.Keyed || end.Reason == seamoutcome.Draining
-	}
-	return false
-}
-
-func (x *exchange) hasTime(wait time.Duration) bool {
-	return time.Until(x.deadline) > wait+leastLeft
-}
-
-// pause waits and reports whether the caller is still there.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt runs the request once at the node and judges how that ended.
 func (x *exchange) attempt(ctx context.Context, to seampeer.Peer) seamoutcome.End {
 	x.answer.reset(to.Name)
--- a/internal/route/seamingress/fault_test.go
+++ b/internal/route/seamingress/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -119,6 +120,34 @@
 type ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
+	// told counts the outcomes.
+	told map[string]int
+	// refused are the bookings that must never run.
+	refused []string
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, told: map[string]int{}}
+}
+
+// settle checks, once nothing more can arrive, that nothing ran that was
+// refused and nothing ran twice.
+func (l *ledger) settle(t *testing.T) {
+	t.Helper()
+	time.Sleep(100 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.refused {
+		if l.runs[b] > 0 {
+			t.Errorf("%s ran after it was refused", b)
+		}
+	}
+	for b, n := range l.runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", b, n)
+		}
+	}
+	t.Log("outcomes:", l.told)
 }
 
 func (l *ledger) serve(w http.ResponseWriter, r *http.Request) {
@@ -135,10 +164,14 @@
 // check judges what a caller was told by what ran.
 func (l *ledger) check(t *testing.T, booking, want string, got result) {
 	t.Helper()
+	outcome := got.header.Get(seamheader.Outcome)
 	l.mu.Lock()
 	runs := l.runs[booking]
+	l.told[outcome]++
+	if outcome == seamheader.Refused {
+		l.refused = append(l.refused, booking)
+	}
 	l.mu.Unlock()
-	outcome := got.header.Get(seamheader.Outcome)
 	switch {
 	case runs > 1:
 		t.Errorf("%s ran %d times", booking, runs)
@@ -174,27 +207,25 @@
 }
 
 func TestCutAtEveryByteRunsAtMostOnce(t *testing.T) {
-	l := &ledger{runs: map[string]int{}}
+	l := newLedger()
 	front, p := faultyPair(t, l)
 	// A session's introduction, request and answer take fewer bytes than this.
 	const bytes, step = 700, 3
-	told := map[string]int{}
 	for d := toBack; d <= toFront; d++ {
 		for after := 0; after < bytes; after += step {
 			p.arm(d, after, 0)
-			got := l.book(t, front, fmt.Sprintf("%d/%d", d, after))
-			told[got.header.Get(seamheader.Outcome)]++
+			l.book(t, front, fmt.Sprintf("%d/%d", d, after))
 			time.Sleep(time.Millisecond)
 		}
 	}
-	if told[seamheader.Done] == 0 || told[seamheader.Unknown] == 0 {
-		t.Errorf("outcomes %v: the cuts did not hit", told)
+	l.settle(t)
+	if l.told[seamheader.Done] == 0 || l.told[seamheader.Unknown] == 0 {
+		t.Errorf("outcomes %v: the cuts did not hit", l.told)
 	}
-	t.Log("outcomes:", told)
 }
 
 func TestStalledRequestIsNeverRunAfterItsDeadline(t *testing.T) {
-	l := &ledger{runs: map[string]int{}}
+	l := newLedger()
 	front, p := faultyPair(t, l)
 	front.rules.choice.Limits.Deadline = 100
 	l.book(t, front, "warm")
@@ -215,3 +246,34 @@
 		t.Errorf("%d requests ran after their deadline", n)
 	}
 }
+
+func TestRandomCutsAndStallsUnderLoad(t *testing.T) {
+	l := newLedger()
+	front, p := faultyPair(t, l)
+	front.rules.choice.Limits.Deadline = 500
+	const callers, each = 8, 150
+	stop := make(chan struct{})
+	var faults, calls sync.WaitGroup
+	faults.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(rand.N(4 * time.Millisecond)):
+				stall := time.Duration(rand.IntN(2)) * rand.N(30*time.Millisecond)
+				p.arm(direction(rand.IntN(2)), rand.IntN(4000), stall)
+			}
+		}
+	})
+	for c := range callers {
+		calls.Go(func() {
+			for i := range each {
+				l.book(t, front, fmt.Sprintf("%d-%d", c, i))
+			}
+		})
+	}
+	calls.Wait()
+	close(stop)
+	faults.Wait()
+	l.settle(t)
+}
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestDuplicateIsNotRunAgain(t *testing.T) {
-	l := &ledger{runs: map[string]int{}}
+	l := newLedger()
 	front, back := pair(t, l.serve)
 	back.directory.candidates = front.directory.candidates
 	for i, n := range []*node{front, back, front} {
--- /dev/null
+++ b/internal/route/seamsession/dial.go
@@ -0,0 +1,130 @@
+package seamsession
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamroutewire"
+)
+
+// failure remembers failed dials to one address.
+type failure struct {
+	wait  time.Duration
+	until time.Time
+	cause error
+}
+
+// session returns a session to the peer, dialing if there is none.
+func (p *Pool) session(ctx context.Context, to seampeer.Peer) (*session, error) {
+	s, err := p.find(to, time.Now())
+	if s != nil || err != nil {
+		return s, err
+	}
+	result := p.dials.DoChan(to.Address, func() (any, error) {
+		return p.dial(to)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, &UnreachableError{To: to, Cause: ctx.Err()}
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		s := r.Val.(*session)
+		if !fits(s.peer, to) {
+			return nil, &StalePeerError{Want: to, Got: s.peer}
+		}
+		return s, nil
+	}
+}
+
+// find returns the session to use, or the error of a dial that is not due again.
+func (p *Pool) find(to seampeer.Peer, now time.Time) (*session, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.routes[to.Address]
+	if s != nil && s.usable() {
+		if fits(s.peer, to) {
+			return s, nil
+		}
+		if to.Name != s.peer.Name || to.Incarnation < s.peer.Incarnation {
+			return nil, &StalePeerError{Want: to, Got: s.peer}
+		}
+	}
+	delete(p.routes, to.Address)
+	if f, ok := p.failures[to.Address]; ok && now.Before(f.until) {
+		return nil, &UnreachableError{To: to, Cause: f.cause, After: f.until.Sub(now)}
+	}
+	return nil, nil
+}
+
+func (p *Pool) dial(to seampeer.Peer) (*session, error) {
+	if err := p.reserve(); err != nil {
+		return nil, err
+	}
+	defer p.unreserve()
+	s, err := p.connect(to)
+	if err != nil {
+		return nil, p.failed(to, err, time.Now())
+	}
+	p.add(s, to.Address)
+	return s, nil
+}
+
+func (p *Pool) connect(to seampeer.Peer) (*session, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.cfg.Dial)
+	defer cancel()
+	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", to.Address)
+	if err != nil {
+		return nil, err
+	}
+	h, err := introduce(c, &seamroutewire.Hello{Self: Wire(p.self)}, p.cfg.Dial)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	peer := Peer(h.GetSelf())
+	if h.GetBusy() {
+		c.Close()
+		return nil, &BusyError{At: peer}
+	}
+	return p.wrap(c, peer, true)
+}
+
+func (p *Pool) wrap(c net.Conn, peer seampeer.Peer, client bool) (*session, error) {
+	boundSilence(c, p.cfg.Silence)
+	in, out := p.stats.bytes(peer)
+	s, err := newSession(&conn{Conn: c, in: in, out: out}, peer, client, p.cfg)
+	if err != nil {
+		c.Close()
+	}
+	return s, err
+}
+
+// failed remembers a failed dial and returns it as an error of Open.
+func (p *Pool) failed(to seampeer.Peer, cause error, now time.Time) error {
+	var busy *BusyError
+	if errors.As(cause, &busy) {
+		return busy
+	}
+	p.stats.failed.Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.failures) >= backoffLimit {
+		clear(p.failures)
+	}
+	wait := min(max(2*p.failures[to.Address].wait, backoffFirst), backoffLast)
+	f := failure{wait: wait, until: now.Add(jitter(wait)), cause: cause}
+	p.failures[to.Address] = f
+	return &UnreachableError{To: to, Cause: cause, After: f.until.Sub(now)}
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
--- /dev/null
+++ b/internal/route/seamsession/sweep.go
@@ -0,0 +1,86 @@
+package seamsession
+
+import (
+	"context"
+	"time"
+)
+
+// reserve makes room for one session, closing the one that was idle longest if need be.
+func (p *Pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.sessions)+p.pending >= p.cfg.Max {
+		s := p.longestIdle(time.Now())
+		if s == nil {
+			return &BusyError{At: p.self}
+		}
+		p.removeLocked(s)
+		s.retire()
+		time.AfterFunc(lingerTime, func() { s.mux.Close() })
+	}
+	p.pending++
+	return nil
+}
+
+func (p *Pool) unreserve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending--
+}
+
+func (p *Pool) longestIdle(now time.Time) *session {
+	var found *session
+	var longest time.Duration
+	for s := range p.sessions {
+		if d := s.idle(now); d > longest {
+			found, longest = s, d
+		}
+	}
+	return found
+}
+
+// sweep closes sessions that are idle, and those that are too old once their streams ended.
+func (p *Pool) sweep(ctx context.Context) {
+	tick := time.NewTicker(max(min(p.cfg.Idle/4, time.Second), time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			p.sweepOnce(now)
+		}
+	}
+}
+
+func (p *Pool) sweepOnce(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		go s.closeSpare(now.Add(-spareTime))
+		idle := s.idle(now)
+		switch {
+		case s.leaving.Load():
+			if idle > lingerTime {
+				p.removeLocked(s)
+				go s.mux.Close()
+			}
+		case idle > p.cfg.Idle || now.Sub(s.start) > p.cfg.Age || s.skewed(now):
+			p.dropRouteLocked(s)
+			s.touch(now)
+			go s.retire()
+		}
+	}
+}
+
+func (p *Pool) closeAll() {
+	p.mu.Lock()
+	all := make([]*session, 0, len(p.sessions))
+	for s := range p.sessions {
+		all = append(all, s)
+	}
+	p.mu.Unlock()
+	for _, s := range all {
+		s.mux.Close()
+	}
+}
