--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -1,6 +1,7 @@
 package seamegress
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -122,12 +123,26 @@
 	}
 	if req.ContentLength != 0 {
 		req.Body = io.NopCloser(c.body)
+		req.GetBody = c.bodyAgain()
 	}
 	seamcall.Header(req.Header, c.head.GetHeaders())
 	c.order(ctx, req.Header, grant)
 	return req.WithContext(ctx), nil
 }
 
+// bodyAgain returns a function that gives a short body once more, for a
+// connection that was closed before a byte was sent; nil for a longer body.
+func (c *call) bodyAgain() func() (io.ReadCloser, error) {
+	r, ok := c.body.(*bytes.Reader)
+	if !ok {
+		return nil
+	}
+	return func() (io.ReadCloser, error) {
+		_, err := r.Seek(0, io.SeekStart)
+		return io.NopCloser(r), err
+	}
+}
+
 // orderHeaders is the number of headers that order adds.
 const orderHeaders = 5
 
--- a/internal/route/seamingress/bench_test.go
+++ b/internal/route/seamingress/bench_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -77,3 +78,49 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkSurge sends twice what a target can do and reports the share of its
+// capacity that is answered, and the longest time of an answer.
+func BenchmarkSurge(b *testing.B) {
+	const slots, service, deadline = 12, 20 * time.Millisecond, 400 * time.Millisecond
+	const capacity = float64(slots) / float64(service) * float64(time.Second)
+	var running atomic.Int32
+	front, back := pair(b, func(w http.ResponseWriter, _ *http.Request) {
+		defer running.Add(-1)
+		if running.Add(1) > slots {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(service)
+	})
+	back.target.announced.Slots = slots
+	front.rules.choice.Limits.Deadline = int(deadline.Milliseconds())
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	for b.Loop() {
+		var done, other atomic.Int32
+		var slowest atomic.Int64
+		var wg sync.WaitGroup
+		start := time.Now()
+		const seconds = 3
+		for i := range int(2 * capacity * seconds) {
+			time.Sleep(time.Until(start.Add(time.Duration(float64(i) / (2 * capacity) * float64(time.Second)))))
+			wg.Go(func() {
+				sent := time.Now()
+				r, _ := http.NewRequest(http.MethodPost, front.url("/book"), nil)
+				r.Header.Set("Seam-Service", "booker")
+				res, err := client.Do(r)
+				if err != nil || res.Body.Close() != nil || res.StatusCode != http.StatusOK {
+					other.Add(1)
+					return
+				}
+				done.Add(1)
+				slowest.Store(max(slowest.Load(), int64(time.Since(sent))))
+			})
+		}
+		took := time.Since(start).Seconds()
+		wg.Wait()
+		b.ReportMetric(float64(done.Load())/(capacity*took), "goodput/capacity")
+		b.ReportMetric(float64(slowest.Load())/1e6, "slowest-ms")
+		b.ReportMetric(float64(other.Load()), "refused")
+	}
+}
