Waiters behind a stuck target are refused early; leaving targets serve their slots

A waiter whose deadline could no longer be met stayed until the deadline. A target that leaves refused keyed requests before its slots were handed over; it serves them for two seconds more. An owner that cannot be reached is replaced by any node, which may know the new one.

--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -1,6 +1,12 @@
 package seamegress
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/route/seamroutewire"
+)
 
 // enter counts a request in, unless the egress is draining.
 func (e *Egress) enter() bool {
@@ -52,3 +58,14 @@
 		return ctx.Err()
 	}
 }
+
+// mayLinger reports whether a target that is leaving may still run the request:
+// for a while, it serves the slots that were not handed over yet.
+func (e *Egress) mayLinger(head *seamroutewire.RequestHead, a seamtarget.Announcement, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaver != a.Name {
+		e.leaver, e.since = a.Name, now
+	}
+	return head.GetKeyed() && now.Sub(e.since) < leaveGrace
+}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -59,6 +59,9 @@
 const (
 	defaultPatience = 2 * time.Second
 	defaultDial     = 500 * time.Millisecond
+	// leaveGrace is the time for which a target that is leaving still serves the
+	// slots that were not handed over yet.
+	leaveGrace = 2 * time.Second
 	// idSize is the length of a request id, in bytes.
 	idSize = 16
 )
@@ -79,6 +82,9 @@
 	mu       sync.Mutex
 	draining bool
 	inFlight int
+	// leaver is the run of the target that is leaving, since a time.
+	leaver string
+	since  time.Time
 	// idle is closed when a draining egress has no request in flight.
 	idle chan struct{}
 }
@@ -156,7 +162,7 @@
 	switch {
 	case !ok:
 		return a, refusal(seamoutcome.Target, "no target announces itself here")
-	case a.Leaving:
+	case a.Leaving && !e.mayLinger(head, a, time.Now()):
 		return a, refusal(seamoutcome.Draining, "the target is leaving")
 	case a.Service != head.GetService():
 		return a, refusal(seamoutcome.Target, "the target here serves "+a.Service)
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
@@ -73,18 +74,27 @@
 	}
 	switch end.Reason {
 	case seamoutcome.Owner:
-		if end.Owner.Address == "" || end.Owner.Address == to.Address || end.Owner.Address == hint.Address {
+		if !x.leads(end.Owner.Address, to, hint) {
 			return false
 		}
 		x.hint = end.Owner
 		return true
 	case seamoutcome.Draining, seamoutcome.Target, seamoutcome.Session:
+		// Another target is tried, or another node is asked for the owner.
 		x.left = append(x.left, to)
-		return !x.choice.Keyed || end.Reason == seamoutcome.Draining
+		return true
 	}
 	return false
 }
 
+// leads reports whether a hint leads to a node that was not left and not just asked.
+func (x *exchange) leads(address string, to, hint seampeer.Peer) bool {
+	if address == "" || address == to.Address || address == hint.Address {
+		return false
+	}
+	return !slices.ContainsFunc(x.left, func(p seampeer.Peer) bool { return p.Address == address })
+}
+
 func (x *exchange) hasTime(wait time.Duration) bool {
 	return time.Until(x.deadline) > wait+leastLeft
 }
--- a/internal/route/seamlimit/limiter.go
+++ b/internal/route/seamlimit/limiter.go
@@ -164,10 +164,14 @@
 	if w == nil {
 		return v
 	}
+	giveUp := time.NewTimer(time.Until(w.giveUp))
+	defer giveUp.Stop()
 	select {
 	case v = <-w.verdict:
 	case <-ctx.Done():
-		v = l.abandon(ctx, w)
+		v = l.abandon(w, ended(ctx))
+	case <-giveUp.C:
+		v = l.abandon(w, seamoutcome.Late)
 	}
 	if v.Admitted {
 		v.Waited = time.Since(w.Arrived)
@@ -191,7 +195,13 @@
 	if !l.canMeet(now, ahead, a.Deadline) {
 		return nil, Verdict{Reason: seamoutcome.Late, After: l.after(now)}
 	}
-	w := &Waiter{Caller: a.Caller, Deadline: a.Deadline, Arrived: now, verdict: make(chan Verdict, 1)}
+	w := &Waiter{
+		Caller:   a.Caller,
+		Deadline: a.Deadline,
+		Arrived:  now,
+		giveUp:   a.Deadline.Add(-l.least()),
+		verdict:  make(chan Verdict, 1),
+	}
 	evicted, ok := l.queue.Push(w, a.Queue)
 	if !ok {
 		return nil, Verdict{Reason: seamoutcome.Full, After: l.after(now)}
@@ -209,6 +219,11 @@
 	return now.Add(seconds(rounds * l.service)).Before(deadline)
 }
 
+// least is the time that a request needs at least, once it is admitted.
+func (l *Limiter) least() time.Duration {
+	return seconds(l.service / 2)
+}
+
 // after estimates when a place will be free.
 func (l *Limiter) after(now time.Time) time.Duration {
 	return max(seconds(l.service*float64(l.queue.Len()+1)/float64(l.limit(now))), againFloor)
@@ -218,18 +233,23 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// abandon takes a waiter out of the queue whose deadline passed or whose caller left.
-func (l *Limiter) abandon(ctx context.Context, w *Waiter) Verdict {
+// ended returns why a wait ended with its context.
+func ended(ctx context.Context) seamoutcome.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return seamoutcome.Expired
+	}
+	return seamoutcome.Gone
+}
+
+// abandon takes a waiter out of the queue for the reason.
+func (l *Limiter) abandon(w *Waiter, r seamoutcome.Reason) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.queue.Remove(w) {
 		// The verdict came at the same time.
 		return <-w.verdict
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return Verdict{Reason: seamoutcome.Expired}
-	}
-	return Verdict{Reason: seamoutcome.Gone}
+	return Verdict{Reason: r, After: l.after(time.Now())}
 }
 
 // Done ends an admitted request. ran says that it reached the target, so that
@@ -265,7 +285,7 @@
 		if w == nil {
 			return
 		}
-		if !now.Add(seconds(l.service / 2)).Before(w.Deadline) {
+		if !now.Add(l.least()).Before(w.Deadline) {
 			w.verdict <- Verdict{Reason: seamoutcome.Late, After: l.after(now)}
 			continue
 		}
--- a/internal/route/seamlimit/limiter_test.go
+++ b/internal/route/seamlimit/limiter_test.go
@@ -66,6 +66,20 @@
 	})
 }
 
+func TestWaiterBehindStuckTargetIsRefusedBeforeItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(1)
+		l.Admit(t.Context(), time.Now(), ask(time.Second))
+		l.Done(time.Now(), true, seamlimit.Sample{Latency: 100 * time.Millisecond})
+		l.Admit(t.Context(), time.Now(), ask(time.Second))
+		begin := time.Now()
+		v := l.Admit(t.Context(), begin, ask(time.Second))
+		if took := time.Since(begin); v.Reason != seamoutcome.Late || took > 960*time.Millisecond {
+			t.Errorf("verdict %+v after %v", v, took)
+		}
+	})
+}
+
 func TestLimiterTellsWhyAWaitEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimiter(1)
--- a/internal/route/seamlimit/queue.go
+++ b/internal/route/seamlimit/queue.go
@@ -15,6 +15,8 @@
 	// Arrived is the time at which the request was queued.
 	Arrived time.Time
 
+	// giveUp is the time from which the deadline cannot be met.
+	giveUp  time.Time
 	verdict chan Verdict
 	index   int
 }
