Datagram endpoint: kinds, introductions, byte counters

Cause: heartbeats and confirmations need small datagrams between nodes. Change: a UDP endpoint with a registry of kinds; the full identity of a sender travels only until its receiver knows it. Measured: tests of restart and bounds pass; a header at rest is 1 byte of kind, the incarnation and the name.

--- /dev/null
+++ b/internal/member/seamdatagram/endpoint_test.go
@@ -0,0 +1,128 @@
+package seamdatagram_test
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/member/seamdatagram"
+	"cardamomseam/internal/member/seampeer"
+)
+
+// arrival is one datagram as its handler saw it.
+type arrival struct {
+	From    seampeer.Peer
+	Payload string
+}
+
+const patience = 10 * time.Second
+
+func open(t *testing.T, name string, listen string, incarnation uint64) (*seamdatagram.Endpoint, seampeer.Peer, chan arrival, func()) {
+	t.Helper()
+	if listen == "" {
+		listen = freeAddress(t)
+	}
+	self := seampeer.Peer{Name: name, Incarnation: incarnation, Address: listen, Region: "erie", Domain: "erie-1"}
+	e, cleanup, err := seamdatagram.New(listen, self, metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals := make(chan arrival, 16)
+	e.Register(seamdatagram.Cell, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
+		arrivals <- arrival{From: from, Payload: string(payload)}
+	}))
+	return e, self, arrivals, cleanup
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+func receive(t *testing.T, arrivals chan arrival) arrival {
+	t.Helper()
+	select {
+	case a := <-arrivals:
+		return a
+	case <-time.After(patience):
+		t.Fatal("no datagram arrived")
+		return arrival{}
+	}
+}
+
+func TestSendNamesTheSender(t *testing.T) {
+	a, self, _, closeA := open(t, "a", "", 7)
+	defer closeA()
+	_, b, arrivals, closeB := open(t, "b", "", 8)
+	defer closeB()
+	for range 5 {
+		if err := a.Send(seamdatagram.Cell, b, []byte("beat")); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(arrival{From: self, Payload: "beat"}, receive(t, arrivals)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
+
+func TestReceiverRestartAsksForIntroduction(t *testing.T) {
+	a, _, _, closeA := open(t, "a", "", 7)
+	defer closeA()
+	_, b, arrivals, closeB := open(t, "b", "", 8)
+	for range 5 {
+		if err := a.Send(seamdatagram.Cell, b, []byte("beat")); err != nil {
+			t.Fatal(err)
+		}
+		receive(t, arrivals)
+	}
+	closeB()
+	_, b, arrivals, closeB = open(t, "b", b.Address, 9)
+	defer closeB()
+	deadline := time.After(patience)
+	for {
+		if err := a.Send(seamdatagram.Cell, b, []byte("again")); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case got := <-arrivals:
+			if got.From.Incarnation != 7 || got.From.Domain != "erie-1" {
+				t.Fatalf("sender is %+v", got.From)
+			}
+			return
+		case <-time.After(10 * time.Millisecond):
+		case <-deadline:
+			t.Fatal("the restarted receiver never learned the sender")
+		}
+	}
+}
+
+func TestSendRefusesLargePayload(t *testing.T) {
+	a, self, _, cleanup := open(t, "a", "", 1)
+	defer cleanup()
+	err := a.Send(seamdatagram.Cell, self, make([]byte, seamdatagram.MaxPayload+1))
+	var large *seamdatagram.TooLargeError
+	if !errors.As(err, &large) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzParseHeader(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0x81, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x01, 0x05, 0x01, 'a', 'x'})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		var malformed *seamdatagram.MalformedError
+		if err := seamdatagram.ParseForTest(frame); err != nil && !errors.As(err, &malformed) {
+			t.Fatalf("untyped error %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/member/seamdatagram/header.go
@@ -0,0 +1,83 @@
+package seamdatagram
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"cardamomseam/internal/member/seampeer"
+)
+
+// introducedBit marks a kind byte whose header holds the full identity.
+const introducedBit = 0x80
+
+// MalformedError says that a datagram's header could not be read.
+type MalformedError struct {
+	// Field is the part of the header that is wrong.
+	Field string
+}
+
+// Error names the field.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed datagram: %s", e.Field)
+}
+
+// header is the part of a datagram before its payload.
+type header struct {
+	kind       Kind
+	introduced bool
+	from       seampeer.Peer
+}
+
+func appendHeader(b []byte, k Kind, from seampeer.Peer, introduce bool) []byte {
+	first := byte(k)
+	if introduce {
+		first |= introducedBit
+	}
+	b = append(b, first)
+	b = binary.AppendUvarint(b, from.Incarnation)
+	b = appendText(b, from.Name)
+	if introduce {
+		b = appendText(b, from.Address)
+		b = appendText(b, from.Region)
+		b = appendText(b, from.Domain)
+	}
+	return b
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s)))
+	return append(b, s...)
+}
+
+func parseHeader(frame []byte) (header, []byte, error) {
+	if len(frame) == 0 {
+		return header{}, nil, &MalformedError{Field: "kind"}
+	}
+	h := header{kind: Kind(frame[0] &^ introducedBit), introduced: frame[0]&introducedBit != 0}
+	incarnation, n := binary.Uvarint(frame[1:])
+	if n <= 0 {
+		return header{}, nil, &MalformedError{Field: "incarnation"}
+	}
+	h.from.Incarnation = incarnation
+	rest := frame[1+n:]
+	fields := []*string{&h.from.Name}
+	if h.introduced {
+		fields = append(fields, &h.from.Address, &h.from.Region, &h.from.Domain)
+	}
+	for _, f := range fields {
+		var ok bool
+		if *f, rest, ok = parseText(rest); !ok {
+			return header{}, nil, &MalformedError{Field: "sender"}
+		}
+	}
+	return h, rest, nil
+}
+
+func parseText(b []byte) (text string, rest []byte, ok bool) {
+	size, n := binary.Uvarint(b)
+	if n <= 0 || size > uint64(len(b)-n) {
+		return "", nil, false
+	}
+	end := n + int(size)
+	return string(b[n:end]), b[end:], true
+}
--- /dev/null
+++ b/internal/member/seamdatagram/meter.go
@@ -0,0 +1,44 @@
+package seamdatagram
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// kinds names the kinds in metrics.
+var kinds = map[Kind]string{kindWho: "who", Cell: "cell", Confirm: "confirm"}
+
+// meter counts datagrams and their bytes including IP and UDP headers.
+type meter struct {
+	set       *metrics.Set
+	malformed *metrics.Counter
+	sentBytes map[Kind]*metrics.Counter
+	readBytes map[Kind]*metrics.Counter
+}
+
+func newMeter(set *metrics.Set) meter {
+	m := meter{
+		set:       set,
+		malformed: set.NewCounter("cardamomseam_datagram_malformed_total"),
+		sentBytes: map[Kind]*metrics.Counter{},
+		readBytes: map[Kind]*metrics.Counter{},
+	}
+	for k, name := range kinds {
+		m.sentBytes[k] = set.NewCounter(fmt.Sprintf(`cardamomseam_datagram_bytes_total{kind=%q,way="sent"}`, name))
+		m.readBytes[k] = set.NewCounter(fmt.Sprintf(`cardamomseam_datagram_bytes_total{kind=%q,way="received"}`, name))
+	}
+	return m
+}
+
+func (m meter) sent(k Kind, size int) {
+	if c, ok := m.sentBytes[k]; ok {
+		c.Add(size + headerBytes)
+	}
+}
+
+func (m meter) received(k Kind, size int) {
+	if c, ok := m.readBytes[k]; ok {
+		c.Add(size + headerBytes)
+	}
+}
