Settings of a node, checked as a whole

go-zero's conf stops at the first fault and ignores unknown fields, while operators want every fault of a file at once. seamsetting walks the YAML tree beside the struct of settings and reports unknown, missing, mistyped, unitless and out-of-range fields together with clashes between fields, each with file, line, field, value and what is allowed; conf then fills in values and defaults.

--- /dev/null
+++ b/internal/node/seamsetting/check.go
@@ -0,0 +1,174 @@
+package seamsetting
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"gopkg.in/yaml.v3"
+)
+
+// checker walks a YAML tree beside the type that it is to fill.
+type checker struct {
+	file   string
+	faults Faults
+	// lines holds the line of each field that is present, by path.
+	lines map[string]int
+}
+
+func newChecker(file string) *checker {
+	return &checker{file: file, lines: map[string]int{}}
+}
+
+// result returns the faults in the order of the lines, or nil.
+func (c *checker) result() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(c.faults, func(a, b Fault) int { return a.Line - b.Line })
+	return c.faults
+}
+
+func (c *checker) fault(line int, field, value, allowed string) {
+	f := Fault{File: c.file, Line: line, Field: field, Value: value, Allowed: allowed}
+	c.faults = append(c.faults, f)
+}
+
+// group checks a mapping against the struct type t.
+func (c *checker) group(n *yaml.Node, t reflect.Type, path string) {
+	if n.Kind != yaml.MappingNode {
+		c.fault(n.Line, path, describe(n), "a group of fields: "+strings.Join(fieldNames(t), ", "))
+		return
+	}
+	present := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key, value := n.Content[i], n.Content[i+1]
+		c.member(key, value, t, path, present)
+	}
+	c.missing(n, t, path, present)
+}
+
+// member checks one field of a mapping.
+func (c *checker) member(key, value *yaml.Node, t reflect.Type, path string, present map[string]bool) {
+	name := join(path, key.Value)
+	f, ok := fieldByName(t, key.Value)
+	if !ok {
+		c.fault(key.Line, name, describe(value), "one of the fields "+strings.Join(fieldNames(t), ", "))
+		return
+	}
+	if present[key.Value] {
+		c.fault(key.Line, name, describe(value), "each field once")
+		return
+	}
+	present[key.Value] = true
+	c.lines[name] = key.Line
+	c.value(value, f, name)
+}
+
+func (c *checker) value(n *yaml.Node, f reflect.StructField, path string) {
+	switch f.Type.Kind() {
+	case reflect.Struct:
+		c.group(n, f.Type, path)
+	case reflect.Slice:
+		c.list(n, f, path)
+	default:
+		c.scalar(n, newRule(f.Type, f.Tag.Get("allow")), path)
+	}
+}
+
+func (c *checker) list(n *yaml.Node, f reflect.StructField, path string) {
+	if n.Kind != yaml.SequenceNode {
+		c.fault(n.Line, path, describe(n), "a list")
+		return
+	}
+	count := f.Tag.Get("count")
+	low, high := bounds(count, parseInt)
+	if l := int64(len(n.Content)); l < low || l > high {
+		c.fault(n.Line, path, describe(n), fmt.Sprintf("a list of %s entries", spoken(count)))
+	}
+	for i, e := range n.Content {
+		entry := fmt.Sprintf("%s[%d]", path, i)
+		if f.Type.Elem().Kind() == reflect.Struct {
+			c.group(e, f.Type.Elem(), entry)
+			continue
+		}
+		c.scalar(e, newRule(f.Type.Elem(), f.Tag.Get("allow")), entry)
+	}
+}
+
+func (c *checker) scalar(n *yaml.Node, r rule, path string) {
+	if n.Kind != yaml.ScalarNode || !r.accepts(n) {
+		c.fault(n.Line, path, describe(n), r.allowed)
+	}
+}
+
+// missing reports the required fields that a mapping lacks, also those inside absent groups.
+func (c *checker) missing(n *yaml.Node, t reflect.Type, path string, present map[string]bool) {
+	for _, f := range reflect.VisibleFields(t) {
+		name, options := fieldTag(f)
+		if present[name] || options != "" {
+			continue
+		}
+		if f.Type.Kind() == reflect.Struct {
+			c.missing(n, f.Type, join(path, name), nil)
+			continue
+		}
+		c.fault(n.Line, join(path, name), "", "required: "+allowedFor(f))
+	}
+}
+
+func allowedFor(f reflect.StructField) string {
+	if f.Type.Kind() == reflect.Slice {
+		element := newRule(f.Type.Elem(), f.Tag.Get("allow"))
+		return fmt.Sprintf("a list of %s entries, each %s", spoken(f.Tag.Get("count")), element.allowed)
+	}
+	return newRule(f.Type, f.Tag.Get("allow")).allowed
+}
+
+// fieldTag splits the json tag into the field's name and what follows it.
+func fieldTag(f reflect.StructField) (name, options string) {
+	name, options, _ = strings.Cut(f.Tag.Get("json"), ",")
+	return name, options
+}
+
+func fieldByName(t reflect.Type, name string) (reflect.StructField, bool) {
+	for _, f := range reflect.VisibleFields(t) {
+		if n, _ := fieldTag(f); n == name {
+			return f, true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for _, f := range reflect.VisibleFields(t) {
+		n, _ := fieldTag(f)
+		names = append(names, n)
+	}
+	return names
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// describe returns what a fault shows of a node.
+func describe(n *yaml.Node) string {
+	switch n.Kind {
+	case yaml.MappingNode:
+		return "a group"
+	case yaml.SequenceNode:
+		return fmt.Sprintf("a list of %d", len(n.Content))
+	case yaml.AliasNode:
+		return "*" + n.Value
+	}
+	if len(n.Value) > maxText {
+		return n.Value[:maxText] + "..."
+	}
+	return n.Value
+}
--- /dev/null
+++ b/internal/node/seamsetting/load_test.go
@@ -0,0 +1,185 @@
+package seamsetting_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gopkg.in/yaml.v3"
+
+	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+const examples = "../../../examples"
+
+// least holds the required fields only.
+const least = `name: n1
+region: erie
+domain: erie-a
+listen: 127.0.0.1:7301
+ingress: {listen: "127.0.0.1:7302"}
+store: {endpoints: ["127.0.0.1:2379"]}
+`
+
+func TestParseFillsDefaults(t *testing.T) {
+	got, err := seamsetting.Parse("f.yaml", []byte(least))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := seamsetting.Default()
+	want.Name, want.Region, want.Domain = "n1", "erie", "erie-a"
+	want.Listen, want.Address = "127.0.0.1:7301", "127.0.0.1:7301"
+	want.Ingress.Listen = "127.0.0.1:7302"
+	want.Store.Endpoints = []string{"127.0.0.1:2379"}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Fatal(d)
+	}
+	if got.Cell.Heartbeat != 300*time.Millisecond || got.Cell.Horizon != 20*time.Minute {
+		t.Fatalf("cell defaults are %+v", got.Cell)
+	}
+}
+
+// fault is a Fault without the text of Allowed, of which a part is given.
+type fault struct {
+	line                  int
+	field, value, allowed string
+}
+
+func TestParseReportsFaults(t *testing.T) {
+	tests := []struct {
+		name, content string
+		want          []fault
+	}{
+		{"unknown field", least + "colour: red\n", []fault{{7, "colour", "red", "one of the fields name, region"}}},
+		{"unknown field in group", least + "cell: {beat: 1s}\n", []fault{{7, "cell.beat", "1s", "heartbeat"}}},
+		{"no unit", least + "cell: {heartbeat: 300}\n", []fault{{7, "cell.heartbeat", "300", "with a unit"}}},
+		{"bad unit", least + "cell: {heartbeat: 3 sec}\n", []fault{{7, "cell.heartbeat", "3 sec", "with a unit"}}},
+		{"range", least + "cell: {max: 65}\n", []fault{{7, "cell.max", "65", "from 2 to 64"}}},
+		{"type", least + "target: {fence: maybe}\n", []fault{{7, "target.fence", "maybe", "true or false"}}},
+		{"not a number", least + "place: {churn: .nan}\n", []fault{{7, "place.churn", ".nan", "a number"}}},
+		{"null", least + "log: {level: }\n", []fault{{7, "log.level", "", "one of debug"}}},
+		{"list for a text", least + "region: [erie]\n", []fault{{7, "region", "a list of 1", "each field once"}}},
+		{"text for a list", least + "peers: 10.0.0.1:7301\n", []fault{{7, "peers", "10.0.0.1:7301", "a list"}}},
+		{"text for a group", least + "cell: fast\n", []fault{{7, "cell", "fast", "a group of fields"}}},
+		{"host name", least + "peers: [node:7301]\n", []fault{{7, "peers[0]", "node:7301", "literal IP"}}},
+		{"port 0", least + "peers: ['10.0.0.1:0']\n", []fault{{7, "peers[0]", "10.0.0.1:0", "literal IP"}}},
+		{"alias", least + "peers: [&p '10.0.0.1:1', *p]\n", []fault{{7, "peers[1]", "*p", "literal IP"}}},
+		{"grant too long", least + "cell: {grant: 1150ms}\n", []fault{{7, "cell.grant", "1.15s", "at most cell.takeover"}}},
+		{"takeover too short", least + "cell: {heartbeat: 450ms}\n", []fault{{0, "cell.takeover", "1.2s", "3 x cell.heartbeat"}}},
+		{"min above max", least + "cell: {min: 12}\n", []fault{{7, "cell.min", "12", "cell.max"}}},
+		{"bound twice", least + "admin: {listen: '0.0.0.0:7302'}\n", []fault{{7, "admin.listen", "0.0.0.0:7302", "ingress.listen"}}},
+		{"unreachable", least + "address: '0.0.0.0:7301'\n", []fault{{7, "address", "0.0.0.0:7301", "can reach"}}},
+		{"trace endpoint", least + "trace: {endpoint: spans}\n", []fault{{7, "trace.endpoint", "spans", "ip:port"}}},
+		{"role", least + "admin: {teams: [{name: a, hash: b, roles: [root]}]}\n", []fault{
+			{7, "admin.teams[0].hash", "b", "64 lower-case"},
+			{7, "admin.teams[0].roles[0]", "root", "one of read, write, operate"},
+		}},
+		{"syntax", "a: [\n", []fault{{1, "file", "did not find", "one YAML document"}}},
+		{"empty", "", []fault{{0, "file", "", "one YAML document"}}},
+		{"comment only", "# nothing\n", []fault{{0, "file", "", "one YAML document"}}},
+		{"two documents", least + "---\na: 1\n", []fault{{7, "file", "more than one", "one YAML document"}}},
+		{"all missing", "cell: {}\n", []fault{
+			{1, "name", "", "required"},
+			{1, "region", "", "required"},
+			{1, "domain", "", "required"},
+			{1, "listen", "", "required: ip:port"},
+			{1, "ingress.listen", "", "required: ip:port"},
+			{1, "store.endpoints", "", "required: a list"},
+		}},
+		{"all at once", "name: N1\n" + least[len("name: n1\n"):] + "color: 1\ncell: {heartbeat: 1, grant: 2s}\n", []fault{
+			{1, "name", "N1", "lower-case"},
+			{7, "color", "1", "one of the fields"},
+			{8, "cell.heartbeat", "1", "with a unit"},
+			{8, "cell.grant", "2s", "at most cell.takeover"},
+		}},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			_, err := seamsetting.Parse("f.yaml", []byte(x.content))
+			var got seamsetting.Faults
+			if !errors.As(err, &got) {
+				t.Fatalf("error is %v", err)
+			}
+			compare(t, got, x.want)
+		})
+	}
+}
+
+func compare(t *testing.T, got seamsetting.Faults, want []fault) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("got %d faults, want %d:\n%v", len(got), len(want), got)
+	}
+	for i, f := range got {
+		w := want[i]
+		same := f.File == "f.yaml" && f.Line == w.line && f.Field == w.field
+		if !same || !strings.Contains(f.Value, w.value) || !strings.Contains(f.Allowed, w.allowed) {
+			t.Errorf("fault %d is %+v, want %+v", i, f, w)
+		}
+	}
+}
+
+func TestNameThatYAML11ReadsAsBoolean(t *testing.T) {
+	s, err := seamsetting.Parse("f.yaml", []byte("name: on\n"+least[len("name: n1\n"):]))
+	if err != nil || s.Name != "on" {
+		t.Fatalf("name is %q, error %v", s.Name, err)
+	}
+}
+
+func TestLoadOfAbsentFile(t *testing.T) {
+	err := seamsetting.Check(filepath.Join(t.TempDir(), "none.yaml"))
+	var e *seamsetting.ReadError
+	if !errors.As(err, &e) || !errors.Is(err, os.ErrNotExist) {
+		t.Fatalf("error is %v", err)
+	}
+}
+
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(examples, "*.yaml"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			check := checkDocument
+			if strings.HasSuffix(f, "-node.yaml") {
+				check = seamsetting.Check
+			}
+			if err := check(f); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+func checkDocument(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := yaml.NewDecoder(f)
+	d.KnownFields(true)
+	var document seamrule.Document
+	return d.Decode(&document)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(least)
+	f.Add("a: &a [*a]\n")
+	f.Fuzz(func(t *testing.T, content string) {
+		s, err := seamsetting.Parse("f.yaml", []byte(content))
+		var faults seamsetting.Faults
+		if err != nil && !errors.As(err, &faults) {
+			t.Fatalf("error of type %T", err)
+		}
+		if err == nil && s.Name == "" {
+			t.Fatal("accepted settings without a name")
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/seamsetting/rule.go
@@ -0,0 +1,132 @@
+package seamsetting
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+)
+
+// maxText is the length of the longest text value, in bytes.
+const maxText = 1024
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// rule says which scalars a field accepts.
+type rule struct {
+	// allowed describes the accepted values to operators.
+	allowed string
+	accepts func(n *yaml.Node) bool
+}
+
+// textRules are the rules for texts that a tag names; any other tag lists the texts themselves.
+var textRules = map[string]rule{
+	"name":     textRule("1 to 63 lower-case letters, digits, dots and dashes", namePattern.MatchString),
+	"address":  textRule("ip:port with a literal IP and a port from 1 to 65535", isAddress),
+	"sha256":   textRule("64 lower-case hexadecimal digits", hashPattern.MatchString),
+	"endpoint": textRule("ip:port, or a path if batcher is file", func(s string) bool { return s != "" }),
+}
+
+// newRule returns the rule of a scalar field of type t whose tag says allow.
+func newRule(t reflect.Type, allow string) rule {
+	switch {
+	case t == durationType:
+		return durationRule(allow)
+	case t.Kind() == reflect.Bool:
+		return rule{allowed: "true or false", accepts: func(n *yaml.Node) bool { return n.Tag == "!!bool" }}
+	case t.Kind() == reflect.Float64:
+		return floatRule(allow)
+	case t.Kind() == reflect.Int || t.Kind() == reflect.Int64:
+		return intRule(allow)
+	}
+	if r, ok := textRules[allow]; ok {
+		return r
+	}
+	return optionRule(strings.Split(allow, "|"))
+}
+
+func textRule(allowed string, valid func(string) bool) rule {
+	accepts := func(n *yaml.Node) bool {
+		return n.Tag == "!!str" && len(n.Value) <= maxText && valid(n.Value)
+	}
+	return rule{allowed: allowed, accepts: accepts}
+}
+
+func optionRule(options []string) rule {
+	valid := func(s string) bool {
+		for _, o := range options {
+			if s == o {
+				return true
+			}
+		}
+		return false
+	}
+	return textRule("one of "+strings.Join(options, ", "), valid)
+}
+
+func durationRule(allow string) rule {
+	low, high := bounds(allow, time.ParseDuration)
+	accepts := func(n *yaml.Node) bool {
+		d, err := time.ParseDuration(n.Value)
+		return n.Tag == "!!str" && err == nil && d >= low && d <= high
+	}
+	return rule{
+		allowed: fmt.Sprintf("a duration with a unit (ms, s, m, h), from %s", spoken(allow)),
+		accepts: accepts,
+	}
+}
+
+func floatRule(allow string) rule {
+	low, high := bounds(allow, parseFloat)
+	accepts := func(n *yaml.Node) bool {
+		var f float64
+		numeric := n.Tag == "!!float" || n.Tag == "!!int"
+		return numeric && n.Decode(&f) == nil && f >= low && f <= high
+	}
+	return rule{allowed: "a number from " + spoken(allow), accepts: accepts}
+}
+
+func intRule(allow string) rule {
+	low, high := bounds(allow, parseInt)
+	accepts := func(n *yaml.Node) bool {
+		var i int64
+		return n.Tag == "!!int" && n.Decode(&i) == nil && i >= low && i <= high
+	}
+	return rule{allowed: "a whole number from " + spoken(allow), accepts: accepts}
+}
+
+// bounds parses "low..high". The tags are constants, so a wrong one panics in the first test.
+func bounds[T any](allow string, parse func(string) (T, error)) (low, high T) {
+	first, last, _ := strings.Cut(allow, "..")
+	low, err := parse(first)
+	if err != nil {
+		panic(err)
+	}
+	high, err = parse(last)
+	if err != nil {
+		panic(err)
+	}
+	return low, high
+}
+
+func spoken(allow string) string {
+	return strings.Replace(allow, "..", " to ", 1)
+}
+
+func parseFloat(s string) (float64, error) { return strconv.ParseFloat(s, 64) }
+
+func parseInt(s string) (int64, error) { return strconv.ParseInt(s, 10, 64) }
+
+func isAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() != 0
+}
