Store client and its stand-in over the etcd v3 JSON gateway

Nodes need compare-and-swap, leases and watches of the platform's store, and the tests need its faults. The client types each failed write as unwritten or unknown by whether a connection had been taken for it; the stand-in shows outages (refused, dropped, hanging), slowness, lost answers and cut watches, seeded.

Seen: go test ./internal/platform/... passes: 40 watched writes in order through cuts (0.3 a message) and an outage; five fault kinds typed as documented.

--- /dev/null
+++ b/internal/platform/seamstore/client.go
@@ -0,0 +1,376 @@
+package seamstore
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	wire "cardamomseam/internal/platform/seamstorewire"
+)
+
+// Config configures a Client.
+type Config struct {
+	// Endpoints are the ip:port addresses of the store; at least one.
+	Endpoints []string
+	// Timeout bounds each call besides its context; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Rate is the number of calls a second that the node may make in the long run; 0 means DefaultRate.
+	Rate float64
+	// Burst is the number of calls that the node may make at once; 0 means DefaultBurst.
+	Burst int
+	// Retries is the number of further attempts of a call that is safe to repeat; 0 means DefaultRetries.
+	Retries int
+}
+
+const (
+	// DefaultTimeout bounds one call.
+	DefaultTimeout = time.Second
+	// DefaultRate is the number of calls a second of one node.
+	DefaultRate = 5
+	// DefaultBurst is the number of calls of one node at once.
+	DefaultBurst = 30
+	// DefaultRetries is the number of further attempts of a read.
+	DefaultRetries = 2
+	// ValueLimit is the largest value that the store holds, in bytes.
+	ValueLimit = 1 << 20
+)
+
+const (
+	answerLimit     = 64 << 20
+	idleTimeout     = 90 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	connectionAlive = 5 * time.Second
+	backoffFirst    = 50 * time.Millisecond
+	backoffLast     = 2 * time.Second
+)
+
+// Client is a Store reached through the JSON gateway of the published etcd v3 API.
+type Client struct {
+	cfg       Config
+	service   httpc.Service
+	endpoint  atomic.Int64
+	budget    *budget
+	backoff   backoff
+	calls     callMetrics
+	closed    context.Context
+	transport *http.Transport
+}
+
+var _ Store = (*Client)(nil)
+
+// SizeError says that a value is larger than the store holds.
+type SizeError struct {
+	Key  string
+	Size int
+}
+
+// Error names the key and its size.
+func (e *SizeError) Error() string {
+	return "store value of " + e.Key + " is larger than 1 MiB"
+}
+
+// NoEndpointError says that the configuration names no store.
+type NoEndpointError struct{}
+
+// Error says what is missing.
+func (e *NoEndpointError) Error() string { return "store configuration names no endpoint" }
+
+// New returns a client and a function that closes its connections and ends its watches.
+func New(cfg Config, set *metrics.Set) (*Client, func(), error) {
+	if len(cfg.Endpoints) == 0 {
+		return nil, nil, &NoEndpointError{}
+	}
+	cfg = withDefaults(cfg)
+	transport := newTransport()
+	closed, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		cfg:       cfg,
+		service:   newService(transport),
+		budget:    newBudget(cfg.Rate, cfg.Burst),
+		backoff:   backoff{first: backoffFirst, last: backoffLast},
+		calls:     newCallMetrics(set),
+		closed:    closed,
+		transport: transport,
+	}
+	return c, func() {
+		cancel()
+		transport.CloseIdleConnections()
+	}, nil
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.Rate <= 0 {
+		cfg.Rate = DefaultRate
+	}
+	if cfg.Burst <= 0 {
+		cfg.Burst = DefaultBurst
+	}
+	if cfg.Retries <= 0 {
+		cfg.Retries = DefaultRetries
+	}
+	return cfg
+}
+
+func newTransport() *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: connectionAlive}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// newService returns a service whose breaker never opens. httpc takes the breaker by the
+// name of the service, and each client registers its own name as one without a breaker:
+// whether the store is worth a call is decided by the budget and the backoff, and a breaker's
+// refusal would delay the takeover for which the store has just come back.
+func newService(t *http.Transport) httpc.Service {
+	name := "store-" + uuid.NewString()
+	breaker.NoBreakerFor(name)
+	return httpc.NewServiceWithClient(name, &http.Client{Transport: t})
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, p Priority, key string) (Entry, error) {
+	r := &wire.RangeResponse{}
+	if err := c.read(ctx, p, key, &wire.RangeRequest{Key: []byte(key)}, r); err != nil {
+		return Entry{}, err
+	}
+	if len(r.Kvs) == 0 {
+		return Entry{Key: key}, nil
+	}
+	return entry(r.Kvs[0]), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, p Priority, prefix string) ([]Entry, int64, error) {
+	r := &wire.RangeResponse{}
+	q := &wire.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := c.read(ctx, p, prefix, q, r); err != nil {
+		return nil, 0, err
+	}
+	entries := make([]Entry, 0, len(r.Kvs))
+	for _, kv := range r.Kvs {
+		entries = append(entries, entry(kv))
+	}
+	return entries, r.GetHeader().GetRevision(), nil
+}
+
+// Swap implements Store.
+func (c *Client) Swap(ctx context.Context, p Priority, key string, expect int64, value []byte) (int64, error) {
+	if len(value) > ValueLimit {
+		return 0, &UnavailableError{Key: key, Cause: &SizeError{Key: key, Size: len(value)}}
+	}
+	put := &wire.RequestOp{Request: &wire.RequestOp_RequestPut{
+		RequestPut: &wire.PutRequest{Key: []byte(key), Value: value},
+	}}
+	return c.write(ctx, p, key, expect, put)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, p Priority, key string, expect int64) error {
+	remove := &wire.RequestOp{Request: &wire.RequestOp_RequestDeleteRange{
+		RequestDeleteRange: &wire.DeleteRangeRequest{Key: []byte(key)},
+	}}
+	_, err := c.write(ctx, p, key, expect, remove)
+	return err
+}
+
+func (c *Client) read(ctx context.Context, p Priority, key string, q *wire.RangeRequest, r *wire.RangeResponse) error {
+	for attempt := 0; ; attempt++ {
+		if err := c.budget.take(time.Now(), p, key); err != nil {
+			c.calls.refused.Inc()
+			return err
+		}
+		cause := c.post(ctx, "/v3/kv/range", q, r)
+		if cause == nil {
+			return nil
+		}
+		if attempt >= c.cfg.Retries || !c.pause(ctx, attempt) {
+			return &UnavailableError{Key: key, Cause: cause}
+		}
+	}
+}
+
+func (c *Client) write(ctx context.Context, p Priority, key string, expect int64, op *wire.RequestOp) (int64, error) {
+	q := transaction(key, expect, op)
+	for attempt := 0; ; attempt++ {
+		if err := c.budget.take(time.Now(), p, key); err != nil {
+			c.calls.refused.Inc()
+			return 0, err
+		}
+		r := &wire.TxnResponse{}
+		cause := c.post(ctx, "/v3/kv/txn", q, r)
+		if cause == nil {
+			return outcome(key, expect, r)
+		}
+		if sent(cause) {
+			return 0, &UnknownError{Key: key, Cause: cause}
+		}
+		if attempt >= c.cfg.Retries || !c.pause(ctx, attempt) {
+			return 0, &UnavailableError{Key: key, Cause: cause}
+		}
+	}
+}
+
+// transaction writes op if the key's revision is expect, and else reads the key.
+func transaction(key string, expect int64, op *wire.RequestOp) *wire.TxnRequest {
+	return &wire.TxnRequest{
+		Compare: []*wire.Compare{{
+			Result:      wire.Compare_EQUAL,
+			Target:      wire.Compare_MOD,
+			Key:         []byte(key),
+			TargetUnion: &wire.Compare_ModRevision{ModRevision: expect},
+		}},
+		Success: []*wire.RequestOp{op},
+		Failure: []*wire.RequestOp{{Request: &wire.RequestOp_RequestRange{
+			RequestRange: &wire.RangeRequest{Key: []byte(key)},
+		}}},
+	}
+}
+
+func outcome(key string, expect int64, r *wire.TxnResponse) (int64, error) {
+	if r.Succeeded {
+		return r.GetHeader().GetRevision(), nil
+	}
+	conflict := &ConflictError{Key: key, Expect: expect, Found: Entry{Key: key}}
+	if len(r.Responses) > 0 {
+		if kvs := r.Responses[0].GetResponseRange().GetKvs(); len(kvs) > 0 {
+			conflict.Found = entry(kvs[0])
+		}
+	}
+	return 0, conflict
+}
+
+// pause waits before the next attempt and reports whether there is time for one.
+func (c *Client) pause(ctx context.Context, attempt int) bool {
+	c.endpoint.Add(1)
+	t := time.NewTimer(c.backoff.delay(attempt))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.closed.Done():
+		return false
+	}
+}
+
+// callError is the failure of one call.
+type callError struct {
+	// sent says that the store may have seen the request.
+	sent  bool
+	cause error
+}
+
+func (e *callError) Error() string { return e.cause.Error() }
+
+func (e *callError) Unwrap() error { return e.cause }
+
+func sent(err error) bool {
+	var call *callError
+	return errors.As(err, &call) && call.sent
+}
+
+// StatusError is an answer of the store that is not a success.
+type StatusError struct {
+	Status int
+	// Message is the store's own explanation.
+	Message string
+}
+
+// Error gives the store's explanation.
+func (e *StatusError) Error() string {
+	return "store answered " + http.StatusText(e.Status) + ": " + e.Message
+}
+
+var lenient = protojson.UnmarshalOptions{DiscardUnknown: true}
+
+// post makes one call. Its errors are *callError.
+func (c *Client) post(ctx context.Context, path string, q, r proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	started := time.Now()
+	answer, reached, err := c.open(ctx, path, q)
+	if err != nil {
+		c.calls.failed(path)
+		return &callError{sent: reached, cause: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit))
+	if err == nil {
+		err = parse(answer.StatusCode, body, r)
+	}
+	if err != nil {
+		c.calls.failed(path)
+		return &callError{sent: answer.StatusCode != http.StatusBadRequest, cause: err}
+	}
+	c.calls.done(path, time.Since(started))
+	return nil
+}
+
+func parse(status int, body []byte, r proto.Message) error {
+	if status == http.StatusOK {
+		return lenient.Unmarshal(body, r)
+	}
+	e := &wire.Error{}
+	_ = lenient.Unmarshal(body, e)
+	return &StatusError{Status: status, Message: e.GetMessage()}
+}
+
+// open sends a request. reached says that the store may have seen it.
+func (c *Client) open(ctx context.Context, path string, q proto.Message) (answer *http.Response, reached bool, err error) {
+	body, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(q)
+	if err != nil {
+		return nil, false, err
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(path), bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err = c.service.DoRequest(r)
+	return answer, connected.Load(), err
+}
+
+func (c *Client) url(path string) string {
+	i := int(c.endpoint.Load()) % len(c.cfg.Endpoints)
+	return "http://" + c.cfg.Endpoints[i] + path
+}
+
+func entry(kv *wire.KeyValue) Entry {
+	return Entry{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+}
+
+// prefixEnd returns the end of the range of all keys that begin with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/platform/seamstore/client_test.go
@@ -0,0 +1,215 @@
+package seamstore_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/stand/seamstandstore"
+)
+
+func start(t *testing.T, cfg seamstore.Config) (*seamstandstore.Server, *seamstore.Client) {
+	t.Helper()
+	s, stop, err := seamstandstore.New(seamstandstore.Config{Address: "127.0.0.1:0", Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	cfg.Endpoints = []string{s.Address()}
+	c, closeClient, err := seamstore.New(cfg, metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(closeClient)
+	return s, c
+}
+
+func limited(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestSwapComparesRevisions(t *testing.T) {
+	_, c := start(t, seamstore.Config{})
+	ctx := limited(t, 5*time.Second)
+	first, err := c.Swap(ctx, seamstore.Takeover, "cell/a", 0, []byte("one"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Swap(ctx, seamstore.Takeover, "cell/a", 0, []byte("two"))
+	var conflict *seamstore.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("second swap returned %v, not a conflict", err)
+	}
+	want := seamstore.Entry{Key: "cell/a", Value: []byte("one"), Revision: first}
+	if diff := cmp.Diff(want, conflict.Found); diff != "" {
+		t.Error(diff)
+	}
+	second, err := c.Swap(ctx, seamstore.Takeover, "cell/a", first, []byte("two"))
+	if err != nil || second <= first {
+		t.Fatalf("swap at revision %d returned %d, %v", first, second, err)
+	}
+	if err := c.Delete(ctx, seamstore.Takeover, "cell/a", second); err != nil {
+		t.Fatal(err)
+	}
+	e, err := c.Get(ctx, seamstore.Takeover, "cell/a")
+	if err != nil || e.Revision != 0 {
+		t.Errorf("deleted key reads %+v, %v", e, err)
+	}
+}
+
+func TestList(t *testing.T) {
+	_, c := start(t, seamstore.Config{})
+	ctx := limited(t, 5*time.Second)
+	for _, k := range []string{"cell/b", "cell/a", "cells", "rule/x"} {
+		if _, err := c.Swap(ctx, seamstore.Takeover, k, 0, []byte(k)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entries, revision, err := c.List(ctx, seamstore.Configuration, "cell/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var keys []string
+	for _, e := range entries {
+		keys = append(keys, e.Key)
+	}
+	if diff := cmp.Diff([]string{"cell/a", "cell/b"}, keys); diff != "" {
+		t.Error(diff)
+	}
+	if revision != 5 {
+		t.Errorf("revision is %d, not 5", revision)
+	}
+}
+
+func TestWriteOutcomes(t *testing.T) {
+	tests := []struct {
+		name    string
+		faults  seamstandstore.Faults
+		written bool
+		unknown bool
+	}{
+		{"answer lost", seamstandstore.Faults{Lost: 1}, true, true},
+		{"call dropped", seamstandstore.Faults{Outage: seamstandstore.OutageDrop}, false, true},
+		{"store hangs", seamstandstore.Faults{Outage: seamstandstore.OutageHang}, false, true},
+		{"answer late", seamstandstore.Faults{Delay: 400}, false, true},
+		{"connection refused", seamstandstore.Faults{Outage: seamstandstore.OutageRefuse}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, c := start(t, seamstore.Config{Timeout: 200 * time.Millisecond, Retries: 1})
+			if err := s.SetFaults(test.faults); err != nil {
+				t.Fatal(err)
+			}
+			_, err := c.Swap(limited(t, 5*time.Second), seamstore.Takeover, "k", 0, []byte("v"))
+			var unknown *seamstore.UnknownError
+			var unavailable *seamstore.UnavailableError
+			if errors.As(err, &unknown) != test.unknown || errors.As(err, &unavailable) == test.unknown {
+				t.Errorf("swap returned %T %v", err, err)
+			}
+			if err := s.SetFaults(seamstandstore.Faults{}); err != nil {
+				t.Fatal(err)
+			}
+			e, err := c.Get(limited(t, 5*time.Second), seamstore.Takeover, "k")
+			if err != nil || (e.Revision != 0) != test.written {
+				t.Errorf("key reads %+v, %v after the fault", e, err)
+			}
+		})
+	}
+}
+
+func TestLargeValueIsNotWritten(t *testing.T) {
+	s, c := start(t, seamstore.Config{})
+	big := []byte(strings.Repeat("x", seamstore.ValueLimit+1))
+	_, err := c.Swap(limited(t, 5*time.Second), seamstore.Takeover, "k", 0, big)
+	var size *seamstore.SizeError
+	if !errors.As(err, &size) {
+		t.Errorf("swap returned %v", err)
+	}
+	if n := s.Counts().Calls[seamstandstore.KindTxn]; n != 0 {
+		t.Errorf("store saw %d writes", n)
+	}
+}
+
+func TestBudgetKeepsCallsForTakeover(t *testing.T) {
+	_, c := start(t, seamstore.Config{Rate: 0.001, Burst: 9})
+	ctx := limited(t, 5*time.Second)
+	allowed := map[seamstore.Priority]int{}
+	for _, p := range []seamstore.Priority{seamstore.Keepalive, seamstore.Configuration, seamstore.Takeover} {
+		for {
+			_, err := c.Get(ctx, p, "k")
+			var spent *seamstore.BudgetError
+			if errors.As(err, &spent) {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			allowed[p]++
+		}
+	}
+	want := map[seamstore.Priority]int{seamstore.Keepalive: 3, seamstore.Configuration: 3, seamstore.Takeover: 3}
+	if diff := cmp.Diff(want, allowed); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestWatchResumesWithoutGap(t *testing.T) {
+	s, c := start(t, seamstore.Config{Rate: 1000, Burst: 1000})
+	if err := s.SetFaults(seamstandstore.Faults{Cut: 0.3, Seed: 7}); err != nil {
+		t.Fatal(err)
+	}
+	ctx := limited(t, 20*time.Second)
+	const writes = 40
+	seen := make(chan string, writes)
+	go func() {
+		_ = c.Watch(ctx, "w/", 0, func(changes []seamstore.Change) {
+			for _, x := range changes {
+				seen <- x.Key
+			}
+		})
+	}()
+	for i := range writes {
+		key := fmt.Sprintf("w/%02d", i)
+		if _, err := c.Swap(ctx, seamstore.Takeover, key, 0, nil); err != nil {
+			t.Fatal(err)
+		}
+		if i == writes/2 {
+			_ = s.SetFaults(seamstandstore.Faults{Outage: seamstandstore.OutageRefuse})
+			_ = s.SetFaults(seamstandstore.Faults{Cut: 0.3})
+		}
+	}
+	for i := range writes {
+		select {
+		case key := <-seen:
+			if want := fmt.Sprintf("w/%02d", i); key != want {
+				t.Fatalf("change %d is of %s, not %s", i, key, want)
+			}
+		case <-ctx.Done():
+			t.Fatalf("change %d never came", i)
+		}
+	}
+}
+
+func TestWatchOfCompactedRevision(t *testing.T) {
+	s, c := start(t, seamstore.Config{})
+	ctx := limited(t, 5*time.Second)
+	if _, err := c.Swap(ctx, seamstore.Takeover, "k", 0, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.Compact()
+	err := c.Watch(ctx, "k", 0, func([]seamstore.Change) {})
+	var compacted *seamstore.CompactedError
+	if !errors.As(err, &compacted) {
+		t.Errorf("watch returned %v", err)
+	}
+}
--- a/internal/platform/seamstore/store.go
+++ b/internal/platform/seamstore/store.go
@@ -49,7 +49,8 @@
 	// Delete removes the key if its revision is expect.
 	Delete(ctx context.Context, p Priority, key string, expect int64) error
 	// Watch calls f, in order and without gaps, with the changes after revision from
-	// of keys that begin with prefix, until ctx ends. It reconnects by itself.
+	// of keys that begin with prefix, until ctx ends. It reconnects by itself. Only if
+	// the store no longer keeps those changes, it ends with *CompactedError.
 	Watch(ctx context.Context, prefix string, from int64, f func([]Change)) error
 }
 
--- /dev/null
+++ b/internal/platform/seamstore/watch.go
@@ -0,0 +1,144 @@
+package seamstore
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	wire "cardamomseam/internal/platform/seamstorewire"
+)
+
+const (
+	// watchLife is the time after which a watch is opened anew, so that one whose
+	// connection died without a sign is noticed. A waiting watch counts as a call a
+	// minute anyway.
+	watchLife = time.Minute
+	// openTimeout bounds the time until the store confirms a watch.
+	openTimeout = 3 * time.Second
+	// lineLimit is the longest message of a watch, in bytes.
+	lineLimit = 16 << 20
+)
+
+// CompactedError says that the store no longer has the changes after a revision.
+// The caller lists the keys again and watches from the revision of the list.
+type CompactedError struct {
+	Prefix string
+	// From is the revision that was asked for.
+	From int64
+	// Compacted is the oldest revision that the store may still have.
+	Compacted int64
+}
+
+// Error names the prefix and both revisions.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store watch of %s can't resume after revision %d: compacted up to %d", e.Prefix, e.From, e.Compacted)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, f func([]Change)) error {
+	for attempt := 0; ; attempt++ {
+		last, err := c.watchOnce(ctx, prefix, from, f)
+		var compacted *CompactedError
+		switch {
+		case errors.As(err, &compacted):
+			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case c.closed.Err() != nil:
+			return c.closed.Err()
+		case last > from || err == nil:
+			attempt = 0
+		}
+		from = last
+		if err != nil && !c.pause(ctx, attempt) {
+			return context.Canceled
+		}
+	}
+}
+
+// watchOnce watches over one connection for at most watchLife and returns the revision
+// up to which the changes were handed to f.
+func (c *Client) watchOnce(ctx context.Context, prefix string, from int64, f func([]Change)) (int64, error) {
+	if err := c.budget.take(time.Now(), Configuration, prefix); err != nil {
+		c.calls.refused.Inc()
+		return from, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchLife)
+	defer cancel()
+	stop := context.AfterFunc(c.closed, cancel)
+	defer stop()
+	confirm := time.AfterFunc(openTimeout, cancel)
+	defer confirm.Stop()
+	answer, _, err := c.open(ctx, "/v3/watch", watchRequest(prefix, from))
+	if err != nil {
+		c.calls.failed("/v3/watch")
+		return from, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		c.calls.failed("/v3/watch")
+		return from, &StatusError{Status: answer.StatusCode}
+	}
+	c.calls.done("/v3/watch", 0)
+	last, err := follow(answer.Body, prefix, from, f, func() { confirm.Stop() })
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return last, nil
+	}
+	return last, err
+}
+
+func watchRequest(prefix string, from int64) *wire.WatchRequest {
+	return &wire.WatchRequest{RequestUnion: &wire.WatchRequest_CreateRequest{
+		CreateRequest: &wire.WatchCreateRequest{
+			Key:           []byte(prefix),
+			RangeEnd:      prefixEnd(prefix),
+			StartRevision: from + 1,
+		},
+	}}
+}
+
+// follow reads the messages of one connection.
+func follow(body io.Reader, prefix string, from int64, f func([]Change), confirm func()) (int64, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, lineLimit)
+	last := from
+	for lines.Scan() {
+		m := &wire.WatchResult{}
+		if err := lenient.Unmarshal(lines.Bytes(), m); err != nil {
+			return last, errors.Wrap(err, "store watch message")
+		}
+		r := m.GetResult()
+		if r.GetCompactRevision() > 0 {
+			return last, &CompactedError{Prefix: prefix, From: last, Compacted: r.GetCompactRevision()}
+		}
+		confirm()
+		if changes := changesAfter(last, r.GetEvents()); len(changes) > 0 {
+			f(changes)
+			last = changes[len(changes)-1].Revision
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return last, err
+	}
+	return last, io.ErrUnexpectedEOF
+}
+
+// changesAfter converts the events later than a revision.
+func changesAfter(last int64, events []*wire.Event) []Change {
+	changes := make([]Change, 0, len(events))
+	for _, e := range events {
+		if e.GetKv().GetModRevision() <= last {
+			continue
+		}
+		changes = append(changes, Change{
+			Entry:   entry(e.Kv),
+			Deleted: e.Type == wire.Event_DELETE,
+		})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/stand/seamstandstore/server.go
@@ -0,0 +1,175 @@
+// Package seamstandstore stands in for the platform's key-value store. It speaks the
+// subset of the published etcd v3 JSON gateway that the store client uses, counts the
+// calls, and shows faults on request: outages, slowness and lost answers.
+package seamstandstore
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Config configures a Server.
+type Config struct {
+	// Address is the ip:port of the store's API; port 0 takes a free one.
+	Address string
+	// Control is the ip:port of POST /fault and GET /counts, which stay reachable
+	// during an outage; empty takes a free port of 127.0.0.1.
+	Control string
+	// Seed makes the random faults repeatable.
+	Seed uint64
+}
+
+// Server is a running stand-in.
+type Server struct {
+	address        string
+	controlAddress string
+	keys           *keyspace
+	counter        *counter
+	dice           *dice
+	closing        chan struct{}
+
+	mu     sync.Mutex
+	faults Faults
+	api    *http.Server
+}
+
+// expirePeriod is the time between looks at the leases.
+const expirePeriod = 100 * time.Millisecond
+
+// New starts a store and returns it with a function that stops it.
+func New(cfg Config) (*Server, func(), error) {
+	s := &Server{
+		keys:    newKeyspace(),
+		counter: newCounter(),
+		dice:    newDice(cfg.Seed),
+		closing: make(chan struct{}),
+	}
+	if err := s.listen(cfg.Address); err != nil {
+		return nil, nil, err
+	}
+	stopControl, err := s.listenControl(cfg.Control)
+	if err != nil {
+		s.shut()
+		return nil, nil, err
+	}
+	go s.expireLeases()
+	return s, func() {
+		close(s.closing)
+		s.shut()
+		stopControl()
+	}, nil
+}
+
+// Address returns the ip:port of the store's API.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Control returns the ip:port of the faults and counts.
+func (s *Server) Control() string { return s.controlAddress }
+
+// Counts returns the calls since the start.
+func (s *Server) Counts() Counts {
+	c := s.counter.snapshot()
+	c.Revision = s.keys.now()
+	return c
+}
+
+// Compact forgets the history of changes, so that watches of older revisions are refused.
+func (s *Server) Compact() { s.keys.compact() }
+
+// Faults returns the present faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults from now on. It returns an error if the address of the
+// API can't be listened on again after OutageRefuse.
+func (s *Server) SetFaults(f Faults) error {
+	if f.Seed != 0 {
+		s.dice.reseed(f.Seed)
+	}
+	s.mu.Lock()
+	s.faults = f
+	open := s.api != nil
+	s.mu.Unlock()
+	switch {
+	case f.Outage == OutageRefuse:
+		s.shut()
+	case !open:
+		return s.listen(s.Address())
+	}
+	return nil
+}
+
+func (s *Server) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "store listens on %s", address)
+	}
+	api := newServer(s.handler())
+	s.mu.Lock()
+	s.address = l.Addr().String()
+	s.api = api
+	s.mu.Unlock()
+	go func() { _ = api.Serve(l) }()
+	return nil
+}
+
+func (s *Server) shut() {
+	s.mu.Lock()
+	api := s.api
+	s.api = nil
+	s.mu.Unlock()
+	if api != nil {
+		_ = api.Close()
+	}
+}
+
+func (s *Server) listenControl(address string) (func(), error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "store control listens on %s", address)
+	}
+	s.controlAddress = l.Addr().String()
+	control := newServer(s.control())
+	go func() { _ = control.Serve(l) }()
+	return func() { _ = control.Close() }, nil
+}
+
+// headerTimeout bounds the time in which a request's headers arrive.
+const headerTimeout = 5 * time.Second
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+func (s *Server) expireLeases() {
+	tick := time.NewTicker(expirePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			s.keys.expire(now)
+		case <-s.closing:
+			return
+		}
+	}
+}
