Keeper: input and output of the ownership state machine

Cause: the state machine of cells is pure; something has to carry its actions to the store, to other nodes, to the own target and to requests. Change: seamkeeper performs actions, admits requests under a lease, gives the target fenced orders bounded by the wall clock too, hands slots over, locates owners and targets of other cells through bounded caches. Conclusion: ready to be wired.

--- a/internal/member/seamdatagram/endpoint.go
+++ b/internal/member/seamdatagram/endpoint.go
@@ -27,6 +27,10 @@
 	Confirm
 )
 
+// anonymous holds the kinds whose payload names the sender itself, so that the
+// header need not; their handlers get a zero peer.
+var anonymous = map[Kind]bool{Cell: true}
+
 const (
 	// MaxPayload is the largest payload in bytes that fits an unfragmented datagram.
 	MaxPayload = 1200
@@ -161,7 +165,7 @@
 		return
 	}
 	from, ok := e.known.peer(h.from.Name, h.from.Incarnation)
-	if !ok {
+	if !ok && !anonymous[h.kind] {
 		// The full identity is unknown: ask for it and let the sender repeat.
 		_ = e.write(kindWho, source, true, nil)
 		return
--- a/internal/member/seamdatagram/header.go
+++ b/internal/member/seamdatagram/header.go
@@ -29,6 +29,9 @@
 }
 
 func appendHeader(b []byte, k Kind, from seampeer.Peer, introduce bool) []byte {
+	if anonymous[k] {
+		return append(b, byte(k))
+	}
 	first := byte(k)
 	if introduce {
 		first |= introducedBit
@@ -54,6 +57,9 @@
 		return header{}, nil, &MalformedError{Field: "kind"}
 	}
 	h := header{kind: Kind(frame[0] &^ introducedBit), introduced: frame[0]&introducedBit != 0}
+	if anonymous[h.kind] {
+		return h, frame[1:], nil
+	}
 	incarnation, n := binary.Uvarint(frame[1:])
 	if n <= 0 {
 		return header{}, nil, &MalformedError{Field: "incarnation"}
--- a/internal/member/seamtarget/order.go
+++ b/internal/member/seamtarget/order.go
@@ -17,6 +17,9 @@
 	Sequence    uint64 `json:"sequence"`
 	// Life is the time from arrival for which the orders hold, in milliseconds.
 	Life int `json:"life"`
+	// Until bounds the orders by the wall clock of the machine, in milliseconds since the
+	// Unix epoch: orders that were delayed on their way do not hold longer.
+	Until int64 `json:"until"`
 	// Full says that Slots is the complete set; otherwise the set stays as it is and only Life is renewed.
 	Full  bool        `json:"full,omitempty"`
 	Slots []SlotOrder `json:"slots,omitempty"`
--- a/internal/observe/seamtrace/provider.go
+++ b/internal/observe/seamtrace/provider.go
@@ -91,7 +91,7 @@
 	if attributes := s.Attributes(); len(attributes) > 0 {
 		kept.Fields = make(map[string]string, len(attributes))
 		for _, a := range attributes {
-			kept.Fields[string(a.Key)] = a.Value.Emit()
+			kept.Fields[string(a.Key)] = a.Value.String()
 		}
 	}
 	r.keep(kept)
--- /dev/null
+++ b/internal/own/seamkeeper/keeper.go
@@ -0,0 +1,220 @@
+// Package seamkeeper connects the state machine of a cell (seamcell) to the
+// store, the network, the own target and the request path.
+package seamkeeper
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// Config holds the settings of a keeper.
+type Config struct {
+	// Cell holds the settings of the state machine.
+	Cell seamcell.Config
+	// Tick is the time between ticks of the state machine.
+	Tick time.Duration
+	// Wait is the longest time for which a request waits for a slot that is arriving.
+	Wait time.Duration
+	// Waiting is the largest number of requests that wait for arriving slots.
+	Waiting int
+	// Call bounds one call of the store or of a peer.
+	Call time.Duration
+	// Seeds are addresses of other nodes, used while the store is down at the start.
+	Seeds []string
+	// Fence says that the target is trusted to refuse requests of another epoch.
+	Fence bool
+}
+
+// DefaultConfig returns the settings that the documentation describes.
+func DefaultConfig() Config {
+	return Config{
+		Cell:    seamcell.DefaultConfig(),
+		Tick:    50 * time.Millisecond,
+		Wait:    1500 * time.Millisecond,
+		Waiting: 1024,
+		Call:    2 * time.Second,
+	}
+}
+
+// Datagrams sends a datagram to a node.
+type Datagrams interface {
+	Send(to seampeer.Peer, payload []byte) error
+}
+
+// Streams opens a stream to a node on which records and rosters are asked for.
+type Streams interface {
+	OpenCells(ctx context.Context, to seampeer.Peer) (net.Conn, error)
+}
+
+// Rules are the rules in force at this node.
+type Rules interface {
+	// Fetch asks the peer for rules later than those in force and applies them.
+	Fetch(ctx context.Context, from seampeer.Peer) error
+	// Labels returns the labels that operators and target gave to the instance.
+	Labels(service string, peer seampeer.Peer, own map[string]string) map[string]string
+}
+
+// Parts are what a keeper works with.
+type Parts struct {
+	Store     seamstore.Store
+	Datagrams Datagrams
+	Streams   Streams
+	Rules     Rules
+	Placer    seamcell.Placer
+	Sink      seamevent.Sink
+	Metrics   *metrics.Set
+	Clock     *seamclock.Clock
+}
+
+// Keeper runs the state machine of one node.
+type Keeper struct {
+	cfg   Config
+	self  seampeer.Peer
+	parts Parts
+	ctx   context.Context
+	tasks sync.WaitGroup
+
+	// mu guards cell and everything that follows from its actions.
+	mu      sync.Mutex
+	cell    *seamcell.Cell
+	target  seamcell.TargetState
+	watcher context.CancelFunc
+
+	holdings holdings
+	arrivals arrivals
+	snapshot atomic.Pointer[snapshot]
+	hints    *hints
+	rosters  *rosters
+	orders   *orders
+	fetching [2]atomic.Bool
+}
+
+// New starts a keeper. The clean-up function stops it; grants then lapse by
+// themselves. A planned stop calls Drain first.
+func New(cfg Config, self seampeer.Peer, parts Parts) (*Keeper, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{
+		cfg:   cfg,
+		self:  self,
+		parts: parts,
+		ctx:   ctx,
+		cell:  seamcell.New(cfg.Cell, self, parts.Placer),
+		hints: newHints(),
+	}
+	k.holdings.slots = map[slotID]*holding{}
+	k.rosters = newRosters(k)
+	k.orders = newOrders(k)
+	k.publish(parts.Clock.Now())
+	registerMetrics(k, parts.Metrics)
+	k.tasks.Go(k.tickLoop)
+	k.tasks.Go(k.bootstrap)
+	k.tasks.Go(k.orders.run)
+	return k, func() {
+		cancel()
+		k.stopWatching()
+		k.tasks.Wait()
+	}, nil
+}
+
+// step runs one event through the state machine and performs its actions.
+func (k *Keeper) step(event func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.parts.Clock.Now()
+	actions := event(k.cell, now)
+	k.refreshLease(now)
+	for _, a := range actions {
+		k.perform(now, a)
+	}
+	if len(actions) > 0 {
+		k.publish(now)
+	}
+}
+
+func (k *Keeper) tickLoop() {
+	ticker := time.NewTicker(k.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Tick(now) })
+		k.followRole()
+	}
+}
+
+// ReceiveDatagram takes a datagram of another node's keeper.
+func (k *Keeper) ReceiveDatagram(_ seampeer.Peer, payload []byte) {
+	message := &seamcellwire.Message{}
+	if err := proto.Unmarshal(payload, message); err != nil {
+		k.parts.Metrics.GetOrCreateCounter(`cardamomseam_cell_malformed_total`).Inc()
+		return
+	}
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Receive(now, message) })
+}
+
+// Service tells the state machine about a keyed service in the rules.
+func (k *Keeper) Service(s seamcell.ServiceState) {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Service(now, s) })
+}
+
+// Applied tells the state machine which revision of the rules is in force here.
+func (k *Keeper) Applied(revision int64) {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Applied(now, revision) })
+}
+
+// Attest takes an operator's word that the named instances have ended for good.
+func (k *Keeper) Attest(cell string, lost []string) {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Attest(now, cell, lost) })
+}
+
+// Drain begins the planned stop. It returns when the node holds nothing more,
+// or when ctx ends.
+func (k *Keeper) Drain(ctx context.Context) error {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Drain(now) })
+	ticker := time.NewTicker(k.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		if k.drained() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (k *Keeper) drained() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.Drained()
+}
+
+// View returns what the node knows of its cell.
+func (k *Keeper) View() seamcell.View {
+	return k.snapshot.Load().view
+}
+
+// Records returns the known records of cells, in order of their keys.
+func (k *Keeper) Records() []seamcell.Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cell.Records()
+}
--- /dev/null
+++ b/internal/own/seamkeeper/owners.go
@@ -0,0 +1,247 @@
+package seamkeeper
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamslot"
+)
+
+type slotID = seamslot.ID
+
+// holding is a slot that this node's server serves.
+type holding struct {
+	epoch uint64
+	// standby is the address of the standby's target, or empty.
+	standby string
+	// ready says that the target has taken the orders that contain the slot.
+	ready atomic.Bool
+	// closing says that no further request is admitted.
+	closing  atomic.Bool
+	inFlight atomic.Int64
+	served   atomic.Int64
+	// counted is the value of served at the last report of load; the reporter alone uses it.
+	counted int64
+}
+
+// holdings are the slots of this node's server, and the end of its lease.
+type holdings struct {
+	mu    sync.RWMutex
+	slots map[slotID]*holding
+	until seamclock.Instant
+}
+
+func (h *holdings) find(id slotID) (*holding, seamclock.Instant) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.slots[id], h.until
+}
+
+func (h *holdings) lease() seamclock.Instant {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.until
+}
+
+func (h *holdings) setLease(until seamclock.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.until = until
+}
+
+// arrivals wakes requests that wait for a slot.
+type arrivals struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	waiting atomic.Int64
+}
+
+func (a *arrivals) next() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.changed == nil {
+		a.changed = make(chan struct{})
+	}
+	return a.changed
+}
+
+func (a *arrivals) wake() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.changed != nil {
+		close(a.changed)
+		a.changed = nil
+	}
+}
+
+// Acquire returns the grant under which a request for the slot may run at this
+// node's target, and a function to call when the request has ended. A request
+// for a slot that is arriving waits, bounded by Config.Wait and ctx. The error is
+// *seamgrant.NotOwnerError; the request was not run.
+func (k *Keeper) Acquire(ctx context.Context, id slotID) (seamgrant.Grant, func(), error) {
+	if grant, release, ok := k.try(id); ok {
+		return grant, release, nil
+	}
+	if !k.arriving(id) {
+		return seamgrant.Grant{}, nil, k.notOwner(id)
+	}
+	return k.await(ctx, id)
+}
+
+func (k *Keeper) await(ctx context.Context, id slotID) (seamgrant.Grant, func(), error) {
+	if k.arrivals.waiting.Add(1) > int64(k.cfg.Waiting) {
+		k.arrivals.waiting.Add(-1)
+		return seamgrant.Grant{}, nil, k.notOwner(id)
+	}
+	defer k.arrivals.waiting.Add(-1)
+	timer := time.NewTimer(k.cfg.Wait)
+	defer timer.Stop()
+	for {
+		changed := k.arrivals.next()
+		if grant, release, ok := k.try(id); ok {
+			return grant, release, nil
+		}
+		if !k.arriving(id) {
+			return seamgrant.Grant{}, nil, k.notOwner(id)
+		}
+		select {
+		case <-ctx.Done():
+			return seamgrant.Grant{}, nil, k.notOwner(id)
+		case <-timer.C:
+			return seamgrant.Grant{}, nil, k.notOwner(id)
+		case <-changed:
+		}
+	}
+}
+
+// try admits a request if the slot is held now.
+func (k *Keeper) try(id slotID) (seamgrant.Grant, func(), bool) {
+	h, until := k.holdings.find(id)
+	if h == nil || h.closing.Load() || !h.ready.Load() || seamclock.Past(k.parts.Clock.Now(), until) {
+		return seamgrant.Grant{}, nil, false
+	}
+	h.inFlight.Add(1)
+	if h.closing.Load() {
+		// The slot began to close between the two looks; its last request may be counted already.
+		h.inFlight.Add(-1)
+		return seamgrant.Grant{}, nil, false
+	}
+	h.served.Add(1)
+	grant := seamgrant.Grant{Slot: id, Epoch: h.epoch, Until: until}
+	return grant, func() { h.inFlight.Add(-1) }, true
+}
+
+// arriving reports whether the slot is about to be granted to this node.
+func (k *Keeper) arriving(id slotID) bool {
+	s, ok := k.snapshot.Load().slots[id]
+	if !ok {
+		return false
+	}
+	return s.Owner.Same(k.self) && !s.Moving
+}
+
+func (k *Keeper) notOwner(id slotID) error {
+	snap := k.snapshot.Load()
+	s, ok := snap.slots[id]
+	e := &seamgrant.NotOwnerError{Slot: id}
+	switch {
+	case ok && !s.Owner.Zero() && !s.Owner.Same(k.self):
+		e.Owner = s.Owner.Address
+		e.Moving = s.Moving
+	case ok:
+		e.Moving = true
+	default:
+		e.Owner = k.coordinatorOf(id).Address
+	}
+	return e
+}
+
+// Held returns the end of the node's lease on the slot, for the check right
+// before a request is sent to the target.
+func (k *Keeper) Held(id slotID, epoch uint64) (seamclock.Instant, bool) {
+	h, until := k.holdings.find(id)
+	if h == nil || h.epoch != epoch {
+		return seamclock.Instant{}, false
+	}
+	return until, !seamclock.Past(k.parts.Clock.Now(), until)
+}
+
+// refreshLease copies the end of the lease from the state machine. mu is held.
+func (k *Keeper) refreshLease(now seamclock.Instant) {
+	until, running := k.cell.Lease(now)
+	if !running {
+		until = now
+	}
+	k.holdings.setLease(until)
+	k.orders.renew(until)
+}
+
+func (k *Keeper) serve(a seamcell.Serve) {
+	k.holdings.mu.Lock()
+	h := k.holdings.slots[a.Slot]
+	if h == nil || h.epoch != a.Epoch || h.closing.Load() {
+		h = &holding{epoch: a.Epoch}
+		k.holdings.slots[a.Slot] = h
+	}
+	h.standby = a.Target
+	k.holdings.mu.Unlock()
+	k.orders.change()
+}
+
+func (k *Keeper) stopServing(a seamcell.StopServing) {
+	k.holdings.mu.Lock()
+	h := k.holdings.slots[a.Slot]
+	if h != nil {
+		h.closing.Store(true)
+		if !a.Graceful {
+			delete(k.holdings.slots, a.Slot)
+		}
+	}
+	k.holdings.mu.Unlock()
+	if !a.Graceful {
+		k.orders.change()
+		return
+	}
+	k.tasks.Go(func() { k.handOver(a, h) })
+}
+
+// handOver waits for the requests in flight on the slot, lets the target send
+// its state to the successor, and releases the slot.
+func (k *Keeper) handOver(a seamcell.StopServing, h *holding) {
+	if h != nil {
+		if k.awaitIdle(h) {
+			k.orders.handOver(k.ctx, a)
+		}
+		k.drop(a.Slot, h)
+		k.orders.changeAndWait(k.ctx)
+	}
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Released(now, a.Slot) })
+}
+
+func (k *Keeper) drop(id slotID, h *holding) {
+	k.holdings.mu.Lock()
+	defer k.holdings.mu.Unlock()
+	if k.holdings.slots[id] == h {
+		delete(k.holdings.slots, id)
+	}
+}
+
+// awaitIdle waits until no request is in flight on the slot. It reports false
+// if the lease ended before, because the slot may then have another owner.
+func (k *Keeper) awaitIdle(h *holding) bool {
+	const poll = 2 * time.Millisecond
+	for {
+		if k.ctx.Err() != nil || seamclock.Past(k.parts.Clock.Now(), k.holdings.lease()) {
+			return false
+		}
+		if h.inFlight.Load() == 0 {
+			return true
+		}
+		time.Sleep(poll)
+	}
+}
--- /dev/null
+++ b/internal/own/seamkeeper/perform.go
@@ -0,0 +1,73 @@
+package seamkeeper
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+)
+
+// perform carries out one action. It is called with mu held and does not block.
+func (k *Keeper) perform(now seamclock.Instant, action seamcell.Action) {
+	switch a := action.(type) {
+	case seamcell.Send:
+		k.send(a)
+	case seamcell.Swap:
+		k.tasks.Go(func() { k.swap(a) })
+	case seamcell.Read:
+		k.tasks.Go(func() { k.readRecord(a) })
+	case seamcell.Remove:
+		k.tasks.Go(func() { k.remove(a) })
+	case seamcell.Serve:
+		k.serve(a)
+	case seamcell.StopServing:
+		k.stopServing(a)
+	case seamcell.Fetch:
+		k.fetch(a)
+	case seamcell.Emit:
+		k.parts.Sink.Emit(time.Unix(0, int64(now.Wall)), a.Name, a.Fields)
+	}
+}
+
+func (k *Keeper) send(a seamcell.Send) {
+	payload, err := proto.Marshal(a.Message)
+	if err != nil {
+		k.invariant("unsendable message", err)
+		return
+	}
+	if err := k.parts.Datagrams.Send(a.To, payload); err != nil {
+		k.parts.Metrics.GetOrCreateCounter(`cardamomseam_cell_unsent_total`).Inc()
+	}
+}
+
+func (k *Keeper) invariant(what string, err error) {
+	k.parts.Sink.Emit(time.Now(), seamevent.InvariantBroken, seamevent.Fields{"what": what, "error": err.Error()})
+}
+
+// fetch starts a fetch unless one of the same kind is under way.
+func (k *Keeper) fetch(a seamcell.Fetch) {
+	busy := &k.fetching[a.Kind]
+	if !busy.CompareAndSwap(false, true) {
+		return
+	}
+	k.tasks.Go(func() {
+		defer busy.Store(false)
+		ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
+		defer cancel()
+		if err := k.fetchFrom(ctx, a.Kind, a.From); err != nil {
+			k.parts.Metrics.GetOrCreateCounter(`cardamomseam_fetch_failed_total`).Inc()
+		}
+	})
+}
+
+func (k *Keeper) fetchFrom(ctx context.Context, kind seamcell.Kind, from seampeer.Peer) error {
+	if kind == seamcell.Rules {
+		return k.parts.Rules.Fetch(ctx, from)
+	}
+	return k.fetchDirectory(ctx, from)
+}
--- /dev/null
+++ b/internal/own/seamkeeper/snapshot.go
@@ -0,0 +1,65 @@
+package seamkeeper
+
+import (
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+)
+
+// snapshot is what the request path reads of the cell. It never changes.
+type snapshot struct {
+	view  seamcell.View
+	slots map[slotID]seamcell.SlotView
+	// records are those of all cells and services, in order of their keys.
+	records []seamcell.Entry
+	// ranges are the ranges of all cells by service.
+	ranges map[string][]cellRange
+}
+
+// cellRange is a range of slots and the coordinator of the cell that owns it.
+type cellRange struct {
+	from, to    uint32
+	coordinator seampeer.Peer
+}
+
+// publish makes the present state of the cell readable without a lock. mu is
+// held, or the keeper is not yet shared.
+func (k *Keeper) publish(now seamclock.Instant) {
+	view := k.cell.View(now)
+	s := &snapshot{
+		view:    view,
+		slots:   make(map[slotID]seamcell.SlotView, len(view.Slots)),
+		records: k.cell.Records(),
+		ranges:  map[string][]cellRange{},
+	}
+	for _, x := range view.Slots {
+		s.slots[x.Slot] = x
+	}
+	for _, e := range s.records {
+		s.addRanges(e)
+	}
+	k.snapshot.Store(s)
+	k.arrivals.wake()
+}
+
+func (s *snapshot) addRanges(e seamcell.Entry) {
+	if e.Deleted || e.Record.ID == "" {
+		return
+	}
+	for _, r := range e.Record.Ranges {
+		s.ranges[r.Service] = append(s.ranges[r.Service], cellRange{from: r.From, to: r.To, coordinator: e.Record.Coordinator})
+	}
+}
+
+func (s *snapshot) coordinator(id slotID) seampeer.Peer {
+	for _, r := range s.ranges[id.Service] {
+		if id.Index >= r.from && id.Index < r.to {
+			return r.coordinator
+		}
+	}
+	return seampeer.Peer{}
+}
+
+func (k *Keeper) coordinatorOf(id slotID) seampeer.Peer {
+	return k.snapshot.Load().coordinator(id)
+}
--- /dev/null
+++ b/internal/own/seamkeeper/store.go
@@ -0,0 +1,209 @@
+package seamkeeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+const (
+	// lonelyInterval is the time between readings of the directory by a node without a cell.
+	lonelyInterval = time.Second
+	// watchPause is the time before a broken watch is started again.
+	watchPause = time.Second
+)
+
+func (k *Keeper) swap(a seamcell.Swap) {
+	value, err := a.Record.Encode()
+	if err != nil {
+		k.invariant("unwritable record", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
+	defer cancel()
+	revision, err := k.parts.Store.Swap(ctx, a.Priority, a.Key, a.Expect, value)
+	result := resultOf(a.ID, err)
+	if result.Outcome == seamcell.OK {
+		result.Entry = seamcell.Entry{Key: a.Key, Revision: revision, Record: a.Record}
+	}
+	k.stored(result)
+}
+
+func (k *Keeper) readRecord(a seamcell.Read) {
+	ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
+	defer cancel()
+	entry, err := k.parts.Store.Get(ctx, a.Priority, a.Key)
+	result := resultOf(a.ID, err)
+	if result.Outcome == seamcell.OK {
+		result.Entry = decode(entry)
+		result.Entry.Key = a.Key
+	}
+	k.stored(result)
+}
+
+func (k *Keeper) remove(a seamcell.Remove) {
+	ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
+	defer cancel()
+	k.stored(resultOf(a.ID, k.parts.Store.Delete(ctx, seamstore.Configuration, a.Key, a.Expect)))
+}
+
+func (k *Keeper) stored(r seamcell.StoreResult) {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Stored(now, r) })
+}
+
+func resultOf(id uint64, err error) seamcell.StoreResult {
+	var conflict *seamstore.ConflictError
+	var unknown *seamstore.UnknownError
+	r := seamcell.StoreResult{ID: id}
+	switch {
+	case err == nil:
+		r.Outcome = seamcell.OK
+	case errors.As(err, &conflict):
+		r.Outcome = seamcell.Conflict
+		r.Entry = decode(conflict.Found)
+	case errors.As(err, &unknown):
+		r.Outcome = seamcell.Unknown
+	default:
+		r.Outcome = seamcell.Unavailable
+	}
+	return r
+}
+
+// decode returns the record of a store entry; an unreadable one counts as absent content
+// at its revision, so that it is never overwritten by accident.
+func decode(e seamstore.Entry) seamcell.Entry {
+	if e.Revision == 0 {
+		return seamcell.Entry{Key: e.Key}
+	}
+	entry, err := seamcell.Decode(e.Key, e.Revision, e.Value)
+	if err != nil {
+		return seamcell.Entry{Key: e.Key, Revision: e.Revision}
+	}
+	return entry
+}
+
+// bootstrap reads the directory until this node has a cell, and offers the
+// seeds to the state machine meanwhile.
+func (k *Keeper) bootstrap() {
+	for {
+		if k.isLonely() {
+			k.readDirectory()
+		}
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-time.After(lonelyInterval/2 + rand.N(lonelyInterval)):
+		}
+	}
+}
+
+func (k *Keeper) isLonely() bool {
+	role := k.View().Role
+	return role == seamcell.RoleNone || role == seamcell.RoleJoining
+}
+
+func (k *Keeper) readDirectory() {
+	ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
+	defer cancel()
+	entries, _, err := k.listRecords(ctx)
+	if err != nil {
+		k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Seeds(now, k.seeds()) })
+		return
+	}
+	k.learn(entries)
+}
+
+func (k *Keeper) listRecords(ctx context.Context) ([]seamcell.Entry, int64, error) {
+	var all []seamcell.Entry
+	var revision int64
+	for _, prefix := range []string{seamcell.CellPrefix, seamcell.SlotsPrefix} {
+		entries, r, err := k.parts.Store.List(ctx, seamstore.Configuration, prefix)
+		if err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = r
+		}
+		for _, e := range entries {
+			all = append(all, decode(e))
+		}
+	}
+	return all, revision, nil
+}
+
+func (k *Keeper) learn(entries []seamcell.Entry) {
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Directory(now, entries) })
+}
+
+// followRole watches the directory while this node is a coordinator.
+func (k *Keeper) followRole() {
+	coordinates := k.View().Role == seamcell.RoleCoordinator
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	watching := k.watcher != nil
+	if coordinates && !watching {
+		ctx, cancel := context.WithCancel(k.ctx)
+		k.watcher = cancel
+		k.tasks.Go(func() { k.watchDirectory(ctx) })
+	}
+	if !coordinates && watching {
+		k.watcher()
+		k.watcher = nil
+	}
+}
+
+func (k *Keeper) stopWatching() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.watcher != nil {
+		k.watcher()
+		k.watcher = nil
+	}
+}
+
+func (k *Keeper) watchDirectory(ctx context.Context) {
+	for ctx.Err() == nil {
+		entries, revision, err := k.listRecords(ctx)
+		if err == nil {
+			k.learn(entries)
+			_ = k.watchFrom(ctx, revision)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause/2 + rand.N(watchPause)):
+		}
+	}
+}
+
+func (k *Keeper) watchFrom(ctx context.Context, revision int64) error {
+	var watches []error
+	done := make(chan error, 2)
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, prefix := range []string{seamcell.CellPrefix, seamcell.SlotsPrefix} {
+		go func() { done <- k.parts.Store.Watch(inner, prefix, revision, k.changed) }()
+	}
+	for range 2 {
+		watches = append(watches, <-done)
+		cancel()
+	}
+	return errors.Join(watches...)
+}
+
+func (k *Keeper) changed(changes []seamstore.Change) {
+	entries := make([]seamcell.Entry, 0, len(changes))
+	for _, c := range changes {
+		entry := seamcell.Entry{Key: c.Key, Revision: c.Revision, Deleted: true}
+		if !c.Deleted {
+			entry = decode(c.Entry)
+		}
+		entries = append(entries, entry)
+	}
+	k.learn(entries)
+}
