--- /dev/null
+++ b/internal/rule/seamset/bundle.go
@@ -0,0 +1,74 @@
+package seamset
+
+import (
+	"cmp"
+	"slices"
+
+	"cardamomseam/internal/rule/seamrule"
+)
+
+// Version is the latest recorded version of the document of one service.
+type Version struct {
+	Service string
+	// Revision is the store's revision at which the version was recorded.
+	Revision int64
+	// Deleted says that the service was deleted; Document then is the last one before.
+	Deleted  bool
+	Document seamrule.Document
+}
+
+// Bundle is a complete set of versions.
+type Bundle struct {
+	// Revision is the highest revision of the versions.
+	Revision int64
+	// Versions has one element per service, in order of service.
+	Versions []Version
+}
+
+// NewBundle returns a bundle of the versions.
+func NewBundle(versions []Version) Bundle {
+	b := Bundle{Versions: slices.Clone(versions)}
+	slices.SortFunc(b.Versions, func(a, c Version) int { return cmp.Compare(a.Service, c.Service) })
+	for _, v := range b.Versions {
+		b.Revision = max(b.Revision, v.Revision)
+	}
+	return b
+}
+
+// Live returns the documents that are not deleted, in order of service.
+func (b Bundle) Live() []seamrule.Document {
+	var documents []seamrule.Document
+	for _, v := range b.Versions {
+		if !v.Deleted {
+			documents = append(documents, v.Document)
+		}
+	}
+	return documents
+}
+
+// Find returns the version of the service, and whether there is one.
+func (b Bundle) Find(service string) (Version, bool) {
+	i, found := slices.BinarySearchFunc(b.Versions, service, func(v Version, s string) int {
+		return cmp.Compare(v.Service, s)
+	})
+	if !found {
+		return Version{}, false
+	}
+	return b.Versions[i], true
+}
+
+// with returns the bundle with the versions replaced whose revision is lower than the given ones.
+func (b Bundle) with(versions []Version) Bundle {
+	merged := slices.Clone(b.Versions)
+	for _, v := range versions {
+		i := slices.IndexFunc(merged, func(o Version) bool { return o.Service == v.Service })
+		if i < 0 {
+			merged = append(merged, v)
+			continue
+		}
+		if merged[i].Revision < v.Revision {
+			merged[i] = v
+		}
+	}
+	return NewBundle(merged)
+}
