Record documents by compare-and-swap, with history

Operators race, and answers of the store are lost. A change carries a writer id; a swap of unknown outcome is repeated with the same value and expected revision, and a conflict is cleared up by looking for the writer in the record found, so none is applied twice. Rules are read by watch at coordinators and fetched from a peer elsewhere. TestRace: 8 operators, lost requests and answers, outages; each accepted change is in the history once.

--- /dev/null
+++ b/internal/rule/seambook/book.go
@@ -0,0 +1,286 @@
+package seambook
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/rule/seamdiff"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+const (
+	// firstWait is the mean wait before the first repetition of a write of unknown outcome.
+	firstWait = 20 * time.Millisecond
+	// longestWait bounds the doubling of the wait.
+	longestWait = 500 * time.Millisecond
+	// retryAfter is advised to operators when the store cannot be reached.
+	retryAfter = 5 * time.Second
+	// labelAttempts is the number of times that a change of labels is made anew after a conflict.
+	labelAttempts = 8
+	// AnyRevision expects no particular revision.
+	AnyRevision = -1
+)
+
+// Force tells which versions are in force at this node.
+type Force interface {
+	// Version returns the version of the service in force, and whether there is one.
+	Version(service string) (seamrule.Version, bool)
+}
+
+// Book records documents. Its methods may be called at the same time.
+type Book struct {
+	store     seamstore.Store
+	force     Force
+	sink      seamevent.Sink
+	recorded  *metrics.Counter
+	conflicts *metrics.Counter
+	refused   *metrics.Counter
+}
+
+// New returns a book that records in the store.
+func New(store seamstore.Store, force Force, sink seamevent.Sink, m *metrics.Set) *Book {
+	return &Book{
+		store:     store,
+		force:     force,
+		sink:      sink,
+		recorded:  m.NewCounter(`cardamomseam_rules_recorded_total`),
+		conflicts: m.NewCounter(`cardamomseam_rules_conflicts_total`),
+		refused:   m.NewCounter(`cardamomseam_rules_unavailable_total`),
+	}
+}
+
+// Stamp says who changes a document, and when.
+type Stamp struct {
+	Time   time.Time
+	Author string
+	// Writer identifies the write; empty for a new random one.
+	Writer string
+	// Expect is the revision that the change replaces: 0 if there must be no document, or AnyRevision.
+	Expect int64
+}
+
+// Recorded is the outcome of a change.
+type Recorded struct {
+	Service string `json:"service"`
+	// Revision is the revision of the change, Before the one it replaced.
+	Revision int64  `json:"revision"`
+	Before   int64  `json:"before"`
+	Writer   string `json:"writer"`
+}
+
+// Put records the document.
+// Errors are seamrule.FieldErrors, *ConflictError, *StaleError, *UnavailableError and *UnknownError.
+func (b *Book) Put(ctx context.Context, s Stamp, d seamrule.Document) (Recorded, error) {
+	if err := seamrule.Validate(d); err != nil {
+		return Recorded{}, err
+	}
+	return b.change(ctx, s, d.Service, ActionSet, func(Record) (seamrule.Document, error) {
+		return d, nil
+	})
+}
+
+// Delete records that the service has no document. What cannot change stays with the name.
+// Errors are those of Put and *NotFoundError.
+func (b *Book) Delete(ctx context.Context, s Stamp, service string) (Recorded, error) {
+	return b.change(ctx, s, service, ActionDelete, func(r Record) (seamrule.Document, error) {
+		return present(service, r)
+	})
+}
+
+// Label replaces the operators' labels of one instance; none removes them. If s.Expect is
+// AnyRevision, the change is made anew after a conflict, as changes of other instances do not matter.
+// Errors are those of Put and *NotFoundError.
+func (b *Book) Label(ctx context.Context, s Stamp, service, instance string, labels map[string]string) (Recorded, error) {
+	if s.Writer == "" {
+		s.Writer = uuid.NewString()
+	}
+	for attempt := 1; ; attempt++ {
+		recorded, err := b.change(ctx, s, service, ActionLabel, func(r Record) (seamrule.Document, error) {
+			d, err := present(service, r)
+			if err != nil {
+				return d, err
+			}
+			d = d.WithLabels(instance, labels)
+			return d, seamrule.Validate(d)
+		})
+		var conflict *ConflictError
+		if s.Expect != AnyRevision || attempt == labelAttempts || !errors.As(err, &conflict) {
+			return recorded, err
+		}
+	}
+}
+
+func present(service string, r Record) (seamrule.Document, error) {
+	if r.Deleted || len(r.Changes) == 0 {
+		return seamrule.Document{}, &NotFoundError{Service: service}
+	}
+	return r.Document, nil
+}
+
+// change records what next makes of the present record.
+func (b *Book) change(ctx context.Context, s Stamp, service, action string, next func(Record) (seamrule.Document, error)) (Recorded, error) {
+	if s.Writer == "" {
+		s.Writer = uuid.NewString()
+	}
+	entry, err := b.read(ctx, service)
+	if err != nil {
+		return Recorded{}, err
+	}
+	old, err := decode(entry)
+	if err != nil {
+		return Recorded{}, err
+	}
+	if done, ok := repeated(service, old, s.Writer); ok {
+		return done, nil
+	}
+	d, err := next(old)
+	if err != nil {
+		return Recorded{}, err
+	}
+	if s.Expect != AnyRevision && s.Expect != visible(old, entry.Revision) {
+		return Recorded{}, b.conflict(service, s.Expect, entry, old, d)
+	}
+	if len(old.Changes) > 0 {
+		if err := seamrule.ValidateChange(old.Document, d); err != nil {
+			return Recorded{}, err
+		}
+	}
+	made := Change{Time: s.Time, Author: s.Author, Writer: s.Writer, Action: action}
+	return b.write(ctx, service, entry, old.with(d, made))
+}
+
+// visible returns the revision that operators see: 0 if the service was deleted.
+func visible(r Record, revision int64) int64 {
+	if r.Deleted {
+		return 0
+	}
+	return revision
+}
+
+// read returns the entry of the service, and refuses one older than the version in force.
+func (b *Book) read(ctx context.Context, service string) (seamstore.Entry, error) {
+	entry, err := b.store.Get(ctx, seamstore.Configuration, KeyPrefix+service)
+	if err != nil {
+		b.refused.Inc()
+		return entry, unavailable(service, err)
+	}
+	entry.Key = KeyPrefix + service
+	if v, ok := b.force.Version(service); ok && entry.Revision < v.Revision {
+		b.refused.Inc()
+		return entry, &StaleError{Service: service, Found: entry.Revision, Force: v.Revision}
+	}
+	return entry, nil
+}
+
+func unavailable(service string, err error) error {
+	after := retryAfter
+	var budget *seamstore.BudgetError
+	if errors.As(err, &budget) {
+		after = budget.After
+	}
+	return &UnavailableError{Service: service, After: after, Cause: err}
+}
+
+// repeated returns the outcome of an earlier change by the same writer.
+func repeated(service string, r Record, writer string) (Recorded, bool) {
+	for i, c := range r.Changes {
+		if c.Writer != writer {
+			continue
+		}
+		done := Recorded{Service: service, Revision: c.Revision, Writer: writer}
+		if i > 0 {
+			done.Before = r.Changes[i-1].Revision
+		}
+		return done, true
+	}
+	return Recorded{}, false
+}
+
+// write swaps the record in. A swap of unknown outcome is repeated with the same value and
+// the same expected revision, so at most one takes effect; a conflict is then cleared up
+// by looking for the writer in the record that was found.
+func (b *Book) write(ctx context.Context, service string, before seamstore.Entry, r Record) (Recorded, error) {
+	value, err := r.encode()
+	if err != nil {
+		return Recorded{}, err
+	}
+	made := r.Changes[len(r.Changes)-1]
+	unsure := false
+	for wait := firstWait; ; wait = min(2*wait, longestWait) {
+		revision, err := b.store.Swap(ctx, seamstore.Configuration, before.Key, before.Revision, value)
+		if err == nil {
+			done := Recorded{Service: service, Revision: revision, Before: before.Revision, Writer: made.Writer}
+			return b.announce(made, done), nil
+		}
+		var conflict *seamstore.ConflictError
+		if errors.As(err, &conflict) {
+			return b.settle(service, before.Revision, conflict.Found, r, made)
+		}
+		var unknown *seamstore.UnknownError
+		unsure = unsure || errors.As(err, &unknown)
+		if !unsure {
+			b.refused.Inc()
+			return Recorded{}, unavailable(service, err)
+		}
+		if pause(ctx, wait) != nil {
+			b.refused.Inc()
+			return Recorded{}, &UnknownError{Service: service, Writer: made.Writer, Cause: err}
+		}
+	}
+}
+
+// settle tells a lost answer to a swap that succeeded from a lost race.
+func (b *Book) settle(service string, expect int64, found seamstore.Entry, ours Record, made Change) (Recorded, error) {
+	found.Key = KeyPrefix + service
+	theirs, err := decode(found)
+	if err != nil {
+		return Recorded{}, err
+	}
+	if done, ok := repeated(service, theirs, made.Writer); ok {
+		return b.announce(made, done), nil
+	}
+	return Recorded{}, b.conflict(service, expect, found, theirs, ours.Document)
+}
+
+func (b *Book) announce(made Change, done Recorded) Recorded {
+	b.recorded.Inc()
+	b.sink.Emit(made.Time, seamevent.RuleRecorded, seamevent.Fields{
+		"service": done.Service, "revision": done.Revision, "before": done.Before, "author": made.Author, "action": made.Action,
+	})
+	return done
+}
+
+func (b *Book) conflict(service string, expect int64, entry seamstore.Entry, theirs Record, ours seamrule.Document) error {
+	b.conflicts.Inc()
+	e := &ConflictError{
+		Service: service,
+		Expect:  expect,
+		Found:   visible(theirs, entry.Revision),
+		Theirs:  theirs.text(),
+		Yours:   string(seamrule.Format(ours)),
+	}
+	if n := len(theirs.Changes); n > 0 {
+		e.Author = theirs.Changes[n-1].Author
+	}
+	e.Difference = seamdiff.Unified("recorded", e.Theirs, "yours", e.Yours)
+	return e
+}
+
+// pause waits for about d, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/rule/seambook/book_test.go
@@ -0,0 +1,276 @@
+package seambook_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamset"
+	"cardamomseam/internal/rule/seamstoretest"
+)
+
+var now = time.Unix(1_700_000_000, 0).UTC()
+
+type fixture struct {
+	store *seamstoretest.Memory
+	set   *seamset.Set
+	book  *seambook.Book
+}
+
+func newFixture() fixture {
+	m, sink, store := metrics.NewSet(), seamevent.NewStream("n1"), &seamstoretest.Memory{}
+	set := seamset.New(sink, m)
+	return fixture{store: store, set: set, book: seambook.New(store, set, sink, m)}
+}
+
+func stamp(author string, expect int64) seambook.Stamp {
+	return seambook.Stamp{Time: now, Author: author, Expect: expect}
+}
+
+func tally(retries int) seamrule.Document {
+	return seamrule.Document{
+		Service:   "tally",
+		Selectors: []seamrule.Selector{{Name: "all"}},
+		Limits:    seamrule.Limits{Retries: retries},
+	}
+}
+
+func TestPutConflictShowsDifference(t *testing.T) {
+	f := newFixture()
+	first, err := f.book.Put(t.Context(), stamp("blue", 0), tally(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.book.Put(t.Context(), stamp("red", 0), tally(2))
+	var conflict *seambook.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+	if conflict.Found != first.Revision || conflict.Expect != 0 || conflict.Author != "blue" {
+		t.Errorf("got %+v", conflict)
+	}
+	if !strings.Contains(conflict.Difference, "-  retries: 1\n+  retries: 2\n") {
+		t.Errorf("difference:\n%s", conflict.Difference)
+	}
+}
+
+func TestDeleteLeavesWhatCannotChange(t *testing.T) {
+	f := newFixture()
+	keyed := tally(0)
+	keyed.Keyed = &seamrule.Keyed{Key: "path:1", Slots: 8}
+	if _, err := f.book.Put(t.Context(), stamp("blue", 0), keyed); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.book.Delete(t.Context(), stamp("blue", seambook.AnyRevision), "tally"); err != nil {
+		t.Fatal(err)
+	}
+	var missing *seambook.NotFoundError
+	if _, err := f.book.Delete(t.Context(), stamp("blue", seambook.AnyRevision), "tally"); !errors.As(err, &missing) {
+		t.Fatalf("second deletion: %v", err)
+	}
+	other := keyed
+	other.Keyed = &seamrule.Keyed{Key: "path:1", Slots: 9}
+	var faults seamrule.FieldErrors
+	if _, err := f.book.Put(t.Context(), stamp("blue", 0), other); !errors.As(err, &faults) || faults[0].Field != "keyed.slots" {
+		t.Fatalf("other slots: %v", err)
+	}
+	if _, err := f.book.Put(t.Context(), stamp("blue", 0), keyed); err != nil {
+		t.Fatalf("same slots: %v", err)
+	}
+	page, err := f.book.Read(t.Context(), "tally")
+	if err != nil || len(page.Changes) != 3 || page.Changes[1].Action != seambook.ActionDelete {
+		t.Fatalf("page %+v, %v", page, err)
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name  string
+		fates []seamstoretest.Fate
+	}{
+		{"answer lost", []seamstoretest.Fate{seamstoretest.AnswerLost}},
+		{"request lost", []seamstoretest.Fate{seamstoretest.RequestLost}},
+		{"both", []seamstoretest.Fate{seamstoretest.RequestLost, seamstoretest.AnswerLost, seamstoretest.RequestLost}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture()
+			calls := 0
+			f.store.Decide = func() seamstoretest.Fate {
+				calls++
+				if calls <= len(tt.fates) {
+					return tt.fates[calls-1]
+				}
+				return seamstoretest.Answered
+			}
+			done, err := f.book.Put(t.Context(), stamp("blue", 0), tally(1))
+			if err != nil || done.Revision != f.store.Revision() {
+				t.Fatalf("recorded %+v, %v", done, err)
+			}
+			page, err := f.book.Read(t.Context(), "tally")
+			if err != nil || len(page.Changes) != 1 {
+				t.Fatalf("page %+v, %v", page, err)
+			}
+		})
+	}
+}
+
+func TestRepeatedWriterHasNoEffect(t *testing.T) {
+	f := newFixture()
+	s := stamp("blue", 0)
+	s.Writer = "w-1"
+	first, err := f.book.Put(t.Context(), s, tally(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.book.Put(t.Context(), stamp("red", first.Revision), tally(2)); err != nil {
+		t.Fatal(err)
+	}
+	again, err := f.book.Put(t.Context(), s, tally(1))
+	if err != nil || again != first {
+		t.Fatalf("got %+v, %v; want %+v", again, err, first)
+	}
+}
+
+func TestOutageRecordsNothing(t *testing.T) {
+	f := newFixture()
+	f.store.SetDown(true)
+	var unavailable *seambook.UnavailableError
+	if _, err := f.book.Put(t.Context(), stamp("blue", 0), tally(1)); !errors.As(err, &unavailable) || unavailable.After <= 0 {
+		t.Fatalf("got %v", err)
+	}
+	f.store.SetDown(false)
+	f.store.Decide = func() seamstoretest.Fate { return seamstoretest.RequestLost }
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var unknown *seambook.UnknownError
+	if _, err := f.book.Put(ctx, stamp("blue", 0), tally(1)); !errors.As(err, &unknown) {
+		t.Fatalf("got %v", err)
+	}
+	if f.store.Revision() != 0 {
+		t.Fatal("something was recorded")
+	}
+}
+
+func TestOlderStoreIsRefused(t *testing.T) {
+	f := newFixture()
+	v := seamrule.Version{Service: "tally", Revision: 40, Document: tally(1)}
+	if _, err := f.set.ApplyVersions(now, []seamrule.Version{v}); err != nil {
+		t.Fatal(err)
+	}
+	var stale *seambook.StaleError
+	if _, err := f.book.Put(t.Context(), stamp("blue", 0), tally(1)); !errors.As(err, &stale) || stale.Force != 40 {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	f := newFixture()
+	for i := range 60 {
+		if _, err := f.book.Put(t.Context(), stamp("blue", seambook.AnyRevision), tally(i%10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := f.book.Read(t.Context(), "tally")
+	if err != nil || len(page.Changes) != 60 {
+		t.Fatalf("%d changes, %v", len(page.Changes), err)
+	}
+	texts := 0
+	for i, c := range page.Changes {
+		if c.Number != i+1 || c.Revision != int64(i+1) {
+			t.Errorf("change %d is %+v", i, c)
+		}
+		if c.Text != "" {
+			texts++
+		}
+	}
+	if texts != 50 {
+		t.Errorf("%d texts", texts)
+	}
+}
+
+// TestRace lets operators change one document while answers are lost and the store goes down.
+func TestRace(t *testing.T) {
+	const operators, changes = 8, 8
+	f := newFixture()
+	draw := rand.New(rand.NewPCG(1, 2))
+	f.store.Decide = func() seamstoretest.Fate { return seamstoretest.Fate(draw.IntN(6) % 4 % 3) }
+	ctx, cancel := context.WithCancel(t.Context())
+	var watch, group sync.WaitGroup
+	watch.Go(func() { _ = f.set.Watch(ctx, f.store) })
+	watch.Go(func() {
+		for down := false; ctx.Err() == nil; down = !down {
+			f.store.SetDown(down)
+			time.Sleep(2 * time.Millisecond)
+		}
+	})
+	var highest int64
+	f.set.Subscribe(now, func(_ time.Time, b seamset.Bundle) {
+		if b.Revision <= highest {
+			t.Errorf("revision %d after %d", b.Revision, highest)
+		}
+		highest = b.Revision
+	})
+	var mu sync.Mutex
+	accepted := map[string]int64{}
+	for o := range operators {
+		group.Go(func() {
+			for c := range changes {
+				writer := fmt.Sprintf("%d/%d", o, c)
+				revision := put(t, f.book, writer)
+				mu.Lock()
+				accepted[writer] = revision
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	cancel()
+	watch.Wait()
+	f.store.SetDown(false)
+	page, err := f.book.Read(t.Context(), "tally")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(page.Changes) != operators*changes {
+		t.Fatalf("%d changes in the history, want %d", len(page.Changes), operators*changes)
+	}
+	for _, c := range page.Changes {
+		if accepted[c.Writer] != c.Revision {
+			t.Errorf("writer %s: revision %d in the history, %d accepted", c.Writer, c.Revision, accepted[c.Writer])
+		}
+		delete(accepted, c.Writer)
+	}
+	if len(accepted) != 0 {
+		t.Errorf("not in the history: %v", accepted)
+	}
+}
+
+// put repeats a change with the same writer until it is recorded.
+func put(t *testing.T, b *seambook.Book, writer string) int64 {
+	for range 100_000 {
+		s := seambook.Stamp{Time: now, Author: "blue", Writer: writer, Expect: seambook.AnyRevision}
+		done, err := b.Put(t.Context(), s, tally(0))
+		if err == nil {
+			return done.Revision
+		}
+		var invalid seamrule.FieldErrors
+		if errors.As(err, &invalid) {
+			t.Error(err)
+			return 0
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	t.Errorf("writer %s never succeeded", writer)
+	return 0
+}
--- /dev/null
+++ b/internal/rule/seamdiff/diff.go
@@ -0,0 +1,174 @@
+// Package seamdiff compares texts line by line.
+package seamdiff
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	// context is the number of equal lines shown around a difference.
+	context = 3
+	// maxCells bounds the table of the comparison; larger texts are shown as wholly replaced.
+	maxCells = 4 << 20
+)
+
+// Unified returns the difference between two texts in the unified format,
+// or the empty text if they are equal.
+func Unified(beforeName, before, afterName, after string) string {
+	if before == after {
+		return ""
+	}
+	edits := compare(lines(before), lines(after))
+	var b strings.Builder
+	fmt.Fprintf(&b, "--- %s\n+++ %s\n", beforeName, afterName)
+	for _, h := range hunks(edits) {
+		h.write(&b)
+	}
+	return b.String()
+}
+
+func lines(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+}
+
+// edit is one line of a comparison; kind is ' ', '-' or '+'.
+type edit struct {
+	kind byte
+	line string
+	// before and after are the numbers of lines of the two texts that precede this edit.
+	before, after int
+}
+
+// compare returns the edits of a longest common subsequence.
+func compare(a, b []string) []edit {
+	head := 0
+	for head < len(a) && head < len(b) && a[head] == b[head] {
+		head++
+	}
+	tail := 0
+	for tail < len(a)-head && tail < len(b)-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	var e editor
+	e.keep(a[:head])
+	e.middle(a[head:len(a)-tail], b[head:len(b)-tail])
+	e.keep(a[len(a)-tail:])
+	return e.edits
+}
+
+type editor struct {
+	edits         []edit
+	before, after int
+}
+
+func (e *editor) add(kind byte, line string) {
+	e.edits = append(e.edits, edit{kind: kind, line: line, before: e.before, after: e.after})
+	if kind != '+' {
+		e.before++
+	}
+	if kind != '-' {
+		e.after++
+	}
+}
+
+func (e *editor) keep(lines []string) {
+	for _, l := range lines {
+		e.add(' ', l)
+	}
+}
+
+func (e *editor) middle(a, b []string) {
+	i, j := 0, 0
+	if (len(a)+1)*(len(b)+1) <= maxCells {
+		length := subsequences(a, b)
+		for i < len(a) && j < len(b) {
+			switch {
+			case a[i] == b[j]:
+				e.add(' ', a[i])
+				i++
+				j++
+			case length[i+1][j] >= length[i][j+1]:
+				e.add('-', a[i])
+				i++
+			default:
+				e.add('+', b[j])
+				j++
+			}
+		}
+	}
+	for ; i < len(a); i++ {
+		e.add('-', a[i])
+	}
+	for ; j < len(b); j++ {
+		e.add('+', b[j])
+	}
+}
+
+// subsequences returns the length of the longest common subsequence of each pair of tails.
+func subsequences(a, b []string) [][]int32 {
+	length := make([][]int32, len(a)+1)
+	for i := range length {
+		length[i] = make([]int32, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				length[i][j] = length[i+1][j+1] + 1
+			} else {
+				length[i][j] = max(length[i+1][j], length[i][j+1])
+			}
+		}
+	}
+	return length
+}
+
+type hunk []edit
+
+// hunks groups the edits with their context.
+func hunks(edits []edit) []hunk {
+	var all []hunk
+	end := 0
+	for i, e := range edits {
+		if e.kind == ' ' {
+			continue
+		}
+		from := max(i-context, 0)
+		to := min(i+context+1, len(edits))
+		if len(all) == 0 || from > end {
+			all = append(all, hunk(edits[from:to]))
+		} else {
+			last := len(all) - 1
+			all[last] = edits[end-len(all[last]) : to]
+		}
+		end = to
+	}
+	return all
+}
+
+func (h hunk) write(b *strings.Builder) {
+	before, after := 0, 0
+	for _, e := range h {
+		if e.kind != '+' {
+			before++
+		}
+		if e.kind != '-' {
+			after++
+		}
+	}
+	fmt.Fprintf(b, "@@ -%s +%s @@\n", span(h[0].before, before), span(h[0].after, after))
+	for _, e := range h {
+		fmt.Fprintf(b, "%c%s\n", e.kind, e.line)
+	}
+}
+
+// span formats the first line, from 1, and the number of lines.
+func span(preceding, count int) string {
+	if count == 0 {
+		return fmt.Sprintf("%d,0", preceding)
+	}
+	return fmt.Sprintf("%d,%d", preceding+1, count)
+}
--- a/internal/rule/seamrule/validate.go
+++ b/internal/rule/seamrule/validate.go
@@ -34,6 +34,8 @@
 	http.MethodPatch, http.MethodDelete, http.MethodOptions,
 }
 
+var reserved = []string{LabelInstance, LabelRegion, LabelDomain}
+
 // Validate checks a document. The error is a FieldErrors with every fault.
 func Validate(d Document) error {
 	var f fields
@@ -153,7 +155,7 @@
 		for _, name := range sortedKeys(instances[instance]) {
 			path := "labels." + instance + "." + name
 			value := instances[instance][name]
-			f.check(seamlabel.ValidName(name), path, name, "the name of a label")
+			f.check(seamlabel.ValidName(name) && !slices.Contains(reserved, name), path, name, "the name of a label other than "+strings.Join(reserved, ", "))
 			f.check(seamlabel.ValidValue(value), path, value, "the value of a label")
 		}
 	}
--- /dev/null
+++ b/internal/rule/seamrule/version.go
@@ -0,0 +1,11 @@
+package seamrule
+
+// Version is the latest recorded version of the document of one service.
+type Version struct {
+	Service string
+	// Revision is the store's revision at which the version was recorded.
+	Revision int64
+	// Deleted says that the service was deleted; Document then is the last one before.
+	Deleted  bool
+	Document Document
+}
--- a/internal/rule/seamset/bundle.go
+++ b/internal/rule/seamset/bundle.go
@@ -7,28 +7,18 @@
 	"cardamomseam/internal/rule/seamrule"
 )
 
-// Version is the latest recorded version of the document of one service.
-type Version struct {
-	Service string
-	// Revision is the store's revision at which the version was recorded.
-	Revision int64
-	// Deleted says that the service was deleted; Document then is the last one before.
-	Deleted  bool
-	Document seamrule.Document
-}
-
 // Bundle is a complete set of versions.
 type Bundle struct {
 	// Revision is the highest revision of the versions.
 	Revision int64
 	// Versions has one element per service, in order of service.
-	Versions []Version
+	Versions []seamrule.Version
 }
 
 // NewBundle returns a bundle of the versions.
-func NewBundle(versions []Version) Bundle {
+func NewBundle(versions []seamrule.Version) Bundle {
 	b := Bundle{Versions: slices.Clone(versions)}
-	slices.SortFunc(b.Versions, func(a, c Version) int { return cmp.Compare(a.Service, c.Service) })
+	slices.SortFunc(b.Versions, func(a, c seamrule.Version) int { return cmp.Compare(a.Service, c.Service) })
 	for _, v := range b.Versions {
 		b.Revision = max(b.Revision, v.Revision)
 	}
@@ -47,21 +37,21 @@
 }
 
 // Find returns the version of the service, and whether there is one.
-func (b Bundle) Find(service string) (Version, bool) {
-	i, found := slices.BinarySearchFunc(b.Versions, service, func(v Version, s string) int {
+func (b Bundle) Find(service string) (seamrule.Version, bool) {
+	i, found := slices.BinarySearchFunc(b.Versions, service, func(v seamrule.Version, s string) int {
 		return cmp.Compare(v.Service, s)
 	})
 	if !found {
-		return Version{}, false
+		return seamrule.Version{}, false
 	}
 	return b.Versions[i], true
 }
 
 // with returns the bundle with the versions replaced whose revision is lower than the given ones.
-func (b Bundle) with(versions []Version) Bundle {
+func (b Bundle) with(versions []seamrule.Version) Bundle {
 	merged := slices.Clone(b.Versions)
 	for _, v := range versions {
-		i := slices.IndexFunc(merged, func(o Version) bool { return o.Service == v.Service })
+		i := slices.IndexFunc(merged, func(o seamrule.Version) bool { return o.Service == v.Service })
 		if i < 0 {
 			merged = append(merged, v)
 			continue
--- a/internal/rule/seamset/set.go
+++ b/internal/rule/seamset/set.go
@@ -105,6 +105,17 @@
 	return c.bundle
 }
 
+// Version returns the version of the service in force, and whether there is one.
+func (s *Set) Version(service string) (seamrule.Version, bool) {
+	return s.Bundle().Find(service)
+}
+
+// Labels returns the labels by which the service's selectors choose the instance.
+func (s *Set) Labels(service string, i seamrule.Instance) map[string]string {
+	v, _ := s.Version(service)
+	return v.Document.LabelsOf(i)
+}
+
 // Require raises the lowest revision at which the set is ready.
 func (s *Set) Require(revision int64) {
 	for {
@@ -150,13 +161,13 @@
 }
 
 // ApplyVersions puts later versions of single documents in force, like Apply.
-func (s *Set) ApplyVersions(now time.Time, versions []Version) (bool, error) {
+func (s *Set) ApplyVersions(now time.Time, versions []seamrule.Version) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.apply(now, versions)
 }
 
-func (s *Set) apply(now time.Time, versions []Version) (bool, error) {
+func (s *Set) apply(now time.Time, versions []seamrule.Version) (bool, error) {
 	old := s.current.Load()
 	if old == nil {
 		old = &state{}
--- a/internal/rule/seamset/set_test.go
+++ b/internal/rule/seamset/set_test.go
@@ -33,11 +33,11 @@
 	}
 }
 
-func version(d seamrule.Document, revision int64) seamset.Version {
-	return seamset.Version{Service: d.Service, Revision: revision, Document: d}
+func version(d seamrule.Document, revision int64) seamrule.Version {
+	return seamrule.Version{Service: d.Service, Revision: revision, Document: d}
 }
 
-func apply(t *testing.T, s *seamset.Set, versions ...seamset.Version) bool {
+func apply(t *testing.T, s *seamset.Set, versions ...seamrule.Version) bool {
 	t.Helper()
 	changed, err := s.Apply(now, seamset.NewBundle(versions))
 	if err != nil {
@@ -109,7 +109,7 @@
 	apply(t, s, version(calendar(), 3))
 	bad := calendar()
 	bad.Selectors[0].Targets = "zone in"
-	if _, err := s.Apply(now, seamset.NewBundle([]seamset.Version{version(bad, 5)})); err == nil {
+	if _, err := s.Apply(now, seamset.NewBundle([]seamrule.Version{version(bad, 5)})); err == nil {
 		t.Fatal("no error")
 	}
 	if s.Revision() != 3 {
@@ -133,7 +133,7 @@
 
 func BenchmarkDecide(b *testing.B) {
 	s := newSet()
-	if _, err := s.Apply(now, seamset.NewBundle([]seamset.Version{version(calendar(), 1)})); err != nil {
+	if _, err := s.Apply(now, seamset.NewBundle([]seamrule.Version{version(calendar(), 1)})); err != nil {
 		b.Fatal(err)
 	}
 	r := httptest.NewRequest(http.MethodGet, "/visits?household=s-17", http.NoBody)
--- /dev/null
+++ b/internal/rule/seamset/stream.go
@@ -0,0 +1,110 @@
+package seamset
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamrulewire"
+)
+
+const (
+	// streamTime bounds one exchange of rules.
+	streamTime = 5 * time.Second
+	// maxBundle is the longest bundle taken from a peer, in bytes.
+	maxBundle = 32 << 20
+)
+
+// ServeStream answers one Fetch of the peer with the rules in force here.
+func (s *Set) ServeStream(ctx context.Context, _ seampeer.Peer, conn net.Conn) error {
+	defer limit(ctx, conn)()
+	var fetch seamrulewire.Fetch
+	if err := protodelim.UnmarshalFrom(bufio.NewReader(conn), &fetch); err != nil {
+		return errors.Wrap(err, "read the request for rules")
+	}
+	bundle, err := s.wire(fetch.GetSince())
+	if err != nil {
+		return err
+	}
+	_, err = protodelim.MarshalTo(conn, bundle)
+	return errors.Wrap(err, "send rules")
+}
+
+// Fetch asks the peer on the connection for rules later than since and puts them in force.
+// The error is a *PeerNotReadyError if the peer has no rules itself.
+func (s *Set) Fetch(ctx context.Context, conn net.Conn, since int64) error {
+	defer limit(ctx, conn)()
+	if s.current.Load() == nil {
+		since = unknownRevision
+	}
+	if _, err := protodelim.MarshalTo(conn, &seamrulewire.Fetch{Since: since}); err != nil {
+		return errors.Wrap(err, "ask for rules")
+	}
+	var bundle seamrulewire.Bundle
+	options := protodelim.UnmarshalOptions{MaxSize: maxBundle}
+	if err := options.UnmarshalFrom(bufio.NewReader(conn), &bundle); err != nil {
+		return errors.Wrap(err, "receive rules")
+	}
+	if !bundle.GetReady() {
+		return &PeerNotReadyError{}
+	}
+	return s.applyWire(&bundle)
+}
+
+// unknownRevision is lower than any revision; it asks for rules even if there are none.
+const unknownRevision = -1
+
+// PeerNotReadyError says that the asked peer has no rules yet.
+type PeerNotReadyError struct{}
+
+// Error says so.
+func (e *PeerNotReadyError) Error() string { return "the peer has no rules yet" }
+
+// limit bounds the exchange by ctx and by streamTime.
+func limit(ctx context.Context, conn net.Conn) (release func()) {
+	conn.SetDeadline(time.Now().Add(streamTime))
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
+	return func() { stop() }
+}
+
+// wire returns the bundle in force if it is later than since.
+func (s *Set) wire(since int64) (*seamrulewire.Bundle, error) {
+	c := s.current.Load()
+	if c == nil {
+		return &seamrulewire.Bundle{}, nil
+	}
+	bundle := &seamrulewire.Bundle{Revision: c.bundle.Revision, Ready: true}
+	if c.bundle.Revision <= since {
+		return bundle, nil
+	}
+	for _, v := range c.bundle.Versions {
+		text, err := json.Marshal(v.Document)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode the document of service %q", v.Service)
+		}
+		bundle.Documents = append(bundle.Documents, &seamrulewire.Document{
+			Service: v.Service, Revision: v.Revision, Deleted: v.Deleted, Text: text,
+		})
+	}
+	return bundle, nil
+}
+
+func (s *Set) applyWire(bundle *seamrulewire.Bundle) error {
+	versions := make([]seamrule.Version, 0, len(bundle.GetDocuments()))
+	for _, d := range bundle.GetDocuments() {
+		v := seamrule.Version{Service: d.GetService(), Revision: d.GetRevision(), Deleted: d.GetDeleted()}
+		if err := json.Unmarshal(d.GetText(), &v.Document); err != nil {
+			return errors.Wrapf(err, "decode the document of service %q", v.Service)
+		}
+		versions = append(versions, v)
+	}
+	_, err := s.Apply(time.Now(), NewBundle(versions))
+	return err
+}
--- /dev/null
+++ b/internal/rule/seamset/watch.go
@@ -0,0 +1,90 @@
+package seamset
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+const (
+	// firstWait is the mean wait before the first repetition of a failed list or watch.
+	firstWait = 100 * time.Millisecond
+	// longestWait bounds the doubling of the wait.
+	longestWait = 5 * time.Second
+)
+
+// Watch keeps the set at the store's latest revision until ctx ends, and returns its error.
+// While the store cannot be reached, what is in force stays.
+func (s *Set) Watch(ctx context.Context, store seamstore.Store) error {
+	wait := firstWait
+	for {
+		listed := s.follow(ctx, store)
+		if listed {
+			wait = firstWait
+		}
+		if err := pause(ctx, wait); err != nil {
+			return err
+		}
+		wait = min(2*wait, longestWait)
+	}
+}
+
+// follow lists the rules and watches for changes until one fails; it reports whether it could list.
+func (s *Set) follow(ctx context.Context, store seamstore.Store) bool {
+	entries, revision, err := store.List(ctx, seamstore.Configuration, seambook.KeyPrefix)
+	if err != nil {
+		return false
+	}
+	if s.take(entries) != nil {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err = store.Watch(ctx, seambook.KeyPrefix, revision, func(changes []seamstore.Change) {
+		if s.take(entriesOf(changes)) != nil {
+			cancel()
+		}
+	})
+	return err != nil
+}
+
+// entriesOf drops removals: the absence of a key is no deletion of a service.
+func entriesOf(changes []seamstore.Change) []seamstore.Entry {
+	var entries []seamstore.Entry
+	for _, c := range changes {
+		if !c.Deleted {
+			entries = append(entries, c.Entry)
+		}
+	}
+	return entries
+}
+
+func (s *Set) take(entries []seamstore.Entry) error {
+	versions := make([]seamrule.Version, 0, len(entries))
+	for _, e := range entries {
+		v, err := seambook.Version(e)
+		if err != nil {
+			s.failed.Inc()
+			return err
+		}
+		versions = append(versions, v)
+	}
+	_, err := s.ApplyVersions(time.Now(), versions)
+	return err
+}
+
+// pause waits for about d, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
