--- /dev/null
+++ b/internal/rule/seamconfirm/confirmer_test.go
@@ -0,0 +1,172 @@
+package seamconfirm_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seamconfirm"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// mesh passes datagrams between confirmers, each the coordinator of one cell.
+type mesh struct {
+	nodes map[string]*node
+	lost  func() bool
+	queue []datagram
+	sent  int
+}
+
+type datagram struct {
+	from, to seampeer.Peer
+	payload  []byte
+}
+
+// node is one coordinator; it implements Cells and Sender.
+type node struct {
+	mesh      *mesh
+	peer      seampeer.Peer
+	confirmed int64
+	behind    int64
+	confirmer *seamconfirm.Confirmer
+	events    *seamevent.Stream
+}
+
+func (n *node) Cells() []seamconfirm.CellRef {
+	var refs []seamconfirm.CellRef
+	for name, o := range n.mesh.nodes {
+		refs = append(refs, seamconfirm.CellRef{ID: "cell-" + name, Coordinator: o.peer})
+	}
+	return refs
+}
+
+func (n *node) Own() (seamconfirm.CellState, bool) {
+	return seamconfirm.CellState{Cell: "cell-" + n.peer.Name, Epoch: 3, Confirmed: n.confirmed}, true
+}
+
+func (n *node) Send(to seampeer.Peer, payload []byte) error {
+	n.mesh.sent++
+	n.mesh.queue = append(n.mesh.queue, datagram{n.peer, to, payload})
+	return nil
+}
+
+func newMesh(count int, lost func() bool) *mesh {
+	m := &mesh{nodes: map[string]*node{}, lost: lost}
+	for i := range count {
+		n := &node{mesh: m, peer: seampeer.Peer{Name: fmt.Sprintf("n%d", i), Incarnation: 1}, events: seamevent.NewStream("n")}
+		behind := func(_ time.Time, _ seampeer.Peer, revision int64) { n.behind = revision }
+		n.confirmer = seamconfirm.New(n, n, behind, n.events, metrics.NewSet())
+		m.nodes[n.peer.Name] = n
+	}
+	return m
+}
+
+// deliver passes datagrams until none is left.
+func (m *mesh) deliver(now time.Time) {
+	for len(m.queue) > 0 {
+		d := m.queue[0]
+		m.queue = m.queue[1:]
+		if !m.lost() {
+			m.nodes[d.to.Name].confirmer.Receive(now, d.from, d.payload)
+		}
+	}
+}
+
+func never() bool { return false }
+
+func TestAcceptedOnceEveryCellConfirms(t *testing.T) {
+	m := newMesh(4, never)
+	asking := m.nodes["n0"]
+	asking.confirmer.Ask(start, 7)
+	m.deliver(start)
+	if asking.confirmer.Status(7).Accepted {
+		t.Fatal("accepted before any cell confirmed")
+	}
+	for name, n := range m.nodes {
+		if name != "n3" {
+			n.confirmed = 7
+		}
+		if n.behind != 7 {
+			t.Errorf("%s was not told of revision 7", name)
+		}
+		n.confirmer.Tick(start.Add(50 * time.Millisecond))
+	}
+	m.deliver(start.Add(50 * time.Millisecond))
+	if diff := cmp.Diff([]string{"cell-n3"}, asking.confirmer.Status(7).Missing()); diff != "" {
+		t.Fatalf("missing cells (-want +got):\n%s", diff)
+	}
+	m.nodes["n3"].confirmed = 9
+	m.nodes["n3"].confirmer.Tick(start.Add(90 * time.Millisecond))
+	m.deliver(start.Add(90 * time.Millisecond))
+	if !asking.confirmer.Status(7).Accepted || asking.confirmer.Status(8).Accepted {
+		t.Fatalf("status %+v", asking.confirmer.Status(7))
+	}
+	events := asking.events.Recent()
+	if len(events) != 1 || events[0].Name != seamevent.RuleAccepted {
+		t.Fatalf("events %+v", events)
+	}
+	if want := 2*len(m.nodes) + 1; m.sent > want {
+		t.Errorf("%d datagrams, want at most %d", m.sent, want)
+	}
+}
+
+func TestLostDatagramsAreRepeated(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 1))
+	m := newMesh(60, func() bool { return draw.IntN(5) == 0 })
+	for _, n := range m.nodes {
+		n.confirmed = 5
+	}
+	asking := m.nodes["n0"].confirmer
+	asking.Ask(start, 5)
+	now := start
+	for ; !asking.Status(5).Accepted; now = now.Add(50 * time.Millisecond) {
+		if now.Sub(start) > 6*time.Second {
+			t.Fatalf("missing after 6 s: %v", asking.Status(5).Missing())
+		}
+		asking.Tick(now)
+		m.deliver(now)
+	}
+	sent := m.sent
+	asking.Tick(now.Add(time.Minute))
+	if m.sent != sent {
+		t.Fatal("a question was repeated after it was answered")
+	}
+}
+
+func TestOlderAnswerChangesNothing(t *testing.T) {
+	m := newMesh(2, never)
+	m.nodes["n1"].confirmed = 8
+	asking := m.nodes["n0"]
+	asking.confirmed = 8
+	asking.confirmer.Ask(start, 8)
+	m.deliver(start)
+	m.nodes["n1"].confirmed = 2
+	asking.confirmer.Ask(start, 9)
+	now := start.Add(time.Second)
+	asking.confirmer.Tick(now)
+	m.deliver(now)
+	if !asking.confirmer.Status(8).Accepted {
+		t.Fatal("an accepted revision is no longer accepted")
+	}
+}
+
+func TestWait(t *testing.T) {
+	m := newMesh(1, never)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if s := m.nodes["n0"].confirmer.Wait(ctx, 3, 0); s.Accepted {
+		t.Fatal("accepted")
+	}
+	m.nodes["n0"].confirmed = 3
+	if s := m.nodes["n0"].confirmer.Wait(t.Context(), 3, 0); !s.Accepted {
+		t.Fatalf("status %+v", s)
+	}
+}
