Stand-in target with fenced grants, bookings, standby and ledger

Experiments need servers that own keys, check fencing tokens, copy bookings to a standby before they acknowledge, and record in true time what they ran.

--- /dev/null
+++ b/internal/stand/seamstandtarget/booking.go
@@ -0,0 +1,74 @@
+package seamstandtarget
+
+import (
+	"sort"
+	"sync"
+)
+
+// Booking is one acknowledged booking of a key.
+type Booking struct {
+	Key string `json:"key"`
+	ID  string `json:"id"`
+}
+
+// bookings holds the bookings of each slot.
+type bookings struct {
+	mu    sync.Mutex
+	slots map[uint32]map[string][]string
+}
+
+func newBookings() *bookings {
+	return &bookings{slots: map[uint32]map[string][]string{}}
+}
+
+// add stores a booking and reports whether it was there before.
+func (b *bookings) add(slot uint32, x Booking) (doubled bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addLocked(slot, x)
+}
+
+func (b *bookings) addLocked(slot uint32, x Booking) bool {
+	keys := b.slots[slot]
+	if keys == nil {
+		keys = map[string][]string{}
+		b.slots[slot] = keys
+	}
+	for _, id := range keys[x.Key] {
+		if id == x.ID {
+			return true
+		}
+	}
+	keys[x.Key] = append(keys[x.Key], x.ID)
+	return false
+}
+
+// merge adds the bookings that are missing.
+func (b *bookings) merge(slot uint32, list []Booking) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range list {
+		b.addLocked(slot, x)
+	}
+}
+
+// of returns the ids booked for a key, in order of arrival.
+func (b *bookings) of(slot uint32, key string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string{}, b.slots[slot][key]...)
+}
+
+// slot returns all bookings of a slot.
+func (b *bookings) slot(slot uint32) []Booking {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Booking
+	for key, ids := range b.slots[slot] {
+		for _, id := range ids {
+			list = append(list, Booking{Key: key, ID: id})
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
--- /dev/null
+++ b/internal/stand/seamstandtarget/state.go
@@ -0,0 +1,223 @@
+package seamstandtarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seamtarget"
+)
+
+// State is the body of POST seamtarget.StatePath: bookings of one slot.
+type State struct {
+	Slot     uint32    `json:"slot"`
+	Epoch    uint64    `json:"epoch"`
+	Bookings []Booking `json:"bookings"`
+}
+
+// standbyOrder names the standby of a slot and the epoch of the owner.
+type standbyOrder struct {
+	address string
+	epoch   uint64
+}
+
+const (
+	// copyTimeout bounds the copy of one booking to the standby.
+	copyTimeout = 300 * time.Millisecond
+	// stateTimeout bounds the copy of a whole slot.
+	stateTimeout = 2 * time.Second
+	// syncPause is the time between attempts to bring a standby up to date.
+	syncPause = 200 * time.Millisecond
+)
+
+// copier keeps the standbys of the held slots up to date.
+type copier struct {
+	ctx      context.Context
+	bookings *bookings
+	// changed is called when the set of synced slots changes.
+	changed func()
+	client  *http.Client
+
+	mu       sync.Mutex
+	standbys map[uint32]standbyOrder
+	ready    map[uint32]bool
+	// locks order the copies of one slot.
+	locks map[uint32]*sync.Mutex
+}
+
+func newCopier(ctx context.Context, b *bookings, changed func()) *copier {
+	return &copier{
+		ctx:      ctx,
+		bookings: b,
+		changed:  changed,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		standbys: map[uint32]standbyOrder{},
+		ready:    map[uint32]bool{},
+		locks:    map[uint32]*sync.Mutex{},
+	}
+}
+
+// follow takes the standbys of new orders and starts to copy to the new ones.
+func (c *copier) follow(orders map[uint32]standbyOrder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for slot := range c.standbys {
+		if _, ok := orders[slot]; !ok {
+			delete(c.standbys, slot)
+			delete(c.ready, slot)
+		}
+	}
+	for slot, o := range orders {
+		old := c.standbys[slot]
+		c.standbys[slot] = o
+		if old == o {
+			continue
+		}
+		if old.address != o.address {
+			delete(c.ready, slot)
+		}
+		if !c.ready[slot] {
+			go c.sync(slot, o)
+		}
+	}
+}
+
+// sync copies a slot to its standby until that succeeds or the standby changes.
+func (c *copier) sync(slot uint32, o standbyOrder) {
+	for c.current(slot, o) {
+		if c.syncOnce(slot, o) {
+			c.changed()
+			return
+		}
+		select {
+		case <-time.After(syncPause):
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *copier) syncOnce(slot uint32, o standbyOrder) bool {
+	l := c.lock(slot)
+	l.Lock()
+	defer l.Unlock()
+	ctx, cancel := context.WithTimeout(c.ctx, stateTimeout)
+	defer cancel()
+	if err := c.send(ctx, o.address, State{Slot: slot, Epoch: o.epoch, Bookings: c.bookings.slot(slot)}); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.standbys[slot] != o {
+		return false
+	}
+	c.ready[slot] = true
+	return true
+}
+
+func (c *copier) current(slot uint32, o standbyOrder) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.standbys[slot] == o && !c.ready[slot]
+}
+
+func (c *copier) lock(slot uint32) *sync.Mutex {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.locks[slot]
+	if l == nil {
+		l = &sync.Mutex{}
+		c.locks[slot] = l
+	}
+	return l
+}
+
+// store copies a booking to the slot's standby, if it is up to date, and then stores it here.
+// A *FencedError means that the standby knows of a later owner and nothing was stored here.
+// A standby that can't be reached is no longer announced as synced before store returns.
+func (c *copier) store(slot uint32, x Booking) (doubled bool, err error) {
+	l := c.lock(slot)
+	l.Lock()
+	defer l.Unlock()
+	c.mu.Lock()
+	o, ready := c.standbys[slot], c.ready[slot]
+	c.mu.Unlock()
+	if ready {
+		err := c.copyOne(slot, o, x)
+		var fenced *FencedError
+		if errors.As(err, &fenced) {
+			return false, err
+		}
+		if err != nil {
+			c.lose(slot, o)
+		}
+	}
+	return c.bookings.add(slot, x), nil
+}
+
+func (c *copier) copyOne(slot uint32, o standbyOrder, x Booking) error {
+	ctx, cancel := context.WithTimeout(c.ctx, copyTimeout)
+	defer cancel()
+	return c.send(ctx, o.address, State{Slot: slot, Epoch: o.epoch, Bookings: []Booking{x}})
+}
+
+func (c *copier) lose(slot uint32, o standbyOrder) {
+	c.mu.Lock()
+	delete(c.ready, slot)
+	c.mu.Unlock()
+	c.changed()
+	go c.sync(slot, o)
+}
+
+// StatusError is an answer of another target that is not a success.
+type StatusError struct {
+	Address string
+	Status  int
+}
+
+// Error names the target and the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("target %s answered %d", e.Address, e.Status)
+}
+
+func (c *copier) send(ctx context.Context, address string, s State) error {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+seamtarget.StatePath, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	switch answer.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return &FencedError{Slot: s.Slot, Epoch: s.Epoch, Reason: reasonEpoch}
+	}
+	return &StatusError{Address: address, Status: answer.StatusCode}
+}
+
+// synced returns the slots, as service/index, whose standby is up to date.
+func (c *copier) synced(service string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []string
+	for slot := range c.ready {
+		list = append(list, fmt.Sprintf("%s/%d", service, slot))
+	}
+	sort.Strings(list)
+	return list
+}
