Fault proxy and the stand-ins as processes of seambench

Partitions, delays and cut connections between real processes need a relay between them. The proxy relays TCP and UDP of nodes that advertise another address than they listen on; the place of a connection's opener is read from /proc of the processes that were added, that of a datagram from its source address.

--- a/cmd/seambench/main.go
+++ b/cmd/seambench/main.go
@@ -5,17 +5,26 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 )
 
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	root := &cli.Command{
 		Name:  "seambench",
 		Usage: "stand-ins, load and experiments for cardamomseam",
+		Commands: []*cli.Command{
+			storeCommand(),
+			targetCommand(),
+			proxyCommand(),
+		},
 	}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "seambench:", err)
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/cmd/seambench/stand.go
@@ -0,0 +1,254 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"gopkg.in/yaml.v3"
+
+	"cardamomseam/internal/stand/seamproxy"
+	"cardamomseam/internal/stand/seamstandstore"
+	"cardamomseam/internal/stand/seamstandtarget"
+)
+
+// leaveTimeout bounds the time in which a target that was told to stop leaves its node.
+const leaveTimeout = 20 * time.Second
+
+func storeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "run a stand-in of the platform's key-value store",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "address", Value: "127.0.0.1:2379", Usage: "`IP:PORT` of the store's API"},
+			&cli.StringFlag{Name: "control", Usage: "`IP:PORT` of POST /fault and GET /counts (default: a free port)"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random faults"},
+		},
+		Action: runStore,
+	}
+}
+
+func runStore(ctx context.Context, c *cli.Command) error {
+	s, stop, err := seamstandstore.New(seamstandstore.Config{
+		Address: c.String("address"),
+		Control: c.String("control"),
+		Seed:    c.Uint64("seed"),
+	})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Printf("store at %s, faults and counts at %s\n", s.Address(), s.Control())
+	<-ctx.Done()
+	return nil
+}
+
+func targetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "run a stand-in of a target, which announces itself to the node beside it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Required: true, Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: "node", Required: true, Usage: "`IP:PORT` of the node's announcements"},
+			&cli.StringFlag{Name: "name", Usage: "`NAME` of this run (default: service and process id)"},
+			&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "`IP:PORT` to listen on"},
+			&cli.StringMapFlag{Name: "label", Usage: "`KEY=VALUE` to announce; repeatable"},
+			&cli.IntFlag{Name: "slots", Value: seamstandtarget.DefaultSlots, Usage: "requests at once"},
+			&cli.IntFlag{Name: "connections", Value: seamstandtarget.DefaultConnections, Usage: "connections announced"},
+			&cli.StringFlag{Name: "can", Value: "grant,fence,cancel,deadline,standby", Usage: "abilities, divided by commas"},
+			&cli.IntFlag{Name: "time", Value: 1000, Usage: "service time in microseconds"},
+			&cli.FloatFlag{Name: "jitter", Value: 0.2, Usage: "range of the service time, as a fraction of it"},
+			&cli.BoolFlag{Name: "cold", Usage: "start with empty caches"},
+			&cli.StringFlag{Name: "ledger", Usage: "`FILE` to append the ledger to"},
+			&cli.IntFlag{Name: "keep", Value: seamstandtarget.DefaultKeep, Usage: "ledger lines kept in memory"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random decisions"},
+		},
+		Action: runTarget,
+	}
+}
+
+func runTarget(ctx context.Context, c *cli.Command) error {
+	cfg := seamstandtarget.Config{
+		Service:     c.String("service"),
+		Name:        c.String("name"),
+		Address:     c.String("address"),
+		Node:        c.String("node"),
+		Labels:      c.StringMap("label"),
+		Slots:       c.Int("slots"),
+		Connections: c.Int("connections"),
+		Can:         splitList(c.String("can")),
+		Behaviour:   seamstandtarget.Behaviour{Service: c.Int("time"), Jitter: c.Float("jitter")},
+		Cold:        c.Bool("cold"),
+		Keep:        c.Int("keep"),
+		Seed:        c.Uint64("seed"),
+	}
+	if cfg.Name == "" {
+		cfg.Name = fmt.Sprintf("%s-%d", cfg.Service, os.Getpid())
+	}
+	if c.String("ledger") != "" {
+		f, err := os.OpenFile(c.String("ledger"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "ledger")
+		}
+		defer f.Close()
+		cfg.Ledger = f
+	}
+	t, stop, err := seamstandtarget.New(cfg)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Printf("target %s of %s at %s\n", cfg.Name, cfg.Service, t.Address())
+	<-ctx.Done()
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	return t.Leave(leaving)
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// proxySettings is the file of the proxy command.
+type proxySettings struct {
+	// Latencies is lakeshore, reisinger or loopback.
+	Latencies string       `yaml:"latencies"`
+	Seed      uint64       `yaml:"seed"`
+	Nodes     []proxyNode  `yaml:"nodes"`
+	Faults    []proxyFault `yaml:"faults"`
+}
+
+// proxyNode is one relayed node.
+type proxyNode struct {
+	Name    string `yaml:"name"`
+	Domain  string `yaml:"domain"`
+	Region  string `yaml:"region"`
+	Address string `yaml:"address"`
+	Listen  string `yaml:"listen"`
+	// Process is the node's process id, by which its connections are recognized; 0 if unknown.
+	Process int `yaml:"process"`
+}
+
+// proxyFault is a fault that lasts from the start, or that POST /fault adds.
+type proxyFault struct {
+	From   string  `yaml:"from" json:"from"`
+	To     string  `yaml:"to" json:"to"`
+	Delay  int     `yaml:"delay" json:"delay"`
+	Jitter int     `yaml:"jitter" json:"jitter"`
+	Rate   int64   `yaml:"rate" json:"rate"`
+	Loss   float64 `yaml:"loss" json:"loss"`
+	Held   bool    `yaml:"held" json:"held"`
+}
+
+// fault converts the delays from milliseconds.
+func (f proxyFault) fault() seamproxy.Fault {
+	return seamproxy.Fault{From: f.From, To: f.To, Link: seamproxy.Link{
+		Delay:  time.Duration(f.Delay) * time.Millisecond,
+		Jitter: time.Duration(f.Jitter) * time.Millisecond,
+		Rate:   f.Rate, Loss: f.Loss, Held: f.Held,
+	}}
+}
+
+var latencies = map[string]seamproxy.Latencies{
+	"":          seamproxy.Loopback,
+	"loopback":  seamproxy.Loopback,
+	"lakeshore": seamproxy.Lakeshore,
+	"reisinger": seamproxy.Reisinger,
+}
+
+func proxyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "proxy",
+		Usage: "run a fault proxy between nodes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "YAML `FILE` with latencies, seed, nodes and faults"},
+			&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "`IP:PORT` of POST /fault (adds one) and DELETE /fault (heals all)"},
+		},
+		Action: runProxy,
+	}
+}
+
+func runProxy(ctx context.Context, c *cli.Command) error {
+	s, err := readProxySettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	network := seamproxy.NewNetwork(latencies[s.Latencies], s.Seed)
+	processes := seamproxy.NewProcesses()
+	p, stop := seamproxy.New(network, processes)
+	defer stop()
+	for _, n := range s.Nodes {
+		place := seamproxy.Place{Name: n.Name, Domain: n.Domain, Region: n.Region}
+		if err := p.Add(seamproxy.Node{Place: place, Address: n.Address, Listen: n.Listen}); err != nil {
+			return err
+		}
+		if n.Process != 0 {
+			processes.Add(n.Process, place)
+		}
+	}
+	for _, f := range s.Faults {
+		network.Inject(f.fault())
+	}
+	return serveFaults(ctx, c.String("control"), network)
+}
+
+func readProxySettings(file string) (proxySettings, error) {
+	var s proxySettings
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return s, err
+	}
+	if err := yaml.Unmarshal(body, &s); err != nil {
+		return s, errors.Wrap(err, file)
+	}
+	if _, ok := latencies[s.Latencies]; !ok {
+		return s, errors.Newf("%s: latencies %q is none of lakeshore, reisinger, loopback", file, s.Latencies)
+	}
+	return s, nil
+}
+
+func serveFaults(ctx context.Context, address string, network *seamproxy.Network) error {
+	var heals []func()
+	requests := make(chan func())
+	m := http.NewServeMux()
+	m.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		var f proxyFault
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		requests <- func() { heals = append(heals, network.Inject(f.fault())) }
+	})
+	m.HandleFunc("DELETE /fault", func(http.ResponseWriter, *http.Request) {
+		requests <- func() {
+			for _, heal := range heals {
+				heal()
+			}
+			heals = nil
+		}
+	})
+	server := &http.Server{Addr: address, Handler: m, ReadHeaderTimeout: 5 * time.Second}
+	failed := make(chan error, 1)
+	go func() { failed <- server.ListenAndServe() }()
+	defer server.Close()
+	for {
+		select {
+		case f := <-requests:
+			f()
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/seamproxy/proxy_test.go
@@ -0,0 +1,175 @@
+package seamproxy_test
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/stand/seamproxy"
+)
+
+var (
+	ost   = seamproxy.Place{Name: "a", Domain: "ost-1", Region: "ost"}
+	mitte = seamproxy.Place{Name: "b", Domain: "mitte-1", Region: "mitte"}
+)
+
+// free returns an address that was free a moment ago.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// echo starts a server that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); c.Close() }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func relay(t *testing.T, l seamproxy.Latencies) (*seamproxy.Network, *seamproxy.Proxy, net.Conn) {
+	t.Helper()
+	n := seamproxy.NewNetwork(l, 1)
+	p, stop := seamproxy.New(n, seamproxy.Fixed(ost))
+	t.Cleanup(stop)
+	address := free(t)
+	if err := p.Add(seamproxy.Node{Place: mitte, Address: address, Listen: echo(t)}); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return n, p, c
+}
+
+func roundTrip(c net.Conn, limit time.Duration) (time.Duration, error) {
+	started := time.Now()
+	if _, err := c.Write([]byte("x")); err != nil {
+		return 0, err
+	}
+	_ = c.SetReadDeadline(started.Add(limit))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return time.Since(started), err
+}
+
+func TestDelayBetweenRegions(t *testing.T) {
+	_, _, c := relay(t, seamproxy.Lakeshore)
+	took, err := roundTrip(c, 5*time.Second)
+	if err != nil || took < 24*time.Millisecond {
+		t.Errorf("round trip took %s, %v", took, err)
+	}
+}
+
+func TestPartitionInOneDirectionHeals(t *testing.T) {
+	n, _, c := relay(t, seamproxy.Loopback)
+	heal := n.Partition("mitte", "ost")
+	if _, err := roundTrip(c, 100*time.Millisecond); err == nil {
+		t.Fatal("an answer crossed the partition")
+	}
+	heal()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Errorf("the held byte was lost: %v", err)
+	}
+}
+
+func TestSeverClosesConnections(t *testing.T) {
+	_, p, c := relay(t, seamproxy.Loopback)
+	if _, err := roundTrip(c, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if count := p.Sever("ost", "b"); count != 1 {
+		t.Errorf("%d connections were severed", count)
+	}
+	if _, err := roundTrip(c, 5*time.Second); err == nil {
+		t.Error("the severed connection still answers")
+	}
+}
+
+func TestPacketsComeFromTheAdvertisedAddress(t *testing.T) {
+	n := seamproxy.NewNetwork(seamproxy.Loopback, 1)
+	p, stop := seamproxy.New(n, seamproxy.Fixed(ost))
+	defer stop()
+	a, b := packets(t), packets(t)
+	addressA, addressB := free(t), free(t)
+	for _, x := range []seamproxy.Node{
+		{Place: ost, Address: addressA, Listen: a.LocalAddr().String()},
+		{Place: mitte, Address: addressB, Listen: b.LocalAddr().String()},
+	} {
+		if err := p.Add(x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	to, _ := net.ResolveUDPAddr("udp", addressB)
+	if _, err := a.WriteToUDP([]byte("hello"), to); err != nil {
+		t.Fatal(err)
+	}
+	if from := receive(t, b); from != addressA {
+		t.Errorf("datagram came from %s, not %s", from, addressA)
+	}
+	n.Inject(seamproxy.Fault{From: "ost", To: "mitte", Link: seamproxy.Link{Loss: 1}})
+	if _, err := a.WriteToUDP([]byte("lost"), to); err != nil {
+		t.Fatal(err)
+	}
+	if from := receive(t, b); from != "" {
+		t.Error("a datagram passed a link that loses all")
+	}
+}
+
+func packets(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// receive returns the source of the next datagram, or "" if none comes.
+func receive(t *testing.T, c *net.UDPConn) string {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, from, err := c.ReadFromUDP(make([]byte, 100))
+	if err != nil {
+		return ""
+	}
+	return from.String()
+}
+
+func TestProcessesResolveOwnConnections(t *testing.T) {
+	s := seamproxy.NewProcesses()
+	c, err := net.Dial("tcp", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if p := s.Resolve(c.LocalAddr()); p != (seamproxy.Place{}) {
+		t.Errorf("unknown process resolved to %v", p)
+	}
+	s.Add(os.Getpid(), mitte)
+	if p := s.Resolve(c.LocalAddr()); p != mitte {
+		t.Errorf("own connection resolved to %v", p)
+	}
+}
