--- a/cmd/seambench/main.go
+++ b/cmd/seambench/main.go
@@ -12,6 +12,13 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "seambench:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cli.Command{
@@ -23,8 +30,5 @@
 			proxyCommand(),
 		},
 	}
-	if err := root.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "seambench:", err)
-		os.Exit(1)
-	}
+	return root.Run(ctx, os.Args)
 }
--- a/cmd/seambench/stand.go
+++ b/cmd/seambench/stand.go
@@ -240,7 +240,7 @@
 	server := &http.Server{Addr: address, Handler: m, ReadHeaderTimeout: 5 * time.Second}
 	failed := make(chan error, 1)
 	go func() { failed <- server.ListenAndServe() }()
-	defer server.Close()
+	defer func() { _ = server.Close() }()
 	for {
 		select {
 		case f := <-requests:
