Log of a node: one line an event

Events and log lines share their names, so that an operator finds one by the other. seamlog is a Sink that writes each event through apex/log and hands it on to the stream.

--- /dev/null
+++ b/internal/observe/seamlog/bridge.go
@@ -0,0 +1,65 @@
+package seamlog
+
+import (
+	"fmt"
+
+	"github.com/apex/log"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// source is the value of the field that marks go-zero's lines.
+const source = "go-zero"
+
+// Bridge writes go-zero's log, which is one for the process, through l and turns its
+// statistics off. The clean-up function gives go-zero's log back.
+func Bridge(l *Log) (restore func()) {
+	former := logx.Reset()
+	logx.DisableStat()
+	logx.SetWriter(&bridge{logger: l.Logger})
+	return func() {
+		logx.Reset()
+		if former != nil {
+			logx.SetWriter(former)
+		}
+	}
+}
+
+// bridge is the logx.Writer that passes go-zero's log to apex/log.
+type bridge struct {
+	logger *log.Logger
+}
+
+// Alert logs an error.
+func (b *bridge) Alert(v any) { b.entry(nil).Error(fmt.Sprint(v)) }
+
+// Close does nothing; the log is closed by the clean-up function of New.
+func (b *bridge) Close() error { return nil }
+
+// Debug logs at debug.
+func (b *bridge) Debug(v any, fields ...logx.LogField) { b.entry(fields).Debug(fmt.Sprint(v)) }
+
+// Error logs an error.
+func (b *bridge) Error(v any, fields ...logx.LogField) { b.entry(fields).Error(fmt.Sprint(v)) }
+
+// Info logs at info.
+func (b *bridge) Info(v any, fields ...logx.LogField) { b.entry(fields).Info(fmt.Sprint(v)) }
+
+// Severe logs an error.
+func (b *bridge) Severe(v any) { b.entry(nil).Error(fmt.Sprint(v)) }
+
+// Slow logs a warning.
+func (b *bridge) Slow(v any, fields ...logx.LogField) { b.entry(fields).Warn(fmt.Sprint(v)) }
+
+// Stack logs an error.
+func (b *bridge) Stack(v any) { b.entry(nil).Error(fmt.Sprint(v)) }
+
+// Stat drops go-zero's own statistics; the node has metrics.
+func (b *bridge) Stat(any, ...logx.LogField) {}
+
+func (b *bridge) entry(fields []logx.LogField) *log.Entry {
+	named := log.Fields{"source": source}
+	for _, f := range fields {
+		named[f.Key] = f.Value
+	}
+	return b.logger.WithFields(named)
+}
--- /dev/null
+++ b/internal/observe/seamlog/log_test.go
@@ -0,0 +1,129 @@
+package seamlog_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/observe/seamlog"
+)
+
+var start = time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
+
+// write runs f with a log and returns the lines.
+func write(t *testing.T, level, format string, f func(*seamlog.Log)) []string {
+	t.Helper()
+	var out bytes.Buffer
+	c := seamlog.Config{Node: "n1", Level: level, Format: format, Out: &out}
+	l, stop, err := seamlog.New(c, seamevent.NewStream("n1"), metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f(l)
+	stop()
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+func TestEmitWritesOneLineAndForwards(t *testing.T) {
+	s := seamevent.NewStream("n1")
+	var out bytes.Buffer
+	c := seamlog.Config{Node: "n1", Level: "info", Format: "json", Out: &out}
+	l, stop, err := seamlog.New(c, s, metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Emit(start, seamevent.SlotMoved, seamevent.Fields{"slot": "calendar/1"})
+	l.Emit(start, seamevent.RequestRefused, nil)
+	stop()
+	var line struct {
+		Level, Message string
+		Timestamp      time.Time
+		Fields         map[string]string
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("not one line of JSON: %v: %s", err, out.String())
+	}
+	if line.Message != seamevent.SlotMoved || line.Level != "info" || !line.Timestamp.Equal(start) {
+		t.Errorf("line is %+v", line)
+	}
+	if line.Fields["slot"] != "calendar/1" || line.Fields["node"] != "n1" {
+		t.Errorf("fields are %v", line.Fields)
+	}
+	if n := len(s.Recent()); n != 2 {
+		t.Errorf("%d events were forwarded, want 2", n)
+	}
+}
+
+func TestTextLine(t *testing.T) {
+	lines := write(t, "debug", "text", func(l *seamlog.Log) {
+		l.Emit(start, seamevent.StoreDown, seamevent.Fields{"error": "no route\nto host", "calls": 3})
+	})
+	want := `May  1 09:00:00.000 warn  store.down calls=3 error="no route\nto host" node=n1`
+	if len(lines) != 1 || lines[0] != want {
+		t.Fatalf("got %q, want %q", lines, want)
+	}
+}
+
+func TestBridgeOfGoZero(t *testing.T) {
+	lines := write(t, "info", "text", func(l *seamlog.Log) {
+		defer seamlog.Bridge(l)()
+		logx.Infow("listening", logx.Field("port", 1))
+		logx.Stat("cpu: 1%")
+		logx.Debug("detail")
+	})
+	if len(lines) != 1 || !strings.Contains(lines[0], "listening") || !strings.Contains(lines[0], "source=go-zero") {
+		t.Fatalf("got %q", lines)
+	}
+}
+
+func TestFieldsThatCannotBeEncoded(t *testing.T) {
+	lines := write(t, "info", "json", func(l *seamlog.Log) {
+		l.Emit(start, seamevent.NodeStarted, seamevent.Fields{"load": math.NaN()})
+	})
+	if len(lines) != 1 || !strings.Contains(lines[0], seamevent.NodeStarted) {
+		t.Fatalf("got %q", lines)
+	}
+}
+
+// stuck is an output that never takes a byte before it is released.
+type stuck struct{ released chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.released
+	return len(p), nil
+}
+
+func TestEmitDoesNotBlockOnStuckOutput(t *testing.T) {
+	out := stuck{released: make(chan struct{})}
+	m := metrics.NewSet()
+	c := seamlog.Config{Node: "n1", Level: "info", Format: "json", Out: out}
+	l, stop, err := seamlog.New(c, seamevent.NewStream("n1"), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 10_000 {
+		l.Emit(start, seamevent.NodeStarted, nil)
+	}
+	close(out.released)
+	stop()
+	if m.GetOrCreateCounter("cardamomseam_log_dropped_total").Get() == 0 {
+		t.Fatal("no drop was counted")
+	}
+}
+
+func TestNewRefusesUnknownFormat(t *testing.T) {
+	c := seamlog.Config{Level: "info", Format: "xml"}
+	_, _, err := seamlog.New(c, seamevent.NewStream("n1"), metrics.NewSet())
+	var e *seamlog.UnknownFormatError
+	if !errors.As(err, &e) || e.Format != "xml" {
+		t.Fatalf("error is %v", err)
+	}
+}
--- /dev/null
+++ b/internal/observe/seamlog/text.go
@@ -0,0 +1,44 @@
+package seamlog
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// textHandler writes a line for a human reader: time, level, message, key=value.
+type textHandler struct {
+	out io.Writer
+}
+
+func newTextHandler(w io.Writer) *textHandler {
+	return &textHandler{out: w}
+}
+
+// HandleLog writes the entry in one line.
+func (h *textHandler) HandleLog(e *log.Entry) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-5s %s", e.Timestamp.Format(time.StampMilli), e.Level, plain(e.Message))
+	for _, name := range e.Fields.Names() {
+		fmt.Fprintf(&b, " %s=%s", name, quote(fmt.Sprint(e.Fields[name])))
+	}
+	b.WriteByte('\n')
+	_, err := io.WriteString(h.out, b.String())
+	return err
+}
+
+// plain keeps a message in one line.
+func plain(s string) string {
+	return strings.NewReplacer("\n", `\n`, "\r", `\r`).Replace(s)
+}
+
+// quote quotes a value that would not read back as one word.
+func quote(s string) string {
+	if s == "" || strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == '"' || r == '=' }) {
+		return fmt.Sprintf("%q", s)
+	}
+	return s
+}
