Administration API, teams and dry runs

Operators read and write documents and labels, try documents and requests, watch status, confirmations and events, and order drains and attestations over HTTP by go-zero rest. Tokens are stored hashed and compared in constant time; refusals are counted and each write leaves an audit event. The event stream gains Follow, so that no event is lost or doubled between the kept ones and the later ones.

--- a/internal/observe/seamevent/event.go
+++ b/internal/observe/seamevent/event.go
@@ -76,15 +76,32 @@
 func (s *Stream) Recent() []Event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.kept()
+}
+
+func (s *Stream) kept() []Event {
 	events := make([]Event, 0, len(s.recent))
 	events = append(events, s.recent[s.next:]...)
 	return append(events, s.recent[:s.next]...)
 }
 
+// Follow returns the kept events, oldest first, a channel of all later ones, and a
+// function that ends the subscription. No event is in both or in neither.
+func (s *Stream) Follow() (recent []Event, later <-chan Event, cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	later, cancel = s.subscribe()
+	return s.kept(), later, cancel
+}
+
 // Subscribe returns a channel of later events and a function that ends the subscription.
 func (s *Stream) Subscribe() (events <-chan Event, cancel func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.subscribe()
+}
+
+func (s *Stream) subscribe() (events <-chan Event, cancel func()) {
 	id := s.counter
 	s.counter++
 	c := make(chan Event, subscriberBuffer)
--- /dev/null
+++ b/internal/rule/seamadmin/rules.go
@@ -0,0 +1,195 @@
+package seamadmin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+// writerLimit is the longest id of a change, in bytes.
+const writerLimit = 64
+
+func (s *Server) list(_ context.Context, c call) (any, error) {
+	b := s.Set.Bundle()
+	listing := seamapi.Listing{Revision: b.Revision, Rules: []seamapi.Item{}}
+	for _, v := range b.Versions {
+		if v.Deleted || !c.team.Touches(v.Service) {
+			continue
+		}
+		listing.Rules = append(listing.Rules, seamapi.Item{
+			Service: v.Service, Revision: v.Revision, Keyed: v.Document.Keyed != nil, Selectors: len(v.Document.Selectors),
+		})
+	}
+	return listing, nil
+}
+
+// get answers from the store, or with what is in force here if the store cannot be reached.
+func (s *Server) get(ctx context.Context, c call) (any, error) {
+	service := c.variable("service")
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	page, err := s.Book.Read(ctx, service)
+	var unavailable *seambook.UnavailableError
+	var stale *seambook.StaleError
+	if errors.As(err, &unavailable) || errors.As(err, &stale) {
+		return s.remembered(service, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if page.Deleted {
+		return nil, &seambook.NotFoundError{Service: service}
+	}
+	last := page.Changes[len(page.Changes)-1]
+	return seamapi.Page{
+		Service:  service,
+		Revision: page.Revision,
+		Document: page.Document,
+		Text:     string(seamrule.Format(page.Document)),
+		Author:   last.Author,
+		Time:     &last.Time,
+		Source:   seamapi.FromStore,
+	}, nil
+}
+
+func (s *Server) remembered(service string, err error) (any, error) {
+	v, ok := s.Set.Version(service)
+	if !ok || v.Deleted {
+		return nil, err
+	}
+	return seamapi.Page{
+		Service:  service,
+		Revision: v.Revision,
+		Document: v.Document,
+		Text:     string(seamrule.Format(v.Document)),
+		Source:   seamapi.FromMemory,
+	}, nil
+}
+
+func (s *Server) put(ctx context.Context, c call) (any, error) {
+	text, err := body(c)
+	if err != nil {
+		return nil, err
+	}
+	d, err := seamrule.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if service := c.variable("service"); d.Service != service {
+		return nil, seamrule.FieldErrors{{Field: "service", Value: d.Service, Allowed: "the service of the path, " + service}}
+	}
+	recorded, err := s.change(ctx, c, func(ctx context.Context, stamp seambook.Stamp) (seambook.Recorded, error) {
+		return s.Book.Put(ctx, stamp, d)
+	})
+	recorded.Warnings = seamrule.Warnings(d, s.Targets.Instances(d.Service))
+	return recorded, err
+}
+
+func (s *Server) remove(ctx context.Context, c call) (any, error) {
+	return s.change(ctx, c, func(ctx context.Context, stamp seambook.Stamp) (seambook.Recorded, error) {
+		return s.Book.Delete(ctx, stamp, c.variable("service"))
+	})
+}
+
+func (s *Server) putLabels(ctx context.Context, c call) (any, error) {
+	var labels seamapi.Labels
+	if err := decodeBody(c, &labels); err != nil {
+		return nil, err
+	}
+	return s.label(ctx, c, labels.Labels)
+}
+
+func (s *Server) removeLabels(ctx context.Context, c call) (any, error) {
+	return s.label(ctx, c, nil)
+}
+
+func (s *Server) label(ctx context.Context, c call, labels map[string]string) (any, error) {
+	return s.change(ctx, c, func(ctx context.Context, stamp seambook.Stamp) (seambook.Recorded, error) {
+		return s.Book.Label(ctx, stamp, c.variable("service"), c.variable("instance"), labels)
+	})
+}
+
+// change records a change and asks the cells to confirm it.
+func (s *Server) change(ctx context.Context, c call, record func(context.Context, seambook.Stamp) (seambook.Recorded, error)) (seamapi.Recorded, error) {
+	stamp, err := stampOf(c)
+	if err != nil {
+		return seamapi.Recorded{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	r, err := record(ctx, stamp)
+	if err != nil {
+		return seamapi.Recorded{}, err
+	}
+	s.Confirmer.Ask(c.now, r.Revision)
+	return seamapi.Recorded{Service: r.Service, Revision: r.Revision, Before: r.Before, Writer: r.Writer}, nil
+}
+
+// stampOf reads the expected revision and the writer from the headers.
+func stampOf(c call) (seambook.Stamp, error) {
+	stamp := seambook.Stamp{
+		Time:   c.now.UTC(),
+		Author: c.team.Name,
+		Writer: c.Header.Get(seamapi.Writer),
+		Expect: seambook.AnyRevision,
+	}
+	if len(stamp.Writer) > writerLimit {
+		return stamp, &requestError{Part: seamapi.Writer, Allowed: "at most 64 bytes long"}
+	}
+	match := strings.Trim(c.Header.Get("If-Match"), `"`)
+	if match == "" {
+		return stamp, nil
+	}
+	expect, err := strconv.ParseInt(match, 10, 64)
+	if err != nil || expect < 0 {
+		return stamp, &requestError{Part: "If-Match", Allowed: "a revision, or 0 for a service without a document"}
+	}
+	stamp.Expect = expect
+	return stamp, nil
+}
+
+func (s *Server) history(ctx context.Context, c call) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	page, err := s.Book.Read(ctx, c.variable("service"))
+	if err != nil {
+		return nil, err
+	}
+	h := seamapi.History{Service: page.Service, Changes: make([]seamapi.Change, 0, len(page.Changes))}
+	for _, change := range slices.Backward(page.Changes) {
+		h.Changes = append(h.Changes, seamapi.Change(change))
+	}
+	return h, nil
+}
+
+// body reads the body of the request, up to bodyLimit.
+func body(c call) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(c.Body, bodyLimit+1))
+	if err != nil {
+		return nil, &requestError{Part: "the body", Allowed: "complete", Cause: err}
+	}
+	if len(text) > bodyLimit {
+		return nil, &requestError{Part: "the body", Allowed: "at most 256 KiB long"}
+	}
+	return text, nil
+}
+
+// decodeBody reads the body as JSON without unknown fields.
+func decodeBody(c call, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, c.Body, bodyLimit))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &requestError{Part: "the body", Allowed: "JSON of the documented form", Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rule/seamadmin/server.go
@@ -0,0 +1,162 @@
+// Package seamadmin serves the administration API.
+package seamadmin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/core/trace"
+	"github.com/zeromicro/go-zero/rest"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamconfirm"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamset"
+	"cardamomseam/internal/rule/seamteam"
+)
+
+const (
+	// DefaultAddress is where the API listens unless told otherwise.
+	DefaultAddress = "127.0.0.1:7480"
+	// bodyLimit is the longest body of a request, in bytes.
+	bodyLimit = 256 << 10
+	// headerTime bounds the arrival of the headers of a request.
+	headerTime = 5 * time.Second
+	// storeTime bounds the calls of the store for one request.
+	storeTime = 5 * time.Second
+	// readTime bounds a read of the store before what is in force is shown instead.
+	readTime = time.Second
+	// idleTime bounds the time between two requests on a connection.
+	idleTime = time.Minute
+)
+
+// Config holds the settings of the API.
+type Config struct {
+	// Address is the ip:port to listen on; empty means DefaultAddress.
+	Address string
+	// Teams may use the API. Without teams the API is open, and Address must be a loopback address.
+	Teams []seamteam.Team
+}
+
+// Targets knows the instances with a target.
+type Targets interface {
+	// Instances returns the instances with a target of the service that this node knows.
+	Instances(service string) []seamrule.Instance
+}
+
+// Status tells what this node knows.
+type Status interface {
+	Status(ctx context.Context) seamapi.StatusReport
+}
+
+// Orders carries out the operators' orders.
+// An error with a Status method chooses the HTTP status of the answer.
+type Orders interface {
+	// Drain makes the node take no new work, hand its slots over and finish what is in flight.
+	Drain(ctx context.Context, node string) error
+	// Attest takes the operator's word that the instances are lost for good, so that the cell
+	// need not wait for their promises to end.
+	Attest(ctx context.Context, cell string, instances []string) error
+}
+
+// Parts are what the API shows and drives.
+type Parts struct {
+	Book      *seambook.Book
+	Set       *seamset.Set
+	Confirmer *seamconfirm.Confirmer
+	Targets   Targets
+	Status    Status
+	Orders    Orders
+	// Events is the stream of the node; the API adds audit events to it.
+	Events  *seamevent.Stream
+	Metrics *metrics.Set
+}
+
+// Server is the administration API of one node.
+type Server struct {
+	Parts
+	guard    *seamteam.Guard
+	handler  http.Handler
+	requests *metrics.Counter
+	// stopping is closed when the server stops, to end requests that wait.
+	stopping chan struct{}
+}
+
+// New returns a server that does not listen yet.
+// Errors are *seamteam.OpenError and *seamteam.TeamError.
+func New(c Config, p Parts) (*Server, error) {
+	guard, err := seamteam.New(c.address(), c.Teams, p.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		Parts:    p,
+		guard:    guard,
+		requests: p.Metrics.NewCounter(`cardamomseam_api_requests_total`),
+		stopping: make(chan struct{}),
+	}
+	s.handler, err = s.build()
+	return s, err
+}
+
+func (c Config) address() string {
+	if c.Address == "" {
+		return DefaultAddress
+	}
+	return c.Address
+}
+
+// Start listens and serves until stop is called. stop waits for requests in flight until its ctx ends.
+// Errors are those of New and of net.Listen.
+func Start(c Config, p Parts) (address net.Addr, stop func(ctx context.Context) error, err error) {
+	s, err := New(c, p)
+	if err != nil {
+		return nil, nil, err
+	}
+	l, err := net.Listen("tcp", c.address())
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for the administration API")
+	}
+	h := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	h.RegisterOnShutdown(func() { close(s.stopping) })
+	go func() { _ = h.Serve(l) }()
+	return l.Addr(), h.Shutdown, nil
+}
+
+// Handler returns the handler of the API.
+func (s *Server) Handler() http.Handler {
+	return s.handler
+}
+
+// build makes the routes. Breaker and load shedding are off: operators must get through
+// to an overloaded node. Events and waits outlast any timeout, so handlers bound themselves.
+func (s *Server) build() (http.Handler, error) {
+	conf := rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:      "admin",
+			Log:       logx.LogConf{ServiceName: "admin", Mode: "console", Encoding: "json", Level: "severe"},
+			Mode:      service.ProMode,
+			Telemetry: trace.Config{Disabled: true},
+		},
+		MaxBytes:    bodyLimit,
+		Middlewares: rest.MiddlewaresConf{Trace: true, Recover: true, MaxBytes: true},
+	}
+	server, err := rest.NewServer(conf)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up the administration API")
+	}
+	server.AddRoutes(s.routes())
+	built, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up the administration API")
+	}
+	return http.HandlerFunc(built.Serve), nil
+}
--- /dev/null
+++ b/internal/rule/seamadmin/try.go
@@ -0,0 +1,107 @@
+package seamadmin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamdiff"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamteam"
+)
+
+// try answers with what a document would do; it changes nothing.
+func (s *Server) try(_ context.Context, c call) (any, error) {
+	var t seamapi.Try
+	if err := decodeBody(c, &t); err != nil {
+		return nil, err
+	}
+	d, err := s.tried(t)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := s.guard.Check(token(c.Request), seamteam.Read, d.Service); err != nil {
+		return nil, err
+	}
+	program, err := seamrule.Compile(d)
+	if err != nil {
+		return nil, err
+	}
+	instances := s.Targets.Instances(d.Service)
+	answer := seamapi.Tried{Service: d.Service, Warnings: seamrule.Warnings(d, instances)}
+	if answer.Difference, err = s.difference(d); err != nil {
+		return nil, err
+	}
+	if t.Request == nil {
+		return answer, nil
+	}
+	request, err := requestOf(*t.Request)
+	if err != nil {
+		return nil, err
+	}
+	trial, err := program.Try(request, t.Request.Region, instances)
+	if err != nil {
+		answer.Refusal, err = refusal(err)
+		return answer, err
+	}
+	answer.Trial = &trial
+	return answer, nil
+}
+
+// tried returns the document to try: the given one, or the one in force.
+func (s *Server) tried(t seamapi.Try) (seamrule.Document, error) {
+	if t.Document != "" {
+		return seamrule.Parse([]byte(t.Document))
+	}
+	v, ok := s.Set.Version(t.Service)
+	if !ok || v.Deleted {
+		return seamrule.Document{}, &seambook.NotFoundError{Service: t.Service}
+	}
+	return v.Document, nil
+}
+
+// difference compares the document in force with d, which must keep what cannot change.
+func (s *Server) difference(d seamrule.Document) (string, error) {
+	v, ok := s.Set.Version(d.Service)
+	if !ok {
+		return "", nil
+	}
+	if err := seamrule.ValidateChange(v.Document, d); err != nil {
+		return "", err
+	}
+	if v.Deleted {
+		return "", nil
+	}
+	return seamdiff.Unified("in force", string(seamrule.Format(v.Document)), "tried", string(seamrule.Format(d))), nil
+}
+
+func requestOf(t seamapi.Request) (*http.Request, error) {
+	method := t.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequest(method, t.Path, http.NoBody)
+	if err != nil {
+		return nil, &requestError{Part: "request", Allowed: "a method and a path with its query", Cause: err}
+	}
+	for name, value := range t.Headers {
+		r.Header.Set(name, value)
+	}
+	return r, nil
+}
+
+// refusal turns an error of a decision into what the caller would be told.
+func refusal(err error) (*seamapi.Refusal, error) {
+	var told interface {
+		error
+		Status() int
+		Reason() string
+	}
+	if !errors.As(err, &told) {
+		return nil, err
+	}
+	return &seamapi.Refusal{Status: told.Status(), Reason: told.Reason(), Text: told.Error()}, nil
+}
--- /dev/null
+++ b/internal/rule/seamapi/status.go
@@ -0,0 +1,81 @@
+package seamapi
+
+import "time"
+
+// StatusReport is the answer to GET /v1/status: what the answering node knows.
+type StatusReport struct {
+	// Node is the name of the answering node.
+	Node string `json:"node"`
+	// Revision is the revision of the rules in force at the answering node.
+	Revision int64        `json:"revision"`
+	Store    StoreStatus  `json:"store"`
+	Cells    []CellStatus `json:"cells"`
+	Nodes    []NodeStatus `json:"nodes"`
+}
+
+// StoreStatus tells whether the answering node reaches the store.
+type StoreStatus struct {
+	Reachable bool `json:"reachable"`
+	// Since is the time of the last change of Reachable.
+	Since time.Time `json:"since"`
+}
+
+// CellStatus tells about one cell.
+type CellStatus struct {
+	Cell   string `json:"cell"`
+	Region string `json:"region"`
+	// Revision is the revision of the rules that the cell has confirmed, as far as is known.
+	Revision    int64  `json:"revision"`
+	Epoch       uint64 `json:"epoch"`
+	Coordinator string `json:"coordinator"`
+	Backup      string `json:"backup"`
+	// Slots is the number of slots of the cell, Owned that of slots with an owner.
+	Slots int `json:"slots"`
+	Owned int `json:"owned"`
+	// Owners is the number of owned slots by instance.
+	Owners map[string]int `json:"owners,omitempty"`
+	// Changed is the time of the last change of the cell.
+	Changed time.Time `json:"changed"`
+	// Reachable says that the cell's coordinator reaches the store, as far as is known.
+	Reachable bool `json:"reachable"`
+}
+
+// NodeStatus tells about one node.
+type NodeStatus struct {
+	Node     string `json:"node"`
+	Region   string `json:"region"`
+	Domain   string `json:"domain"`
+	Cell     string `json:"cell"`
+	Service  string `json:"service"`
+	Revision int64  `json:"revision"`
+	// Load is the number of requests in flight at the node's target, Slots the number it runs at once.
+	Load  int `json:"load"`
+	Slots int `json:"slots"`
+	// Queue is the number of requests that wait for the target.
+	Queue int `json:"queue"`
+	// Owned is the number of slots of keys that the node owns.
+	Owned int `json:"owned"`
+	// State is serving, draining, drained or lost.
+	State string `json:"state"`
+}
+
+// Attest is the body of PUT /v1/cells/CELL/attest: the operator attests that the
+// instances are lost for good and cannot act any more.
+type Attest struct {
+	Instances []string `json:"instances"`
+}
+
+// Ordered is the answer to a drain or an attestation.
+type Ordered struct {
+	// Order is drain or attest.
+	Order string `json:"order"`
+	// Subject is the node or the cell.
+	Subject string `json:"subject"`
+}
+
+// Health is the answer to GET /v1/healthy.
+type Health struct {
+	// Ready says that the node has rules of at least the revision that its cell requires.
+	Ready    bool  `json:"ready"`
+	Revision int64 `json:"revision"`
+}
--- /dev/null
+++ b/internal/rule/seamteam/team_test.go
@@ -0,0 +1,102 @@
+package seamteam_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/rule/seamteam"
+)
+
+func TestCheck(t *testing.T) {
+	blueToken, blueHash := seamteam.NewToken()
+	redToken, redHash := seamteam.NewToken()
+	m := metrics.NewSet()
+	g, err := seamteam.New("10.0.0.1:80", []seamteam.Team{
+		{Name: "blue", Hash: blueHash, Roles: []seamteam.Role{seamteam.Write}, Services: []string{"tally"}},
+		{Name: "red", Hash: redHash, Roles: []seamteam.Role{seamteam.Operate}, Services: []string{seamteam.AllServices}},
+	}, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name, token string
+		role        seamteam.Role
+		service     string
+		want        string
+	}{
+		{"write", blueToken, seamteam.Write, "tally", ""},
+		{"write includes read", blueToken, seamteam.Read, "tally", ""},
+		{"no service", blueToken, seamteam.Read, "", ""},
+		{"all services", redToken, seamteam.Operate, "tally", ""},
+		{"missing", "", seamteam.Read, "", "a token is required"},
+		{"wrong", blueToken + "x", seamteam.Read, "", "the token is wrong"},
+		{"hash is no token", blueHash, seamteam.Read, "", "the token is wrong"},
+		{"foreign service", blueToken, seamteam.Write, "booker", `team "blue" may not touch service "booker"`},
+		{"role", redToken, seamteam.Write, "tally", `team "red" lacks the role "write"`},
+	}
+	for _, tt := range tests {
+		_, err := g.Check(tt.token, tt.role, tt.service)
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if got != tt.want {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+	}
+	var text strings.Builder
+	m.WritePrometheus(&text)
+	for _, line := range []string{
+		`cardamomseam_api_refused_total{reason="missing"} 1`,
+		`cardamomseam_api_refused_total{reason="wrong"} 2`,
+		`cardamomseam_api_refused_total{reason="role"} 1`,
+		`cardamomseam_api_refused_total{reason="service"} 1`,
+	} {
+		if !strings.Contains(text.String(), line) {
+			t.Errorf("metrics lack %s:\n%s", line, text.String())
+		}
+	}
+}
+
+func TestNewRefusesOpenAddress(t *testing.T) {
+	for _, address := range []string{"0.0.0.0:80", ":80", "10.1.2.3:80", "[::]:80", "example.org:80", "80"} {
+		var open *seamteam.OpenError
+		if _, err := seamteam.New(address, nil, metrics.NewSet()); !errors.As(err, &open) {
+			t.Errorf("%s: %v", address, err)
+		}
+	}
+	for _, address := range []string{"127.0.0.1:80", "127.9.8.7:0", "[::1]:80", "localhost:80"} {
+		g, err := seamteam.New(address, nil, metrics.NewSet())
+		if err != nil {
+			t.Errorf("%s: %v", address, err)
+			continue
+		}
+		if team, err := g.Check("", seamteam.Operate, "tally"); err != nil || team.Name != "local" {
+			t.Errorf("%s: %+v, %v", address, team, err)
+		}
+	}
+}
+
+func TestNewRefusesTeams(t *testing.T) {
+	_, hash := seamteam.NewToken()
+	_, other := seamteam.NewToken()
+	tests := []struct {
+		teams []seamteam.Team
+		field string
+	}{
+		{[]seamteam.Team{{Name: "blue", Hash: "1234"}}, "hash"},
+		{[]seamteam.Team{{Name: "", Hash: hash}}, "name"},
+		{[]seamteam.Team{{Name: "blue", Hash: hash}, {Name: "blue", Hash: other}}, "name"},
+		{[]seamteam.Team{{Name: "blue", Hash: hash}, {Name: "red", Hash: strings.ToUpper(hash)}}, "hash"},
+		{[]seamteam.Team{{Name: "blue", Hash: hash, Roles: []seamteam.Role{"admin"}}}, "roles"},
+	}
+	for _, tt := range tests {
+		var wrong *seamteam.TeamError
+		if _, err := seamteam.New("127.0.0.1:1", tt.teams, metrics.NewSet()); !errors.As(err, &wrong) || wrong.Field != tt.field {
+			t.Errorf("%+v: %v", tt.teams, err)
+		}
+	}
+}
