--- a/cmd/seambench/main.go
+++ b/cmd/seambench/main.go
@@ -28,6 +28,9 @@
 			storeCommand(),
 			targetCommand(),
 			proxyCommand(),
+			runCommand(),
+			compareCommand(),
+			plotCommand(),
 		},
 	}
 	return root.Run(ctx, os.Args)
--- /dev/null
+++ b/internal/prove/seamcheck/check.go
@@ -0,0 +1,189 @@
+// Package seamcheck compares what callers were told with what targets ran, and finds
+// broken promises: two owners at once, requests that ran twice or in spite of a refusal,
+// acknowledged bookings that are gone, and answers that are not whole or not the caller's own.
+package seamcheck
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"cardamomseam/internal/prove/seamcaller"
+	"cardamomseam/internal/stand/seamstandtarget"
+)
+
+// Evidence is what the checks look at.
+type Evidence struct {
+	// Records are what the callers were told.
+	Records []seamcaller.Record
+	// Lines are the ledgers of all targets.
+	Lines []seamstandtarget.Line
+	// Ended holds the times at which targets were killed, by name.
+	Ended map[string]time.Time
+	// Present holds the bookings found at the end, by service and key; nil if none were read.
+	Present map[Key][]string
+}
+
+// Key is one key of one service.
+type Key struct {
+	Service string
+	Name    string
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	// Promise is one of the names below.
+	Promise string `json:"promise"`
+	// Detail says what was seen.
+	Detail string `json:"detail"`
+	// At is the wall-clock time, if it is known.
+	At time.Time `json:"at,omitzero"`
+}
+
+// Promises that can be broken.
+const (
+	// Owners means that two targets held a slot at once.
+	Owners = "owners"
+	// Twice means that a non-idempotent request ran twice.
+	Twice = "twice"
+	// RefusedRan means that a request ran and its caller was told that it did not.
+	RefusedRan = "refused"
+	// Lost means that an acknowledged booking is gone.
+	Lost = "lost"
+	// Answer means that an answer is not whole or belongs to another request.
+	Answer = "answer"
+	// Stale means that a node ordered a target to hold a slot with a lower epoch than before.
+	Stale = "stale"
+)
+
+// All runs every check.
+func All(e Evidence) []Violation {
+	var found []Violation
+	found = append(found, owners(e)...)
+	found = append(found, runs(e)...)
+	found = append(found, lost(e)...)
+	found = append(found, answers(e)...)
+	return append(found, stale(e)...)
+}
+
+// Count returns the number of violations of a promise.
+func Count(list []Violation, promise string) int {
+	n := 0
+	for _, v := range list {
+		if v.Promise == promise {
+			n++
+		}
+	}
+	return n
+}
+
+// ran counts the runs of each request that were not voided.
+func ran(lines []seamstandtarget.Line) map[string]int {
+	counts := map[string]int{}
+	for _, x := range lines {
+		switch x.Kind {
+		case seamstandtarget.KindRun:
+			counts[x.Request]++
+		case seamstandtarget.KindVoid:
+			counts[x.Request]--
+		}
+	}
+	return counts
+}
+
+func runs(e Evidence) []Violation {
+	var found []Violation
+	counts := ran(e.Lines)
+	for _, x := range e.Records {
+		n := counts[x.ID]
+		if x.Kind == seamcaller.Book && n > 1 {
+			found = append(found, Violation{Promise: Twice, At: x.End, Detail: fmt.Sprintf("%s of %s ran %d times", x.ID, x.Key, n)})
+		}
+		if n > 0 && (x.Outcome == seamcaller.Refused || x.Outcome == seamcaller.Unreached) {
+			found = append(found, Violation{
+				Promise: RefusedRan, At: x.End,
+				Detail: fmt.Sprintf("%s %s of %s was %s (%s) and ran %d times", x.Kind, x.ID, x.Key, x.Outcome, x.Reason, n),
+			})
+		}
+	}
+	return found
+}
+
+func lost(e Evidence) []Violation {
+	if e.Present == nil {
+		return nil
+	}
+	var found []Violation
+	present := map[string]bool{}
+	for _, ids := range e.Present {
+		for _, id := range ids {
+			present[id] = true
+		}
+	}
+	for _, x := range e.Records {
+		acknowledged := x.Kind == seamcaller.Book && x.Outcome == seamcaller.Done && x.Status == 200
+		_, wasRead := e.Present[Key{Service: x.Service, Name: x.Key}]
+		if acknowledged && wasRead && !present[x.ID] {
+			found = append(found, Violation{
+				Promise: Lost, At: x.End,
+				Detail: fmt.Sprintf("booking %s of %s, acknowledged by %s, is gone", x.ID, x.Key, x.Server),
+			})
+		}
+	}
+	return found
+}
+
+func answers(e Evidence) []Violation {
+	var found []Violation
+	for _, x := range e.Records {
+		if x.Outcome == seamcaller.Wrong {
+			found = append(found, Violation{
+				Promise: Answer, At: x.End,
+				Detail: fmt.Sprintf("%s %s at %s: status %d, %s", x.Kind, x.ID, x.Node, x.Status, x.Reason),
+			})
+		}
+	}
+	return found
+}
+
+func stale(e Evidence) []Violation {
+	var found []Violation
+	for _, x := range e.Lines {
+		if x.Kind == seamstandtarget.KindStale {
+			found = append(found, Violation{
+				Promise: Stale, At: time.Unix(0, x.At),
+				Detail: fmt.Sprintf("%s was granted %s/%d with epoch %d", x.Server, x.Service, x.Slot, x.Epoch),
+			})
+		}
+	}
+	return found
+}
+
+func owners(e Evidence) []Violation {
+	var found []Violation
+	for slot, list := range holdings(e) {
+		sort.Slice(list, func(i, j int) bool { return list[i].from < list[j].from })
+		found = append(found, overlaps(slot, list)...)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].At.Before(found[j].At) })
+	return found
+}
+
+// overlaps finds the holdings of one slot that begin before an earlier one of another server ended.
+func overlaps(slot slotName, list []holding) []Violation {
+	var found []Violation
+	for i, later := range list {
+		for _, earlier := range list[:i] {
+			if earlier.server == later.server || earlier.to <= later.from {
+				continue
+			}
+			length := time.Duration(min(earlier.to, later.to) - later.from)
+			found = append(found, Violation{
+				Promise: Owners, At: time.Unix(0, later.from),
+				Detail: fmt.Sprintf("%s/%d was held by %s (epoch %d) and %s (epoch %d) for %s",
+					slot.service, slot.index, earlier.server, earlier.epoch, later.server, later.epoch, length),
+			})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/prove/seamplot/plot.go
@@ -0,0 +1,149 @@
+// Package seamplot draws the results of experiments as PNG and SVG.
+package seamplot
+
+import (
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"cardamomseam/internal/prove/seamexperiment"
+)
+
+const (
+	width  = 18 * vg.Centimeter
+	height = 11 * vg.Centimeter
+)
+
+// picture is one diagram.
+type picture struct {
+	name         string
+	title        string
+	xName, yName string
+	lines        []seamexperiment.Series
+}
+
+// Draw draws the results into a directory and returns the files that it wrote. There is one
+// picture for each kind of series, and one for each figure that was measured at several sizes.
+func Draw(results []seamexperiment.Result, directory string) ([]string, error) {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return nil, err
+	}
+	var files []string
+	for _, p := range append(seriesPictures(results), sizePictures(results)...) {
+		drawn, err := p.draw(directory)
+		if err != nil {
+			return files, errors.Wrap(err, p.name)
+		}
+		files = append(files, drawn...)
+	}
+	return files, nil
+}
+
+// seriesPictures puts the series of one experiment and the same axes into one picture.
+func seriesPictures(results []seamexperiment.Result) []picture {
+	pictures := map[string]*picture{}
+	for _, r := range results {
+		for _, s := range r.Series {
+			name := fileName(r.Name, s.YName)
+			p := pictures[name]
+			if p == nil {
+				p = &picture{name: name, title: r.Name, xName: s.XName, yName: s.YName}
+				pictures[name] = p
+			}
+			p.lines = append(p.lines, s)
+		}
+	}
+	return ordered(pictures)
+}
+
+// sizePictures draws each figure against the number of nodes.
+func sizePictures(results []seamexperiment.Result) []picture {
+	pictures := map[string]*picture{}
+	for _, r := range results {
+		for _, f := range r.Figures {
+			name := fileName(r.Name, f.Name)
+			p := pictures[name]
+			if p == nil {
+				p = &picture{
+					name: name, title: r.Name + " " + f.Name, xName: "nodes", yName: f.Unit,
+					lines: []seamexperiment.Series{{Name: f.Name}},
+				}
+				pictures[name] = p
+			}
+			p.lines[0].X = append(p.lines[0].X, float64(r.Size))
+			p.lines[0].Y = append(p.lines[0].Y, f.Value)
+		}
+	}
+	for name, p := range pictures {
+		if !severalSizes(p.lines[0].X) {
+			delete(pictures, name)
+		}
+	}
+	return ordered(pictures)
+}
+
+func severalSizes(sizes []float64) bool {
+	for _, s := range sizes {
+		if s != sizes[0] {
+			return true
+		}
+	}
+	return false
+}
+
+func ordered(pictures map[string]*picture) []picture {
+	list := make([]picture, 0, len(pictures))
+	for _, p := range pictures {
+		list = append(list, *p)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].name < list[j].name })
+	return list
+}
+
+func fileName(parts ...string) string {
+	return strings.NewReplacer(" ", "-", "/", "-", "%", "percent").Replace(strings.Join(parts, "-"))
+}
+
+func (p picture) draw(directory string) ([]string, error) {
+	d := plot.New()
+	d.Title.Text = p.title
+	d.X.Label.Text = p.xName
+	d.Y.Label.Text = p.yName
+	d.Y.Min = 0
+	d.Legend.Top = true
+	d.Add(plotter.NewGrid())
+	for i, s := range p.lines {
+		line, points, err := plotter.NewLinePoints(coordinates(s))
+		if err != nil {
+			return nil, err
+		}
+		line.Color = plotutil.Color(i)
+		points.Color = plotutil.Color(i)
+		d.Add(line, points)
+		d.Legend.Add(s.Name, line, points)
+	}
+	var files []string
+	for _, extension := range []string{".png", ".svg"} {
+		file := filepath.Join(directory, p.name+extension)
+		if err := d.Save(width, height, file); err != nil {
+			return files, err
+		}
+		files = append(files, file)
+	}
+	return files, nil
+}
+
+func coordinates(s seamexperiment.Series) plotter.XYs {
+	list := make(plotter.XYs, min(len(s.X), len(s.Y)))
+	for i := range list {
+		list[i].X, list[i].Y = s.X[i], s.Y[i]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/prove/seamplot/plot_test.go
@@ -0,0 +1,40 @@
+package seamplot_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/prove/seamexperiment"
+	"cardamomseam/internal/prove/seamplot"
+)
+
+func TestDraw(t *testing.T) {
+	var results []seamexperiment.Result
+	for _, size := range []int{6, 12} {
+		r := seamexperiment.Result{Name: "cost", Size: size}
+		r.Add("memory", float64(size), "B")
+		results = append(results, r)
+	}
+	alone := seamexperiment.Result{Name: "takeover", Size: 6, Series: []seamexperiment.Series{
+		{Name: "losses", XName: "losses", YName: "unavailable s", X: []float64{1, 2}, Y: []float64{1, 2}},
+	}}
+	alone.Add("p99", 1, "s")
+	files, err := seamplot.Draw(append(results, alone), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, f := range files {
+		names = append(names, filepath.Base(f))
+		if i, err := os.Stat(f); err != nil || i.Size() == 0 {
+			t.Errorf("%s is empty: %v", f, err)
+		}
+	}
+	want := []string{"takeover-unavailable-s.png", "takeover-unavailable-s.svg", "cost-memory.png", "cost-memory.svg"}
+	if diff := cmp.Diff(want, names); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/stand/seamstandtarget/announce.go
+++ b/internal/stand/seamstandtarget/announce.go
@@ -15,7 +15,7 @@
 const (
 	// AnnouncePath is the path of the announcement on the node.
 	AnnouncePath    = "/v1/target"
-	announcePeriod  = time.Second
+	announcePeriod  = 300 * time.Millisecond
 	announceTimeout = 500 * time.Millisecond
 )
 
@@ -35,7 +35,9 @@
 	}
 }
 
+// run announces until ctx ends and then withdraws the announcement.
 func (a *announcer) run(ctx context.Context) {
+	defer a.withdraw()
 	tick := time.NewTicker(announcePeriod)
 	defer tick.Stop()
 	for {
@@ -59,7 +61,17 @@
 	if err != nil {
 		return
 	}
-	r, err := http.NewRequest(http.MethodPut, "http://"+a.node+AnnouncePath, bytes.NewReader(body))
+	a.send(http.MethodPut, AnnouncePath, body)
+}
+
+func (a *announcer) withdraw() {
+	if a.node != "" {
+		a.send(http.MethodDelete, AnnouncePath+"/"+a.make(time.Now()).Name, nil)
+	}
+}
+
+func (a *announcer) send(method, path string, body []byte) {
+	r, err := http.NewRequest(method, "http://"+a.node+path, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
