--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -1,4 +1,5 @@
-// Command cardamomseam runs a node of the router and the operators' commands.
+// Command cardamomseam runs a node of the router, the demonstration and the
+// operators' commands.
 package main
 
 import (
@@ -13,9 +14,17 @@
 	root := &cli.Command{
 		Name:  "cardamomseam",
 		Usage: "route requests to the servers that own their keys",
+		Commands: []*cli.Command{
+			nodeCommand(),
+			checkCommand(),
+			demoCommand(),
+		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitFailure)
 	}
 }
+
+// exitFailure is the exit code of a command that failed.
+const exitFailure = 1
--- /dev/null
+++ b/cmd/cardamomseam/node.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/node/seamnode"
+	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/observe/seamtrace"
+	"cardamomseam/internal/platform/seamhttp"
+)
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node beside a target until SIGTERM or a drain order, then stop without cutting a request",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "YAML `FILE` of settings"},
+		},
+		Action: runNode,
+	}
+}
+
+func runNode(ctx context.Context, c *cli.Command) error {
+	settings, err := seamsetting.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	seamhttp.OwnSignals()
+	ring, stopTracing := seamtrace.New(seamtrace.Config{
+		Name:     "cardamomseam",
+		Sampler:  settings.Trace.Sampler,
+		Endpoint: settings.Trace.Endpoint,
+		Batcher:  settings.Trace.Batcher,
+	})
+	defer stopTracing()
+	node, stop, err := seamnode.New(settings, seamnode.Options{Log: os.Stderr, Ring: ring, Bridge: true})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-node.Ordered():
+	}
+	cancel() // a second signal ends the process at once
+	limited, cancelDrain := context.WithTimeout(context.Background(), settings.Drain.Limit)
+	defer cancelDrain()
+	return errors.Wrap(node.Drain(limited), "drain")
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "tell whether files of settings are right, without starting anything",
+		ArgsUsage: "FILE...",
+		Action:    runCheck,
+	}
+}
+
+func runCheck(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.New("name at least one file of settings")
+	}
+	var faults []error
+	for _, file := range c.Args().Slice() {
+		if err := seamsetting.Check(file); err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		fmt.Printf("%s: ok\n", file)
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/node/seamnode/node.go
@@ -0,0 +1,285 @@
+// Package seamnode assembles a node of the router from its parts.
+package seamnode
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seamannounce"
+	"cardamomseam/internal/member/seamdatagram"
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/observe/seamlog"
+	"cardamomseam/internal/observe/seamtrace"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamkeeper"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seamsession"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamconfirm"
+	"cardamomseam/internal/rule/seamset"
+)
+
+// Options are what a process adds to the settings.
+type Options struct {
+	// Log takes the lines of the log.
+	Log io.Writer
+	// Bridge writes go-zero's log, which is one for the process, through the node's log.
+	Bridge bool
+	// Ring holds the spans of the process; nil if tracing is not set up.
+	Ring *seamtrace.Ring
+}
+
+// Node is a running node.
+type Node struct {
+	settings seamsetting.Settings
+	self     seampeer.Peer
+	clock    *seamclock.Clock
+	set      *metrics.Set
+	stream   *seamevent.Stream
+	sink     *seamlog.Log
+	ring     *seamtrace.Ring
+
+	store     *seamstore.Observed
+	datagrams *seamdatagram.Endpoint
+	sessions  *seamsession.Pool
+	targets   *seamannounce.Registry
+	keeper    *seamkeeper.Keeper
+	egress    *seamegress.Egress
+	ingress   *seamingress.Ingress
+	rules     *seamset.Set
+	book      *seambook.Book
+	confirmer *seamconfirm.Confirmer
+
+	server *seamingress.Server
+
+	orderOnce sync.Once
+	ordered   chan struct{}
+}
+
+// New starts a node. The clean-up function stops it at once; a planned stop
+// calls Drain first.
+func New(s seamsetting.Settings, o Options) (*Node, func(), error) {
+	clock := seamclock.NewClock()
+	n := &Node{
+		settings: s,
+		self: seampeer.Peer{
+			Name:        s.Name,
+			Incarnation: uint64(clock.Now().Wall / time.Microsecond),
+			Address:     s.Address,
+			Region:      s.Region,
+			Domain:      s.Domain,
+		},
+		clock:   clock,
+		set:     metrics.NewSet(),
+		stream:  seamevent.NewStream(s.Name),
+		ring:    o.Ring,
+		ordered: make(chan struct{}),
+	}
+	c := &cleanups{}
+	for _, start := range []func(*cleanups, Options) error{
+		n.startLog, n.startStore, n.startNetwork, n.startOwnership, n.startRequests, n.startRules, n.startAdmin, n.startTarget,
+	} {
+		if err := start(c, o); err != nil {
+			c.run()
+			return nil, nil, err
+		}
+	}
+	n.sink.Emit(time.Now(), seamevent.NodeStarted, seamevent.Fields{"address": n.self.Address, "incarnation": n.self.Incarnation})
+	return n, func() {
+		c.run()
+		n.set.UnregisterAllMetrics()
+	}, nil
+}
+
+func (n *Node) startLog(c *cleanups, o Options) error {
+	sink, stop, err := seamlog.New(seamlog.Config{
+		Node:   n.settings.Name,
+		Level:  n.settings.Log.Level,
+		Format: n.settings.Log.Format,
+		Out:    o.Log,
+	}, n.stream, n.set)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	n.sink = sink
+	c.add(stop)
+	if o.Bridge {
+		c.add(seamlog.Bridge(sink))
+	}
+	return nil
+}
+
+func (n *Node) startStore(c *cleanups, _ Options) error {
+	store, stop, err := seamstore.New(seamstore.Config{
+		Endpoints: n.settings.Store.Endpoints,
+		Timeout:   n.settings.Store.Timeout,
+		Rate:      n.settings.Store.Rate,
+	}, n.set)
+	if err != nil {
+		return errors.Wrap(err, "store")
+	}
+	n.store = seamstore.Observe(store, n.sink)
+	c.add(stop)
+	return nil
+}
+
+func (n *Node) startNetwork(c *cleanups, _ Options) error {
+	datagrams, stop, err := seamdatagram.New(n.settings.Listen, n.self, n.set)
+	if err != nil {
+		return err
+	}
+	n.datagrams = datagrams
+	c.add(stop)
+	sessions, stop, err := seamsession.New(seamsession.Config{
+		Address: n.settings.Listen,
+		Max:     n.settings.Session.Max,
+		Idle:    n.settings.Session.Idle,
+		Relays:  relays{node: n},
+	}, n.self, n.set, n.sink)
+	if err != nil {
+		return err
+	}
+	n.sessions = sessions
+	c.add(stop)
+	return nil
+}
+
+func (n *Node) startOwnership(c *cleanups, _ Options) error {
+	n.rules = seamset.New(n.sink, n.set)
+	source := &ruleSource{set: n.rules, sessions: n.sessions}
+	keeper, stop, err := seamkeeper.New(keeperConfig(n.settings), n.self, seamkeeper.Parts{
+		Store:     n.store,
+		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
+		Streams:   streams{sessions: n.sessions},
+		Rules:     source,
+		Orders:    n,
+		Sink:      n.sink,
+		Metrics:   n.set,
+		Clock:     n.clock,
+	})
+	if err != nil {
+		return err
+	}
+	n.keeper = keeper
+	c.add(stop)
+	n.sessions.Register(seamsession.Rules, source)
+	n.sessions.Register(seamsession.Cells, keeper)
+	n.datagrams.Register(seamdatagram.Cell, keeper)
+	return nil
+}
+
+func keeperConfig(s seamsetting.Settings) seamkeeper.Config {
+	cfg := seamkeeper.DefaultConfig()
+	cfg.Seeds = s.Peers
+	cfg.Fence = s.Target.Fence
+	cfg.Cell = cellConfig(s)
+	return cfg
+}
+
+func cellConfig(s seamsetting.Settings) seamcell.Config {
+	cfg := seamcell.DefaultConfig()
+	cfg.Heartbeat = s.Cell.Heartbeat
+	cfg.Promise = s.Cell.Takeover
+	cfg.Margin = s.Cell.Margin
+	cfg.Grant = s.Cell.Grant
+	cfg.Confirm = s.Cell.Confirm
+	cfg.Horizon = s.Cell.Horizon
+	cfg.Plan = s.Place.Interval
+	cfg.Moves = s.Place.Moves
+	cfg.Min = s.Cell.Min
+	cfg.Max = s.Cell.Max
+	return cfg
+}
+
+func (n *Node) startRules(c *cleanups, _ Options) error {
+	n.book = seambook.New(n.store, n.rules, n.sink, n.set)
+	n.confirmer = seamconfirm.New(cells{keeper: n.keeper}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
+	n.datagrams.Register(seamdatagram.Confirm, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
+		n.confirmer.Receive(time.Now(), from, payload)
+	}))
+	table := &serviceTable{keeper: n.keeper, known: map[string]bool{}}
+	c.add(n.rules.Subscribe(time.Now(), table.apply))
+	watch := &ruleWatch{set: n.rules, store: n.store, keeper: n.keeper}
+	c.add(background(watch.run))
+	c.add(background(n.confirmer.Run))
+	return nil
+}
+
+// behind reads the store's rules at once when another node knows of a later revision.
+func (n *Node) behind(_ time.Time, from seampeer.Peer, revision int64) {
+	if revision <= n.rules.Revision() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		source := &ruleSource{set: n.rules, sessions: n.sessions}
+		_ = source.Fetch(ctx, from) // the watch brings what this misses
+	}()
+}
+
+// fetchTimeout bounds one fetch of rules from another node.
+const fetchTimeout = 2 * time.Second
+
+// background runs f until the returned function is called, which waits for its end.
+func background(f func(ctx context.Context)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func (n *Node) startTarget(c *cleanups, _ Options) error {
+	_, stop, err := seamannounce.Serve(n.settings.Announce.Listen, n.targets)
+	if err != nil {
+		return err
+	}
+	c.add(stop)
+	return nil
+}
+
+// startRequests starts the path of requests: the announced target, the egress
+// in front of it, and the ingress for callers.
+func (n *Node) startRequests(c *cleanups, _ Options) error {
+	n.targets = seamannounce.NewRegistry(n.settings.Announce.Life, n.sink, n.keeper)
+	egress, stop := seamegress.New(seamegress.Config{}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
+	n.egress = egress
+	c.add(stop)
+	n.sessions.Register(seamsession.Request, seamegress.Server{Egress: egress})
+	n.sessions.Register(seamsession.Void, seamegress.Voider{Egress: egress})
+	n.ingress = seamingress.New(seamingress.Config{
+		Address: n.settings.Ingress.Listen,
+		Body:    n.settings.Ingress.Body,
+		Headers: n.settings.Ingress.Header,
+	}, n.self, n.rules, directory{n.keeper}, n.sessions, egress, n.set, n.sink)
+	server, err := n.ingress.Serve()
+	if err != nil {
+		return err
+	}
+	n.server = server
+	c.add(func() { _ = server.Close() })
+	c.add(background(func(ctx context.Context) { reportLoad(ctx, n.keeper, egress.InFlight) }))
+	return nil
+}
+
+// Self returns the identity of the node.
+func (n *Node) Self() seampeer.Peer { return n.self }
+
+// Events returns the event stream of the node.
+func (n *Node) Events() *seamevent.Stream { return n.stream }
+
+// View returns what the node knows of its cell.
+func (n *Node) View() seamcell.View { return n.keeper.View() }
--- /dev/null
+++ b/internal/node/seamnode/relay.go
@@ -0,0 +1,24 @@
+package seamnode
+
+import (
+	"cardamomseam/internal/member/seampeer"
+)
+
+// relays names the members of the own cell as detours to other nodes.
+type relays struct {
+	node *Node
+}
+
+// Relays returns the other members of the cell that are not leaving.
+func (r relays) Relays(to seampeer.Peer) []seampeer.Peer {
+	if r.node.keeper == nil {
+		return nil
+	}
+	var peers []seampeer.Peer
+	for _, m := range r.node.keeper.View().Members {
+		if !m.Draining && !m.Peer.Same(r.node.self) && !m.Peer.Same(to) {
+			peers = append(peers, m.Peer)
+		}
+	}
+	return peers
+}
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -67,6 +67,12 @@
 	Labels(service string, peer seampeer.Peer, own map[string]string) map[string]string
 }
 
+// Orders takes orders that another node passes on.
+type Orders interface {
+	// OrderedDrain begins the planned stop of this node.
+	OrderedDrain()
+}
+
 // Parts are what a keeper works with.
 type Parts struct {
 	Store     seamstore.Store
@@ -74,6 +80,7 @@
 	Streams   Streams
 	Rules     Rules
 	Placer    seamcell.Placer
+	Orders    Orders
 	Sink      seamevent.Sink
 	Metrics   *metrics.Set
 	Clock     *seamclock.Clock
--- a/internal/own/seamkeeper/rosters.go
+++ b/internal/own/seamkeeper/rosters.go
@@ -199,9 +199,33 @@
 	if d := question.GetDirectory(); d != nil {
 		return k.directoryAnswer(d.GetSince())
 	}
+	if d := question.GetDrain(); d != nil {
+		return k.drainAnswer(d)
+	}
 	return k.rosterAnswer()
 }
 
+func (k *Keeper) drainAnswer(d *seamrosterwire.DrainAsk) *seamrosterwire.DrainAnswer {
+	taken := d.GetIncarnation() == k.self.Incarnation
+	if taken {
+		k.parts.Orders.OrderedDrain()
+	}
+	return &seamrosterwire.DrainAnswer{Taken: taken}
+}
+
+// OrderDrain passes an order to drain on to another node.
+func (k *Keeper) OrderDrain(ctx context.Context, to seampeer.Peer) error {
+	question := &seamrosterwire.Ask{Drain: &seamrosterwire.DrainAsk{Incarnation: to.Incarnation}}
+	answer := &seamrosterwire.DrainAnswer{}
+	if err := k.ask(ctx, to, question, answer); err != nil {
+		return err
+	}
+	if !answer.GetTaken() {
+		return errors.Newf("node %s is another run by now", to.Name)
+	}
+	return nil
+}
+
 func (k *Keeper) rosterAnswer() *seamrosterwire.RosterAnswer {
 	view := k.View()
 	answer := &seamrosterwire.RosterAnswer{Cell: view.Cell}
