Ownership: deciding functions of cells

Founding, admission, the two-party lease between coordinator and backup, members' grants, takeover, standbys, planned moves, resignation, exchange of ranges between cells, merging. Not yet tested.

--- a/internal/own/seamcell/action.go
+++ b/internal/own/seamcell/action.go
@@ -78,7 +78,8 @@
 
 // Fetch asks a peer for something newer than what this node has.
 type Fetch struct {
-	Kind     Kind
+	Kind Kind
+	// From is zero if the store is to be asked, because the coordinator is silent.
 	From     seampeer.Peer
 	Revision int64
 }
--- /dev/null
+++ b/internal/own/seamcell/join.go
@@ -0,0 +1,261 @@
+package seamcell
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// joining is the search of a node for a cell.
+type joining struct {
+	since seamclock.Instant
+	at    seamclock.Instant
+	// refused are the instants until which cells are not asked again.
+	refused map[string]seamclock.Instant
+	seed    int
+}
+
+// tickJoining asks a cell with room for admission, or founds a new one.
+func (c *Cell) tickJoining() {
+	j := &c.joining
+	if c.draining {
+		c.drained = c.farewell == nil
+		return
+	}
+	if j.since.Zero() {
+		j.since = c.now
+	}
+	if !c.directory.loaded || len(c.directory.entries) == 0 && len(c.seeds) > 0 && c.now.Mono-j.since.Mono < c.cfg.Heartbeat*joinAttempts {
+		c.askSeed()
+		return
+	}
+	list, full := c.rooms()
+	if len(list) > 0 {
+		c.attempt(list[0].ID, list[0].Coordinator, list[0].Backup)
+		return
+	}
+	if full || seamclock.Most(c.now, j.since) >= c.cfg.Orphan {
+		c.found()
+	}
+}
+
+// askSeed asks the next seed for any cell.
+func (c *Cell) askSeed() {
+	j := &c.joining
+	if len(c.seeds) == 0 {
+		return
+	}
+	p := c.seeds[j.seed%len(c.seeds)]
+	j.seed++
+	if p.Address != c.self.Address {
+		c.attempt("", p, seampeer.Peer{})
+	}
+}
+
+// rooms returns the cells of the region that may be asked now, fullest first, and whether all
+// known cells are full or given up.
+func (c *Cell) rooms() (list []Record, full bool) {
+	full = true
+	for _, e := range c.directory.sorted() {
+		r := e.Record
+		if e.Deleted || r.ID == "" || r.Region != c.self.Region || r.Coordinator.Zero() {
+			continue
+		}
+		until, refused := c.joining.refused[r.ID]
+		if refused && !seamclock.Past(c.now, until) {
+			full = full && seamclock.Most(until, c.now) > c.cfg.Heartbeat
+			continue
+		}
+		full = false
+		list = append(list, r)
+	}
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		if (a.Size < c.cfg.Max) != (b.Size < c.cfg.Max) {
+			return a.Size < c.cfg.Max
+		}
+		return a.Size > b.Size
+	})
+	return list, full
+}
+
+// attempt asks the coordinator of a cell for admission.
+func (c *Cell) attempt(cell string, coordinator, backup seampeer.Peer) {
+	c.member = newMember(c.now, cell, coordinator, backup)
+	c.renew()
+}
+
+// joinFailed ends an attempt; the cell is not asked again for the time given.
+func (c *Cell) joinFailed(wait time.Duration) {
+	c.joining.refused[c.member.cell] = c.now.Add(wait)
+	c.member = nil
+}
+
+// found creates a cell with this node alone.
+func (c *Cell) found() {
+	n := 1
+	for {
+		if _, ok := c.directory.get(fmt.Sprintf("%s%s-%d", CellPrefix, c.self.Region, n)); !ok {
+			break
+		}
+		n++
+	}
+	r := Record{
+		ID: fmt.Sprintf("%s-%d", c.self.Region, n), Region: c.self.Region, Epoch: 1,
+		Coordinator: c.self, Horizon: c.cfg.Horizon.Milliseconds(), Size: 1,
+	}
+	if !c.mayCall(r.Key()) {
+		return
+	}
+	c.swap(0, r, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
+		if o != OK {
+			return
+		}
+		if c.member != nil && c.member.joined {
+			c.abandon(e)
+			return
+		}
+		c.emit(seamevent.CellFounded, seamevent.Fields{"cell": r.ID})
+		c.startReign(e, first, seampeer.Peer{}, false)
+	})
+}
+
+// abandon gives up a cell that this node has written but does not lead.
+func (c *Cell) abandon(e Entry) {
+	r := e.Record
+	r.Epoch++
+	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
+	c.swap(e.Revision, r, seamstore.Keepalive, func(Outcome, Entry, seamclock.Instant) {})
+}
+
+// attest takes an operator's word that the named instances have ended.
+func (c *Cell) attest(cell string, lost []string) {
+	e, ok := c.directory.get(CellPrefix + cell)
+	if !ok {
+		return
+	}
+	names := map[string]bool{}
+	for _, n := range lost {
+		names[n] = true
+	}
+	r := e.Record
+	if !names[r.Coordinator.Name] || !r.Backup.Zero() && !names[r.Backup.Name] {
+		return
+	}
+	c.attests[attestKey(r)] = c.now
+}
+
+// attestKey identifies the two runs whose loss is attested.
+func attestKey(r Record) string {
+	return fmt.Sprintf("%s %s %s", r.ID, r.Coordinator, r.Backup)
+}
+
+// horizonOver reports whether the record binds nobody any more.
+func (c *Cell) horizonOver(e Entry) bool {
+	h := time.Duration(e.Record.Horizon) * time.Millisecond
+	return seamclock.Least(c.now, c.directory.seen[e.Key]) >= h
+}
+
+// abandoned reports whether, for at least extra, nobody can have had authority by the record.
+func (c *Cell) abandoned(e Entry, extra time.Duration) bool {
+	r := e.Record
+	seen := seamclock.Least(c.now, c.directory.seen[e.Key])
+	h := time.Duration(r.Horizon) * time.Millisecond
+	return r.Coordinator.Zero() && seen >= extra || seen >= h+extra
+}
+
+// restarted reports whether later runs of the coordinator and the backup have taken their places.
+func (c *Cell) restarted(r Record) bool {
+	return c.cfg.Restart && !r.Coordinator.Zero() && c.replaced(r.Coordinator) &&
+		(r.Backup.Zero() || c.replaced(r.Backup))
+}
+
+// attested reports whether an operator's word on the loss of both has stood for long enough
+// that all leases are over.
+func (c *Cell) attested(r Record) bool {
+	at, ok := c.attests[attestKey(r)]
+	return ok && seamclock.Least(c.now, at) >= c.cfg.Promise
+}
+
+// replaced reports whether a later run of the instance has stood on the same address for long
+// enough that all leases of the earlier run are over.
+func (c *Cell) replaced(p seampeer.Peer) bool {
+	if p.Name == c.self.Name {
+		started := c.joining.since
+		return p.Address == c.self.Address && c.self.Incarnation > p.Incarnation &&
+			!started.Zero() && seamclock.Least(c.now, started) >= c.cfg.Promise+c.cfg.Margin
+	}
+	a, ok := c.arrivals[p.Name]
+	return ok && a.peer.Address == p.Address && a.peer.Incarnation > p.Incarnation &&
+		seamclock.Least(c.now, a.since) >= c.cfg.Promise+c.cfg.Margin
+}
+
+// tickAbandoned takes over cells that nobody can lead any more. Their own members come first, for
+// their servers have the state of the slots; then nodes without a cell; then other cells.
+func (c *Cell) tickAbandoned() {
+	if c.draining || c.drained || !c.directory.loaded {
+		return
+	}
+	for _, e := range c.directory.sorted() {
+		r := e.Record
+		if e.Deleted || r.ID == "" || !c.mayCall(e.Key) || c.reign != nil && c.reign.entry.Key == e.Key {
+			continue
+		}
+		own := c.member != nil && c.member.joined && c.member.cell == r.ID
+		idle := c.member == nil || !c.member.joined
+		switch {
+		case c.attested(r) && !own:
+			c.abandon(e)
+		case r.Region != c.self.Region:
+		case own && (c.attested(r) || c.abandoned(e, 0)), idle && len(r.Ranges) > 0 && c.abandoned(e, 2*c.cfg.Promise), idle && c.restarted(r):
+			c.seize(e)
+			return
+		case r.Coordinator.Zero() && len(r.Ranges) == 0 && len(r.Gifts) == 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
+			c.delete(e.Key, e.Revision)
+		case c.reign != nil && c.reign.settled && len(r.Ranges) > 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
+			c.absorb(e)
+		}
+	}
+}
+
+// seize writes the next epoch of an abandoned cell with this node as the coordinator.
+func (c *Cell) seize(e Entry) {
+	r := e.Record
+	before := r.Coordinator
+	r.Epoch++
+	r.Coordinator = c.self
+	r.Backup = seampeer.Peer{}
+	r.Horizon = c.cfg.Horizon.Milliseconds()
+	r.Beat++
+	r.Size = 1
+	c.swap(e.Revision, r, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
+		if o != OK {
+			return
+		}
+		if c.reign != nil || c.member != nil && c.member.joined && c.member.cell != r.ID {
+			c.abandon(e)
+			return
+		}
+		c.watch = nil
+		c.startReign(e, first, before, false)
+		c.reign.collect = c.now.Add(c.cfg.Promise)
+		c.reign.patient = true
+	})
+}
+
+// absorb turns the ranges of an abandoned cell into gifts to the own cell.
+func (c *Cell) absorb(e Entry) {
+	r := e.Record
+	r.Epoch++
+	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
+	for _, x := range r.Ranges {
+		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.reign.entry.Record.ID, Epoch: r.Epoch})
+	}
+	r.Ranges = nil
+	c.swap(e.Revision, r, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
+}
--- /dev/null
+++ b/internal/own/seamcell/merge.go
@@ -0,0 +1,259 @@
+package seamcell
+
+import (
+	"encoding/json"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// considerMerge closes a cell with few members if another of the region has room for them.
+func (c *Cell) considerMerge() {
+	r := c.reign
+	own := r.entry.Record
+	size, _ := c.sizeAndOffers()
+	if r.ranges.closing || c.draining || size >= c.cfg.Min || size != own.Size || seamclock.Most(c.now, r.begun) < 2*c.cfg.Settle {
+		return
+	}
+	for _, e := range c.directory.sorted() {
+		o := e.Record
+		if !c.alive(e) || o.ID == own.ID || o.Region != own.Region || o.Size == 0 || o.Size+size > c.cfg.Max {
+			continue
+		}
+		if o.Size > size || o.Size == size && o.ID < own.ID {
+			r.ranges.closing = true
+			r.ranges.into = o.ID
+			return
+		}
+	}
+}
+
+// considerMembers moves a member to a cell of the region that has too few, if none has room for its members.
+func (c *Cell) considerMembers() {
+	r := c.reign
+	own := r.entry.Record
+	size, _ := c.sizeAndOffers()
+	if r.ranges.closing || size <= c.cfg.Min+1 || size != own.Size || seamclock.Most(c.now, r.ranges.settled) < c.cfg.Settle {
+		return
+	}
+	for _, e := range c.directory.sorted() {
+		o := e.Record
+		if !c.alive(e) || o.ID == own.ID || o.Region != own.Region || o.Size >= c.cfg.Min || o.Size+size <= c.cfg.Max || o.Size == 0 {
+			continue
+		}
+		if m := c.spare(); m != nil && c.largest(own) {
+			m.cell = o.ID
+			r.ranges.settled = c.now
+		}
+		return
+	}
+}
+
+// largest reports whether no other cell of the region has more members.
+func (c *Cell) largest(own Record) bool {
+	for _, e := range c.directory.sorted() {
+		if c.alive(e) && e.Record.Region == own.Region && e.Record.Size > own.Size {
+			return false
+		}
+	}
+	return true
+}
+
+// spare returns a member that is neither coordinator nor backup, from the failure domain with the most members.
+func (c *Cell) spare() *info {
+	r := c.reign
+	domains := map[string]int{}
+	for _, m := range r.infos {
+		domains[m.peer.Domain]++
+	}
+	var best *info
+	for _, id := range sortedKeys(r.infos) {
+		m := r.infos[id]
+		if m.cell != "" {
+			return nil
+		}
+		if m.peer.Same(c.self) || m.peer.Same(r.entry.Record.Backup) || c.memberDraining(m) {
+			continue
+		}
+		if best == nil || domains[m.peer.Domain] >= domains[best.peer.Domain] {
+			best = m
+		}
+	}
+	return best
+}
+
+// movedAway sends a member that owns nothing to its new cell, and reports whether it did.
+func (c *Cell) movedAway(m *info, n *seamcellwire.Renew) bool {
+	r := c.reign
+	e, ok := c.directory.get(CellPrefix + m.cell)
+	if !ok || !c.alive(e) {
+		m.cell = ""
+		return false
+	}
+	if r.owned(m.id) > 0 || m.peer.Same(r.entry.Record.Backup) && !r.ranges.closing {
+		return false
+	}
+	c.send(m.peer, &seamcellwire.Message{Cell: r.entry.Record.ID, Term: r.term, Body: &seamcellwire.Message_Refuse{Refuse: &seamcellwire.Refuse{
+		Sequence: n.GetSequence(), Cause: seamcellwire.Refuse_MOVE, Coordinator: peerWire(e.Record.Coordinator), Cell: m.cell,
+	}}})
+	return true
+}
+
+// closeCell ends a cell that has given everything away.
+func (c *Cell) closeCell() {
+	r := c.reign
+	if !r.ranges.closing || r.ranges.out != nil {
+		return
+	}
+	own := r.entry.Record
+	if len(own.Ranges) > 0 {
+		c.reconsiderClosing()
+		return
+	}
+	if r.ranges.closed.Zero() {
+		r.ranges.closed = c.now
+		for _, id := range sortedKeys(r.infos) {
+			if m := r.infos[id]; !m.peer.Same(c.self) {
+				m.cell = r.ranges.into
+			}
+		}
+	}
+	alone := len(r.infos) == 1 || seamclock.Most(c.now, r.ranges.closed) > c.cfg.Promise*2
+	if alone && c.mayCall(r.entry.Key) {
+		c.vacate()
+	}
+}
+
+// reconsiderClosing stays open if nobody takes the ranges.
+func (c *Cell) reconsiderClosing() {
+	r := c.reign
+	if c.draining {
+		return
+	}
+	if seamclock.Most(c.now, r.ranges.settled) > 2*c.cfg.Settle {
+		r.ranges.closing = false
+		r.ranges.into = ""
+	}
+}
+
+// vacate writes a record without coordinator and ends the reign.
+func (c *Cell) vacate() {
+	r := c.reign
+	n := r.entry.Record
+	n.Epoch++
+	n.Coordinator, n.Backup = seampeer.Peer{}, seampeer.Peer{}
+	n.Size = 0
+	n.Offers = nil
+	r.resigned = true
+	c.stopServing()
+	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, _ seamclock.Instant) {
+		if c.reign != r {
+			return
+		}
+		if o != OK {
+			r.resigned = false
+			return
+		}
+		c.emit(seamevent.CellStopped, seamevent.Fields{"cell": n.ID, "epoch": n.Epoch, "reason": "given up"})
+		c.reign = nil
+		c.left()
+	})
+}
+
+// retire ends the reign of a node that stops.
+func (c *Cell) retire() {
+	r := c.reign
+	if !c.draining || c.ownsAny() && len(r.infos) > 1 || !c.mayCall(r.entry.Key) {
+		return
+	}
+	if len(r.infos) > 1 {
+		c.resign()
+		return
+	}
+	if !r.ranges.closing {
+		r.ranges.closing = true
+		r.ranges.closed = c.now
+		return
+	}
+	if r.ranges.out != nil {
+		return
+	}
+	if len(r.entry.Record.Ranges) == 0 && !c.ownsAny() || seamclock.Most(c.now, r.ranges.closed) > c.cfg.Orphan || !c.takers() {
+		c.vacate()
+	}
+}
+
+// takers reports whether another cell could take one of the ranges.
+func (c *Cell) takers() bool {
+	for _, x := range c.reign.entry.Record.Ranges {
+		if to, _ := c.recipient(x); to != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// farewell is the resignation of a coordinator until the backup has taken it.
+type farewell struct {
+	term    uint64
+	to      seampeer.Peer
+	message *seamcellwire.Resign
+	cell    string
+	sent    seamclock.Instant
+}
+
+// resign hands the reign to the backup without the store. It is for good: this node will not
+// grant again in the epoch.
+func (c *Cell) resign() {
+	r := c.reign
+	b := r.find(r.entry.Record.Backup)
+	if b == nil || r.sole || r.gate != nil || r.ranges.out != nil || b.version < r.table.version ||
+		seamclock.Most(c.now, r.promised) > c.silence() || r.moving() > 0 || r.lastPromise == 0 {
+		return
+	}
+	if c.memberDraining(b) && !c.chooseBackup(b.peer, true).Zero() {
+		return
+	}
+	data, err := json.Marshal(r.entry.Record)
+	if err != nil || len(data) > c.payload() {
+		return
+	}
+	left := min(r.horizon.Mono-c.now.Mono, r.horizon.Wall-c.now.Wall)
+	r.resigned = true
+	c.farewell = &farewell{term: r.term, to: b.peer, cell: r.entry.Record.ID, message: &seamcellwire.Resign{
+		Epoch: r.entry.Record.Epoch, Sequence: r.lastPromise, Left: uint64(max(left, 0) / time.Millisecond),
+		Revision: r.entry.Revision, Record: data,
+	}}
+	c.reign = nil
+	c.stopServing()
+	c.member.coordinator = b.peer
+	c.member.backup = seampeer.Peer{}
+	c.tickFarewell()
+}
+
+// tickFarewell repeats the resignation until the successor has begun its reign.
+func (c *Cell) tickFarewell() {
+	f := c.farewell
+	if c.member == nil || c.member.table.term > f.term {
+		c.farewell = nil
+		return
+	}
+	if !f.sent.Zero() && c.now.Mono-f.sent.Mono < c.cfg.Heartbeat {
+		return
+	}
+	f.sent = c.now
+	c.send(f.to, &seamcellwire.Message{Cell: f.cell, Term: f.term, Body: &seamcellwire.Message_Resign{Resign: f.message}})
+}
+
+// onBackupResigned notes that the backup will never take over in the present epoch.
+func (c *Cell) onBackupResigned(from seampeer.Peer, x *seamcellwire.Message, s *seamcellwire.Resign) {
+	r := c.reign
+	if r == nil || x.GetCell() != r.entry.Record.ID || s.GetEpoch() != r.entry.Record.Epoch || !r.entry.Record.Backup.Same(from) {
+		return
+	}
+	r.sole = true
+}
--- /dev/null
+++ b/internal/own/seamcell/reign.go
@@ -0,0 +1,478 @@
+package seamcell
+
+import (
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// reign is the part of the coordinator of a cell.
+type reign struct {
+	entry Entry
+	// term orders the reigns of a cell: twice the epoch in which it began, plus one if it
+	// began by the resignation of the coordinator of that epoch.
+	term    uint64
+	acting  bool
+	counter uint32
+	table   *table
+	infos   map[uint32]*info
+	lastID  uint32
+
+	// promised is when the latest beat was sent that the backup of the recorded epoch answered.
+	promised seamclock.Instant
+	// horizon is the instant at which the record ceases to bind others.
+	horizon seamclock.Instant
+	written seamclock.Instant
+	// sole says that the other party of the record has resigned.
+	sole     bool
+	resigned bool
+	gate     *gate
+
+	sequence uint64
+	beats    map[uint64]beat
+	beaten   seamclock.Instant
+	// lastPromise is the sequence of the last promise that arrived.
+	lastPromise uint64
+
+	// settled says that the reports of an earlier term have been collected.
+	settled bool
+	collect seamclock.Instant
+	// patient says that members may exist that are not in the roster yet.
+	patient bool
+	beliefs map[seamslot.ID]belief
+	// quiet is the instant before which leases of an earlier term may run.
+	quiet     seamclock.Instant
+	begun     seamclock.Instant
+	had       bool
+	since     map[seamslot.ID]seamclock.Instant
+	rates     map[seamslot.ID]float64
+	hints     map[seamslot.ID]string
+	holds     map[seamslot.ID]seamclock.Instant
+	planned   seamclock.Instant
+	published seamclock.Instant
+	improved  seamclock.Instant
+	ranges    rangeMoves
+}
+
+// gate is a change of the record's roles whose outcome is not known.
+type gate struct {
+	// first is when the change was first sent.
+	first seamclock.Instant
+}
+
+// beat is one question to the backup.
+type beat struct {
+	sent  seamclock.Instant
+	epoch uint32
+	// counts says that no change of roles was under way when it was sent.
+	counts bool
+}
+
+// belief is what is known of a slot from an earlier term.
+type belief struct {
+	token   uint64
+	owner   uint32
+	standby uint32
+	synced  bool
+}
+
+// info is what the coordinator knows of a member besides the table.
+type info struct {
+	id      uint32
+	peer    seampeer.Peer
+	version uint64
+	sent    uint64
+	heard   seamclock.Instant
+	// until is the latest end of a lease that the member can have.
+	until     seamclock.Instant
+	applied   int64
+	lag       seamclock.Instant
+	lagging   bool
+	inflight  int
+	announced uint32
+	parts     map[uint32]bool
+	reported  bool
+	leaving   bool
+	// cell is the cell that the member is to move to, or empty.
+	cell string
+}
+
+// actingCounter is the first token counter of a reign that began by a resignation.
+const actingCounter = 1 << 31
+
+// startReign makes this node the coordinator. first is when the write that made it so was first sent,
+// or, of an acting coordinator, when its last promise was.
+func (c *Cell) startReign(e Entry, first seamclock.Instant, before seampeer.Peer, acting bool) {
+	r := &reign{
+		entry: e, term: uint64(e.Record.Epoch) << 1, acting: acting, infos: map[uint32]*info{},
+		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
+		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
+		rates: map[seamslot.ID]float64{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
+		published: c.now, improved: c.now,
+	}
+	r.horizon = c.horizonFrom(first, e.Record)
+	r.collect = c.now.Add(c.cfg.Collect)
+	if acting {
+		r.term++
+		r.counter = actingCounter
+		r.quiet = c.now.Add(c.cfg.Grant + c.cfg.Margin)
+	}
+	r.table = newTable(r.term)
+	c.reign = r
+	if c.member == nil || c.member.cell != e.Record.ID || !c.member.joined {
+		if c.member != nil {
+			c.stopServing()
+		}
+		c.member = newMember(c.now, e.Record.ID, c.self, e.Record.Backup)
+		c.member.joined = true
+	}
+	c.inherit(before)
+	c.member.coordinator = c.self
+	c.member.epoch = e.Record.Epoch
+	c.emit(seamevent.CellEpoch, seamevent.Fields{"cell": e.Record.ID, "epoch": e.Record.Epoch, "coordinator": c.self.Name, "backup": e.Record.Backup.Name})
+	for _, id := range sortedKeys(r.infos) {
+		c.sendLead(r.infos[id].peer, id)
+	}
+}
+
+// inherit takes over the roster and the owners that this node knows as a member.
+func (c *Cell) inherit(before seampeer.Peer) {
+	r := c.reign
+	t := c.member.table
+	for _, id := range sortedKeys(t.roster) {
+		r.lastID = max(r.lastID, id)
+		e := *t.roster[id]
+		r.table.roster[id] = &e
+		if e.peer.Same(before) {
+			e.gone = true
+		}
+		if !e.gone {
+			r.infos[id] = &info{id: id, peer: e.peer, lag: c.now}
+		}
+		r.table.changeMember(&e)
+	}
+	for _, id := range sortedSlots(t.slots) {
+		if e := t.slots[id]; e.state != stateGone && r.entry.Record.Has(id) {
+			r.beliefs[id] = belief{token: e.token, owner: e.owner, standby: e.standby, synced: e.synced}
+			if e.owner == 0 {
+				r.beliefs[id] = belief{}
+			}
+		}
+	}
+	if r.find(c.self) == nil {
+		c.admit(c.self, TargetState{})
+	}
+}
+
+// horizonFrom returns the end of the rights of the writer of a record that was sent at first.
+func (c *Cell) horizonFrom(first seamclock.Instant, r Record) seamclock.Instant {
+	h := time.Duration(r.Horizon) * time.Millisecond
+	return first.Add(h - max(c.cfg.Margin, h/horizonDrift))
+}
+
+// horizonDrift is the part of the horizon by which clocks may differ after it: one in so many.
+const horizonDrift = 1000
+
+// authority returns the instant at which the coordinator's right to grant ends, and whether it has one.
+func (c *Cell) authority() (seamclock.Instant, bool) {
+	r := c.reign
+	if r == nil || r.resigned {
+		return seamclock.Instant{}, false
+	}
+	end := r.horizon
+	if !r.sole && !r.entry.Record.Backup.Zero() {
+		end = earlier(end, r.promised.Add(c.cfg.Promise-c.cfg.Margin))
+	} else if r.gate != nil {
+		end = earlier(end, r.gate.first.Add(c.cfg.Promise-c.cfg.Margin))
+	}
+	return end, !seamclock.Past(c.now, end)
+}
+
+// find returns the member with the identity, or nil.
+func (r *reign) find(p seampeer.Peer) *info {
+	for _, id := range sortedKeys(r.infos) {
+		if r.infos[id].peer.Same(p) {
+			return r.infos[id]
+		}
+	}
+	return nil
+}
+
+// token returns the next fencing token.
+func (r *reign) token() uint64 {
+	r.counter++
+	return uint64(r.entry.Record.Epoch)<<32 | uint64(r.counter)
+}
+
+// stepDown ends the reign; another has begun or will.
+func (c *Cell) stepDown() {
+	r := c.reign
+	c.reign = nil
+	c.emit(seamevent.CellStopped, seamevent.Fields{"cell": r.entry.Record.ID, "epoch": r.entry.Record.Epoch})
+	if c.member != nil {
+		c.stopServing()
+		c.member.answered = c.now
+		c.member.unanswered = 0
+	}
+}
+
+// adoptRecord takes a revision of the own cell's record that another node has written.
+func (c *Cell) adoptRecord(e Entry) {
+	r := c.reign
+	if e.Revision <= r.entry.Revision {
+		return
+	}
+	if e.Deleted || !e.Record.Coordinator.Same(c.self) {
+		c.stepDown()
+		if e.Deleted {
+			c.leave()
+			return
+		}
+		c.memberRecord(e)
+		return
+	}
+	if e.Record.Epoch < r.entry.Record.Epoch {
+		c.emit(seamevent.InvariantBroken, seamevent.Fields{"what": "epoch of a cell fell", "cell": e.Record.ID})
+	}
+	if !e.Record.Backup.Same(r.entry.Record.Backup) {
+		r.promised = seamclock.Instant{}
+		r.beats = map[uint64]beat{}
+	}
+	r.entry = e
+	c.dropForeign()
+}
+
+func (c *Cell) tickReign() {
+	r := c.reign
+	_, ok := c.authority()
+	if r.had && !ok && !r.resigned {
+		c.emit(seamevent.CellStopped, seamevent.Fields{"cell": r.entry.Record.ID, "epoch": r.entry.Record.Epoch, "reason": "no authority"})
+	}
+	r.had = ok
+	c.beat()
+	c.appoint()
+	if !ok || !r.settled {
+		return
+	}
+	c.updateLag()
+	c.plan()
+	c.tickRanges()
+	c.keepalive()
+	c.retire()
+}
+
+// beat asks the backup for its promise.
+func (c *Cell) beat() {
+	r := c.reign
+	b := r.entry.Record.Backup
+	if b.Zero() || r.sole || r.resigned || !r.beaten.Zero() && c.now.Mono-r.beaten.Mono < c.cfg.Heartbeat {
+		return
+	}
+	r.beaten = c.now
+	r.sequence++
+	r.beats[r.sequence] = beat{sent: c.now, epoch: r.entry.Record.Epoch, counts: r.gate == nil}
+	delete(r.beats, r.sequence-promisesKept)
+	c.send(b, &seamcellwire.Message{Cell: r.entry.Record.ID, Term: r.term, Body: &seamcellwire.Message_Beat{Beat: &seamcellwire.Beat{
+		Sequence: r.sequence, Epoch: r.entry.Record.Epoch, Revision: r.entry.Revision,
+		Peer: peerWire(c.self), Backup: b.Incarnation,
+	}}})
+}
+
+func (c *Cell) onPromise(x *seamcellwire.Message, p *seamcellwire.Promise) {
+	r := c.reign
+	if r == nil || x.GetCell() != r.entry.Record.ID {
+		return
+	}
+	b, ok := r.beats[p.GetSequence()]
+	from := seampeer.Peer{Name: x.GetName(), Incarnation: x.GetIncarnation()}
+	if !ok || !b.counts || b.epoch != p.GetEpoch() || !r.entry.Record.Backup.Same(from) {
+		return
+	}
+	delete(r.beats, p.GetSequence())
+	r.lastPromise = max(r.lastPromise, p.GetSequence())
+	if r.promised.Zero() || b.sent.Mono > r.promised.Mono {
+		r.promised = b.sent
+	}
+}
+
+// appoint names a backup if there is none that answers.
+func (c *Cell) appoint() {
+	r := c.reign
+	if r.resigned || !c.mayCall(r.entry.Key) {
+		return
+	}
+	current := r.entry.Record.Backup
+	known := r.find(current)
+	silent := !r.sole && !current.Zero() && seamclock.Most(c.now, r.promised) > c.silence()
+	best := c.chooseBackup(current, silent || r.sole)
+	switch {
+	case current.Zero() && best.Zero():
+		return
+	case current.Zero(), r.sole && !best.Zero(), silent, known == nil:
+	case c.memberDraining(known) && !best.Zero() && !best.Same(current):
+	case r.improvable(best, c.self) && seamclock.Most(c.now, r.improved) > c.cfg.Settle:
+	default:
+		return
+	}
+	if known == nil && !silent && !r.settled {
+		return
+	}
+	r.improved = c.now
+	if best.Same(current) && !r.sole {
+		return
+	}
+	c.changeBackup(best)
+}
+
+// improvable reports whether best stands in another failure domain than the coordinator and the backup does not.
+func (r *reign) improvable(best, self seampeer.Peer) bool {
+	b := r.entry.Record.Backup
+	return !best.Zero() && b.Domain == self.Domain && best.Domain != self.Domain
+}
+
+func (c *Cell) memberDraining(x *info) bool {
+	e := c.reign.table.roster[x.id]
+	return e.draining || x.leaving || x.cell != ""
+}
+
+// chooseBackup returns the best live member to be the backup, or a zero peer.
+func (c *Cell) chooseBackup(current seampeer.Peer, exclude bool) seampeer.Peer {
+	r := c.reign
+	var best seampeer.Peer
+	rank := -1
+	for _, id := range sortedKeys(r.infos) {
+		x := r.infos[id]
+		if x.peer.Same(c.self) || exclude && x.peer.Same(current) || !c.hears(x) || c.memberDraining(x) {
+			continue
+		}
+		n := 0
+		if x.peer.Domain != c.self.Domain {
+			n += 2
+		}
+		if x.peer.Same(current) {
+			n++
+		}
+		if n > rank {
+			best, rank = x.peer, n
+		}
+	}
+	return best
+}
+
+// hears reports whether the member has shown a sign of life lately.
+func (c *Cell) hears(x *info) bool {
+	return !x.heard.Zero() && seamclock.Most(c.now, x.heard) <= c.silence()
+}
+
+// changeBackup writes the next epoch with another backup, or with none.
+func (c *Cell) changeBackup(b seampeer.Peer) {
+	r := c.reign
+	n := c.published()
+	n.Epoch++
+	n.Backup = b
+	r.gate = &gate{first: c.now}
+	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
+		r.gate = nil
+		if o != OK || c.reign != r {
+			return
+		}
+		r.entry = e
+		r.promised = first
+		r.horizon = c.horizonFrom(first, e.Record)
+		r.written = first
+		r.sole = false
+		r.acting = false
+		r.beats = map[uint64]beat{}
+		r.beaten = seamclock.Instant{}
+		r.lastPromise = 0
+		c.member.epoch = e.Record.Epoch
+		c.member.backup = b
+		c.emit(seamevent.CellEpoch, seamevent.Fields{"cell": e.Record.ID, "epoch": e.Record.Epoch, "coordinator": c.self.Name, "backup": b.Name})
+		c.beat()
+	})
+}
+
+// published returns the record with its slow fields brought up to date.
+func (c *Cell) published() Record {
+	r := c.reign
+	n := r.entry.Record
+	n.Beat++
+	n.Horizon = c.cfg.Horizon.Milliseconds()
+	if r.settled {
+		n.Size, n.Offers = c.sizeAndOffers()
+	}
+	return n
+}
+
+// sizeAndOffers returns the number of members and the services of their targets.
+func (c *Cell) sizeAndOffers() (int, []string) {
+	r := c.reign
+	offers := map[string]bool{}
+	size := 0
+	for _, id := range sortedKeys(r.infos) {
+		e := r.table.roster[id]
+		if e.draining {
+			continue
+		}
+		size++
+		if e.target.Service != "" && !e.target.Leaving {
+			offers[e.target.Service] = true
+		}
+	}
+	return size, sortedKeys(offers)
+}
+
+// keepaliveParts is the number of writes of the record within one horizon.
+const keepaliveParts = 3
+
+// keepalive renews the horizon, and publishes the size and the services of the cell.
+func (c *Cell) keepalive() {
+	r := c.reign
+	if r.resigned || !c.mayCall(r.entry.Key) {
+		return
+	}
+	n := c.published()
+	due := seamclock.Most(c.now, r.written) >= c.cfg.Horizon/keepaliveParts
+	changed := n.Size != r.entry.Record.Size || !equal(n.Offers, r.entry.Record.Offers)
+	if !due && (!changed || seamclock.Most(c.now, r.published) < c.cfg.Publish) {
+		return
+	}
+	r.published = c.now
+	c.write(n, seamstore.Keepalive, func() {})
+}
+
+// write writes a record that names the same coordinator and backup, and calls done if it took effect.
+func (c *Cell) write(n Record, p seamstore.Priority, done func()) {
+	r := c.reign
+	c.swap(r.entry.Revision, n, p, func(o Outcome, e Entry, first seamclock.Instant) {
+		if o != OK || c.reign != r {
+			return
+		}
+		r.entry = e
+		r.written = first
+		if !r.sole {
+			r.horizon = c.horizonFrom(first, e.Record)
+		} else {
+			r.horizon = later(r.horizon, c.horizonFrom(first, e.Record))
+		}
+		c.member.epoch = e.Record.Epoch
+		done()
+	})
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -1,6 +1,8 @@
 package seamcell
 
 import (
+	"sort"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamslot"
@@ -65,3 +67,123 @@
 	// Rate is the load in requests per second, known to the coordinator only.
 	Rate float64
 }
+
+// Owner returns the owner of a slot of the own cell, or a zero peer.
+func (c *Cell) Owner(id seamslot.ID) seampeer.Peer {
+	if c.member == nil {
+		return seampeer.Peer{}
+	}
+	t := c.member.table
+	if e := t.slots[id]; e != nil && e.owner != 0 {
+		return t.peer(e.owner)
+	}
+	return seampeer.Peer{}
+}
+
+// Moving reports whether the slot is between two owners, and the next one if it is known.
+func (c *Cell) Moving(id seamslot.ID) (seampeer.Peer, bool) {
+	if c.member == nil {
+		return seampeer.Peer{}, false
+	}
+	t := c.member.table
+	e := t.slots[id]
+	if e == nil || e.state == stateGone || e.owner != 0 && e.state == stateOwned {
+		return seampeer.Peer{}, false
+	}
+	if e.outside != nil {
+		return e.outside.peer, true
+	}
+	return t.peer(e.next), true
+}
+
+// View returns what this node knows of its cell.
+func (c *Cell) View(now seamclock.Instant) View {
+	c.now = now
+	m := c.member
+	if m == nil {
+		return View{Role: RoleNone}
+	}
+	v := View{Role: c.role(), Cell: m.cell, Epoch: m.epoch, Coordinator: m.coordinator, Backup: m.backup}
+	v.Lease, _ = c.Lease(now)
+	v.Members = c.memberViews()
+	v.Slots = c.slotViews()
+	if r := c.reign; r != nil {
+		v.Epoch = r.entry.Record.Epoch
+		v.Backup = r.entry.Record.Backup
+		v.Authority, _ = c.authority()
+		v.Horizon = r.horizon
+		v.Confirmed = c.confirmed()
+	}
+	return v
+}
+
+func (c *Cell) role() Role {
+	switch {
+	case c.reign != nil:
+		return RoleCoordinator
+	case !c.member.joined:
+		return RoleJoining
+	case c.watch != nil:
+		return RoleBackup
+	default:
+		return RoleMember
+	}
+}
+
+// confirmed returns the lowest revision of the rules among the members that can be served by.
+func (c *Cell) confirmed() int64 {
+	r := c.reign
+	lowest := c.applied
+	for _, m := range r.infos {
+		lowest = min(lowest, m.applied)
+	}
+	return lowest
+}
+
+func (c *Cell) memberViews() []MemberView {
+	t := c.member.table
+	var views []MemberView
+	i := 0
+	for _, id := range sortedKeys(t.roster) {
+		e := t.roster[id]
+		if e.gone {
+			continue
+		}
+		v := MemberView{Peer: e.peer, Target: e.target, Draining: e.draining}
+		if i < len(c.member.loads) {
+			v.InFlight = int(c.member.loads[i])
+		}
+		if e.peer.Same(c.self) {
+			v.Target = c.target
+			v.InFlight = c.target.InFlight
+			v.Applied = c.applied
+		}
+		if c.reign != nil && c.reign.infos[id] != nil {
+			v.Applied = c.reign.infos[id].applied
+		}
+		i++
+		views = append(views, v)
+	}
+	sort.SliceStable(views, func(i, k int) bool { return views[i].Peer.Name < views[k].Peer.Name })
+	return views
+}
+
+func (c *Cell) slotViews() []SlotView {
+	t := c.member.table
+	var views []SlotView
+	for _, id := range sortedSlots(t.slots) {
+		e := t.slots[id]
+		if e.state == stateGone {
+			continue
+		}
+		v := SlotView{
+			Slot: id, Owner: t.peer(e.owner), Standby: t.peer(e.standby), Synced: e.synced,
+			Epoch: e.token, Moving: e.owner == 0 || e.state != stateOwned,
+		}
+		if c.reign != nil {
+			v.Rate = c.reign.rates[id]
+		}
+		views = append(views, v)
+	}
+	return views
+}
