--- /dev/null
+++ b/internal/own/seamcell/model_test.go
@@ -0,0 +1,511 @@
+package seamcell_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
+)
+
+const (
+	tick       = 50 * time.Millisecond
+	service    = "calendar"
+	slotNumber = 8
+)
+
+// world runs the state machines of several nodes against a fake network and a fake store.
+type world struct {
+	t      testing.TB
+	rnd    *rand.Rand
+	now    time.Duration
+	events eventQueue
+	count  int
+	nodes  []*node
+	store  fakeStore
+	cfg    seamcell.Config
+	// loss and duplicate are probabilities; delay is the longest delay of a datagram.
+	loss, duplicate float64
+	delay           time.Duration
+	blocked         map[[2]string]bool
+	highest         map[seamslot.ID]uint64
+	holder          map[seamslot.ID]string
+	broken          string
+	trace           func(string, ...any)
+	bytes           map[string]int
+	emitted         map[string]int
+}
+
+type event struct {
+	at  time.Duration
+	n   int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].n < q[j].n
+}
+
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// fakeStore is a store with compare-and-swap that can be down, and lose answers.
+type fakeStore struct {
+	revision int64
+	entries  map[string]seamcell.Entry
+	down     bool
+	// unknown is the probability that the answer of a write is lost.
+	unknown float64
+	writes  int
+}
+
+// node is one run of one instance.
+type node struct {
+	w       *world
+	peer    seampeer.Peer
+	cell    *seamcell.Cell
+	alive   bool
+	paused  bool
+	waiting []func()
+	started time.Duration
+	rate    float64
+	offset  time.Duration
+	// stopped is the time for which the monotonic clock stood still.
+	stopped time.Duration
+	frozen  time.Duration
+	synced  map[seamslot.ID]string
+	target  seamcell.TargetState
+	// hang says that the target never finishes a hand-over.
+	hang bool
+	told map[seamslot.ID]uint64
+}
+
+func modelConfig() seamcell.Config {
+	cfg := seamcell.DefaultConfig()
+	cfg.Horizon = 12 * time.Second
+	return cfg
+}
+
+func newWorld(t testing.TB, seed int64, n int) *world {
+	w := &world{
+		t: t, rnd: rand.New(rand.NewSource(seed)), cfg: modelConfig(), delay: 4 * time.Millisecond,
+		blocked: map[[2]string]bool{}, highest: map[seamslot.ID]uint64{}, holder: map[seamslot.ID]string{},
+		store: fakeStore{entries: map[string]seamcell.Entry{}}, trace: func(string, ...any) {},
+		bytes: map[string]int{}, emitted: map[string]int{},
+	}
+	for i := range n {
+		w.start(i, fmt.Sprintf("n%d", i))
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.count++
+	heap.Push(&w.events, event{at: w.now + d, n: w.count, run: f})
+}
+
+// start begins a new run of the instance with the index; index len(nodes) adds one.
+func (w *world) start(i int, name string) {
+	n := &node{
+		w: w, alive: true, started: w.now, rate: 1 + (w.rnd.Float64()-0.5)/500,
+		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{},
+		peer: seampeer.Peer{
+			Name: name, Incarnation: uint64(w.count + 1), Address: "10.0.0." + name[1:] + ":1",
+			Region: "erie", Domain: fmt.Sprintf("erie-%d", i%2),
+		},
+	}
+	n.target = seamcell.TargetState{
+		Service: service, Name: fmt.Sprintf("%s-run%d", name, w.count), Address: "10.1.0." + name[1:] + ":1",
+		Slots: 12, Standby: i%3 != 2, Fence: true,
+	}
+	n.cell = seamcell.New(w.cfg, n.peer, nil)
+	if i < len(w.nodes) {
+		w.nodes[i] = n
+	} else {
+		w.nodes = append(w.nodes, n)
+	}
+	n.act(func(now seamclock.Instant) []seamcell.Action {
+		a := n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Deadline: 300 * time.Millisecond})
+		a = append(a, n.cell.Applied(now, 1)...)
+		return append(a, n.cell.Target(now, n.target)...)
+	})
+	n.loadDirectory()
+	w.after(time.Duration(w.rnd.Int63n(int64(tick))), n.tick)
+}
+
+func (n *node) clock() seamclock.Instant {
+	elapsed := time.Duration(float64(n.w.now-n.started) * n.rate)
+	stopped := n.stopped
+	if n.paused && n.frozen > 0 {
+		stopped += n.w.now - n.frozen
+	}
+	return seamclock.Instant{Mono: elapsed - stopped, Wall: elapsed + n.offset + 1000*time.Hour}
+}
+
+// act runs f now, or when the node wakes up.
+func (n *node) act(f func(seamclock.Instant) []seamcell.Action) {
+	if !n.alive {
+		return
+	}
+	if n.paused {
+		n.waiting = append(n.waiting, func() { n.act(f) })
+		return
+	}
+	for _, a := range f(n.clock()) {
+		n.perform(a)
+	}
+	n.w.check()
+}
+
+func (n *node) tick() {
+	if !n.alive {
+		return
+	}
+	if !n.paused {
+		n.act(n.cell.Tick)
+		if n.w.rnd.Intn(4) == 0 {
+			n.announce()
+		}
+	}
+	n.w.after(tick, n.tick)
+}
+
+// announce reports the slots whose standby has been copied to.
+func (n *node) announce() {
+	n.target.Synced = nil
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		if s := n.synced[id]; s != "" {
+			n.target.Synced = append(n.target.Synced, seamcell.SyncedSlot{Slot: id, Standby: s})
+		}
+	}
+	n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Target(now, n.target) })
+}
+
+func (n *node) loadDirectory() {
+	if n.w.store.down {
+		n.w.after(200*time.Millisecond, n.loadDirectory)
+		return
+	}
+	var entries []seamcell.Entry
+	for _, e := range n.w.store.entries {
+		entries = append(entries, e)
+	}
+	n.w.after(n.w.latency(), func() {
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Directory(now, entries) })
+	})
+}
+
+func (w *world) latency() time.Duration {
+	return time.Millisecond + time.Duration(w.rnd.Int63n(int64(w.delay)))
+}
+
+func (n *node) perform(a seamcell.Action) {
+	w := n.w
+	switch a := a.(type) {
+	case seamcell.Send:
+		w.send(n, a)
+	case seamcell.Swap:
+		n.write(a.ID, a.Key, a.Expect, seamcell.Entry{Key: a.Key, Record: a.Record})
+	case seamcell.Remove:
+		n.write(a.ID, a.Key, a.Expect, seamcell.Entry{Key: a.Key, Deleted: true})
+	case seamcell.Read:
+		n.read(a)
+	case seamcell.Serve:
+		n.told[a.Slot] = a.Epoch
+		n.synced[a.Slot] = ""
+		if a.Target != "" {
+			w.after(20*time.Millisecond, func() { n.synced[a.Slot] = a.Target })
+		}
+	case seamcell.StopServing:
+		delete(n.told, a.Slot)
+		if a.Graceful && !n.hang {
+			w.after(w.latency(), func() {
+				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Released(now, a.Slot) })
+			})
+		}
+	case seamcell.Fetch:
+		n.fetch(a)
+	case seamcell.Emit:
+		w.emitted[a.Name]++
+		w.trace("%v %s %s %v", w.now, n.peer, a.Name, a.Fields)
+		if a.Name == seamevent.InvariantBroken {
+			w.fail("%s reported %v", n.peer, a.Fields)
+		}
+	}
+}
+
+func (w *world) send(n *node, a seamcell.Send) {
+	data, err := proto.Marshal(a.Message)
+	if err != nil {
+		w.fail("marshal: %v", err)
+	}
+	if len(data) > w.cfg.Datagram {
+		w.fail("datagram of %d bytes from %s", len(data), n.peer)
+	}
+	w.bytes[n.peer.Name+">"] += len(data) + 28
+	copies := 1
+	if w.rnd.Float64() < w.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if w.rnd.Float64() < w.loss || w.blocked[[2]string{n.peer.Name, a.To.Name}] {
+			continue
+		}
+		w.after(w.latency(), func() { w.receive(a.To, data) })
+	}
+}
+
+func (w *world) receive(to seampeer.Peer, data []byte) {
+	for _, n := range w.nodes {
+		if n.peer.Address != to.Address || !n.alive {
+			continue
+		}
+		w.bytes[n.peer.Name+"<"] += len(data) + 28
+		var m seamcellwire.Message
+		if err := proto.Unmarshal(data, &m); err != nil {
+			w.fail("unmarshal: %v", err)
+		}
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Receive(now, &m) })
+	}
+}
+
+func (n *node) stored(r seamcell.StoreResult) {
+	n.w.after(n.w.latency(), func() {
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Stored(now, r) })
+	})
+}
+
+func (n *node) read(a seamcell.Read) {
+	n.w.after(n.w.latency(), func() {
+		if n.w.store.down {
+			n.stored(seamcell.StoreResult{ID: a.ID, Outcome: seamcell.Unavailable})
+			return
+		}
+		e := n.w.store.entries[a.Key]
+		e.Key = a.Key
+		n.stored(seamcell.StoreResult{ID: a.ID, Outcome: seamcell.OK, Entry: e})
+	})
+}
+
+// write applies a write, whose answer may be lost and which may take effect late.
+func (n *node) write(id uint64, key string, expect int64, e seamcell.Entry) {
+	w := n.w
+	wait := w.latency()
+	lost := w.rnd.Float64() < w.store.unknown
+	if lost && w.rnd.Intn(2) == 0 {
+		n.stored(seamcell.StoreResult{ID: id, Outcome: seamcell.Unknown})
+		wait += time.Duration(w.rnd.Int63n(int64(2 * time.Second)))
+		w.after(wait, func() { w.apply(key, expect, e) })
+		return
+	}
+	w.after(wait, func() {
+		if w.store.down {
+			n.stored(seamcell.StoreResult{ID: id, Outcome: seamcell.Unavailable})
+			return
+		}
+		r := w.apply(key, expect, e)
+		r.ID = id
+		if lost {
+			r = seamcell.StoreResult{ID: id, Outcome: seamcell.Unknown}
+		}
+		n.stored(r)
+	})
+}
+
+func (w *world) apply(key string, expect int64, e seamcell.Entry) seamcell.StoreResult {
+	if w.store.down {
+		return seamcell.StoreResult{Outcome: seamcell.Unavailable}
+	}
+	found, ok := w.store.entries[key]
+	revision := found.Revision
+	if !ok || found.Deleted {
+		revision = 0
+	}
+	if revision != expect {
+		found.Key = key
+		if revision == 0 {
+			found = seamcell.Entry{Key: key}
+		}
+		return seamcell.StoreResult{Outcome: seamcell.Conflict, Entry: found}
+	}
+	if ok && !found.Deleted && e.Record.Epoch < found.Record.Epoch && !e.Deleted {
+		w.fail("epoch of %s fell from %d to %d", key, found.Record.Epoch, e.Record.Epoch)
+	}
+	w.store.writes++
+	w.store.revision++
+	e.Revision = w.store.revision
+	w.store.entries[key] = e
+	w.trace("%v store %s rev %d epoch %d coordinator %s backup %s ranges %v gifts %v taken %v", w.now, key, e.Revision, e.Record.Epoch, e.Record.Coordinator, e.Record.Backup, e.Record.Ranges, e.Record.Gifts, e.Record.Taken)
+	for _, n := range w.nodes {
+		role := n.cell.View(n.clock()).Role
+		if role == seamcell.RoleCoordinator || role == seamcell.RoleNone || role == seamcell.RoleJoining {
+			w.after(w.latency(), func() {
+				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Directory(now, []seamcell.Entry{e}) })
+			})
+		}
+	}
+	return seamcell.StoreResult{Outcome: seamcell.OK, Entry: e}
+}
+
+func (n *node) fetch(a seamcell.Fetch) {
+	if a.Kind != seamcell.Directory {
+		return
+	}
+	if a.From.Zero() {
+		n.loadDirectory()
+		return
+	}
+	for _, o := range n.w.nodes {
+		if o.peer.Same(a.From) && o.alive && !o.paused && !n.w.blocked[[2]string{n.peer.Name, o.peer.Name}] {
+			entries := o.cell.Records()
+			n.w.after(n.w.latency(), func() {
+				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Directory(now, entries) })
+			})
+		}
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// check asserts that each slot has at most one holder in true time, and that epochs rise with owners.
+func (w *world) check() {
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		first := ""
+		for _, n := range w.nodes {
+			if !n.alive {
+				continue
+			}
+			g, ok := n.cell.Held(n.clock(), id)
+			if !ok {
+				continue
+			}
+			if first != "" {
+				w.fail("%s is held by %s and %s", id, first, n.peer)
+			}
+			first = n.peer.String()
+			changed := w.holder[id] != first
+			if g.Epoch < w.highest[id] || changed && g.Epoch == w.highest[id] && w.holder[id] != "" {
+				w.fail("%s is held by %s under epoch %d after %s had %d", id, first, g.Epoch, w.holder[id], w.highest[id])
+			}
+			w.highest[id] = g.Epoch
+			w.holder[id] = first
+		}
+	}
+}
+
+// run advances time until the end or the first broken invariant.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end && w.broken == "" {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// held returns the number of slots that a live node holds.
+func (w *world) held() int {
+	count := 0
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		for _, n := range w.nodes {
+			if _, ok := n.cell.Held(n.clock(), id); ok && n.alive && !n.paused {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+// untilHeld runs until all slots are held and returns how long that took.
+func (w *world) untilHeld(limit time.Duration) time.Duration {
+	begin := w.now
+	for w.now < begin+limit && w.broken == "" && w.held() < slotNumber {
+		w.run(10 * time.Millisecond)
+	}
+	return w.now - begin
+}
+
+func (n *node) crash() { n.alive = false }
+
+// pause stops the process; a suspended machine's monotonic clock stands still too.
+func (n *node) pause(suspended bool) {
+	n.paused = true
+	n.frozen = 0
+	if suspended {
+		n.frozen = n.w.now
+	}
+}
+
+func (n *node) resume() {
+	if !n.paused {
+		return
+	}
+	if n.frozen > 0 {
+		n.stopped += n.w.now - n.frozen
+	}
+	n.paused = false
+	waiting := n.waiting
+	n.waiting = nil
+	n.w.rnd.Shuffle(len(waiting), func(i, j int) { waiting[i], waiting[j] = waiting[j], waiting[i] })
+	for _, f := range waiting {
+		f()
+	}
+}
+
+// coordinator returns the node that leads a cell and is alive, or nil.
+func (w *world) coordinator() *node {
+	for _, n := range w.nodes {
+		if v := n.cell.View(n.clock()); n.alive && v.Role == seamcell.RoleCoordinator && !v.Authority.Zero() && !seamclock.Past(n.clock(), v.Authority) {
+			return n
+		}
+	}
+	return nil
+}
+
+// backup returns the node that is the backup of the coordinator's record, or nil.
+func (w *world) backup() *node {
+	c := w.coordinator()
+	if c == nil {
+		return nil
+	}
+	b := c.cell.View(c.clock()).Backup
+	for _, n := range w.nodes {
+		if n.peer.Same(b) {
+			return n
+		}
+	}
+	return nil
+}
