--- /dev/null
+++ b/internal/prove/seamskew/skew.go
@@ -0,0 +1,148 @@
+// Package seamskew compares the placement of slots with two baselines on one trace of
+// requests: Zipf keys, a hot set that changes, and the loss of a server. It replays the
+// trace through the functions that decide; there is no network.
+package seamskew
+
+import (
+	"context"
+	"time"
+
+	"cardamomseam/internal/observe/seammeasure"
+	"cardamomseam/internal/own/seamplace"
+)
+
+// Config describes the trace and the fleet. Zero fields take the defaults of NewConfig.
+type Config struct {
+	// Seed makes the trace; the same seed gives the same result.
+	Seed uint64 `json:"seed"`
+	// Duration is the length of the trace.
+	Duration time.Duration `json:"duration"`
+	// Servers is the number of servers, in two failure domains of one region.
+	Servers int `json:"servers"`
+	// Slots is the number of slots.
+	Slots int `json:"slots"`
+	// Keys is the number of keys.
+	Keys int `json:"keys"`
+	// Rate is the number of requests a second.
+	Rate int `json:"rate"`
+	// Exponent is that of the Zipf law.
+	Exponent float64 `json:"exponent"`
+	// Hot is the number of hottest keys that are replaced by others, one by one.
+	Hot int `json:"hot"`
+	// Shift is the time in which all hot keys are replaced once.
+	Shift time.Duration `json:"shift"`
+	// Interval is the time between two plans.
+	Interval time.Duration `json:"interval"`
+	// Losses is the number of servers lost, one after the other; each comes back.
+	Losses int `json:"losses"`
+}
+
+// NewConfig returns the defaults with a seed.
+func NewConfig(seed uint64) Config {
+	return Config{
+		Seed:     seed,
+		Duration: 30 * time.Minute,
+		Servers:  12,
+		Slots:    384,
+		Keys:     100_000,
+		Rate:     4000,
+		Exponent: 0.99,
+		Hot:      65,
+		Shift:    5 * time.Minute,
+		Interval: 5 * time.Second,
+		Losses:   1,
+	}
+}
+
+// Result is what the policies did on the same trace.
+type Result struct {
+	Config Config `json:"config"`
+	// Least is the smallest imbalance that any owner of whole slots could have reached.
+	Least float64 `json:"least"`
+	// Policies hold the measures of each policy, ours first.
+	Policies []Outcome `json:"policies"`
+}
+
+// Outcome is what one policy did.
+type Outcome struct {
+	Policy string `json:"policy"`
+	// Ours says that the policy is that of the product and not a baseline.
+	Ours bool `json:"ours"`
+	seammeasure.Report
+}
+
+// Missed returns the targets that were missed: with the weights of either deployment the
+// imbalance is lower than with both baselines, and the churn no more than with bounded loads.
+func (r Result) Missed() []string {
+	var missed []string
+	for _, ours := range r.Policies {
+		for _, base := range r.Policies {
+			if ours.Ours && !base.Ours {
+				missed = append(missed, misses(ours, base)...)
+			}
+		}
+	}
+	return missed
+}
+
+func misses(ours, base Outcome) []string {
+	var missed []string
+	if ours.Imbalance >= base.Imbalance {
+		missed = append(missed, "imbalance of "+ours.Policy+" not below "+base.Policy)
+	}
+	if base.Policy == Bounded && ours.Churn > base.Churn {
+		missed = append(missed, "churn of "+ours.Policy+" above "+base.Policy)
+	}
+	return missed
+}
+
+// Run replays the trace. The error is ctx's, if it ends before the trace.
+func Run(ctx context.Context, c Config) (Result, error) {
+	t := newTrace(c)
+	fleets := newFleets(c)
+	least := 0.0
+	seconds := int(c.Duration / time.Second)
+	for s := 1; s <= seconds; s++ {
+		if err := ctx.Err(); err != nil {
+			return Result{}, err
+		}
+		t.second()
+		least += t.least()
+		for _, f := range fleets {
+			f.second(t)
+		}
+	}
+	r := Result{Config: c, Least: least / float64(seconds)}
+	for _, f := range fleets {
+		r.Policies = append(r.Policies, f.outcome(t.now))
+	}
+	return r, nil
+}
+
+// newFleets returns a fleet for each policy.
+func newFleets(c Config) []*fleet {
+	exchange, ateliers := seamplace.DefaultConfig(), seamplace.DefaultConfig()
+	exchange.Imbalance = heavyWeight
+	ateliers.Unavailable = heavyWeight
+	return []*fleet{
+		newFleet(c, Exchange, seamplace.Plan, exchange),
+		newFleet(c, Ateliers, seamplace.Plan, ateliers),
+		newFleet(c, Static, newStatic(c.Servers), seamplace.Config{}),
+		newFleet(c, Bounded, newBounded(c.Servers), seamplace.Config{}),
+	}
+}
+
+// heavyWeight is the weight of what a deployment weighs most; see examples.
+const heavyWeight = 4
+
+// Names of the policies.
+const (
+	// Exchange is the product's placement with the weights of the Fieldwork Exchange.
+	Exchange = "exchange"
+	// Ateliers is the product's placement with the weights of the Ateliertage.
+	Ateliers = "ateliers"
+	// Static hashes each slot to one server for good.
+	Static = "static"
+	// Bounded is consistent hashing with bounded loads.
+	Bounded = "bounded"
+)
