--- /dev/null
+++ b/internal/rule/seamadmintest/node.go
@@ -0,0 +1,173 @@
+// Package seamadmintest runs the administration API of one node for tests, with a
+// store in memory and one cell that confirms what is in force.
+package seamadmintest
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seamadmin"
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamconfirm"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamset"
+	"cardamomseam/internal/rule/seamstoretest"
+	"cardamomseam/internal/rule/seamteam"
+)
+
+// Node is one node with an administration API.
+type Node struct {
+	Store  *seamstoretest.Memory
+	Set    *seamset.Set
+	Events *seamevent.Stream
+	// Address is the ip:port of the API.
+	Address string
+
+	mu        sync.Mutex
+	orders    []string
+	partition bool
+}
+
+// watchWait is the longest wait of the rules that are in force for those in the store.
+const watchWait = 10 * time.Second
+
+// New starts a node whose API ends with the test.
+func New(t *testing.T, teams ...seamteam.Team) *Node {
+	t.Helper()
+	m := metrics.NewSet()
+	n := &Node{Store: &seamstoretest.Memory{}, Events: seamevent.NewStream("n1")}
+	n.Set = seamset.New(n.Events, m)
+	server, err := seamadmin.New(seamadmin.Config{Teams: teams}, seamadmin.Parts{
+		Book:      seambook.New(n.Store, n.Set, n.Events, m),
+		Set:       n.Set,
+		Confirmer: n.confirmer(t, m),
+		Targets:   n,
+		Status:    n,
+		Orders:    n,
+		Events:    n.Events,
+		Metrics:   m,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = n.Set.Watch(ctx, n.Store) })
+	h := httptest.NewServer(server.Handler())
+	n.Address = strings.TrimPrefix(h.URL, "http://")
+	t.Cleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+		cancel()
+		group.Wait()
+	})
+	return n
+}
+
+func (n *Node) confirmer(t *testing.T, m *metrics.Set) *seamconfirm.Confirmer {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	c := seamconfirm.New(n, n, nil, n.Events, m)
+	group.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return c
+}
+
+// Await waits until the rules in force have at least the revision.
+func (n *Node) Await(t *testing.T, revision int64) {
+	t.Helper()
+	for end := time.Now().Add(watchWait); n.Set.Revision() < revision; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("revision %d in force, want %d", n.Set.Revision(), revision)
+		}
+	}
+}
+
+// SetPartition adds a second cell that cannot be reached, or removes it.
+func (n *Node) SetPartition(partition bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.partition = partition
+}
+
+// Cells implements seamconfirm.Cells.
+func (n *Node) Cells() []seamconfirm.CellRef {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cells := []seamconfirm.CellRef{{ID: "erie-1", Coordinator: seampeer.Peer{Name: "n1"}}}
+	if n.partition {
+		cells = append(cells, seamconfirm.CellRef{ID: "superior-1", Coordinator: seampeer.Peer{Name: "n9"}})
+	}
+	return cells
+}
+
+// Own implements seamconfirm.Cells.
+func (n *Node) Own() (seamconfirm.CellState, bool) {
+	return seamconfirm.CellState{Cell: "erie-1", Epoch: 4, Confirmed: n.Set.Revision()}, true
+}
+
+// Send implements seamconfirm.Sender; every datagram is lost.
+func (n *Node) Send(seampeer.Peer, []byte) error { return nil }
+
+// Instances implements seamadmin.Targets.
+func (n *Node) Instances(string) []seamrule.Instance {
+	return []seamrule.Instance{
+		{Name: "n1", Region: "erie", Domain: "erie-a", Labels: map[string]string{"tier": "hot"}},
+		{Name: "n2", Region: "superior", Domain: "superior-a"},
+	}
+}
+
+// Status implements seamadmin.Status.
+func (n *Node) Status(context.Context) seamapi.StatusReport {
+	at := time.Unix(1_700_000_000, 0).UTC()
+	return seamapi.StatusReport{
+		Node:     "n1",
+		Revision: n.Set.Revision(),
+		Store:    seamapi.StoreStatus{Reachable: true, Since: at},
+		Cells: []seamapi.CellStatus{{
+			Cell: "erie-1", Region: "erie", Revision: n.Set.Revision(), Epoch: 4, Coordinator: "n1", Backup: "n2",
+			Slots: 12, Owned: 12, Owners: map[string]int{"n2": 5, "n1": 7}, Changed: at, Reachable: true,
+		}},
+		Nodes: []seamapi.NodeStatus{
+			{Node: "n1", Region: "erie", Domain: "erie-a", Cell: "erie-1", Service: "tally", Load: 3, Slots: 12, Owned: 7, State: "serving"},
+			{Node: "n2", Region: "superior", Domain: "superior-a", Cell: "erie-1", Service: "booker", Slots: 12, Owned: 5, State: "draining"},
+		},
+	}
+}
+
+// Drain implements seamadmin.Orders.
+func (n *Node) Drain(_ context.Context, node string) error {
+	n.order("drain " + node)
+	return nil
+}
+
+// Attest implements seamadmin.Orders.
+func (n *Node) Attest(_ context.Context, cell string, instances []string) error {
+	n.order("attest " + cell + " " + strings.Join(instances, " "))
+	return nil
+}
+
+func (n *Node) order(text string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.orders = append(n.orders, text)
+}
+
+// Orders returns the orders carried out so far.
+func (n *Node) Orders() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string{}, n.orders...)
+}
--- /dev/null
+++ b/internal/rule/seamcommand/exit.go
@@ -0,0 +1,88 @@
+package seamcommand
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seamclient"
+)
+
+// Exit codes of the commands.
+const (
+	// CodeFailure is any failure without a code of its own.
+	CodeFailure = 1
+	// CodeUsage means that the command line or a document is wrong.
+	CodeUsage = 2
+	// CodeConflict means that another change was recorded first.
+	CodeConflict = 3
+	// CodeMissing means that what was named does not exist.
+	CodeMissing = 4
+	// CodeRefused means that the token is missing or wrong, or that the team may not do this.
+	CodeRefused = 5
+	// CodeUnavailable means that the node or the store could not be reached.
+	CodeUnavailable = 6
+	// CodePending means that a change was recorded but not accepted in time.
+	CodePending = 7
+)
+
+// ExitError ends the program with a code.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the message of the cause.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// ExitCode returns the code.
+func (e *ExitError) ExitCode() int { return e.Code }
+
+// problemCodes are the exit codes of the problems that the API reports.
+var problemCodes = map[string]int{
+	seamapi.CodeInvalid:      CodeUsage,
+	seamapi.CodeConflict:     CodeConflict,
+	seamapi.CodeMissing:      CodeMissing,
+	seamapi.CodeUnauthorized: CodeRefused,
+	seamapi.CodeForbidden:    CodeRefused,
+	seamapi.CodeUnavailable:  CodeUnavailable,
+	seamapi.CodeUnknown:      CodeUnavailable,
+	seamapi.CodeStale:        CodeUnavailable,
+}
+
+// exit gives an error its exit code.
+func exit(err error) error {
+	if err == nil {
+		return nil
+	}
+	var done *ExitError
+	if errors.As(err, &done) {
+		return err
+	}
+	var p *seamapi.Problem
+	if errors.As(err, &p) {
+		if code, ok := problemCodes[p.Code]; ok {
+			return &ExitError{Code: code, Err: err}
+		}
+	}
+	var unreachable *seamclient.UnreachableError
+	if errors.As(err, &unreachable) {
+		return &ExitError{Code: CodeUnavailable, Err: errors.Newf("%v\nCheck --address, and that a node runs there.", err)}
+	}
+	return &ExitError{Code: CodeFailure, Err: err}
+}
+
+// usage makes an error about the command line.
+func usage(format string, args ...any) error {
+	return &ExitError{Code: CodeUsage, Err: errors.Newf(format, args...)}
+}
+
+// onUsage gives errors of the parser of the command line their exit code.
+func onUsage(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return usage("%v\nSee --help.", err)
+}
--- /dev/null
+++ b/internal/rule/seamcommand/output.go
@@ -0,0 +1,147 @@
+package seamcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"unicode/utf8"
+
+	"golang.org/x/term"
+)
+
+// Forms of output.
+const (
+	formTable = "table"
+	formJSON  = "json"
+)
+
+// color is an escape sequence of terminals.
+type color string
+
+const (
+	plain  color = ""
+	red    color = "\x1b[31m"
+	green  color = "\x1b[32m"
+	yellow color = "\x1b[33m"
+	bold   color = "\x1b[1m"
+	reset  color = "\x1b[0m"
+)
+
+// output writes results for people or for programs.
+type output struct {
+	w      io.Writer
+	json   bool
+	colors bool
+}
+
+// newOutput returns an output with colors only on a terminal and without NO_COLOR.
+func newOutput(w io.Writer, form string) output {
+	f, ok := w.(*os.File)
+	terminal := ok && term.IsTerminal(int(f.Fd()))
+	return output{w: w, json: form == formJSON, colors: terminal && os.Getenv("NO_COLOR") == ""}
+}
+
+// value writes v as JSON.
+func (o output) value(v any) error {
+	e := json.NewEncoder(o.w)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// line writes v as one line of JSON.
+func (o output) line(v any) error {
+	e := json.NewEncoder(o.w)
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+// paint colors the text if colors are on.
+func (o output) paint(c color, text string) string {
+	if !o.colors || c == plain {
+		return text
+	}
+	return string(c) + text + string(reset)
+}
+
+// printf writes text for people.
+func (o output) printf(format string, args ...any) {
+	fmt.Fprintf(o.w, format, args...)
+}
+
+// cell is one cell of a table.
+type cell struct {
+	text  string
+	color color
+}
+
+// table is a table with a head.
+type table struct {
+	head []string
+	rows [][]cell
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]cell, 0, len(cells))
+	for _, c := range cells {
+		if colored, ok := c.(cell); ok {
+			row = append(row, colored)
+			continue
+		}
+		row = append(row, cell{text: fmt.Sprint(c)})
+	}
+	t.rows = append(t.rows, row)
+}
+
+// write aligns the columns; colors do not count as width.
+func (t *table) write(o output) {
+	widths := make([]int, len(t.head))
+	for i, h := range t.head {
+		widths[i] = utf8.RuneCountInString(h)
+	}
+	for _, row := range t.rows {
+		for i, c := range row {
+			widths[i] = max(widths[i], utf8.RuneCountInString(c.text))
+		}
+	}
+	head := make([]cell, 0, len(t.head))
+	for _, h := range t.head {
+		head = append(head, cell{text: h, color: bold})
+	}
+	writeRow(o, head, widths)
+	for _, row := range t.rows {
+		writeRow(o, row, widths)
+	}
+}
+
+func writeRow(o output, row []cell, widths []int) {
+	for i, c := range row {
+		o.printf("%s", o.paint(c.color, c.text))
+		if i < len(row)-1 {
+			o.printf("%s", strings.Repeat(" ", widths[i]-utf8.RuneCountInString(c.text)+2))
+		}
+	}
+	o.printf("\n")
+}
+
+// difference writes a unified difference, colored by line.
+func (o output) difference(text string) {
+	for line := range strings.Lines(text) {
+		line = strings.TrimSuffix(line, "\n")
+		o.printf("%s\n", o.paint(lineColor(line), line))
+	}
+}
+
+func lineColor(line string) color {
+	switch {
+	case strings.HasPrefix(line, "---"), strings.HasPrefix(line, "+++"), strings.HasPrefix(line, "@@"):
+		return bold
+	case strings.HasPrefix(line, "-"):
+		return red
+	case strings.HasPrefix(line, "+"):
+		return green
+	}
+	return plain
+}
--- /dev/null
+++ b/internal/rule/seamcommand/status.go
@@ -0,0 +1,271 @@
+package seamcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seamconfirm"
+	"cardamomseam/internal/rule/seamteam"
+)
+
+// waitStep is the longest wait of one call while a change is being accepted.
+const waitStep = 5 * time.Second
+
+func statusCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:      "status",
+		Usage:     "show cells, nodes and the store, or who has confirmed a revision",
+		ArgsUsage: " ",
+		Flags:     []cli.Flag{&cli.Int64Flag{Name: "revision", Aliases: []string{"r"}, Usage: "show which cells have confirmed this `REVISION`"}},
+	}, func(ctx context.Context, r run) error {
+		if _, err := r.only(); err != nil {
+			return err
+		}
+		if revision := r.Int64("revision"); revision > 0 {
+			return confirmations(ctx, r, revision)
+		}
+		report, err := r.client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if r.out.json {
+			return r.out.value(report)
+		}
+		showStatus(r.out, report)
+		return nil
+	})
+}
+
+// confirmations shows who has confirmed a revision; it fails if a cell is missing.
+func confirmations(ctx context.Context, r run, revision int64) error {
+	status, err := r.client.Revision(ctx, revision, 0, time.Second)
+	if err != nil {
+		return err
+	}
+	if r.out.json {
+		err = r.out.value(status)
+	} else {
+		showConfirmations(r.out, status)
+	}
+	if err != nil {
+		return err
+	}
+	return pending(status)
+}
+
+func showConfirmations(o output, s seamconfirm.Status) {
+	t := table{head: []string{"CELL", "EPOCH", "CONFIRMED", "COORDINATOR", "STATE"}}
+	for _, c := range s.Cells {
+		t.add(c.Cell, c.Epoch, c.Confirmed, c.Coordinator, confirmedCell(c))
+	}
+	t.write(o)
+}
+
+func confirmedCell(c seamconfirm.CellStatus) cell {
+	if c.Accepted {
+		return cell{"confirmed", green}
+	}
+	return cell{"missing", yellow}
+}
+
+// pending returns an error if the revision is not accepted.
+func pending(s seamconfirm.Status) error {
+	if s.Accepted {
+		return nil
+	}
+	return &ExitError{Code: CodePending, Err: errors.Newf(
+		"revision %d is recorded but not accepted; missing cells: %s\nIt comes into force there as soon as they are reached; see cardamomseam status --revision %d.",
+		s.Revision, strings.Join(s.Missing(), ", "), s.Revision)}
+}
+
+// await reports cell by cell until the change is accepted.
+func (r run) await(ctx context.Context, recorded seamapi.Recorded) error {
+	ctx, cancel := context.WithTimeout(ctx, r.Duration(flagLimit))
+	defer cancel()
+	began := time.Now()
+	seen := map[string]bool{}
+	status := seamconfirm.Status{Revision: recorded.Revision}
+	for {
+		next, err := r.client.Revision(ctx, recorded.Revision, len(seen), waitStep)
+		if err != nil && ctx.Err() != nil {
+			return pending(status)
+		}
+		if err != nil {
+			return err
+		}
+		status = next
+		r.reportCells(status, seen, time.Since(began))
+		if status.Accepted {
+			return r.accepted(recorded, status, time.Since(began))
+		}
+	}
+}
+
+// reportCells reports the cells that have confirmed since the last report.
+func (r run) reportCells(s seamconfirm.Status, seen map[string]bool, after time.Duration) {
+	for _, c := range s.Cells {
+		if !c.Accepted || seen[c.Cell] {
+			continue
+		}
+		seen[c.Cell] = true
+		if !r.out.json {
+			r.out.printf("%s cell %s after %s (%d of %d)\n", r.out.paint(green, "confirmed"), c.Cell, after.Round(time.Millisecond), len(seen), len(s.Cells))
+		}
+	}
+}
+
+func (r run) accepted(recorded seamapi.Recorded, s seamconfirm.Status, after time.Duration) error {
+	if r.out.json {
+		return r.out.value(acceptance{Recorded: recorded, Status: s, After: after.Milliseconds()})
+	}
+	r.out.printf("%s: revision %d is in force in all %d cells\n", r.out.paint(green, "accepted"), s.Revision, len(s.Cells))
+	return nil
+}
+
+// acceptance is the output of an accepted change as JSON.
+type acceptance struct {
+	Recorded seamapi.Recorded   `json:"recorded"`
+	Status   seamconfirm.Status `json:"status"`
+	// After is the time from the recording to the acceptance, in milliseconds.
+	After int64 `json:"after"`
+}
+
+func showStatus(o output, s seamapi.StatusReport) {
+	store := o.paint(green, "reachable")
+	if !s.Store.Reachable {
+		store = o.paint(red, "unreachable")
+	}
+	o.printf("node %s, rules at revision %d, store %s since %s\n\n", s.Node, s.Revision, store, s.Store.Since.Format(time.RFC3339))
+	cells := table{head: []string{"CELL", "REGION", "REVISION", "EPOCH", "COORDINATOR", "BACKUP", "OWNED", "OWNERS", "CHANGED", "STORE"}}
+	for _, c := range s.Cells {
+		cells.add(c.Cell, c.Region, c.Revision, c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%d/%d", c.Owned, c.Slots), owners(c.Owners), c.Changed.Format(time.RFC3339), reachable(c.Reachable))
+	}
+	cells.write(o)
+	o.printf("\n")
+	nodes := table{head: []string{"NODE", "REGION", "DOMAIN", "CELL", "SERVICE", "REVISION", "LOAD", "QUEUE", "OWNED", "STATE"}}
+	for _, n := range s.Nodes {
+		nodes.add(n.Node, n.Region, n.Domain, n.Cell, n.Service, n.Revision, fmt.Sprintf("%d/%d", n.Load, n.Slots), n.Queue, n.Owned, n.State)
+	}
+	nodes.write(o)
+}
+
+func owners(counts map[string]int) string {
+	parts := make([]string, 0, len(counts))
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", name, counts[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
+func reachable(is bool) cell {
+	if is {
+		return cell{"reachable", green}
+	}
+	return cell{"unreachable", red}
+}
+
+func watchCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:      "watch",
+		Usage:     "show events of a node as they happen",
+		ArgsUsage: "[PREFIX]",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "recent", Usage: "show the kept events and end"}},
+	}, func(ctx context.Context, r run) error {
+		return r.client.Events(ctx, r.Args().First(), !r.Bool("recent"), func(e seamevent.Event) error {
+			if r.out.json {
+				return r.out.line(e)
+			}
+			r.out.printf("%s  %s  %s  %s\n", e.Time.Format(time.RFC3339Nano), e.Node, r.out.paint(bold, e.Name), fields(e.Fields))
+			return nil
+		})
+	})
+}
+
+func fields(f seamevent.Fields) string {
+	parts := make([]string, 0, len(f))
+	for _, name := range slices.Sorted(maps.Keys(f)) {
+		value, err := json.Marshal(f[name])
+		if err != nil {
+			value = fmt.Append(nil, f[name])
+		}
+		parts = append(parts, name+"="+string(value))
+	}
+	return strings.Join(parts, " ")
+}
+
+func drainCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:      "drain",
+		Usage:     "make a node take no new work, hand over its slots and finish what is in flight",
+		ArgsUsage: "NODE",
+	}, func(ctx context.Context, r run) error {
+		args, err := r.only("NODE")
+		if err != nil {
+			return err
+		}
+		ordered, err := r.client.Drain(ctx, args[0])
+		return r.ordered(ordered, err)
+	})
+}
+
+func attestCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:        "attest",
+		Usage:       "attest that instances of a cell are lost for good",
+		ArgsUsage:   "CELL INSTANCE ...",
+		Description: "The cell then need not wait for their promises to end. If an instance still runs, two servers may own one key: make sure that it is stopped.",
+	}, func(ctx context.Context, r run) error {
+		args, err := r.arguments("CELL", "INSTANCE")
+		if err != nil {
+			return err
+		}
+		ordered, err := r.client.Attest(ctx, args[0], args[1:])
+		return r.ordered(ordered, err)
+	})
+}
+
+func (r run) ordered(o seamapi.Ordered, err error) error {
+	if err != nil {
+		return err
+	}
+	if r.out.json {
+		return r.out.value(o)
+	}
+	r.out.printf("ordered %s of %s; see cardamomseam status\n", o.Order, o.Subject)
+	return nil
+}
+
+func tokenCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:      "token",
+		Usage:     "make a token for a team and the hash for the settings",
+		ArgsUsage: " ",
+	}, func(_ context.Context, r run) error {
+		if _, err := r.only(); err != nil {
+			return err
+		}
+		token, hash := seamteam.NewToken()
+		if r.out.json {
+			return r.out.value(secret{Token: token, Hash: hash})
+		}
+		r.out.printf("token  %s\nhash   %s\n", token, hash)
+		r.out.printf("Give the token to the team; put only the hash into the settings of the nodes.\n")
+		return nil
+	})
+}
+
+// secret is the output of token as JSON.
+type secret struct {
+	Token string `json:"token"`
+	Hash  string `json:"hash"`
+}
--- /dev/null
+++ b/internal/rule/seamcommand/try.go
@@ -0,0 +1,96 @@
+package seamcommand
+
+import (
+	"context"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/rule/seamapi"
+)
+
+func tryCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:        "try",
+		Usage:       "tell what a document would do, without changing anything",
+		ArgsUsage:   " ",
+		Description: "With --file a document is tried, else the one in force of --service. With --path a request is tried.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "`FILE` with the document, - for standard input"},
+			&cli.StringFlag{Name: "service", Aliases: []string{"s"}, Usage: "`NAME` of the service whose document is tried"},
+			&cli.StringFlag{Name: "method", Aliases: []string{"m"}, Value: "GET", Usage: "`METHOD` of the request"},
+			&cli.StringFlag{Name: "path", Aliases: []string{"p"}, Usage: "`PATH` of the request with its query"},
+			&cli.StringSliceFlag{Name: "header", Usage: "`NAME:VALUE` of a header of the request"},
+			&cli.StringFlag{Name: "region", Usage: "`REGION` of the caller"},
+		},
+	}, func(ctx context.Context, r run) error {
+		if _, err := r.only(); err != nil {
+			return err
+		}
+		t, err := r.trial()
+		if err != nil {
+			return err
+		}
+		tried, err := r.client.Try(ctx, t)
+		if err != nil {
+			r.explain(err)
+			return err
+		}
+		if r.out.json {
+			return r.out.value(tried)
+		}
+		showTried(r, tried)
+		return nil
+	})
+}
+
+func (r run) trial() (seamapi.Try, error) {
+	t := seamapi.Try{Service: r.String("service")}
+	if file := r.String(flagFile); file != "" {
+		text, err := readFile(file)
+		if err != nil {
+			return t, err
+		}
+		t.Document = string(text)
+	}
+	if t.Document == "" && t.Service == "" {
+		return t, usage("try needs --file or --service")
+	}
+	if r.String("path") == "" {
+		return t, nil
+	}
+	t.Request = &seamapi.Request{
+		Method:  r.String("method"),
+		Path:    r.String("path"),
+		Region:  r.String("region"),
+		Headers: map[string]string{},
+	}
+	for _, h := range r.StringSlice("header") {
+		name, value, found := strings.Cut(h, ":")
+		if !found {
+			return t, usage("--header %q is not NAME:VALUE", h)
+		}
+		t.Request.Headers[name] = strings.TrimSpace(value)
+	}
+	return t, nil
+}
+
+func showTried(r run, t seamapi.Tried) {
+	r.warn(t.Warnings)
+	if t.Difference != "" {
+		r.out.difference(t.Difference)
+	}
+	if f := t.Refusal; f != nil {
+		r.out.printf("%s status %d, reason %s: %s\n", r.out.paint(red, "refused:"), f.Status, f.Reason, f.Text)
+	}
+	if t.Trial == nil {
+		return
+	}
+	r.out.printf("selector  %s\n", t.Trial.Selector)
+	if t.Trial.Keyed {
+		r.out.printf("key       %s\nslot      %d, served by its owner only\n", t.Trial.Key, t.Trial.Slot)
+	}
+	l := t.Trial.Limits
+	r.out.printf("limits    deadline %d ms, retries %d, queue %d\n", l.Deadline, l.Retries, l.Queue)
+	r.out.printf("targets   %s\n", strings.Join(t.Trial.Targets, ", "))
+}
