--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -17,7 +17,6 @@
 		Commands: []*cli.Command{
 			nodeCommand(),
 			checkCommand(),
-			demoCommand(),
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -258,7 +258,7 @@
 	egress, stop := seamegress.New(seamegress.Config{}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
 	n.egress = egress
 	c.add(stop)
-	n.sessions.Register(seamsession.Request, seamegress.Server{Egress: egress})
+	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.Voider{Egress: egress})
 	n.ingress = seamingress.New(seamingress.Config{
 		Address: n.settings.Ingress.Listen,
