--- /dev/null
+++ b/cmd/cardamomseam/demo.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/observe/seamlog"
+	"cardamomseam/internal/prove/seamdemo"
+)
+
+// demoTime is the time for which the demonstration runs unless told otherwise.
+const demoTime = 20 * time.Second
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "show every mechanism in one process over loopback sockets, with real traffic",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Value: demoTime, Usage: "`TIME` to run; 10s shows each step"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the traffic"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	defer seamlog.Silence()()
+	_, err := seamdemo.Run(ctx, seamdemo.Config{For: c.Duration("for"), Seed: c.Uint64("seed"), Out: os.Stdout})
+	return err
+}
--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -17,6 +17,7 @@
 		Commands: []*cli.Command{
 			nodeCommand(),
 			checkCommand(),
+			demoCommand(),
 		},
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -162,6 +162,7 @@
 		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
 		Streams:   streams{sessions: n.sessions},
 		Rules:     source,
+		Placer:    placer{settings: n.settings.Place, rules: n.rules},
 		Orders:    n,
 		Sink:      n.sink,
 		Metrics:   n.set,
--- a/internal/observe/seamlog/bridge.go
+++ b/internal/observe/seamlog/bridge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 
 	"github.com/apex/log"
@@ -81,3 +82,18 @@
 	}
 	return b.logger.WithFields(named)
 }
+
+// Silence drops go-zero's log, which is one for the process. The returned
+// function gives it back.
+func Silence() (restore func()) {
+	former := logx.Reset()
+	logx.DisableStat()
+	logx.SetLevel(logx.SevereLevel)
+	logx.SetWriter(logx.NewWriter(io.Discard))
+	return func() {
+		logx.Reset()
+		if former != nil {
+			logx.SetWriter(former)
+		}
+	}
+}
