--- a/internal/prove/seamdemo/demo.go
+++ b/internal/prove/seamdemo/demo.go
@@ -136,6 +136,7 @@
 		return err
 	}
 	s.summary.Requests = len(records)
+	s.reasons(records)
 	for outcome, n := range seamcaller.Count(records) {
 		switch outcome {
 		case seamcaller.Done:
@@ -157,6 +158,25 @@
 	return nil
 }
 
+// reasons tells why requests were not done.
+func (s *show) reasons(records []seamcaller.Record) {
+	type reason struct {
+		service string
+		outcome seamcaller.Outcome
+		word    string
+		server  string
+	}
+	counts := map[reason]int{}
+	for _, x := range records {
+		if x.Outcome != seamcaller.Done {
+			counts[reason{service: x.Service, outcome: x.Outcome, word: x.Reason, server: x.Server}]++
+		}
+	}
+	for r, n := range counts {
+		s.say("%d requests for %s: %s, %s %s", n, r.service, r.outcome, r.word, r.server)
+	}
+}
+
 // present reads the bookings of every key that was booked.
 func (s *show) present(ctx context.Context, records []seamcaller.Record) (map[seamcheck.Key][]string, error) {
 	client, closeClient := seamcaller.NewClient(s.fleet.ingresses)
