--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -98,6 +98,7 @@
 func (c *Cell) send(to seampeer.Peer, m *seamcellwire.Message) {
 	m.Name = c.self.Name
 	m.Incarnation = c.self.Incarnation
+	m.To = uint32(to.Incarnation)
 	if to.Same(c.self) {
 		c.deliver(m)
 		return
@@ -125,9 +126,13 @@
 	return c.step(now, func() { c.seeds = peers })
 }
 
-// Receive takes a datagram. Messages to another incarnation of this node are harmless.
+// Receive takes a datagram. It ignores messages to another incarnation of this node.
 func (c *Cell) Receive(now seamclock.Instant, m *seamcellwire.Message) []Action {
-	return c.step(now, func() { c.deliver(m) })
+	return c.step(now, func() {
+		if m.GetTo() == 0 || m.GetTo() == uint32(c.self.Incarnation) {
+			c.deliver(m)
+		}
+	})
 }
 
 func (c *Cell) deliver(m *seamcellwire.Message) {
