--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -97,6 +97,8 @@
 	// stopped is the time for which the monotonic clock stood still.
 	stopped time.Duration
 	frozen  time.Duration
+	// setBack says that the wall clock was set back.
+	setBack bool
 	synced  map[seamslot.ID]string
 	target  seamcell.TargetState
 	// hang says that the target never finishes a hand-over.
