--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -25,7 +25,7 @@
 	seeds     []seampeer.Peer
 	// arrivals are the latest incarnations that have asked for admission, by name.
 	arrivals map[string]arrival
-	attests  map[string]seamclock.Instant
+	attests  map[parties]seamclock.Instant
 
 	target TargetState
 	// announced is the version of the target's description.
@@ -61,7 +61,7 @@
 		calls:     calls{pending: map[string]*call{}},
 		services:  map[string]ServiceState{},
 		arrivals:  map[string]arrival{},
-		attests:   map[string]seamclock.Instant{},
+		attests:   map[parties]seamclock.Instant{},
 		joining:   joining{refused: map[string]seamclock.Instant{}},
 	}
 }
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -87,6 +87,7 @@
 // attempt asks the coordinator of a cell for admission.
 func (c *Cell) attempt(cell string, coordinator, backup seampeer.Peer) {
 	c.member = newMember(c.now, cell, coordinator, backup)
+	c.watch = nil
 	c.renew()
 }
 
@@ -94,6 +95,7 @@
 func (c *Cell) joinFailed(wait time.Duration) {
 	c.joining.refused[c.member.cell] = c.now.Add(wait)
 	c.member = nil
+	c.watch = nil
 }
 
 // found creates a cell with this node alone.
@@ -147,12 +149,28 @@
 	if !names[r.Coordinator.Name] || !r.Backup.Zero() && !names[r.Backup.Name] {
 		return
 	}
-	c.attests[attestKey(r)] = c.now
+	c.attests[partiesOf(r)] = c.now
 }
 
-// attestKey identifies the two runs whose loss is attested.
-func attestKey(r Record) string {
-	return fmt.Sprintf("%s %s %s", r.ID, r.Coordinator, r.Backup)
+// parties are the two runs that a record names.
+type parties struct {
+	cell        string
+	coordinator run
+	backup      run
+}
+
+// run is one run of one instance.
+type run struct {
+	name        string
+	incarnation uint64
+}
+
+func partiesOf(r Record) parties {
+	return parties{
+		cell:        r.ID,
+		coordinator: run{name: r.Coordinator.Name, incarnation: r.Coordinator.Incarnation},
+		backup:      run{name: r.Backup.Name, incarnation: r.Backup.Incarnation},
+	}
 }
 
 // horizonOver reports whether the record binds nobody any more.
@@ -178,7 +196,7 @@
 // attested reports whether an operator's word on the loss of both has stood for long enough
 // that all leases are over.
 func (c *Cell) attested(r Record) bool {
-	at, ok := c.attests[attestKey(r)]
+	at, ok := c.attests[partiesOf(r)]
 	return ok && seamclock.Least(c.now, at) >= c.cfg.Promise
 }
 
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -107,7 +107,9 @@
 	c.releaseOverdue()
 	if c.now.Mono-m.renewed.Mono >= c.cfg.Heartbeat || m.renewed.Zero() {
 		c.leaveWhenDone()
-		c.renew()
+		if c.member == m {
+			c.renew()
+		}
 	}
 	if c.member != m {
 		return
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -25,14 +25,15 @@
 
 // world runs the state machines of several nodes against a fake network and a fake store.
 type world struct {
-	t      testing.TB
-	rnd    *rand.Rand
-	now    time.Duration
-	events eventQueue
-	count  int
-	nodes  []*node
-	store  fakeStore
-	cfg    seamcell.Config
+	t       testing.TB
+	rnd     *rand.Rand
+	now     time.Duration
+	events  eventQueue
+	count   int
+	nodes   []*node
+	store   fakeStore
+	cfg     seamcell.Config
+	regions []string
 	// loss and duplicate are probabilities; delay is the longest delay of a datagram.
 	loss, duplicate float64
 	delay           time.Duration
@@ -88,6 +89,7 @@
 	w       *world
 	peer    seampeer.Peer
 	cell    *seamcell.Cell
+	name    string
 	alive   bool
 	paused  bool
 	waiting []func()
@@ -109,12 +111,21 @@
 func modelConfig() seamcell.Config {
 	cfg := seamcell.DefaultConfig()
 	cfg.Horizon = 12 * time.Second
+	cfg.Settle = time.Second
+	cfg.Publish = time.Second
+	cfg.Orphan = 4 * time.Second
+	cfg.Gift = 2
 	return cfg
 }
 
 func newWorld(t testing.TB, seed int64, n int) *world {
+	return newWorldOf(t, seed, n, modelConfig(), []string{"erie"})
+}
+
+// newWorldOf returns a world whose nodes stand in the regions in turn, in two failure domains each.
+func newWorldOf(t testing.TB, seed int64, n int, cfg seamcell.Config, regions []string) *world {
 	w := &world{
-		t: t, rnd: rand.New(rand.NewSource(seed)), cfg: modelConfig(), delay: 4 * time.Millisecond,
+		t: t, rnd: rand.New(rand.NewSource(seed)), cfg: cfg, regions: regions, delay: 4 * time.Millisecond,
 		blocked: map[[2]string]bool{}, highest: map[seamslot.ID]uint64{}, holder: map[seamslot.ID]string{},
 		store: fakeStore{entries: map[string]seamcell.Entry{}}, trace: func(string, ...any) {},
 		bytes: map[string]int{}, emitted: map[string]int{},
@@ -132,18 +143,20 @@
 
 // start begins a new run of the instance with the index; index len(nodes) adds one.
 func (w *world) start(i int, name string) {
+	region := w.regions[i%len(w.regions)]
 	n := &node{
 		w: w, alive: true, started: w.now, rate: 1 + (w.rnd.Float64()-0.5)/500,
 		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{},
 		peer: seampeer.Peer{
 			Name: name, Incarnation: uint64(w.count + 1), Address: "10.0.0." + name[1:] + ":1",
-			Region: "erie", Domain: fmt.Sprintf("erie-%d", i%2),
+			Region: region, Domain: fmt.Sprintf("%s-%d", region, i/len(w.regions)%2),
 		},
 	}
 	n.target = seamcell.TargetState{
 		Service: service, Name: fmt.Sprintf("%s-run%d", name, w.count), Address: "10.1.0." + name[1:] + ":1",
 		Slots: 12, Standby: i%3 != 2, Fence: true,
 	}
+	n.name = n.peer.String()
 	n.cell = seamcell.New(w.cfg, n.peer, nil)
 	if i < len(w.nodes) {
 		w.nodes[i] = n
@@ -151,7 +164,7 @@
 		w.nodes = append(w.nodes, n)
 	}
 	n.act(func(now seamclock.Instant) []seamcell.Action {
-		a := n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Deadline: 300 * time.Millisecond})
+		a := n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Homes: w.regions, Deadline: 300 * time.Millisecond})
 		a = append(a, n.cell.Applied(now, 1)...)
 		return append(a, n.cell.Target(now, n.target)...)
 	})
@@ -414,7 +427,7 @@
 			if first != "" {
 				w.fail("%s is held by %s and %s", id, first, n.peer)
 			}
-			first = n.peer.String()
+			first = n.name
 			changed := w.holder[id] != first
 			if g.Epoch < w.highest[id] || changed && g.Epoch == w.highest[id] && w.holder[id] != "" {
 				w.fail("%s is held by %s under epoch %d after %s had %d", id, first, g.Epoch, w.holder[id], w.highest[id])
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -13,8 +13,6 @@
 const (
 	// divideDelay is the time that a coordinator waits before it divides the slots of a new service.
 	divideDelay = time.Second
-	// smallestGift is the smallest number of slots that moves for balance between cells.
-	smallestGift = 8
 	// offerPatience is the number of offers sent before the taker is thought silent.
 	offerPatience = 8
 	// imbalance is the ratio of slots a member between two cells above which ranges move.
@@ -342,7 +340,7 @@
 		return "", x
 	}
 	n := (mine*e.Record.Size - theirs*own.Size) / (own.Size + e.Record.Size)
-	if n < smallestGift {
+	if n < c.cfg.Gift {
 		return "", x
 	}
 	if uint32(n) < x.Len() {
--- a/internal/own/seamcell/schedule_test.go
+++ b/internal/own/seamcell/schedule_test.go
@@ -51,13 +51,18 @@
 type schedule struct {
 	Seed  int64
 	Nodes int
-	Steps []step
+	// Max is the largest number of members of a cell, Regions the number of regions.
+	Max     int
+	Regions int
+	Steps   []step
 }
 
 var anySchedule = rapid.Custom(func(t *rapid.T) schedule {
 	s := schedule{
-		Seed:  rapid.Int64Range(0, 1<<40).Draw(t, "seed"),
-		Nodes: rapid.IntRange(2, 5).Draw(t, "nodes"),
+		Seed:    rapid.Int64Range(0, 1<<40).Draw(t, "seed"),
+		Nodes:   rapid.IntRange(2, 6).Draw(t, "nodes"),
+		Max:     rapid.SampledFrom([]int{12, 4, 3, 2}).Draw(t, "max"),
+		Regions: rapid.IntRange(1, 2).Draw(t, "regions"),
 	}
 	s.Steps = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{
@@ -167,11 +172,14 @@
 
 // play runs a schedule and returns what went wrong, or an empty string.
 func play(t testing.TB, s schedule, trace func(string, ...any)) string {
-	w := newWorld(t, s.Seed, s.Nodes)
+	cfg := modelConfig()
+	cfg.Max = s.Max
+	cfg.Min = min(cfg.Min, 1+s.Max/2)
+	w := newWorldOf(t, s.Seed, s.Nodes, cfg, []string{"erie", "michigan"}[:s.Regions])
 	if trace != nil {
 		w.trace = trace
 	}
-	w.run(2 * time.Second)
+	w.run(4 * time.Second)
 	for _, x := range s.Steps {
 		w.run(time.Duration(x.Wait) * time.Millisecond)
 		w.cause(x)
