Ownership: tests of each loss, of planned stops, standbys and lagging rules

Requests for admission are sent to any incarnation on the address: a pair of restarted nodes otherwise never learned of each other.

--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -99,6 +99,10 @@
 	m.Name = c.self.Name
 	m.Incarnation = c.self.Incarnation
 	m.To = uint32(to.Incarnation)
+	if m.GetRenew().GetPeer() != nil {
+		// Whoever stands on the address may learn who asks for admission.
+		m.To = 0
+	}
 	if to.Same(c.self) {
 		c.deliver(m)
 		return
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -1,28 +1,302 @@
 package seamcell_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
+
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
 )
 
-func settled(t *testing.T, w *world) {
+// servedAgain is the time within which slots are held again after the loss of one node.
+const servedAgain = 2 * time.Second
+
+func settled(t *testing.T, n int, seed int64) *world {
 	t.Helper()
+	w := newWorld(t, seed, n)
 	w.run(8 * time.Second)
-	if d := w.untilHeld(10 * time.Second); w.held() != slotNumber {
-		t.Fatalf("only %d slots held after %v: %s", w.held(), d, w.broken)
-	}
+	w.untilHeld(10 * time.Second)
+	w.must(t, w.held() == slotNumber, "cell did not settle")
+	return w
 }
 
-func TestCellForms(t *testing.T) {
-	w := newWorld(t, 1, 5)
-	if testing.Verbose() {
-		w.trace = t.Logf
-	}
-	settled(t, w)
+func (w *world) must(t *testing.T, ok bool, format string, args ...any) {
+	t.Helper()
 	if w.broken != "" {
 		t.Fatal(w.broken)
 	}
-	if w.backup() == nil {
-		t.Fatal("no backup")
+	if !ok {
+		t.Fatalf(format, args...)
+	}
+}
+
+// member returns a node that is neither coordinator nor backup.
+func (w *world) member(t *testing.T) *node {
+	t.Helper()
+	for _, n := range w.nodes {
+		if n.alive && n.cell.View(n.clock()).Role == seamcell.RoleMember {
+			return n
+		}
+	}
+	t.Fatal("no plain member")
+	return nil
+}
+
+func TestLossIsServedAgain(t *testing.T) {
+	losses := []struct {
+		name  string
+		lose  func(t *testing.T, w *world)
+		limit time.Duration
+	}{
+		{"member", func(t *testing.T, w *world) { w.member(t).crash() }, servedAgain},
+		{"coordinator", func(_ *testing.T, w *world) { w.coordinator().crash() }, servedAgain},
+		{"backup", func(_ *testing.T, w *world) { w.backup().crash() }, servedAgain},
+		{"member with the store down", func(t *testing.T, w *world) {
+			w.store.down = true
+			w.member(t).crash()
+		}, servedAgain},
+		{"coordinator paused", func(_ *testing.T, w *world) { w.coordinator().pause(false) }, servedAgain},
+		{"coordinator suspended", func(_ *testing.T, w *world) { w.coordinator().pause(true) }, servedAgain},
+		{"coordinator cut off from its backup", func(_ *testing.T, w *world) {
+			w.block(w.coordinator(), w.backup(), time.Minute)
+		}, servedAgain},
+		{"coordinator not reached by its backup", func(_ *testing.T, w *world) {
+			w.block(w.backup(), w.coordinator(), time.Minute)
+		}, servedAgain},
+		{"failure domain", func(_ *testing.T, w *world) {
+			domain := w.coordinator().peer.Domain
+			for _, n := range w.nodes {
+				if n.peer.Domain == domain {
+					n.crash()
+				}
+			}
+		}, 2 * servedAgain},
+		{"coordinator and backup, restarted", func(_ *testing.T, w *world) {
+			b, c := w.backup(), w.coordinator()
+			w.lose(w.index(b), 200*time.Millisecond)
+			w.lose(w.index(c), 200*time.Millisecond)
+		}, 8 * time.Second},
+		{"coordinator and backup, until the horizon", func(_ *testing.T, w *world) {
+			b, c := w.backup(), w.coordinator()
+			b.crash()
+			c.crash()
+		}, 20 * time.Second},
+		{"whole cell, restarted", func(_ *testing.T, w *world) {
+			for i := range w.nodes {
+				w.lose(i, 200*time.Millisecond)
+			}
+		}, 12 * time.Second},
+	}
+	for _, x := range losses {
+		t.Run(x.name, func(t *testing.T) {
+			for seed := range int64(5) {
+				w := settled(t, 6, seed)
+				x.lose(t, w)
+				w.run(300 * time.Millisecond)
+				d := w.untilHeld(x.limit)
+				w.must(t, w.held() == slotNumber, "%d of %d slots held after %v (seed %d)", w.held(), slotNumber, d, seed)
+			}
+		})
+	}
+}
+
+func TestAttestedLossEndsTheWait(t *testing.T) {
+	w := settled(t, 6, 1)
+	b, c := w.backup(), w.coordinator()
+	record := c.cell.View(c.clock())
+	b.crash()
+	c.crash()
+	w.run(2 * time.Second)
+	w.must(t, w.held() < slotNumber, "slots of a lost coordinator are held before its loss is attested")
+	m := w.member(t)
+	m.act(func(now seamclock.Instant) []seamcell.Action {
+		return m.cell.Attest(now, record.Cell, []string{b.peer.Name, c.peer.Name})
+	})
+	d := w.untilHeld(6 * time.Second)
+	w.must(t, w.held() == slotNumber, "%d slots held %v after the attestation", w.held(), d)
+}
+
+func TestAttestationOfTheWrongNodesIsIgnored(t *testing.T) {
+	w := settled(t, 6, 1)
+	m := w.member(t)
+	before := w.coordinator().cell.View(w.coordinator().clock()).Epoch
+	m.act(func(now seamclock.Instant) []seamcell.Action {
+		return m.cell.Attest(now, "erie-1", []string{m.peer.Name, w.backup().peer.Name})
+	})
+	w.run(3 * time.Second)
+	after := w.coordinator().cell.View(w.coordinator().clock()).Epoch
+	w.must(t, before == after, "epoch went from %d to %d", before, after)
+}
+
+// drain stops the node as planned and returns how long slots were without a holder at the worst.
+func drain(t *testing.T, w *world, n *node) time.Duration {
+	t.Helper()
+	n.act(n.cell.Drain)
+	var gap, worst time.Duration
+	for range 1500 {
+		w.run(10 * time.Millisecond)
+		if w.held() < slotNumber {
+			gap += 10 * time.Millisecond
+		} else {
+			gap = 0
+		}
+		worst = max(worst, gap)
+		if n.cell.Drained() {
+			n.crash()
+			break
+		}
+	}
+	w.must(t, n.cell.Drained(), "not drained")
+	w.untilHeld(servedAgain)
+	w.must(t, w.held() == slotNumber, "%d slots held after the drain", w.held())
+	return worst
+}
+
+func TestPlannedStop(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		for _, role := range []seamcell.Role{seamcell.RoleMember, seamcell.RoleBackup, seamcell.RoleCoordinator} {
+			t.Run(fmt.Sprintf("%s store down %t", role, down), func(t *testing.T) {
+				for seed := range int64(5) {
+					w := settled(t, 6, seed)
+					w.store.down = down
+					n := w.member(t)
+					switch role {
+					case seamcell.RoleBackup:
+						n = w.backup()
+					case seamcell.RoleCoordinator:
+						n = w.coordinator()
+					}
+					if gap := drain(t, w, n); gap > 600*time.Millisecond {
+						t.Fatalf("slots were without a holder for %v", gap)
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestSteadyStateCostsNoWrites(t *testing.T) {
+	w := settled(t, 10, 3)
+	w.run(10 * time.Second)
+	writes := w.store.writes
+	clear(w.bytes)
+	w.run(20 * time.Second)
+	w.must(t, w.store.writes-writes <= 6, "%d writes in 20 s with a horizon of 12 s", w.store.writes-writes)
+	c := w.coordinator().peer.Name
+	in, out := w.bytes[c+"<"]/20, w.bytes[c+">"]/20
+	t.Logf("coordinator of 10 members: %d B/s in, %d B/s out", in, out)
+	w.must(t, in <= 4000 && out <= 4000, "coordinator moves %d B/s in and %d B/s out", in, out)
+}
+
+func TestStoreOutageKeepsEverythingServed(t *testing.T) {
+	cfg := modelConfig()
+	cfg.Horizon = time.Minute
+	w := newWorldOf(t, 2, 6, cfg, []string{"erie"})
+	w.run(8 * time.Second)
+	w.store.down = true
+	for range 300 {
+		w.run(100 * time.Millisecond)
+		w.must(t, w.held() == slotNumber, "%d slots held at %v of a store outage", w.held(), w.now)
+	}
+	w.run(cfg.Horizon)
+	w.must(t, w.held() == 0, "%d slots held after the horizon", w.held())
+	w.store.down = false
+	w.untilHeld(3 * time.Second)
+	w.must(t, w.held() == slotNumber, "%d slots held after the outage", w.held())
+}
+
+func TestStandbyIsPromoted(t *testing.T) {
+	for _, role := range []seamcell.Role{seamcell.RoleMember, seamcell.RoleBackup, seamcell.RoleCoordinator} {
+		t.Run(string(role), func(t *testing.T) {
+			promoted := 0
+			for seed := range int64(8) {
+				promoted += promote(t, role, seed)
+			}
+			if promoted == 0 {
+				t.Fatal("no slot had a standby")
+			}
+		})
+	}
+}
+
+// promote ends the node with the role and returns the number of its slots that went to their standbys.
+func promote(t *testing.T, role seamcell.Role, seed int64) int {
+	w := settled(t, 6, seed)
+	w.run(2 * time.Second)
+	c := w.coordinator()
+	lost := c
+	switch role {
+	case seamcell.RoleMember:
+		lost = w.member(t)
+	case seamcell.RoleBackup:
+		lost = w.backup()
+	}
+	standbys := map[seamslot.ID]string{}
+	for _, s := range c.cell.View(c.clock()).Slots {
+		if s.Owner.Same(lost.peer) && s.Synced {
+			standbys[s.Slot] = s.Standby.Name
+		}
+	}
+	lost.crash()
+	next := map[seamslot.ID]string{}
+	for range 200 {
+		w.run(10 * time.Millisecond)
+		for id := range standbys {
+			if h := w.holder[id]; h != lost.name && next[id] == "" {
+				next[id] = h
+			}
+		}
+	}
+	for id, name := range standbys {
+		if h := next[id]; !strings.HasPrefix(h, name+"#") {
+			t.Fatalf("%s went to %q, not to its standby %s (seed %d)", id, h, name, seed)
+		}
+	}
+	return len(standbys)
+}
+
+func TestMemberWithOldRulesGetsNoGrant(t *testing.T) {
+	w := settled(t, 4, 1)
+	m := w.member(t)
+	for _, n := range w.nodes {
+		if n != m {
+			n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Applied(now, 2) })
+		}
+	}
+	w.run(2 * time.Second)
+	c := w.coordinator()
+	w.must(t, c.cell.View(c.clock()).Confirmed == 1, "rules count as confirmed while a member lags")
+	w.run(4 * time.Second)
+	_, leased := m.cell.Lease(m.clock())
+	w.must(t, !leased && w.held() == slotNumber, "lagging member has lease %t, %d slots held", leased, w.held())
+	m.act(func(now seamclock.Instant) []seamcell.Action { return m.cell.Applied(now, 2) })
+	w.run(time.Second)
+	_, leased = m.cell.Lease(m.clock())
+	w.must(t, leased && c.cell.View(c.clock()).Confirmed == 2, "member has lease %t after it confirmed", leased)
+}
+
+func TestCellsExchangeRanges(t *testing.T) {
+	cfg := modelConfig()
+	cfg.Max, cfg.Min = 3, 2
+	w := newWorldOf(t, 4, 6, cfg, []string{"erie"})
+	w.run(25 * time.Second)
+	w.must(t, w.held() == slotNumber, "%d slots held", w.held())
+	owners := 0
+	for _, e := range w.store.entries {
+		if len(e.Record.Ranges) > 0 {
+			owners++
+		}
 	}
+	w.must(t, owners == 2, "%d cells own ranges", owners)
+}
+
+func TestDatagramsStaySmall(t *testing.T) {
+	cfg := modelConfig()
+	cfg.Datagram = 700
+	w := newWorldOf(t, 5, 10, cfg, []string{"erie"})
+	w.run(8 * time.Second)
+	w.must(t, w.held() == slotNumber, "%d slots held", w.held())
 }
