Ownership: gifts to lost cells are taken in their name; a release counts only under its own term

Two findings of the model. A range given to a cell that was then lost stayed out of every cell: the cell that absorbs the lost one now takes such gifts in its name in the same write.

--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -449,7 +449,7 @@
 			if b.owner != m.id {
 				b = belief{standby: b.standby, synced: b.synced && h.GetToken() == b.token}
 			}
-			b.token, b.owner = h.GetToken(), m.id
+			b.token, b.owner, b.reported = h.GetToken(), m.id, true
 			r.beliefs[id] = b
 		}
 	}
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -64,12 +64,15 @@
 	}
 	owner := r.infos[b.owner]
 	switch {
-	case owner != nil && owner.reported:
+	case owner != nil && b.reported:
 		e.owner = b.owner
 		e.owners = []uint32{b.owner}
 		r.since[id] = c.now
-	case b.owner != 0 && !r.fences(b.owner):
-		r.holds[id] = c.now.Add(c.deadline(id.Service))
+	case b.owner != 0:
+		r.hints[id] = r.table.peer(b.owner).Name
+		if !r.fences(b.owner) {
+			r.holds[id] = c.now.Add(c.deadline(id.Service))
+		}
 	}
 	r.table.slots[id] = e
 	r.table.changeSlot(e)
@@ -257,14 +260,16 @@
 			return m
 		}
 	}
-	if m := r.infos[e.standby]; m != nil && m.id != e.previous {
-		if e.synced || c.usable(m, id.Service) {
-			return c.ready(m, id.Service)
-		}
+	standby := r.infos[e.standby]
+	if standby != nil && standby.id != e.previous && e.synced {
+		return c.ready(standby, id.Service)
 	}
 	if m := named(list, r.hints[id]); m != nil {
 		return m
 	}
+	if standby != nil && standby.id != e.previous && c.usable(standby, id.Service) {
+		return standby
+	}
 	return r.lightest(list, counts)
 }
 
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -8,6 +8,7 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/platform/seamstore"
 )
 
@@ -233,10 +234,13 @@
 		case own && (c.attested(r) || c.abandoned(e, 0)), idle && len(r.Ranges) > 0 && c.abandoned(e, 2*c.cfg.Promise), idle && c.restarted(r):
 			c.seize(e)
 			return
-		case r.Coordinator.Zero() && len(r.Ranges) == 0 && len(r.Gifts) == 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
-			c.delete(e.Key, e.Revision)
-		case c.reign != nil && c.reign.settled && len(r.Ranges) > 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
+		case c.reign == nil || !c.reign.settled || !c.abandoned(e, c.cfg.Orphan):
+		case len(r.Ranges) > 0 || c.giverTo(r) != "":
 			c.absorb(e)
+		case len(r.Taken) > 0:
+			c.dropFrom(e)
+		case len(r.Gifts) == 0:
+			c.delete(e.Key, e.Revision)
 		}
 	}
 }
@@ -266,12 +270,51 @@
 	})
 }
 
-// absorb turns the ranges of an abandoned cell into gifts to the own cell.
+// absorb turns the ranges of an abandoned cell, and gifts to it that it has not taken, into gifts to
+// the own cell. It takes those gifts in the name of the abandoned cell, in the same write.
 func (c *Cell) absorb(e Entry) {
+	giver := c.giverTo(e.Record)
+	if giver == "" {
+		c.writeAbsorbed(e, nil)
+		return
+	}
+	if !c.mayCall(giver) {
+		return
+	}
+	c.read(giver, seamstore.Takeover, func(o Outcome, g Entry, _ seamclock.Instant) {
+		if o == OK && c.reign != nil && c.mayCall(e.Key) {
+			c.writeAbsorbed(e, giftsTo(g.Record, e.Record.ID))
+		}
+	})
+}
+
+// giverTo returns the key of a record with a gift that the cell has not taken, or an empty string.
+func (c *Cell) giverTo(r Record) string {
+	for _, e := range c.directory.sorted() {
+		for _, g := range giftsTo(e.Record, r.ID) {
+			if !e.Deleted && !took(r, g) {
+				return e.Key
+			}
+		}
+	}
+	return ""
+}
+
+func (c *Cell) writeAbsorbed(e Entry, gifts []Gift) {
 	r := e.Record
+	ranges := append([]seamslot.Range(nil), r.Ranges...)
+	r.Taken = append([]Gift(nil), r.Taken...)
+	for _, g := range gifts {
+		if !took(r, g) {
+			r.Taken = append(r.Taken, g)
+			ranges = append(ranges, g.Range)
+			r.Epoch = max(r.Epoch, g.Epoch)
+		}
+	}
 	r.Epoch++
 	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
-	for _, x := range r.Ranges {
+	r.Gifts = append([]Gift(nil), r.Gifts...)
+	for _, x := range ranges {
 		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.reign.entry.Record.ID, Epoch: r.Epoch})
 	}
 	r.Ranges = nil
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -250,7 +250,7 @@
 		x.Target = targetWire(c.target)
 	}
 	for _, id := range sortedSlots(m.released) {
-		if len(x.Released) < listLimit {
+		if m.leaseTerm == m.table.term && len(x.Released) < listLimit {
 			x.Released = append(x.Released, held(id, m.released[id]))
 		}
 	}
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -240,7 +240,32 @@
 	if !c.mayCall(r.entry.Key) {
 		return
 	}
-	for _, g := range r.entry.Record.Taken {
+	c.dropEach(r.entry.Record.Taken, func(g Gift) {
+		if c.reign != r || !c.mayCall(r.entry.Key) {
+			return
+		}
+		n := c.published()
+		n.Taken = withoutGift(n.Taken, g)
+		c.write(n, seamstore.Configuration, func() {})
+	})
+}
+
+// dropFrom does the same for a cell that was given up.
+func (c *Cell) dropFrom(e Entry) {
+	c.dropEach(e.Record.Taken, func(g Gift) {
+		if !c.mayCall(e.Key) {
+			return
+		}
+		n := e.Record
+		n.Taken = withoutGift(n.Taken, g)
+		c.swap(e.Revision, n, seamstore.Configuration, func(Outcome, Entry, seamclock.Instant) {})
+	})
+}
+
+// dropEach removes the first taken gift from its giver's record, or calls dropped if a fresh read
+// shows that it is no longer there.
+func (c *Cell) dropEach(taken []Gift, dropped func(Gift)) {
+	for _, g := range taken {
 		if !c.mayCall(g.Giver) {
 			continue
 		}
@@ -251,12 +276,9 @@
 			return
 		}
 		c.read(g.Giver, seamstore.Configuration, func(o Outcome, e Entry, _ seamclock.Instant) {
-			if o != OK || c.reign != r || !c.mayCall(r.entry.Key) || hasGift(e.Record, g) {
-				return
+			if o == OK && !hasGift(e.Record, g) {
+				dropped(g)
 			}
-			n := c.published()
-			n.Taken = withoutGift(n.Taken, g)
-			c.write(n, seamstore.Configuration, func() {})
 		})
 		return
 	}
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -79,6 +79,8 @@
 	owner   uint32
 	standby uint32
 	synced  bool
+	// reported says that the owner itself has reported the slot.
+	reported bool
 }
 
 // info is what the coordinator knows of a member besides the table.
--- a/internal/own/seamcell/schedule_test.go
+++ b/internal/own/seamcell/schedule_test.go
@@ -44,6 +44,9 @@
 	Kind  fault
 	Node  int
 	Other int
+	// Aim says which node is hit: 0 that with the number Node, 1 the coordinator, 2 the backup,
+	// 3 the coordinator with the backup as the other node, 4 the reverse.
+	Aim int
 	// Wait is the time before the fault, Length that until it ends, both in milliseconds.
 	Wait, Length int
 }
@@ -54,7 +57,9 @@
 	// Max is the largest number of members of a cell, Regions the number of regions.
 	Max     int
 	Regions int
-	Steps   []step
+	// Delay is the longest delay of a datagram, in milliseconds.
+	Delay int
+	Steps []step
 }
 
 var anySchedule = rapid.Custom(func(t *rapid.T) schedule {
@@ -62,6 +67,7 @@
 		Seed:    rapid.Int64Range(0, 1<<40).Draw(t, "seed"),
 		Nodes:   rapid.IntRange(2, 6).Draw(t, "nodes"),
 		Max:     rapid.SampledFrom([]int{12, 4, 3, 2}).Draw(t, "max"),
+		Delay:   rapid.SampledFrom([]int{4, 4, 60, 250}).Draw(t, "delay"),
 		Regions: rapid.IntRange(1, 2).Draw(t, "regions"),
 	}
 	s.Steps = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
@@ -69,6 +75,7 @@
 			Kind:   fault(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
 			Node:   rapid.IntRange(0, s.Nodes-1).Draw(t, "node"),
 			Other:  rapid.IntRange(0, s.Nodes-1).Draw(t, "other"),
+			Aim:    rapid.IntRange(0, 4).Draw(t, "aim"),
 			Wait:   rapid.IntRange(0, 1500).Draw(t, "wait"),
 			Length: rapid.IntRange(50, 4000).Draw(t, "length"),
 		}
@@ -76,10 +83,29 @@
 	return s
 })
 
+// aim returns the nodes that the fault hits.
+func (w *world) aim(s step) (node, other *node) {
+	n, o := w.nodes[s.Node], w.nodes[s.Other]
+	b, c := w.backup(), w.coordinator()
+	if s.Aim == 0 || b == nil || c == nil {
+		return n, o
+	}
+	switch s.Aim {
+	case 1:
+		return c, o
+	case 2:
+		return b, o
+	case 3:
+		return c, b
+	default:
+		return b, c
+	}
+}
+
 // cause applies a fault, and arranges its end.
 func (w *world) cause(s step) {
-	n := w.nodes[s.Node]
-	o := w.nodes[s.Other]
+	n, o := w.aim(s)
+	s.Node = w.index(n)
 	length := time.Duration(s.Length) * time.Millisecond
 	w.trace("%v fault %d at %s other %s for %v", w.now, s.Kind, n.peer, o.peer, length)
 	switch s.Kind {
@@ -110,8 +136,9 @@
 		w.loss, w.duplicate = 0.3, 0.2
 		w.after(length, func() { w.loss, w.duplicate = 0, 0 })
 	case faultDelay:
+		before := w.delay
 		w.delay = 800 * time.Millisecond
-		w.after(length, func() { w.delay = 4 * time.Millisecond })
+		w.after(length, func() { w.delay = before })
 	case faultWall:
 		jump := time.Duration(s.Length-2000) * time.Millisecond
 		if jump < 0 && (n.stopped > 0 || n.frozen > 0) {
@@ -179,12 +206,14 @@
 	if trace != nil {
 		w.trace = trace
 	}
+	w.delay = time.Duration(s.Delay) * time.Millisecond
 	w.run(4 * time.Second)
 	for _, x := range s.Steps {
 		w.run(time.Duration(x.Wait) * time.Millisecond)
 		w.cause(x)
 	}
 	w.run(5 * time.Second)
+	w.delay = 4 * time.Millisecond
 	if w.broken == "" {
 		// Both parties of a record may be lost, so that the horizon has to pass first.
 		const bound = 40 * time.Second
