--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -50,9 +50,15 @@
 	if a, ok := c.arrivals[p.Name]; ok && a.peer.Incarnation >= p.Incarnation {
 		return
 	}
+	if len(c.arrivals) >= arrivalLimit {
+		c.arrivals = map[string]arrival{}
+	}
 	c.arrivals[p.Name] = arrival{peer: p, since: c.now}
 }
 
+// arrivalLimit is the number of arrivals that are remembered.
+const arrivalLimit = 256
+
 // ask admits a node that asks for admission, or refuses it.
 func (c *Cell) ask(x *seamcellwire.Message, n *seamcellwire.Renew) *info {
 	r := c.reign
@@ -238,7 +244,7 @@
 // drop removes a member; its slots become free.
 func (c *Cell) drop(m *info) {
 	r := c.reign
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.standby == m.id {
 			e.standby, e.synced = 0, false
@@ -322,11 +328,12 @@
 	c.sendChanges(m, a)
 }
 
-// life returns the length of the lease that the member can be given now.
+// life returns the length of the lease that the member can be given now. Nothing is granted
+// before this node has rules.
 func (c *Cell) life(m *info) time.Duration {
 	r := c.reign
 	end, ok := c.authority()
-	if !ok || !r.settled || !m.reported || c.lags(m) {
+	if !ok || !r.settled || !m.reported || c.lags(m) || c.applied == 0 {
 		return 0
 	}
 	life := min(c.cfg.Grant, end.Mono-c.now.Mono, end.Wall-c.now.Wall)
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -103,7 +103,7 @@
 // dropForeign marks slots that have left the cell's ranges.
 func (c *Cell) dropForeign() {
 	r := c.reign
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.state == stateGone || r.entry.Record.Has(id) {
 			continue
@@ -149,7 +149,7 @@
 
 func (c *Cell) freeAll(m *info) {
 	r := c.reign
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		if e := r.table.slots[id]; e.owner == m.id {
 			c.free(e)
 		}
@@ -213,7 +213,7 @@
 	var counts map[uint32]int
 	service := ""
 	var list []*info
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.owner != 0 || e.state != stateOwned || r.ranges.keeps(id) || !c.rested(id) {
 			continue
@@ -342,7 +342,7 @@
 	}
 	service := ""
 	var list []*info
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.owner == 0 || e.state != stateOwned || !r.table.roster[e.owner].target.Standby {
 			continue
--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -39,6 +39,8 @@
 	watch    *watch
 	reign    *reign
 	farewell *farewell
+	// looked is when abandoned cells were last looked for.
+	looked seamclock.Instant
 }
 
 // arrival is a node that asked for admission, and when it first did.
@@ -243,7 +245,7 @@
 
 // Records returns the known records, in order of their keys.
 func (c *Cell) Records() []Entry {
-	return c.directory.sorted()
+	return append([]Entry(nil), c.directory.sorted()...)
 }
 
 // sortedKeys returns the keys of m in order.
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -217,9 +217,10 @@
 // tickAbandoned takes over cells that nobody can lead any more. Their own members come first, for
 // their servers have the state of the slots; then nodes without a cell; then other cells.
 func (c *Cell) tickAbandoned() {
-	if c.draining || c.drained || !c.directory.loaded {
+	if c.draining || c.drained || !c.directory.loaded || c.now.Mono-c.looked.Mono < c.cfg.Heartbeat/2 {
 		return
 	}
+	c.looked = c.now
 	for _, e := range c.directory.sorted() {
 		r := e.Record
 		if e.Deleted || r.ID == "" || !c.mayCall(e.Key) || c.reign != nil && c.reign.entry.Key == e.Key {
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -632,7 +632,7 @@
 	if !live {
 		return
 	}
-	for _, id := range sortedSlots(t.slots) {
+	for _, id := range t.ids() {
 		if e := t.slots[id]; e.owner == number && number != 0 && m.released[id] != e.token {
 			c.serve(t, id, e)
 		}
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -40,7 +40,7 @@
 // evacuate moves slots off members that drain, or whose target has ended.
 func (c *Cell) evacuate(moving int) int {
 	r := c.reign
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		m := r.infos[e.owner]
 		if moving >= c.cfg.Moves*evacuations {
@@ -115,7 +115,7 @@
 			Service: e.target.Service, Capacity: r.capacity(id), InFlight: m.inflight,
 		})
 	}
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.owner == 0 || e.state != stateOwned || r.ranges.keeps(id) {
 			continue
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -502,7 +502,7 @@
 func (c *Cell) releasedAll(o *outgoing) bool {
 	r := c.reign
 	all := true
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if !o.Has(id) || e.state == stateReleased {
 			continue
@@ -548,7 +548,7 @@
 func (c *Cell) takeBack(o *outgoing) {
 	r := c.reign
 	r.ranges.out = nil
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if !o.Has(id) {
 			continue
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -158,7 +158,7 @@
 		}
 		r.table.changeMember(&e)
 	}
-	for _, id := range sortedSlots(t.slots) {
+	for _, id := range t.ids() {
 		if e := t.slots[id]; e.state != stateGone && r.entry.Record.Has(id) {
 			r.beliefs[id] = belief{token: e.token, owner: e.owner, standby: e.standby, synced: e.synced}
 			if e.owner == 0 {
@@ -262,12 +262,23 @@
 		return
 	}
 	c.updateLag()
+	c.forgetGone()
 	c.plan()
 	c.tickRanges()
 	c.keepalive()
 	c.retire()
 }
 
+// forgetGone forgets members that are gone once all others know it.
+func (c *Cell) forgetGone() {
+	r := c.reign
+	known := r.table.version
+	for _, m := range r.infos {
+		known = min(known, m.version)
+	}
+	r.table.prune(known)
+}
+
 // beat asks the backup for its promise.
 func (c *Cell) beat() {
 	r := c.reign
--- a/internal/own/seamcell/store.go
+++ b/internal/own/seamcell/store.go
@@ -15,6 +15,8 @@
 	// seen is when the present revision of a key became known.
 	seen     map[string]seamclock.Instant
 	revision int64
+	// order are the entries in order of their keys; nil after a change.
+	order []Entry
 }
 
 func newDirectory() directory {
@@ -22,11 +24,13 @@
 }
 
 func (d *directory) sorted() []Entry {
-	entries := make([]Entry, 0, len(d.entries))
-	for _, k := range sortedKeys(d.entries) {
-		entries = append(entries, d.entries[k])
+	if d.order == nil {
+		d.order = make([]Entry, 0, len(d.entries))
+		for _, k := range sortedKeys(d.entries) {
+			d.order = append(d.order, d.entries[k])
+		}
 	}
-	return entries
+	return d.order
 }
 
 // get returns the entry of a key that exists.
@@ -69,6 +73,7 @@
 		return
 	}
 	c.directory.entries[e.Key] = e
+	c.directory.order = nil
 	c.directory.seen[e.Key] = c.now
 	c.directory.revision = max(c.directory.revision, e.Revision)
 	if p := c.calls.pending[e.Key]; p != nil && p.write && e.Revision > p.expect {
--- a/internal/own/seamcell/table.go
+++ b/internal/own/seamcell/table.go
@@ -62,12 +62,46 @@
 	version uint64
 	slots   map[seamslot.ID]*slotEntry
 	roster  map[uint32]*rosterEntry
+	order   []seamslot.ID
 }
 
 func newTable(term uint64) *table {
 	return &table{term: term, slots: map[seamslot.ID]*slotEntry{}, roster: map[uint32]*rosterEntry{}}
 }
 
+// ids returns the slots in order of service and index. Slots are never removed from a table.
+func (t *table) ids() []seamslot.ID {
+	if len(t.order) != len(t.slots) {
+		t.order = sortedSlots(t.slots)
+	}
+	return t.order
+}
+
+// goneLimit is the number of members that are gone of which a table keeps a memory.
+const goneLimit = 32
+
+// prune forgets members that are gone, whose going everybody with at least the version knows.
+func (t *table) prune(version uint64) {
+	var gone []uint32
+	for _, id := range sortedKeys(t.roster) {
+		if e := t.roster[id]; e.gone && e.stamp <= version {
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) <= goneLimit {
+		return
+	}
+	used := map[uint32]bool{}
+	for _, e := range t.slots {
+		used[e.owner], used[e.standby], used[e.next], used[e.previous] = true, true, true, true
+	}
+	for _, id := range gone[:len(gone)-goneLimit] {
+		if !used[id] {
+			delete(t.roster, id)
+		}
+	}
+}
+
 // changeSlot stamps a changed slot.
 func (t *table) changeSlot(e *slotEntry) {
 	t.version++
@@ -225,6 +259,7 @@
 		t.applySlot(seamslot.ID{Service: service, Index: s.GetIndex()}, s)
 	}
 	t.version = a.GetTo()
+	t.prune(t.version)
 	return true
 }
 
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -171,7 +171,7 @@
 func (c *Cell) slotViews() []SlotView {
 	t := c.member.table
 	var views []SlotView
-	for _, id := range sortedSlots(t.slots) {
+	for _, id := range t.ids() {
 		e := t.slots[id]
 		if e.state == stateGone {
 			continue
