--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -25,7 +25,7 @@
 	seeds     []seampeer.Peer
 	// arrivals are the latest incarnations that have asked for admission, by name.
 	arrivals map[string]arrival
-	attests  map[string]seamclock.Instant
+	attests  map[parties]seamclock.Instant
 
 	target TargetState
 	// announced is the version of the target's description.
@@ -39,6 +39,8 @@
 	watch    *watch
 	reign    *reign
 	farewell *farewell
+	// looked is when abandoned cells were last looked for.
+	looked seamclock.Instant
 }
 
 // arrival is a node that asked for admission, and when it first did.
@@ -61,7 +63,7 @@
 		calls:     calls{pending: map[string]*call{}},
 		services:  map[string]ServiceState{},
 		arrivals:  map[string]arrival{},
-		attests:   map[string]seamclock.Instant{},
+		attests:   map[parties]seamclock.Instant{},
 		joining:   joining{refused: map[string]seamclock.Instant{}},
 	}
 }
@@ -98,6 +100,11 @@
 func (c *Cell) send(to seampeer.Peer, m *seamcellwire.Message) {
 	m.Name = c.self.Name
 	m.Incarnation = c.self.Incarnation
+	m.To = uint32(to.Incarnation)
+	if m.GetRenew().GetPeer() != nil {
+		// Whoever stands on the address may learn who asks for admission.
+		m.To = 0
+	}
 	if to.Same(c.self) {
 		c.deliver(m)
 		return
@@ -125,9 +132,13 @@
 	return c.step(now, func() { c.seeds = peers })
 }
 
-// Receive takes a datagram. Messages to another incarnation of this node are harmless.
+// Receive takes a datagram. It ignores messages to another incarnation of this node.
 func (c *Cell) Receive(now seamclock.Instant, m *seamcellwire.Message) []Action {
-	return c.step(now, func() { c.deliver(m) })
+	return c.step(now, func() {
+		if m.GetTo() == 0 || m.GetTo() == uint32(c.self.Incarnation) {
+			c.deliver(m)
+		}
+	})
 }
 
 func (c *Cell) deliver(m *seamcellwire.Message) {
@@ -234,7 +245,7 @@
 
 // Records returns the known records, in order of their keys.
 func (c *Cell) Records() []Entry {
-	return c.directory.sorted()
+	return append([]Entry(nil), c.directory.sorted()...)
 }
 
 // sortedKeys returns the keys of m in order.
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -8,6 +8,7 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/platform/seamstore"
 )
 
@@ -87,6 +88,7 @@
 // attempt asks the coordinator of a cell for admission.
 func (c *Cell) attempt(cell string, coordinator, backup seampeer.Peer) {
 	c.member = newMember(c.now, cell, coordinator, backup)
+	c.watch = nil
 	c.renew()
 }
 
@@ -94,6 +96,7 @@
 func (c *Cell) joinFailed(wait time.Duration) {
 	c.joining.refused[c.member.cell] = c.now.Add(wait)
 	c.member = nil
+	c.watch = nil
 }
 
 // found creates a cell with this node alone.
@@ -147,12 +150,28 @@
 	if !names[r.Coordinator.Name] || !r.Backup.Zero() && !names[r.Backup.Name] {
 		return
 	}
-	c.attests[attestKey(r)] = c.now
+	c.attests[partiesOf(r)] = c.now
 }
 
-// attestKey identifies the two runs whose loss is attested.
-func attestKey(r Record) string {
-	return fmt.Sprintf("%s %s %s", r.ID, r.Coordinator, r.Backup)
+// parties are the two runs that a record names.
+type parties struct {
+	cell        string
+	coordinator run
+	backup      run
+}
+
+// run is one run of one instance.
+type run struct {
+	name        string
+	incarnation uint64
+}
+
+func partiesOf(r Record) parties {
+	return parties{
+		cell:        r.ID,
+		coordinator: run{name: r.Coordinator.Name, incarnation: r.Coordinator.Incarnation},
+		backup:      run{name: r.Backup.Name, incarnation: r.Backup.Incarnation},
+	}
 }
 
 // horizonOver reports whether the record binds nobody any more.
@@ -178,7 +197,7 @@
 // attested reports whether an operator's word on the loss of both has stood for long enough
 // that all leases are over.
 func (c *Cell) attested(r Record) bool {
-	at, ok := c.attests[attestKey(r)]
+	at, ok := c.attests[partiesOf(r)]
 	return ok && seamclock.Least(c.now, at) >= c.cfg.Promise
 }
 
@@ -198,9 +217,10 @@
 // tickAbandoned takes over cells that nobody can lead any more. Their own members come first, for
 // their servers have the state of the slots; then nodes without a cell; then other cells.
 func (c *Cell) tickAbandoned() {
-	if c.draining || c.drained || !c.directory.loaded {
+	if c.draining || c.drained || !c.directory.loaded || c.now.Mono-c.looked.Mono < c.cfg.Heartbeat/2 {
 		return
 	}
+	c.looked = c.now
 	for _, e := range c.directory.sorted() {
 		r := e.Record
 		if e.Deleted || r.ID == "" || !c.mayCall(e.Key) || c.reign != nil && c.reign.entry.Key == e.Key {
@@ -215,10 +235,13 @@
 		case own && (c.attested(r) || c.abandoned(e, 0)), idle && len(r.Ranges) > 0 && c.abandoned(e, 2*c.cfg.Promise), idle && c.restarted(r):
 			c.seize(e)
 			return
-		case r.Coordinator.Zero() && len(r.Ranges) == 0 && len(r.Gifts) == 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
-			c.delete(e.Key, e.Revision)
-		case c.reign != nil && c.reign.settled && len(r.Ranges) > 0 && len(r.Taken) == 0 && c.abandoned(e, c.cfg.Orphan):
+		case c.reign == nil || !c.reign.settled || !c.abandoned(e, c.cfg.Orphan):
+		case len(r.Ranges) > 0 || c.giverTo(r) != "":
 			c.absorb(e)
+		case len(r.Taken) > 0:
+			c.dropFrom(e)
+		case len(r.Gifts) == 0:
+			c.delete(e.Key, e.Revision)
 		}
 	}
 }
@@ -248,12 +271,51 @@
 	})
 }
 
-// absorb turns the ranges of an abandoned cell into gifts to the own cell.
+// absorb turns the ranges of an abandoned cell, and gifts to it that it has not taken, into gifts to
+// the own cell. It takes those gifts in the name of the abandoned cell, in the same write.
 func (c *Cell) absorb(e Entry) {
+	giver := c.giverTo(e.Record)
+	if giver == "" {
+		c.writeAbsorbed(e, nil)
+		return
+	}
+	if !c.mayCall(giver) {
+		return
+	}
+	c.read(giver, seamstore.Takeover, func(o Outcome, g Entry, _ seamclock.Instant) {
+		if o == OK && c.reign != nil && c.mayCall(e.Key) {
+			c.writeAbsorbed(e, giftsTo(g.Record, e.Record.ID))
+		}
+	})
+}
+
+// giverTo returns the key of a record with a gift that the cell has not taken, or an empty string.
+func (c *Cell) giverTo(r Record) string {
+	for _, e := range c.directory.sorted() {
+		for _, g := range giftsTo(e.Record, r.ID) {
+			if !e.Deleted && !took(r, g) {
+				return e.Key
+			}
+		}
+	}
+	return ""
+}
+
+func (c *Cell) writeAbsorbed(e Entry, gifts []Gift) {
 	r := e.Record
+	ranges := append([]seamslot.Range(nil), r.Ranges...)
+	r.Taken = append([]Gift(nil), r.Taken...)
+	for _, g := range gifts {
+		if !took(r, g) {
+			r.Taken = append(r.Taken, g)
+			ranges = append(ranges, g.Range)
+			r.Epoch = max(r.Epoch, g.Epoch)
+		}
+	}
 	r.Epoch++
 	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
-	for _, x := range r.Ranges {
+	r.Gifts = append([]Gift(nil), r.Gifts...)
+	for _, x := range ranges {
 		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.reign.entry.Record.ID, Epoch: r.Epoch})
 	}
 	r.Ranges = nil
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -107,7 +107,9 @@
 	c.releaseOverdue()
 	if c.now.Mono-m.renewed.Mono >= c.cfg.Heartbeat || m.renewed.Zero() {
 		c.leaveWhenDone()
-		c.renew()
+		if c.member == m {
+			c.renew()
+		}
 	}
 	if c.member != m {
 		return
@@ -248,7 +250,7 @@
 		x.Target = targetWire(c.target)
 	}
 	for _, id := range sortedSlots(m.released) {
-		if len(x.Released) < listLimit {
+		if m.leaseTerm == m.table.term && len(x.Released) < listLimit {
 			x.Released = append(x.Released, held(id, m.released[id]))
 		}
 	}
@@ -630,7 +632,7 @@
 	if !live {
 		return
 	}
-	for _, id := range sortedSlots(t.slots) {
+	for _, id := range t.ids() {
 		if e := t.slots[id]; e.owner == number && number != 0 && m.released[id] != e.token {
 			c.serve(t, id, e)
 		}
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -13,8 +13,6 @@
 const (
 	// divideDelay is the time that a coordinator waits before it divides the slots of a new service.
 	divideDelay = time.Second
-	// smallestGift is the smallest number of slots that moves for balance between cells.
-	smallestGift = 8
 	// offerPatience is the number of offers sent before the taker is thought silent.
 	offerPatience = 8
 	// imbalance is the ratio of slots a member between two cells above which ranges move.
@@ -242,7 +240,32 @@
 	if !c.mayCall(r.entry.Key) {
 		return
 	}
-	for _, g := range r.entry.Record.Taken {
+	c.dropEach(r.entry.Record.Taken, func(g Gift) {
+		if c.reign != r || !c.mayCall(r.entry.Key) {
+			return
+		}
+		n := c.published()
+		n.Taken = withoutGift(n.Taken, g)
+		c.write(n, seamstore.Configuration, func() {})
+	})
+}
+
+// dropFrom does the same for a cell that was given up.
+func (c *Cell) dropFrom(e Entry) {
+	c.dropEach(e.Record.Taken, func(g Gift) {
+		if !c.mayCall(e.Key) {
+			return
+		}
+		n := e.Record
+		n.Taken = withoutGift(n.Taken, g)
+		c.swap(e.Revision, n, seamstore.Configuration, func(Outcome, Entry, seamclock.Instant) {})
+	})
+}
+
+// dropEach removes the first taken gift from its giver's record, or calls dropped if a fresh read
+// shows that it is no longer there.
+func (c *Cell) dropEach(taken []Gift, dropped func(Gift)) {
+	for _, g := range taken {
 		if !c.mayCall(g.Giver) {
 			continue
 		}
@@ -253,12 +276,9 @@
 			return
 		}
 		c.read(g.Giver, seamstore.Configuration, func(o Outcome, e Entry, _ seamclock.Instant) {
-			if o != OK || c.reign != r || !c.mayCall(r.entry.Key) || hasGift(e.Record, g) {
-				return
+			if o == OK && !hasGift(e.Record, g) {
+				dropped(g)
 			}
-			n := c.published()
-			n.Taken = withoutGift(n.Taken, g)
-			c.write(n, seamstore.Configuration, func() {})
 		})
 		return
 	}
@@ -342,7 +362,7 @@
 		return "", x
 	}
 	n := (mine*e.Record.Size - theirs*own.Size) / (own.Size + e.Record.Size)
-	if n < smallestGift {
+	if n < c.cfg.Gift {
 		return "", x
 	}
 	if uint32(n) < x.Len() {
@@ -482,7 +502,7 @@
 func (c *Cell) releasedAll(o *outgoing) bool {
 	r := c.reign
 	all := true
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if !o.Has(id) || e.state == stateReleased {
 			continue
@@ -528,7 +548,7 @@
 func (c *Cell) takeBack(o *outgoing) {
 	r := c.reign
 	r.ranges.out = nil
-	for _, id := range sortedSlots(r.table.slots) {
+	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if !o.Has(id) {
 			continue
