--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +23,8 @@
 	redirectLimit = 4
 	// leastLeft is the time to the deadline below which nothing more is tried.
 	leastLeft = 2 * time.Millisecond
+	// fairTime is the time to the deadline from which a timeout counts as a failure of the node.
+	fairTime = 500 * time.Millisecond
 )
 
 // exchange is one request of a caller with all its attempts.
@@ -38,10 +41,16 @@
 
 	// hint is the owner that the last attempt named.
 	hint seampeer.Peer
-	// tried are the nodes that are not tried again.
+	// left are the nodes that will not run the request, which are not tried again.
+	left []seampeer.Peer
+	// tried are the nodes that are tried again only if there is no other.
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
+	// drained says that nothing follows the last answer on its stream.
+	drained bool
+	// doubt is the end of an earlier attempt that may have run.
+	doubt *seamoutcome.End
 }
 
 // run makes attempts until one decides the request or no further one is safe and useful.
@@ -57,17 +66,38 @@
 		end := x.attempt(ctx, to)
 		wait, again := x.next(end, to, budget)
 		if !again || !pause(ctx, wait) {
-			return end
+			return x.honest(end)
 		}
+		x.remember(end)
 		last = &end
 	}
 }
 
+// remember notes that an attempt that is repeated may have run.
+func (x *exchange) remember(end seamoutcome.End) {
+	switch end.Outcome {
+	case seamoutcome.Unknown:
+		x.doubt = &end
+	case seamoutcome.Done:
+		doubt := seamoutcome.Doubt(seamoutcome.Shed, "an earlier attempt was answered by a target with too much work")
+		x.doubt = &doubt
+	}
+}
+
+// honest returns the end of the last attempt as the end of the request: if an
+// earlier attempt may have run, the request is not refused.
+func (x *exchange) honest(end seamoutcome.End) seamoutcome.End {
+	if end.Outcome == seamoutcome.Refused && x.doubt != nil {
+		return *x.doubt
+	}
+	return end
+}
+
 // exhausted is the end of a request for which no node is left to try.
 func (x *exchange) exhausted(last *seamoutcome.End) seamoutcome.End {
 	switch {
 	case last != nil:
-		return *last
+		return x.honest(*last)
 	case x.choice.Keyed:
 		return seamoutcome.Refuse(seamoutcome.Owner, "no owner of the key is known")
 	default:
@@ -82,15 +112,20 @@
 	}
 	i := x.ingress
 	all := i.directory.Candidates(x.service)
-	pick := func() (seampick.Candidate, bool) {
-		return i.picker.Pick(time.Now(), all, x.choice.Targets, x.wasTried)
-	}
 	if x.named != "" && !x.head.GetIdempotent() {
-		pick = func() (seampick.Candidate, bool) {
-			return i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasTried)
-		}
+		c, ok := i.picker.Anchor(x.named, x.region(all), all, x.choice.Targets, x.wasLeft)
+		return c.Peer, ok
+	}
+	return x.pick(all, x.choice.Targets)
+}
+
+// pick prefers nodes that were not tried.
+func (x *exchange) pick(all []seampick.Candidate, targets seampick.Labeled) (seampeer.Peer, bool) {
+	now := time.Now()
+	c, ok := x.ingress.picker.Pick(now, all, targets, x.wasTried)
+	if !ok && len(x.tried) > 0 {
+		c, ok = x.ingress.picker.Pick(now, all, targets, x.wasLeft)
 	}
-	c, ok := pick()
 	return c.Peer, ok
 }
 
@@ -116,21 +151,18 @@
 		return x.hint, true
 	}
 	i := x.ingress
-	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasTried(p) {
+	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.wasLeft(p) {
 		return p, true
 	}
-	all := i.directory.Candidates(x.service)
-	c, ok := i.picker.Pick(time.Now(), all, nil, x.wasTried)
-	return c.Peer, ok
+	return x.pick(i.directory.Candidates(x.service), nil)
+}
+
+func (x *exchange) wasLeft(p seampeer.Peer) bool {
+	return slices.ContainsFunc(x.left, p.Same)
 }
 
 func (x *exchange) wasTried(p seampeer.Peer) bool {
-	for _, t := range x.tried {
-		if t.Same(p) {
-			return true
-		}
-	}
-	return false
+	return x.wasLeft(p) || slices.ContainsFunc(x.tried, p.Same)
 }
 
 // next decides whether another attempt follows, and after which wait.
@@ -203,7 +235,7 @@
 		x.hint = end.Owner
 		return true
 	case seamoutcome.Draining, seamoutcome.Target, seamoutcome.Session:
-		x.tried = append(x.tried, to)
+		x.left = append(x.left, to)
 		return !x.choice.Keyed || end.Reason == seamoutcome.Draining
 	}
 	return false
@@ -242,27 +274,31 @@
 	if err != nil {
 		end = x.lost(ctx, at, err, sentAt{start, left})
 	}
-	i.ended(to, end)
+	i.ended(to, end, left)
 	if at.Name != "" && x.choice.Keyed && end.Outcome == seamoutcome.Done && x.redirects > 0 {
 		i.directory.Learn(x.service, x.head.GetSlot(), at)
 	}
 	return end
 }
 
-// ended tells the picker how an attempt ended.
-func (i *Ingress) ended(to seampeer.Peer, end seamoutcome.End) {
+// ended tells the picker how an attempt with so much time left ended.
+func (i *Ingress) ended(to seampeer.Peer, end seamoutcome.End, left time.Duration) {
 	i.picker.Ended(time.Now(), to, seampick.Result{
 		Known:    end.Slots > 0,
 		InFlight: end.InFlight,
 		Slots:    end.Slots,
-		Failed:   failed(end.Reason),
+		Failed:   failed(end.Reason, left),
 	})
 }
 
-func failed(r seamoutcome.Reason) bool {
+// failed reports whether the reason speaks against the node. A timeout does so
+// only if the caller left the node a fair time.
+func failed(r seamoutcome.Reason, left time.Duration) bool {
 	switch r {
-	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Timeout, seamoutcome.Session, seamoutcome.Target:
+	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Session, seamoutcome.Target:
 		return true
+	case seamoutcome.Timeout:
+		return left >= fairTime
 	}
 	return false
 }
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -65,7 +65,7 @@
 		routes:   map[string]*session{},
 		failures: map[string]failure{},
 	}
-	p.stats = newStats(set, self, p.count)
+	p.stats = newStats(set, self, func() float64 { return float64(p.Len()) })
 	p.handlers[relay] = relayHandler{p}
 	var wg sync.WaitGroup
 	wg.Go(func() { p.listen(l) })
@@ -372,11 +372,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.sessions {
+		go s.closeSpare(now.Add(-spareTime))
 		idle := s.idle(now)
 		switch {
-		case s.leaving.Load() && idle > lingerTime:
-			p.removeLocked(s)
-			go s.mux.Close()
+		case s.leaving.Load():
+			if idle > lingerTime {
+				p.removeLocked(s)
+				go s.mux.Close()
+			}
 		case idle > p.cfg.Idle || now.Sub(s.start) > p.cfg.Age || s.skewed(now):
 			p.dropRouteLocked(s)
 			s.touch(now)
@@ -397,8 +400,22 @@
 	}
 }
 
-func (p *Pool) count() float64 {
+// Peers returns the peers to which sessions are open, in no order.
+func (p *Pool) Peers() []seampeer.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(len(p.sessions))
+	peers := make([]seampeer.Peer, 0, len(p.routes))
+	for _, s := range p.routes {
+		if s.usable() {
+			peers = append(peers, s.peer)
+		}
+	}
+	return peers
+}
+
+// Len returns the number of sessions.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
 }
