Report all faults of a document at once; tests of rules, their spread and the commands

A document with an unknown field was not checked any further. The shape and the values are now checked in one pass and every fault is reported, so TestInvalidDocumentListsAllFaults expects one more. Frames between nodes are written at once.

--- a/internal/rule/seamadmin/problem.go
+++ b/internal/rule/seamadmin/problem.go
@@ -25,7 +25,7 @@
 	translate(func(e *seambook.ConflictError) seamapi.Problem {
 		return seamapi.Problem{
 			Status: http.StatusConflict, Code: seamapi.CodeConflict,
-			Next: fmt.Sprintf("Nothing was changed. Merge your change into revision %d and write it with that as the expected revision.", e.Found),
+			Next: fmt.Sprintf("Nothing was changed. Merge your change into revision %d and write it with --expect %d.", e.Found, e.Found),
 			Conflict: &seamapi.Conflict{
 				Expect: e.Expect, Found: e.Found, Author: e.Author, Theirs: e.Theirs, Yours: e.Yours, Difference: e.Difference,
 			},
--- a/internal/rule/seamadmin/rules.go
+++ b/internal/rule/seamadmin/rules.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return seamapi.Recorded{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
 	defer cancel()
 	r, err := record(ctx, stamp)
 	if err != nil {
@@ -159,7 +159,7 @@
 }
 
 func (s *Server) history(ctx context.Context, c call) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
 	defer cancel()
 	page, err := s.Book.Read(ctx, c.variable("service"))
 	if err != nil {
--- a/internal/rule/seamadmin/server.go
+++ b/internal/rule/seamadmin/server.go
@@ -2,6 +2,7 @@
 package seamadmin
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -30,8 +31,8 @@
 	bodyLimit = 256 << 10
 	// headerTime bounds the arrival of the headers of a request.
 	headerTime = 5 * time.Second
-	// storeTime bounds the calls of the store for one request.
-	storeTime = 5 * time.Second
+	// DefaultPatience bounds the calls of the store for one change unless told otherwise.
+	DefaultPatience = 5 * time.Second
 	// readTime bounds a read of the store before what is in force is shown instead.
 	readTime = time.Second
 	// idleTime bounds the time between two requests on a connection.
@@ -44,6 +45,8 @@
 	Address string
 	// Teams may use the API. Without teams the API is open, and Address must be a loopback address.
 	Teams []seamteam.Team
+	// Patience bounds the calls of the store for one change; 0 means DefaultPatience.
+	Patience time.Duration
 }
 
 // Targets knows the instances with a target.
@@ -84,6 +87,7 @@
 type Server struct {
 	Parts
 	guard    *seamteam.Guard
+	patience time.Duration
 	handler  http.Handler
 	requests *metrics.Counter
 	// stopping is closed when the server stops, to end requests that wait.
@@ -100,6 +104,7 @@
 	s := &Server{
 		Parts:    p,
 		guard:    guard,
+		patience: cmp.Or(c.Patience, DefaultPatience),
 		requests: p.Metrics.NewCounter(`cardamomseam_api_requests_total`),
 		stopping: make(chan struct{}),
 	}
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -25,7 +25,7 @@
 
 const tally = "service: tally\nselectors:\n  - name: all\n"
 
-func isProblem(t *testing.T, err error, status int, code string) *seamapi.Problem {
+func isProblem(t *testing.T, err error, status int, code string) seamapi.Problem {
 	t.Helper()
 	var p *seamapi.Problem
 	if !errors.As(err, &p) {
@@ -34,7 +34,7 @@
 	if p.Status != status || p.Code != code {
 		t.Fatalf("got %+v, want %d %s", p, status, code)
 	}
-	return p
+	return *p
 }
 
 func revision(n int64) *int64 { return &n }
@@ -79,7 +79,7 @@
 	c := seamclient.Client{Address: n.Address}
 	_, err := c.Put(t.Context(), "tally", []byte("service: tally\nselector: []\nlimits: {retries: many}\n"), seamclient.Edit{})
 	p := isProblem(t, err, http.StatusUnprocessableEntity, seamapi.CodeInvalid)
-	if len(p.Faults) != 2 || p.Faults[0].Field != "selector" || p.Faults[1].Field != "limits.retries" {
+	if len(p.Faults) != 3 || p.Faults[0].Field != "selector" || p.Faults[1].Field != "limits.retries" || p.Faults[2].Field != "selectors" {
 		t.Fatalf("faults %+v", p.Faults)
 	}
 	_, err = c.Put(t.Context(), "booker", []byte(tally), seamclient.Edit{})
@@ -253,9 +253,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	followed := make(chan error, 1)
+	followed := make(chan struct{})
 	go func() {
-		followed <- seamclient.Client{Address: address.String()}.Events(context.Background(), "", true, nil)
+		defer close(followed)
+		_ = seamclient.Client{Address: address.String()}.Events(context.Background(), "", true, nil)
 	}()
 	response, err := http.Get("http://" + address.String() + "/metrics")
 	if err != nil {
@@ -271,7 +272,11 @@
 	if err := stop(ctx); err != nil {
 		t.Fatalf("stop with a follower: %v", err)
 	}
-	<-followed
+	select {
+	case <-followed:
+	case <-ctx.Done():
+		t.Fatal("the follower did not end")
+	}
 }
 
 func TestHealthyWithoutRules(t *testing.T) {
--- a/internal/rule/seamadmintest/node.go
+++ b/internal/rule/seamadmintest/node.go
@@ -40,13 +40,16 @@
 // watchWait is the longest wait of the rules that are in force for those in the store.
 const watchWait = 10 * time.Second
 
+// patience bounds the calls of the store for one change.
+const patience = 300 * time.Millisecond
+
 // New starts a node whose API ends with the test.
 func New(t *testing.T, teams ...seamteam.Team) *Node {
 	t.Helper()
 	m := metrics.NewSet()
 	n := &Node{Store: &seamstoretest.Memory{}, Events: seamevent.NewStream("n1")}
 	n.Set = seamset.New(n.Events, m)
-	server, err := seamadmin.New(seamadmin.Config{Teams: teams}, seamadmin.Parts{
+	server, err := seamadmin.New(seamadmin.Config{Teams: teams, Patience: patience}, seamadmin.Parts{
 		Book:      seambook.New(n.Store, n.Set, n.Events, m),
 		Set:       n.Set,
 		Confirmer: n.confirmer(t, m),
--- /dev/null
+++ b/internal/rule/seamcommand/command_test.go
@@ -0,0 +1,177 @@
+package seamcommand_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/rule/seamadmintest"
+	"cardamomseam/internal/rule/seamcommand"
+	"cardamomseam/internal/rule/seamstoretest"
+	"cardamomseam/internal/rule/seamteam"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// run runs a command line and returns its output and its error.
+func run(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	root := &cli.Command{
+		Name:           "cardamomseam",
+		Commands:       seamcommand.Commands(),
+		Writer:         &out,
+		ErrWriter:      &out,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := root.Run(t.Context(), append([]string{"cardamomseam"}, args...))
+	return out.String(), err
+}
+
+func exitCode(err error) int {
+	var e *seamcommand.ExitError
+	if err == nil {
+		return 0
+	}
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return -1
+}
+
+var (
+	timePattern   = regexp.MustCompile(`20\d\d-\d\d-\d\dT[\d:.]+(Z|[+-]\d\d:\d\d)`)
+	uuidPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+	afterPattern  = regexp.MustCompile(`after \d+m?s|"after": "?[\d.]+[µm]?s?"?`)
+	secretPattern = regexp.MustCompile(`cardamomseam_[\w-]{43}|[0-9a-f]{64}`)
+)
+
+// stable replaces what differs from run to run.
+func stable(text string) string {
+	text = timePattern.ReplaceAllString(text, "TIME")
+	text = uuidPattern.ReplaceAllString(text, "UUID")
+	text = afterPattern.ReplaceAllString(text, "after DURATION")
+	return secretPattern.ReplaceAllString(text, "SECRET")
+}
+
+func checkGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", name, diff)
+	}
+}
+
+// TestSession runs one session of an operator and compares all its output.
+func TestSession(t *testing.T) {
+	n := seamadmintest.New(t)
+	steps := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"empty", []string{"get"}, 0},
+		{"set", []string{"set", "-f", "testdata/tally.yaml", "--expect", "0", "--wait"}, 0},
+		{"get", []string{"get", "tally"}, 0},
+		{"list", []string{"get"}, 0},
+		{"diff", []string{"diff", "-f", "testdata/tally2.yaml"}, 0},
+		{"try", []string{"try", "-f", "testdata/tally2.yaml", "--path", "/hot/1"}, 0},
+		{"refused", []string{"try", "--service", "tally", "--path", "/", "--method", "DELETE"}, 0},
+		{"conflict", []string{"set", "-f", "testdata/tally2.yaml", "--expect", "0"}, seamcommand.CodeConflict},
+		{"set2", []string{"set", "-f", "testdata/tally2.yaml", "--expect", "1", "--wait"}, 0},
+		{"label", []string{"label", "--wait", "tally", "n2", "tier=cold"}, 0},
+		{"faults", []string{"set", "-f", "testdata/faults.yaml"}, seamcommand.CodeUsage},
+		{"delete", []string{"delete", "--wait", "tally"}, 0},
+		{"missing", []string{"get", "tally"}, seamcommand.CodeMissing},
+		{"history", []string{"history", "tally"}, 0},
+		{"versions", []string{"history", "--text", "tally"}, 0},
+		{"status", []string{"status"}, 0},
+		{"statusjson", []string{"status", "--output", "json"}, 0},
+		{"drain", []string{"drain", "n1"}, 0},
+		{"attest", []string{"attest", "erie-1", "n1", "n2"}, 0},
+		{"token", []string{"token"}, 0},
+	}
+	for _, s := range steps {
+		args := append([]string{s.args[0], "--address", n.Address}, s.args[1:]...)
+		out, err := run(t, args...)
+		if code := exitCode(err); code != s.code {
+			t.Fatalf("%s: exit code %d, want %d: %v", s.name, code, s.code, err)
+		}
+		if err != nil {
+			out += "error: " + err.Error() + "\n"
+		}
+		checkGolden(t, s.name, stable(out))
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	token, hash := seamteam.NewToken()
+	n := seamadmintest.New(t, seamteam.Team{Name: "blue", Hash: hash, Roles: []seamteam.Role{seamteam.Write}, Services: []string{"tally"}})
+	tests := []struct {
+		name string
+		args []string
+		code int
+	}{
+		{"unknown flag", []string{"get", "--colour"}, seamcommand.CodeUsage},
+		{"unknown form", []string{"get", "--output", "xml"}, seamcommand.CodeUsage},
+		{"missing argument", []string{"delete"}, seamcommand.CodeUsage},
+		{"missing file flag", []string{"set"}, seamcommand.CodeUsage},
+		{"missing file", []string{"set", "-f", "testdata/none.yaml"}, seamcommand.CodeUsage},
+		{"bad label", []string{"label", "tally", "n1", "tier"}, seamcommand.CodeUsage},
+		{"no token", []string{"get", "--address", n.Address}, seamcommand.CodeRefused},
+		{"foreign service", []string{"get", "--address", n.Address, "--token", token, "booker"}, seamcommand.CodeRefused},
+		{"missing service", []string{"get", "--address", n.Address, "--token", token, "tally"}, seamcommand.CodeMissing},
+		{"no node", []string{"get", "--address", "127.0.0.1:1"}, seamcommand.CodeUnavailable},
+	}
+	for _, tt := range tests {
+		if _, err := run(t, tt.args...); exitCode(err) != tt.code {
+			t.Errorf("%s: exit code %d, want %d: %v", tt.name, exitCode(err), tt.code, err)
+		}
+	}
+}
+
+func TestSetUnavailableAndPending(t *testing.T) {
+	n := seamadmintest.New(t)
+	set := []string{"set", "--address", n.Address, "-f", "testdata/tally.yaml"}
+	n.Store.SetDown(true)
+	out, err := run(t, set...)
+	if exitCode(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "What is in force stays") {
+		t.Fatalf("%s %v", out, err)
+	}
+	n.Store.SetDown(false)
+	n.SetPartition(true)
+	out, err = run(t, append(set, "--wait", "--limit", "300ms")...)
+	if exitCode(err) != seamcommand.CodePending || !strings.Contains(err.Error(), "missing cells: superior-1") {
+		t.Fatalf("%s %v", out, err)
+	}
+	if !strings.Contains(out, "confirmed cell erie-1") {
+		t.Fatalf("output %s", out)
+	}
+}
+
+func TestSetOfUnknownOutcomeNamesWriter(t *testing.T) {
+	n := seamadmintest.New(t)
+	n.Store.Decide = func() seamstoretest.Fate { return seamstoretest.RequestLost }
+	_, err := run(t, "set", "--address", n.Address, "-f", "testdata/tally.yaml", "--writer", "w-7", "--limit", "1s")
+	if exitCode(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "--writer w-7") {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/rule/seamrule/fields.go
+++ b/internal/rule/seamrule/fields.go
@@ -1,11 +1,13 @@
 package seamrule
 
 import (
+	"cmp"
 	"fmt"
 	"reflect"
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"gopkg.in/yaml.v3"
 )
 
@@ -21,7 +23,7 @@
 
 // String names the field, the value and what is allowed.
 func (e FieldError) String() string {
-	return fmt.Sprintf("%s: %q is not %s", e.Field, e.Value, e.Allowed)
+	return fmt.Sprintf("%s is %q; allowed: %s", e.Field, e.Value, e.Allowed)
 }
 
 // FieldErrors are all faults of one document.
@@ -53,6 +55,20 @@
 	}
 }
 
+// merge adds the faults of a validation, except those of fields that are faulty already.
+func (f *fields) merge(err error) {
+	var more FieldErrors
+	if !errors.As(err, &more) {
+		return
+	}
+	known := slices.Clone(f.faults)
+	for _, m := range more {
+		if !slices.ContainsFunc(known, func(k FieldError) bool { return k.Field == m.Field }) {
+			f.faults = append(f.faults, m)
+		}
+	}
+}
+
 func (f *fields) err() error {
 	if len(f.faults) == 0 {
 		return nil
@@ -92,7 +108,7 @@
 	f.pairs(n, path, func(key string, value *yaml.Node) {
 		next, ok := known[key]
 		if !ok {
-			f.add(join(path, key), key, "a field; known are "+strings.Join(sortedKeys(known), ", "))
+			f.add(join(path, key), key, "one of the fields "+strings.Join(sortedKeys(known), ", "))
 			return
 		}
 		f.shape(value, next, join(path, key))
@@ -107,14 +123,14 @@
 
 func (f *fields) pairs(n *yaml.Node, path string, visit func(key string, value *yaml.Node)) {
 	if n.Kind != yaml.MappingNode {
-		f.add(path, n.Value, "a mapping")
+		f.add(cmp.Or(path, "document"), n.Value, "a mapping")
 		return
 	}
 	seen := map[string]bool{}
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key := n.Content[i].Value
 		if seen[key] {
-			f.add(join(path, key), key, "given only once")
+			f.add(join(path, key), key, "a key that is given only once")
 		}
 		seen[key] = true
 		visit(key, n.Content[i+1])
--- a/internal/rule/seamrule/parse.go
+++ b/internal/rule/seamrule/parse.go
@@ -22,19 +22,17 @@
 	if err := yaml.Unmarshal(text, &root); err != nil {
 		return Document{}, FieldErrors{{Field: "document", Value: err.Error(), Allowed: "YAML or JSON"}}
 	}
-	if len(root.Content) != 1 {
+	if len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode {
 		return Document{}, FieldErrors{{Field: "document", Allowed: "a mapping"}}
 	}
 	var f fields
 	f.shape(root.Content[0], reflect.TypeFor[Document](), "")
-	if err := f.err(); err != nil {
-		return Document{}, err
-	}
 	var d Document
-	if err := root.Decode(&d); err != nil {
-		return Document{}, FieldErrors{{Field: "document", Value: err.Error(), Allowed: "YAML or JSON"}}
+	if err := root.Decode(&d); err != nil && len(f.faults) == 0 {
+		f.add("document", err.Error(), "YAML or JSON")
 	}
-	return d, Validate(d)
+	f.merge(Validate(d))
+	return d, f.err()
 }
 
 // Format returns the document as YAML in its canonical form, which Parse reads back.
--- /dev/null
+++ b/internal/rule/seamset/spread_test.go
@@ -0,0 +1,119 @@
+package seamset_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/rule/seambook"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamset"
+	"cardamomseam/internal/rule/seamstoretest"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// fetch lets one set fetch the rules of another over a connection in memory.
+func fetch(t *testing.T, from, to *seamset.Set) error {
+	t.Helper()
+	server, client := net.Pipe()
+	defer client.Close()
+	served := make(chan error, 1)
+	go func() {
+		served <- from.ServeStream(t.Context(), seampeer.Peer{}, server)
+		server.Close()
+	}()
+	err := to.Fetch(t.Context(), client, to.Revision())
+	if e := <-served; e != nil {
+		t.Fatal(e)
+	}
+	return err
+}
+
+func TestFetch(t *testing.T) {
+	coordinator, member := newSet(), newSet()
+	var notReady *seamset.PeerNotReadyError
+	if err := fetch(t, coordinator, member); !errors.As(err, &notReady) || member.Ready() {
+		t.Fatalf("from a peer without rules: %v", err)
+	}
+	deleted := version(seamrule.Document{Service: "tally", Selectors: []seamrule.Selector{{Name: "all"}}}, 5)
+	deleted.Deleted = true
+	apply(t, coordinator, version(calendar(), 7), deleted)
+	if err := fetch(t, coordinator, member); err != nil {
+		t.Fatal(err)
+	}
+	if v, ok := member.Version("tally"); !ok || !v.Deleted || member.Revision() != 7 || !member.Ready() {
+		t.Fatalf("member at revision %d, tally %+v", member.Revision(), v)
+	}
+	lagging := newSet()
+	apply(t, lagging, version(calendar(), 3))
+	if err := fetch(t, lagging, member); err != nil || member.Revision() != 7 {
+		t.Fatalf("after a lagging peer: revision %d, %v", member.Revision(), err)
+	}
+}
+
+func TestFetchOfNoRulesMakesReady(t *testing.T) {
+	coordinator, member := newSet(), newSet()
+	apply(t, coordinator)
+	if err := fetch(t, coordinator, member); err != nil || !member.Ready() {
+		t.Fatalf("ready %t, %v", member.Ready(), err)
+	}
+}
+
+func TestFetchEndsWithContext(t *testing.T) {
+	server, client := net.Pipe()
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if err := newSet().Fetch(ctx, client, 0); err == nil {
+		t.Fatal("no error")
+	}
+}
+
+func TestWatchThroughOutage(t *testing.T) {
+	store := &seamstoretest.Memory{}
+	m, sink := metrics.NewSet(), seamevent.NewStream("n1")
+	set := seamset.New(sink, m)
+	book := seambook.New(store, set, sink, m)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	store.SetDown(true)
+	group.Go(func() { _ = set.Watch(ctx, store) })
+	defer group.Wait()
+	defer cancel()
+	time.Sleep(20 * time.Millisecond)
+	if set.Ready() {
+		t.Fatal("ready without having read the store")
+	}
+	store.SetDown(false)
+	for change := range 3 {
+		s := seambook.Stamp{Time: now, Author: "blue", Expect: seambook.AnyRevision}
+		done, err := book.Put(t.Context(), s, calendar())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(5 * time.Second); set.Revision() < done.Revision; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("change %d is not in force", change)
+			}
+		}
+		store.SetDown(true)
+		if set.Revision() != done.Revision {
+			t.Fatalf("revision %d during the outage", set.Revision())
+		}
+		store.SetDown(false)
+	}
+	if err := store.Delete(t.Context(), 0, "rule/calendar", set.Revision()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if v, ok := set.Version("calendar"); !ok || v.Deleted {
+		t.Fatal("the removal of a key deleted a service")
+	}
+}
--- a/internal/rule/seamset/stream.go
+++ b/internal/rule/seamset/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/rule/seamrule"
@@ -33,8 +34,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = protodelim.MarshalTo(conn, bundle)
-	return errors.Wrap(err, "send rules")
+	return errors.Wrap(writeFrame(conn, bundle), "send rules")
 }
 
 // Fetch asks the peer on the connection for rules later than since and puts them in force.
@@ -44,7 +44,7 @@
 	if s.current.Load() == nil {
 		since = unknownRevision
 	}
-	if _, err := protodelim.MarshalTo(conn, &seamrulewire.Fetch{Since: since}); err != nil {
+	if err := writeFrame(conn, &seamrulewire.Fetch{Since: since}); err != nil {
 		return errors.Wrap(err, "ask for rules")
 	}
 	var bundle seamrulewire.Bundle
@@ -58,6 +58,15 @@
 	return s.applyWire(&bundle)
 }
 
+// writeFrame writes the message and its length at once.
+func writeFrame(conn net.Conn, m proto.Message) error {
+	w := bufio.NewWriter(conn)
+	if _, err := protodelim.MarshalTo(w, m); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // unknownRevision is lower than any revision; it asks for rules even if there are none.
 const unknownRevision = -1
 
