Refuse changes while the store is behind what is in force

A store restored from an old copy hands out lower revisions, so a change recorded there would never come into force and yet seem accepted. Each write now compares the store's revision with the one in force; a lost version is replaced by expecting it. Only revisions that were recorded are asked about, and a selector with a key prefix on a service without keys is refused, as it could never match.

--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -21,6 +21,7 @@
 	RuleRecorded     = "rule.recorded"
 	RuleApplied      = "rule.applied"
 	RuleAccepted     = "rule.accepted"
+	RuleFailed       = "rule.failed"
 	AuditWrite       = "audit.write"
 	StoreDown        = "store.down"
 	StoreUp          = "store.up"
--- a/internal/rule/seamadmin/problem.go
+++ b/internal/rule/seamadmin/problem.go
@@ -49,10 +49,10 @@
 			Next: fmt.Sprintf("Repeat the same change with --writer %s: it is never recorded twice.", e.Writer),
 		}
 	}),
-	translate(func(*seambook.StaleError) seamapi.Problem {
+	translate(func(e *seambook.StaleError) seamapi.Problem {
 		return seamapi.Problem{
 			Status: http.StatusServiceUnavailable, Code: seamapi.CodeStale,
-			Next: "What is in force stays. The store has lost writes or answers from an old copy: check it before you change rules.",
+			Next: fmt.Sprintf("What is in force stays. The store has lost writes or answers from an old copy: check it. To record what you want in place of the lost version, use --expect %d.", e.Force),
 		}
 	}),
 	translate(func(*seamteam.UnauthorizedError) seamapi.Problem {
--- a/internal/rule/seamadmin/status.go
+++ b/internal/rule/seamadmin/status.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return nil, &requestError{Part: "wait", Allowed: "a duration such as 5s", Cause: err}
 	}
+	if revision <= s.Set.Revision() {
+		s.Confirmer.Ask(c.now, revision)
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(wait, longestWait))
 	defer cancel()
 	go s.cancelOnStop(ctx, cancel)
--- a/internal/rule/seambook/book.go
+++ b/internal/rule/seambook/book.go
@@ -28,8 +28,10 @@
 	AnyRevision = -1
 )
 
-// Force tells which versions are in force at this node.
+// Force tells what is in force at this node.
 type Force interface {
+	// Revision returns the revision of the whole set, 0 if there is none.
+	Revision() int64
 	// Version returns the version of the service in force, and whether there is one.
 	Version(service string) (seamrule.Version, bool)
 }
@@ -129,7 +131,7 @@
 	if s.Writer == "" {
 		s.Writer = uuid.NewString()
 	}
-	entry, err := b.read(ctx, service)
+	entry, err := b.read(ctx, service, s.Expect)
 	if err != nil {
 		return Recorded{}, err
 	}
@@ -144,7 +146,7 @@
 	if err != nil {
 		return Recorded{}, err
 	}
-	if s.Expect != AnyRevision && s.Expect != visible(old, entry.Revision) {
+	if s.Expect != AnyRevision && s.Expect != visible(old, entry.Revision) && !b.replaces(service, entry, s.Expect) {
 		return Recorded{}, b.conflict(service, s.Expect, entry, old, d)
 	}
 	if len(old.Changes) > 0 {
@@ -164,21 +166,40 @@
 	return revision
 }
 
-// read returns the entry of the service, and refuses one older than the version in force.
-func (b *Book) read(ctx context.Context, service string) (seamstore.Entry, error) {
-	entry, err := b.store.Get(ctx, seamstore.Configuration, KeyPrefix+service)
+// read returns the entry of the service. It refuses a store that is behind what is in
+// force here, unless the change expects, and so replaces, the version in force.
+func (b *Book) read(ctx context.Context, service string, expect int64) (seamstore.Entry, error) {
+	key := KeyPrefix + service
+	entries, revision, err := b.store.List(ctx, seamstore.Configuration, key)
 	if err != nil {
 		b.refused.Inc()
-		return entry, unavailable(service, err)
+		return seamstore.Entry{}, unavailable(service, err)
 	}
-	entry.Key = KeyPrefix + service
-	if v, ok := b.force.Version(service); ok && entry.Revision < v.Revision {
+	entry := seamstore.Entry{Key: key}
+	for _, e := range entries {
+		if e.Key == key {
+			entry = e
+		}
+	}
+	if force := b.force.Revision(); revision < force {
+		b.refused.Inc()
+		return entry, &StaleError{Service: service, Found: revision, Force: force}
+	}
+	v, ok := b.force.Version(service)
+	if ok && entry.Revision < v.Revision && expect != v.Revision {
 		b.refused.Inc()
 		return entry, &StaleError{Service: service, Found: entry.Revision, Force: v.Revision}
 	}
 	return entry, nil
 }
 
+// replaces reports whether a change that expects the revision replaces the version in
+// force, which the store has lost.
+func (b *Book) replaces(service string, entry seamstore.Entry, expect int64) bool {
+	v, ok := b.force.Version(service)
+	return ok && entry.Revision < v.Revision && expect == v.Revision
+}
+
 func unavailable(service string, err error) error {
 	after := retryAfter
 	var budget *seamstore.BudgetError
--- a/internal/rule/seambook/errors.go
+++ b/internal/rule/seambook/errors.go
@@ -65,15 +65,15 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
-// StaleError says that the store holds an older version than the one in force here.
-// Nothing was recorded.
+// StaleError says that the store has an older state than the one in force here, because
+// it lost writes or answers from an old copy. Nothing was recorded.
 type StaleError struct {
 	Service string
-	// Found is the revision read from the store, Force the one in force.
+	// Found is the revision of the service or of the whole store, Force the one in force.
 	Found, Force int64
 }
 
 // Error names both revisions.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("the store holds service %q at revision %d, but revision %d is in force", e.Service, e.Found, e.Force)
+	return fmt.Sprintf("for service %q the store is at revision %d, but revision %d is in force", e.Service, e.Found, e.Force)
 }
--- a/internal/rule/seambook/read.go
+++ b/internal/rule/seambook/read.go
@@ -20,7 +20,7 @@
 // Read returns the record of the service from the store.
 // Errors are *NotFoundError, *StaleError and *UnavailableError.
 func (b *Book) Read(ctx context.Context, service string) (Page, error) {
-	entry, err := b.read(ctx, service)
+	entry, err := b.read(ctx, service, AnyRevision)
 	if err != nil {
 		return Page{}, err
 	}
--- a/internal/rule/seamconfirm/confirmer.go
+++ b/internal/rule/seamconfirm/confirmer.go
@@ -24,6 +24,8 @@
 	longestWait = 2 * time.Second
 	// askTime bounds the time for which cells are asked about one revision.
 	askTime = 10 * time.Minute
+	// openLimit is the number of revisions that are asked about at a time.
+	openLimit = 256
 	// askerTime is the time for which a coordinator remembers who asked.
 	askerTime = 10 * time.Second
 	// askerLimit is the number of remembered askers.
@@ -150,12 +152,16 @@
 
 // Ask asks all cells at once about the revision, which was recorded, and repeats the
 // question to those that do not confirm it. Asking again about the same one changes nothing.
+// The revision must be one that was recorded: coordinators fetch what they lack.
 func (c *Confirmer) Ask(now time.Time, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, open := c.opened[revision]; open || c.status(revision).Accepted {
 		return
 	}
+	if len(c.opened) == openLimit {
+		return
+	}
 	c.opened[revision] = now
 	if revision > c.question.revision {
 		c.question = question{revision: revision, next: now, wait: firstWait}
@@ -178,8 +184,10 @@
 		return
 	}
 	ask := &seamrulewire.Datagram{Ask: &seamrulewire.Ask{Revision: q.revision, Attempt: q.attempt}}
+	own, coordinates := c.cells.Own()
 	for _, ref := range c.cells.Cells() {
-		if c.heard[ref.ID].Confirmed < q.revision && !ref.Coordinator.Zero() {
+		here := coordinates && ref.ID == own.Cell
+		if !here && !ref.Coordinator.Zero() && c.heard[ref.ID].Confirmed < q.revision {
 			c.asked.Inc()
 			c.send(ref.Coordinator, ask)
 		}
@@ -326,10 +334,9 @@
 	return s
 }
 
-// Wait asks about the revision and returns its status once the status differs from known,
-// or when ctx ends.
+// Wait returns the status of the revision once more than the known number of cells have
+// confirmed it, once all have, or when ctx ends. It asks nobody: see Ask.
 func (c *Confirmer) Wait(ctx context.Context, revision int64, known int) Status {
-	c.Ask(time.Now(), revision)
 	for {
 		c.mu.Lock()
 		c.hearOwn()
--- a/internal/rule/seamrule/validate.go
+++ b/internal/rule/seamrule/validate.go
@@ -41,7 +41,7 @@
 	var f fields
 	f.check(ValidService(d.Service), "service", d.Service, "a name of lower-case letters, digits and inner hyphens, at most 63 long")
 	f.keyed(d.Keyed)
-	f.selectors(d.Selectors)
+	f.selectors(d)
 	f.limits(d.Limits, "limits")
 	f.place(d.Place)
 	f.labels(d.Labels)
@@ -99,7 +99,8 @@
 	}
 }
 
-func (f *fields) selectors(selectors []Selector) {
+func (f *fields) selectors(d Document) {
+	selectors := d.Selectors
 	f.check(len(selectors) <= MaxSelectors, "selectors", len(selectors), fmt.Sprintf("at most %d", MaxSelectors))
 	f.check(len(selectors) > 0, "selectors", len(selectors), "at least one")
 	names := map[string]bool{}
@@ -108,6 +109,7 @@
 		f.check(seamlabel.ValidName(s.Name), path+".name", s.Name, "a name of letters, digits and inner - _ . /")
 		f.check(!names[s.Name], path+".name", s.Name, "unique in the document")
 		names[s.Name] = true
+		f.check(s.Match.Prefix == "" || d.Keyed != nil, path+".match.prefix", s.Match.Prefix, "empty for a service without keys")
 		f.selector(s, path)
 	}
 }
--- a/internal/rule/seamset/set.go
+++ b/internal/rule/seamset/set.go
@@ -179,7 +179,7 @@
 	}
 	next, err := compile(merged, old)
 	if err != nil {
-		s.failed.Inc()
+		s.fail(now, err)
 		return false, err
 	}
 	s.current.Store(next)
@@ -191,6 +191,12 @@
 	return true, nil
 }
 
+// fail reports versions that cannot be put in force.
+func (s *Set) fail(now time.Time, err error) {
+	s.failed.Inc()
+	s.sink.Emit(now, seamevent.RuleFailed, seamevent.Fields{"error": err.Error()})
+}
+
 // compile prepares the documents of the bundle; unchanged ones are taken from old.
 func compile(b Bundle, old *state) (*state, error) {
 	next := &state{bundle: b, programs: make(map[string]*seamrule.Program, len(b.Versions))}
--- a/internal/rule/seamset/watch.go
+++ b/internal/rule/seamset/watch.go
@@ -68,7 +68,7 @@
 	for _, e := range entries {
 		v, err := seambook.Version(e)
 		if err != nil {
-			s.failed.Inc()
+			s.fail(time.Now(), err)
 			return err
 		}
 		versions = append(versions, v)
