--- /dev/null
+++ b/internal/stand/seamstandtarget/announce.go
@@ -0,0 +1,85 @@
+package seamstandtarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"cardamomseam/internal/member/seamtarget"
+)
+
+const (
+	// AnnouncePath is the path of the announcement on the node.
+	AnnouncePath    = "/v1/target"
+	announcePeriod  = 300 * time.Millisecond
+	announceTimeout = 500 * time.Millisecond
+)
+
+// announcer repeats the announcement to the node.
+type announcer struct {
+	node   string
+	make   func(now time.Time) seamtarget.Announcement
+	client *http.Client
+	mu     sync.Mutex
+}
+
+func newAnnouncer(node string, announcement func(time.Time) seamtarget.Announcement) *announcer {
+	return &announcer{
+		node:   node,
+		make:   announcement,
+		client: &http.Client{Timeout: announceTimeout},
+	}
+}
+
+// run announces until ctx ends and then withdraws the announcement.
+func (a *announcer) run(ctx context.Context) {
+	defer a.withdraw()
+	tick := time.NewTicker(announcePeriod)
+	defer tick.Stop()
+	for {
+		a.now()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// now announces at once and returns when the node has answered or the time-out is over.
+func (a *announcer) now() {
+	if a.node == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	body, err := json.Marshal(a.make(time.Now()))
+	if err != nil {
+		return
+	}
+	a.send(http.MethodPut, AnnouncePath, body)
+}
+
+func (a *announcer) withdraw() {
+	if a.node != "" {
+		a.send(http.MethodDelete, AnnouncePath+"/"+a.make(time.Now()).Name, nil)
+	}
+}
+
+func (a *announcer) send(method, path string, body []byte) {
+	r, err := http.NewRequest(method, "http://"+a.node+path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := a.client.Do(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	answer.Body.Close()
+}
