Status shows the state of every cell

A node knows only its own cell; the coordinators of the others now answer with owned slots, store reachability and last change beside the confirmed revision. Whether a revision is accepted is found in one pass over the cells for all open ones.

--- a/internal/rule/seamadmin/status.go
+++ b/internal/rule/seamadmin/status.go
@@ -7,14 +7,39 @@
 	"time"
 
 	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seamconfirm"
 	"cardamomseam/internal/rule/seamteam"
 )
 
 // longestWait bounds the wait of GET /v1/revision.
 const longestWait = 30 * time.Second
 
+// surveyTime bounds the wait for the states of other cells.
+const surveyTime = 500 * time.Millisecond
+
+// status answers with what this node knows and what the other cells answer in time.
 func (s *Server) status(ctx context.Context, _ call) (any, error) {
-	return s.Status.Status(ctx), nil
+	survey, cancel := context.WithTimeout(ctx, surveyTime)
+	defer cancel()
+	states := s.Confirmer.Survey(survey, s.Set.Revision())
+	report := s.Status.Status(ctx)
+	for i := range report.Cells {
+		if state, ok := states[report.Cells[i].Cell]; ok {
+			fill(&report.Cells[i], state)
+		}
+	}
+	return report, nil
+}
+
+// fill adds what the cell's coordinator answered.
+func fill(c *seamapi.CellStatus, s seamconfirm.CellState) {
+	c.Revision = max(c.Revision, s.Confirmed)
+	c.Epoch = max(c.Epoch, s.Epoch)
+	c.Owned = max(c.Owned, s.Owned)
+	c.Reachable = c.Reachable || s.Reachable
+	if s.Changed.After(c.Changed) {
+		c.Changed = s.Changed
+	}
 }
 
 // revision tells which cells have confirmed a revision. It waits until one more than
--- a/internal/rule/seamconfirm/confirmer.go
+++ b/internal/rule/seamconfirm/confirmer.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,12 @@
 	Epoch uint64
 	// Confirmed is the highest revision that every serving member has in force.
 	Confirmed int64
+	// Owned is the number of slots of the cell with an owner.
+	Owned int
+	// Reachable says that the coordinator reaches the store.
+	Reachable bool
+	// Changed is the time of the last change of the cell.
+	Changed time.Time
 }
 
 // Cells tells about the cells.
@@ -106,8 +113,12 @@
 	delay    *metrics.Histogram
 
 	mu sync.Mutex
-	// heard holds the highest state heard of each cell.
+	// heard holds the state heard of each cell, with the highest epoch and revision.
 	heard map[string]CellState
+	// surveys are the times of the last answer of each cell.
+	surveys map[string]time.Time
+	// surveyed is the time of the last survey.
+	surveyed time.Time
 	// question is the highest revision asked about; its revision is 0 if none is open.
 	question question
 	// opened holds when each revision that is not accepted yet was first asked about.
@@ -145,6 +156,7 @@
 		answered: m.NewCounter(`cardamomseam_confirm_answers_total`),
 		delay:    m.NewHistogram(`cardamomseam_confirm_seconds`),
 		heard:    map[string]CellState{},
+		surveys:  map[string]time.Time{},
 		opened:   map[int64]time.Time{},
 		changed:  make(chan struct{}),
 	}
@@ -156,7 +168,7 @@
 func (c *Confirmer) Ask(now time.Time, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, open := c.opened[revision]; open || c.status(revision).Accepted {
+	if _, open := c.opened[revision]; open || revision <= c.lowest() {
 		return
 	}
 	if len(c.opened) == openLimit {
@@ -200,8 +212,12 @@
 // close ends questions whose revision was accepted or that were asked for too long.
 func (c *Confirmer) close(now time.Time) {
 	c.hearOwn()
+	if len(c.opened) == 0 {
+		return
+	}
+	lowest := c.lowest()
 	for revision, since := range c.opened {
-		accepted := c.status(revision).Accepted
+		accepted := revision <= lowest
 		if accepted {
 			c.delay.Update(now.Sub(since).Seconds())
 			c.sink.Emit(now, seamevent.RuleAccepted, seamevent.Fields{"revision": revision, "after": now.Sub(since).String()})
@@ -216,6 +232,22 @@
 	}
 }
 
+// lowest returns the highest revision that every cell has confirmed, or unconfirmed.
+func (c *Confirmer) lowest() int64 {
+	cells := c.cells.Cells()
+	if len(cells) == 0 {
+		return unconfirmed
+	}
+	lowest := int64(math.MaxInt64)
+	for _, ref := range cells {
+		lowest = min(lowest, c.heard[ref.ID].Confirmed)
+	}
+	return lowest
+}
+
+// unconfirmed is lower than any revision.
+const unconfirmed = -1
+
 func (c *Confirmer) wake() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -286,13 +318,29 @@
 
 func (c *Confirmer) answer(to seampeer.Peer, own CellState) {
 	c.answered.Inc()
-	c.send(to, &seamrulewire.Datagram{Answer: &seamrulewire.Answer{Cell: own.Cell, Epoch: own.Epoch, Confirmed: own.Confirmed}})
+	c.send(to, &seamrulewire.Datagram{Answer: &seamrulewire.Answer{
+		Cell:      own.Cell,
+		Epoch:     own.Epoch,
+		Confirmed: own.Confirmed,
+		Owned:     uint32(own.Owned),
+		Reachable: own.Reachable,
+		Changed:   own.Changed.UnixMilli(),
+	}})
 }
 
 func (c *Confirmer) receiveAnswer(now time.Time, a *seamrulewire.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hear(CellState{Cell: a.GetCell(), Epoch: a.GetEpoch(), Confirmed: a.GetConfirmed()})
+	c.hear(CellState{
+		Cell:      a.GetCell(),
+		Epoch:     a.GetEpoch(),
+		Confirmed: a.GetConfirmed(),
+		Owned:     int(a.GetOwned()),
+		Reachable: a.GetReachable(),
+		Changed:   time.UnixMilli(a.GetChanged()),
+	})
+	c.surveys[a.GetCell()] = now
+	c.wake()
 	c.close(now)
 }
 
@@ -302,13 +350,15 @@
 	}
 }
 
-// hear keeps the highest state of each cell, so late datagrams change nothing.
+// hear keeps the latest state of each cell. The epoch and the revision only rise, so a
+// late datagram takes nothing back.
 func (c *Confirmer) hear(s CellState) {
 	old := c.heard[s.Cell]
-	c.heard[s.Cell] = CellState{Cell: s.Cell, Epoch: max(old.Epoch, s.Epoch), Confirmed: max(old.Confirmed, s.Confirmed)}
-	if s.Confirmed > old.Confirmed {
-		c.wake()
+	if s.Epoch < old.Epoch {
+		s, old = old, s
 	}
+	s.Confirmed = max(old.Confirmed, s.Confirmed)
+	c.heard[s.Cell] = s
 }
 
 // Status returns what is known about the revision.
