--- a/internal/rule/seamadmin/problem.go
+++ b/internal/rule/seamadmin/problem.go
@@ -25,7 +25,7 @@
 	translate(func(e *seambook.ConflictError) seamapi.Problem {
 		return seamapi.Problem{
 			Status: http.StatusConflict, Code: seamapi.CodeConflict,
-			Next: fmt.Sprintf("Nothing was changed. Merge your change into revision %d and write it with that as the expected revision.", e.Found),
+			Next: fmt.Sprintf("Nothing was changed. Merge your change into revision %d and write it with --expect %d.", e.Found, e.Found),
 			Conflict: &seamapi.Conflict{
 				Expect: e.Expect, Found: e.Found, Author: e.Author, Theirs: e.Theirs, Yours: e.Yours, Difference: e.Difference,
 			},
@@ -49,10 +49,10 @@
 			Next: fmt.Sprintf("Repeat the same change with --writer %s: it is never recorded twice.", e.Writer),
 		}
 	}),
-	translate(func(*seambook.StaleError) seamapi.Problem {
+	translate(func(e *seambook.StaleError) seamapi.Problem {
 		return seamapi.Problem{
 			Status: http.StatusServiceUnavailable, Code: seamapi.CodeStale,
-			Next: "What is in force stays. The store has lost writes or answers from an old copy: check it before you change rules.",
+			Next: fmt.Sprintf("What is in force stays. The store has lost writes or answers from an old copy: check it. To record what you want in place of the lost version, use --expect %d.", e.Force),
 		}
 	}),
 	translate(func(*seamteam.UnauthorizedError) seamapi.Problem {
--- a/internal/rule/seamconfirm/confirmer.go
+++ b/internal/rule/seamconfirm/confirmer.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -21,9 +22,11 @@
 	// firstWait is the wait before a question is repeated.
 	firstWait = 100 * time.Millisecond
 	// longestWait bounds the doubling of the wait.
-	longestWait = 2 * time.Second
+	longestWait = time.Second
 	// askTime bounds the time for which cells are asked about one revision.
 	askTime = 10 * time.Minute
+	// openLimit is the number of revisions that are asked about at a time.
+	openLimit = 256
 	// askerTime is the time for which a coordinator remembers who asked.
 	askerTime = 10 * time.Second
 	// askerLimit is the number of remembered askers.
@@ -44,6 +47,12 @@
 	Epoch uint64
 	// Confirmed is the highest revision that every serving member has in force.
 	Confirmed int64
+	// Owned is the number of slots of the cell with an owner.
+	Owned int
+	// Reachable says that the coordinator reaches the store.
+	Reachable bool
+	// Changed is the time of the last change of the cell.
+	Changed time.Time
 }
 
 // Cells tells about the cells.
@@ -104,8 +113,12 @@
 	delay    *metrics.Histogram
 
 	mu sync.Mutex
-	// heard holds the highest state heard of each cell.
+	// heard holds the state heard of each cell, with the highest epoch and revision.
 	heard map[string]CellState
+	// surveys are the times of the last answer of each cell.
+	surveys map[string]time.Time
+	// surveyed is the time of the last survey.
+	surveyed time.Time
 	// question is the highest revision asked about; its revision is 0 if none is open.
 	question question
 	// opened holds when each revision that is not accepted yet was first asked about.
@@ -143,6 +156,7 @@
 		answered: m.NewCounter(`cardamomseam_confirm_answers_total`),
 		delay:    m.NewHistogram(`cardamomseam_confirm_seconds`),
 		heard:    map[string]CellState{},
+		surveys:  map[string]time.Time{},
 		opened:   map[int64]time.Time{},
 		changed:  make(chan struct{}),
 	}
@@ -150,10 +164,14 @@
 
 // Ask asks all cells at once about the revision, which was recorded, and repeats the
 // question to those that do not confirm it. Asking again about the same one changes nothing.
+// The revision must be one that was recorded: coordinators fetch what they lack.
 func (c *Confirmer) Ask(now time.Time, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, open := c.opened[revision]; open || c.status(revision).Accepted {
+	if _, open := c.opened[revision]; open || revision <= c.lowest() {
+		return
+	}
+	if len(c.opened) == openLimit {
 		return
 	}
 	c.opened[revision] = now
@@ -178,8 +196,10 @@
 		return
 	}
 	ask := &seamrulewire.Datagram{Ask: &seamrulewire.Ask{Revision: q.revision, Attempt: q.attempt}}
+	own, coordinates := c.cells.Own()
 	for _, ref := range c.cells.Cells() {
-		if c.heard[ref.ID].Confirmed < q.revision && !ref.Coordinator.Zero() {
+		here := coordinates && ref.ID == own.Cell
+		if !here && !ref.Coordinator.Zero() && c.heard[ref.ID].Confirmed < q.revision {
 			c.asked.Inc()
 			c.send(ref.Coordinator, ask)
 		}
@@ -192,8 +212,12 @@
 // close ends questions whose revision was accepted or that were asked for too long.
 func (c *Confirmer) close(now time.Time) {
 	c.hearOwn()
+	if len(c.opened) == 0 {
+		return
+	}
+	lowest := c.lowest()
 	for revision, since := range c.opened {
-		accepted := c.status(revision).Accepted
+		accepted := revision <= lowest
 		if accepted {
 			c.delay.Update(now.Sub(since).Seconds())
 			c.sink.Emit(now, seamevent.RuleAccepted, seamevent.Fields{"revision": revision, "after": now.Sub(since).String()})
@@ -208,6 +232,22 @@
 	}
 }
 
+// lowest returns the highest revision that every cell has confirmed, or unconfirmed.
+func (c *Confirmer) lowest() int64 {
+	cells := c.cells.Cells()
+	if len(cells) == 0 {
+		return unconfirmed
+	}
+	lowest := int64(math.MaxInt64)
+	for _, ref := range cells {
+		lowest = min(lowest, c.heard[ref.ID].Confirmed)
+	}
+	return lowest
+}
+
+// unconfirmed is lower than any revision.
+const unconfirmed = -1
+
 func (c *Confirmer) wake() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -278,13 +318,29 @@
 
 func (c *Confirmer) answer(to seampeer.Peer, own CellState) {
 	c.answered.Inc()
-	c.send(to, &seamrulewire.Datagram{Answer: &seamrulewire.Answer{Cell: own.Cell, Epoch: own.Epoch, Confirmed: own.Confirmed}})
+	c.send(to, &seamrulewire.Datagram{Answer: &seamrulewire.Answer{
+		Cell:      own.Cell,
+		Epoch:     own.Epoch,
+		Confirmed: own.Confirmed,
+		Owned:     uint32(own.Owned),
+		Reachable: own.Reachable,
+		Changed:   own.Changed.UnixMilli(),
+	}})
 }
 
 func (c *Confirmer) receiveAnswer(now time.Time, a *seamrulewire.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hear(CellState{Cell: a.GetCell(), Epoch: a.GetEpoch(), Confirmed: a.GetConfirmed()})
+	c.hear(CellState{
+		Cell:      a.GetCell(),
+		Epoch:     a.GetEpoch(),
+		Confirmed: a.GetConfirmed(),
+		Owned:     int(a.GetOwned()),
+		Reachable: a.GetReachable(),
+		Changed:   time.UnixMilli(a.GetChanged()),
+	})
+	c.surveys[a.GetCell()] = now
+	c.wake()
 	c.close(now)
 }
 
@@ -294,13 +350,15 @@
 	}
 }
 
-// hear keeps the highest state of each cell, so late datagrams change nothing.
+// hear keeps the latest state of each cell. The epoch and the revision only rise, so a
+// late datagram takes nothing back.
 func (c *Confirmer) hear(s CellState) {
 	old := c.heard[s.Cell]
-	c.heard[s.Cell] = CellState{Cell: s.Cell, Epoch: max(old.Epoch, s.Epoch), Confirmed: max(old.Confirmed, s.Confirmed)}
-	if s.Confirmed > old.Confirmed {
-		c.wake()
+	if s.Epoch < old.Epoch {
+		s, old = old, s
 	}
+	s.Confirmed = max(old.Confirmed, s.Confirmed)
+	c.heard[s.Cell] = s
 }
 
 // Status returns what is known about the revision.
@@ -326,10 +384,9 @@
 	return s
 }
 
-// Wait asks about the revision and returns its status once the status differs from known,
-// or when ctx ends.
+// Wait returns the status of the revision once more than the known number of cells have
+// confirmed it, once all have, or when ctx ends. It asks nobody: see Ask.
 func (c *Confirmer) Wait(ctx context.Context, revision int64, known int) Status {
-	c.Ask(time.Now(), revision)
 	for {
 		c.mu.Lock()
 		c.hearOwn()
