--- a/internal/prove/seamcaller/client.go
+++ b/internal/prove/seamcaller/client.go
@@ -33,8 +33,8 @@
 
 // Client sends requests to nodes.
 type Client struct {
-	// Nodes returns the ingress addresses to choose from.
-	Nodes func() []string
+	// Nodes returns the ingress addresses to choose from for a request.
+	Nodes func(q Request) []string
 	// Direct sends as a node would to its target: for baselines without the router.
 	Direct bool
 	http   *http.Client
@@ -51,7 +51,7 @@
 )
 
 // NewClient returns a client and a function that closes its connections.
-func NewClient(nodes func() []string) (*Client, func()) {
+func NewClient(nodes func(q Request) []string) (*Client, func()) {
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
 		DialContext:         d.DialContext,
@@ -69,7 +69,7 @@
 	x.Due = x.Start
 	x.Outcome, x.Reason = Unreached, "no node"
 	for range attempts {
-		nodes := c.Nodes()
+		nodes := c.Nodes(q)
 		if len(nodes) == 0 {
 			break
 		}
--- a/internal/prove/seamcaller/load.go
+++ b/internal/prove/seamcaller/load.go
@@ -19,6 +19,8 @@
 	Next func(n int) Request
 	// Records takes the records; nil keeps none.
 	Records *Records
+	// Stopped ends the load early when it is closed; the answers in flight are waited for.
+	Stopped <-chan struct{}
 	// Limit is the number of requests in flight beyond which further ones are skipped; 0 means DefaultLimit.
 	Limit int64
 }
@@ -39,6 +41,25 @@
 	Took time.Duration
 }
 
+// NewReport returns an empty report.
+func NewReport() Report {
+	return Report{
+		Outcomes: map[Outcome]int64{},
+		Latency:  hdrhistogram.New(lowestLatency, highestLatency, precision),
+	}
+}
+
+// Add adds another report, as of a later part of the same load.
+func (r *Report) Add(o Report) {
+	r.Sent += o.Sent
+	r.Skipped += o.Skipped
+	r.Took += o.Took
+	for outcome, n := range o.Outcomes {
+		r.Outcomes[outcome] += n
+	}
+	r.Latency.Merge(o.Latency)
+}
+
 const (
 	lowestLatency  = 1
 	highestLatency = 60_000_000
@@ -79,15 +100,12 @@
 	if l.Limit == 0 {
 		l.Limit = DefaultLimit
 	}
-	k := &collector{records: l.Records, report: Report{
-		Outcomes: map[Outcome]int64{},
-		Latency:  hdrhistogram.New(lowestLatency, highestLatency, precision),
-	}}
+	k := &collector{records: l.Records, report: NewReport()}
 	started := time.Now()
 	var running sync.WaitGroup
 	for n := 0; ; n++ {
 		due := started.Add(time.Duration(float64(n) / l.Rate * float64(time.Second)))
-		if due.Sub(started) >= l.For || !waitUntil(ctx, due) {
+		if due.Sub(started) >= l.For || !waitUntil(ctx, l.Stopped, due) {
 			break
 		}
 		q := l.Next(n)
@@ -109,18 +127,16 @@
 	return k.report
 }
 
-// waitUntil waits for the time and reports whether ctx still lasts.
-func waitUntil(ctx context.Context, due time.Time) bool {
-	d := time.Until(due)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
+// waitUntil waits for the time and reports whether the load goes on.
+func waitUntil(ctx context.Context, stopped <-chan struct{}, due time.Time) bool {
+	t := time.NewTimer(time.Until(due))
 	defer t.Stop()
 	select {
-	case <-t.C:
-		return true
+	case <-stopped:
+		return false
 	case <-ctx.Done():
 		return false
+	case <-t.C:
+		return true
 	}
 }
--- a/internal/prove/seamcheck/check.go
+++ b/internal/prove/seamcheck/check.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/stand/seamstandtarget"
 )
@@ -22,6 +23,8 @@
 	Ended map[string]time.Time
 	// Present holds the bookings found at the end, by service and key; nil if none were read.
 	Present map[Key][]string
+	// Broken are the events by which nodes report that an invariant does not hold.
+	Broken []seamevent.Event
 }
 
 // Key is one key of one service.
@@ -54,8 +57,13 @@
 	Answer = "answer"
 	// Stale means that a node ordered a target to hold a slot with a lower epoch than before.
 	Stale = "stale"
+	// Invariant means that a node itself found an invariant broken.
+	Invariant = "invariant"
 )
 
+// Promises lists the promises.
+var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Stale, Invariant}
+
 // All runs every check.
 func All(e Evidence) []Violation {
 	var found []Violation
@@ -63,7 +71,16 @@
 	found = append(found, runs(e)...)
 	found = append(found, lost(e)...)
 	found = append(found, answers(e)...)
-	return append(found, stale(e)...)
+	found = append(found, stale(e)...)
+	return append(found, invariants(e)...)
+}
+
+func invariants(e Evidence) []Violation {
+	var found []Violation
+	for _, x := range e.Broken {
+		found = append(found, Violation{Promise: Invariant, At: x.Time, Detail: fmt.Sprintf("%s: %v", x.Node, x.Fields)})
+	}
+	return found
 }
 
 // Count returns the number of violations of a promise.
--- a/internal/prove/seamcheck/check_test.go
+++ b/internal/prove/seamcheck/check_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/prove/seamcheck"
 	"cardamomseam/internal/stand/seamstandtarget"
@@ -80,6 +81,9 @@
 		{"wrong answer", seamcheck.Evidence{
 			Records: []seamcaller.Record{booking("r", seamcaller.Wrong)},
 		}, []string{seamcheck.Answer}},
+		{"invariant", seamcheck.Evidence{
+			Broken: []seamevent.Event{{Node: "a", Name: seamevent.InvariantBroken}},
+		}, []string{seamcheck.Invariant}},
 		{"epoch fell", seamcheck.Evidence{
 			Lines: []seamstandtarget.Line{line(seamstandtarget.KindStale, "")},
 		}, []string{seamcheck.Stale}},
--- a/internal/prove/seamexperiment/result.go
+++ b/internal/prove/seamexperiment/result.go
@@ -111,11 +111,7 @@
 	if len(r.Violations) > violationLimit {
 		r.Violations = r.Violations[:violationLimit]
 	}
-	promises := []string{
-		seamcheck.Owners, seamcheck.Twice, seamcheck.RefusedRan,
-		seamcheck.Lost, seamcheck.Answer, seamcheck.Stale,
-	}
-	for _, p := range promises {
+	for _, p := range seamcheck.Promises {
 		r.AddMost("broken-"+p, float64(seamcheck.Count(found, p)), Count, 0)
 	}
 }
--- /dev/null
+++ b/internal/prove/seamfleet/admin.go
@@ -0,0 +1,127 @@
+package seamfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/rule/seamapi"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+const (
+	readyLimit = 60 * time.Second
+	readyPoll  = 100 * time.Millisecond
+)
+
+// Put records a document through the node's administration API.
+func (i *Instance) Put(ctx context.Context, d seamrule.Document) (seamapi.Recorded, error) {
+	var r seamapi.Recorded
+	body, err := json.Marshal(d)
+	if err != nil {
+		return r, err
+	}
+	err = call(ctx, http.MethodPut, "http://"+i.Admin+"/v1/rules/"+d.Service, body, &r)
+	return r, err
+}
+
+// Listing returns the rules in force at the node.
+func (i *Instance) Listing(ctx context.Context) (seamapi.Listing, error) {
+	var l seamapi.Listing
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules", nil, &l)
+	return l, err
+}
+
+// History returns the changes of a service's document.
+func (i *Instance) History(ctx context.Context, service string) (seamapi.History, error) {
+	var h seamapi.History
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules/"+service+"/history", nil, &h)
+	return h, err
+}
+
+// Status returns what the node knows.
+func (i *Instance) Status(ctx context.Context) (seamapi.StatusReport, error) {
+	var s seamapi.StatusReport
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/status", nil, &s)
+	return s, err
+}
+
+// PutRule records a document through the first node that takes it.
+func (f *Fleet) PutRule(ctx context.Context, d seamrule.Document) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	var last error
+	for {
+		for _, x := range f.Instances {
+			if !x.Live() {
+				continue
+			}
+			_, err := x.Put(ctx, d)
+			if err == nil {
+				return nil
+			}
+			last = err
+		}
+		if !pause(ctx, readyPoll) {
+			return errors.Wrapf(last, "rule of %s", d.Service)
+		}
+	}
+}
+
+// WaitServing waits until each live node serves each region's keys of each service.
+func (f *Fleet) WaitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, d := range f.cfg.Services {
+		for {
+			err := f.serving(ctx, d)
+			if err == nil {
+				break
+			}
+			if !pause(ctx, readyPoll) {
+				return errors.Wrapf(err, "%s is not served after %s", d.Service, readyLimit)
+			}
+		}
+	}
+	return nil
+}
+
+// Coordinators returns the names of the coordinators and of the backups of all cells, as one node knows them.
+func (f *Fleet) Coordinators(ctx context.Context) (coordinators, backups []string, err error) {
+	var last error
+	for _, x := range f.Instances {
+		if !x.Live() {
+			continue
+		}
+		s, err := x.Status(ctx)
+		if err != nil {
+			last = err
+			continue
+		}
+		for _, c := range s.Cells {
+			coordinators = append(coordinators, c.Coordinator)
+			backups = append(backups, c.Backup)
+		}
+		return coordinators, backups, nil
+	}
+	return nil, nil, errors.Wrap(last, "no node tells its cells")
+}
+
+// pause waits and reports whether ctx still lasts.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// KeyName returns the n-th key at home in a region.
+func KeyName(region string, n int) string {
+	return fmt.Sprintf("%s-%04d", region, n)
+}
--- /dev/null
+++ b/internal/prove/seamfleet/serving.go
@@ -0,0 +1,132 @@
+package seamfleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cardamomseam/internal/prove/seamcaller"
+	"cardamomseam/internal/prove/seamcheck"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/stand/seamstandtarget"
+)
+
+// probeKeys is the number of keys of each region that are probed.
+const probeKeys = 8
+
+// serving returns an error unless every open node serves the probed keys of a service.
+func (f *Fleet) serving(ctx context.Context, d seamrule.Document) error {
+	for _, node := range f.Ingresses() {
+		c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{node} })
+		err := f.probe(ctx, c, d)
+		stop()
+		if err != nil {
+			return errors.Wrap(err, node)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) probe(ctx context.Context, c *seamcaller.Client, d seamrule.Document) error {
+	for _, region := range f.cfg.Regions {
+		for n := range probeKeys {
+			q := seamcaller.Request{ID: uuid.NewString(), Kind: seamcaller.Echo, Service: d.Service, Size: 64}
+			if d.Keyed != nil {
+				q.Kind, q.Key = seamcaller.Read, KeyName(region, n)
+			}
+			if x := c.Send(ctx, q); x.Outcome != seamcaller.Done || x.Status != 200 {
+				return errors.Newf("%s %s: %s %d %s", d.Service, q.Key, x.Outcome, x.Status, x.Reason)
+			}
+		}
+	}
+	return nil
+}
+
+// Evidence gathers the ledgers of all targets, including those of killed ones.
+func (f *Fleet) Evidence(records []seamcaller.Record) (seamcheck.Evidence, error) {
+	e := seamcheck.Evidence{Records: records, Ended: map[string]time.Time{}}
+	files, err := filepath.Glob(filepath.Join(f.Directory, "ledger-*.json"))
+	if err != nil {
+		return e, err
+	}
+	for _, name := range files {
+		lines, err := readLedger(name)
+		if err != nil {
+			return e, err
+		}
+		e.Lines = append(e.Lines, lines...)
+	}
+	for _, x := range f.Instances {
+		x.noteEnd()
+		x.mu.Lock()
+		for name, t := range x.ended {
+			e.Ended[name] = t
+		}
+		x.mu.Unlock()
+	}
+	e.Broken = f.Events.Broken()
+	return e, nil
+}
+
+// ledgerLine is the longest line of a ledger, in bytes.
+const ledgerLine = 8 << 20
+
+func readLedger(name string) ([]seamstandtarget.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var list []seamstandtarget.Line
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, ledgerLine)
+	for lines.Scan() {
+		var x seamstandtarget.Line
+		if json.Unmarshal(lines.Bytes(), &x) == nil { // a killed target may leave half a line
+			list = append(list, x)
+		}
+	}
+	return list, errors.Wrap(lines.Err(), name)
+}
+
+// ReadBack reads the bookings of all keys that callers booked, through any open node.
+// Keys that could not be read within the limit are left out and returned.
+func (f *Fleet) ReadBack(ctx context.Context, records []seamcaller.Record, limit time.Duration) (present map[seamcheck.Key][]string, missing []seamcheck.Key) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return f.Ingresses() })
+	defer stop()
+	present = map[seamcheck.Key][]string{}
+	seen := map[seamcheck.Key]bool{}
+	for _, x := range records {
+		k := seamcheck.Key{Service: x.Service, Name: x.Key}
+		if x.Kind != seamcaller.Book || x.Key == "" || seen[k] {
+			continue
+		}
+		seen[k] = true
+		if ids, ok := readKey(ctx, c, k); ok {
+			present[k] = ids
+		} else {
+			missing = append(missing, k)
+		}
+	}
+	return present, missing
+}
+
+func readKey(ctx context.Context, c *seamcaller.Client, k seamcheck.Key) ([]string, bool) {
+	for {
+		x := c.Send(ctx, seamcaller.Request{ID: uuid.NewString(), Kind: seamcaller.Read, Service: k.Service, Key: k.Name})
+		if x.Outcome == seamcaller.Done && x.Status == 200 {
+			return x.IDs, true
+		}
+		if !pause(ctx, readyPoll) {
+			return nil, false
+		}
+	}
+}
--- /dev/null
+++ b/internal/prove/seamownership/outage.go
@@ -0,0 +1,111 @@
+package seamownership
+
+import (
+	"context"
+	"time"
+
+	"cardamomseam/internal/prove/seamcaller"
+	"cardamomseam/internal/prove/seamexperiment"
+	"cardamomseam/internal/prove/seamfleet"
+	"cardamomseam/internal/prove/seamscene"
+	"cardamomseam/internal/stand/seamstandstore"
+)
+
+const (
+	// outageTime is ten times the lease of 1.2 s.
+	outageTime = 12 * time.Second
+	// healTime is the time after the outage in which the cells write again.
+	healTime = 3 * time.Second
+)
+
+// outage takes the store away, loses a member and stops another as planned while it is gone.
+func outage(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
+	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes}, o)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	load := s.Start(ctx, rate(o), mix())
+	if !seamscene.Wait(ctx, settle) {
+		return nil, ctx.Err()
+	}
+	r := seamexperiment.Result{}
+	err = during(ctx, s, &r)
+	load.Stop()
+	if err != nil {
+		return nil, err
+	}
+	return s.Finish(ctx, r)
+}
+
+func during(ctx context.Context, s *seamscene.Scene, r *seamexperiment.Result) error {
+	lost, err := pick(ctx, s, roleMember)
+	if err != nil {
+		return err
+	}
+	before, err := s.Fleet.Store.Counts(ctx)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := s.Fleet.Store.Fault(ctx, seamstandstore.Faults{Outage: seamstandstore.OutageRefuse}); err != nil {
+		return err
+	}
+	s.Say("the store is down")
+	if !seamscene.Wait(ctx, settle) {
+		return ctx.Err()
+	}
+	at := time.Now()
+	lost.Kill()
+	g, err := servedAfter(ctx, s, at)
+	if err != nil {
+		return err
+	}
+	s.Say("lost member %s, longest gap %s", lost.Name, g.Length.Round(time.Millisecond))
+	r.AddMost("unavailable-member", g.Length.Seconds(), seamexperiment.Seconds, servedAgain)
+	if err := plannedStop(ctx, s, lost, r); err != nil {
+		return err
+	}
+	if !seamscene.Wait(ctx, outageTime-time.Since(began)) {
+		return ctx.Err()
+	}
+	if err := s.Fleet.Store.Fault(ctx, seamstandstore.Faults{}); err != nil {
+		return err
+	}
+	s.Say("the store is back after %s", time.Since(began).Round(time.Millisecond))
+	if err := lost.Start(); err != nil {
+		return err
+	}
+	if !seamscene.Wait(ctx, healTime) {
+		return ctx.Err()
+	}
+	after, err := s.Fleet.Store.Counts(ctx)
+	if err != nil {
+		return err
+	}
+	r.Add("store-writes", float64(after.Revision-before.Revision), seamexperiment.Count)
+	return nil
+}
+
+// plannedStop stops an instance other than the lost one and counts what it cut.
+func plannedStop(ctx context.Context, s *seamscene.Scene, lost *seamfleet.Instance, r *seamexperiment.Result) error {
+	x, err := pick(ctx, s, roleMember)
+	if err != nil {
+		return err
+	}
+	for x == lost || !x.Live() {
+		x = s.Fleet.Instances[s.Random.IntN(len(s.Fleet.Instances))]
+	}
+	began := time.Now()
+	stopped := x.Stop()
+	failed := 0.0
+	if stopped != nil {
+		failed = 1
+		s.Say("planned stop of %s: %v", x.Name, stopped)
+	}
+	cut := len(seamcaller.Cut(s.Records.All(), began, time.Now()))
+	s.Say("stopped %s as planned in %s, cut %d", x.Name, time.Since(began).Round(time.Millisecond), cut)
+	r.AddMost("stop-failed", failed, seamexperiment.Count, 0)
+	r.AddMost("stop-cut", float64(cut), seamexperiment.Count, 0)
+	return x.Start()
+}
--- /dev/null
+++ b/internal/prove/seamscene/scene.go
@@ -0,0 +1,237 @@
+// Package seamscene is the frame that experiments share: a fleet under load, the evidence of
+// callers and targets, and the judgement.
+package seamscene
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cardamomseam/internal/prove/seamcaller"
+	"cardamomseam/internal/prove/seamcheck"
+	"cardamomseam/internal/prove/seamexperiment"
+	"cardamomseam/internal/prove/seamfleet"
+	"cardamomseam/internal/rule/seamrule"
+)
+
+// Names of the services.
+const (
+	// Keyed is a service divided by key, Plain one without keys.
+	Keyed = "atelierseiten"
+	Plain = "galerie"
+)
+
+// slotsPerService is the number of slots of the keyed service.
+const slotsPerService = 48
+
+// KeyedDocument returns the document of the keyed service, whose keys are at home in the regions.
+func KeyedDocument(regions []string) seamrule.Document {
+	d := seamrule.Document{
+		Service:   Keyed,
+		Keyed:     &seamrule.Keyed{Key: "header:Seam-Key", Slots: slotsPerService},
+		Selectors: []seamrule.Selector{{Name: "all"}},
+	}
+	for _, r := range regions {
+		d.Keyed.Homes = append(d.Keyed.Homes, seamrule.Home{Region: r, Prefixes: []string{r + "-"}})
+	}
+	return d
+}
+
+// PlainDocument returns the document of the service without keys.
+func PlainDocument() seamrule.Document {
+	return seamrule.Document{Service: Plain, Selectors: []seamrule.Selector{{Name: "all"}}}
+}
+
+// Scene is a fleet with callers.
+type Scene struct {
+	Fleet   *seamfleet.Fleet
+	Client  *seamcaller.Client
+	Records *seamcaller.Records
+	// Random makes the experiment's decisions.
+	Random *rand.Rand
+	// Say tells how the experiment goes on.
+	Say func(format string, values ...any)
+	// Options are those of the command line.
+	Options seamexperiment.Options
+
+	seed  uint64
+	loads int
+}
+
+// Open starts a fleet and waits until it serves. The returned function ends it.
+func Open(ctx context.Context, cfg seamfleet.Config, o seamexperiment.Options) (*Scene, func(), error) {
+	cfg.Seed, cfg.Keep = o.Seed, o.Keep
+	if len(cfg.Regions) == 0 {
+		cfg.Regions = seamfleet.ReisingerRegions
+	}
+	if o.Nodes > 0 {
+		cfg.Nodes = o.Nodes
+	}
+	if len(cfg.Services) == 0 {
+		cfg.Services = []seamrule.Document{KeyedDocument(cfg.Regions), PlainDocument()}
+	}
+	fleet, stopFleet, err := seamfleet.New(ctx, cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Scene{
+		Fleet: fleet, Records: &seamcaller.Records{}, Say: o.Say, Options: o, seed: o.Seed,
+		Random: rand.New(rand.NewPCG(o.Seed, 3)),
+	}
+	client, stopClient := seamcaller.NewClient(s.nodes)
+	s.Client = client
+	stop := func() {
+		stopClient()
+		stopFleet()
+	}
+	s.Say("starting %d nodes in %s", cfg.Nodes, fleet.Directory)
+	if err := fleet.Start(ctx); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	s.Say("every node serves")
+	return s, stop, nil
+}
+
+// nodes returns the nodes that a request's caller asks: those of the key's region, or all.
+func (s *Scene) nodes(q seamcaller.Request) []string {
+	for _, r := range s.Fleet.Regions() {
+		if len(q.Key) > len(r) && q.Key[:len(r)] == r {
+			if list := s.Fleet.IngressesOf(r); len(list) > 0 {
+				return list
+			}
+		}
+	}
+	return s.Fleet.Ingresses()
+}
+
+// Mix says what callers ask for. The parts add up to 1 at most; the rest are reads.
+type Mix struct {
+	// Book is the part of bookings, Echo that of requests to the plain service.
+	Book, Echo float64
+	// Keys is the number of keys of each region.
+	Keys int
+	// Size is the largest answer of an echo, in bytes.
+	Size int
+	// Deadline is that of each request; 0 leaves it to the rules.
+	Deadline time.Duration
+}
+
+// DefaultMix has bookings, reads and short answers.
+func DefaultMix() Mix {
+	return Mix{Book: 0.4, Echo: 0.2, Keys: 16, Size: 4 << 10}
+}
+
+// Next returns a function that draws the requests of a load.
+func (s *Scene) Next(m Mix) func(int) seamcaller.Request {
+	s.loads++
+	load := s.loads
+	random := rand.New(rand.NewPCG(s.seed, uint64(load)<<8))
+	regions := s.Fleet.Regions()
+	return func(n int) seamcaller.Request {
+		q := seamcaller.Request{
+			ID: fmt.Sprintf("s%d-%d-%d", s.seed, load, n), Kind: seamcaller.Read, Service: Keyed,
+			Deadline: m.Deadline, Caller: fmt.Sprintf("caller-%d", random.IntN(8)),
+		}
+		draw := random.Float64()
+		switch {
+		case draw < m.Book:
+			q.Kind, q.Size = seamcaller.Book, 64
+		case draw < m.Book+m.Echo:
+			q.Kind, q.Service, q.Size = seamcaller.Echo, Plain, 64+random.IntN(max(m.Size, 1))
+			return q
+		}
+		q.Key = seamfleet.KeyName(regions[random.IntN(len(regions))], random.IntN(m.Keys))
+		return q
+	}
+}
+
+// Background is a load that runs beside the experiment's other steps.
+type Background struct {
+	cancel func()
+	done   chan seamcaller.Report
+}
+
+// Start starts a load whose requests are recorded.
+func (s *Scene) Start(ctx context.Context, rate float64, m Mix) *Background {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &Background{done: make(chan seamcaller.Report, 1)}
+	stopped := make(chan struct{})
+	var once sync.Once
+	b.cancel = func() { once.Do(func() { close(stopped) }) }
+	next := s.Next(m)
+	go func() {
+		defer cancel()
+		b.done <- s.Client.Run(ctx, seamcaller.Load{
+			Rate: rate, For: time.Hour, Next: next, Records: s.Records, Stopped: stopped,
+		})
+	}()
+	return b
+}
+
+// Stop ends the load, waits for the answers in flight and returns the report.
+func (b *Background) Stop() seamcaller.Report {
+	b.cancel()
+	return <-b.done
+}
+
+// Wait waits and reports whether ctx still lasts.
+func Wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const (
+	// readBackLimit bounds the time in which all booked keys are read at the end.
+	readBackLimit = 30 * time.Second
+	// traceBefore and traceLimit bound the events that a violation's trace holds.
+	traceBefore = 5 * time.Second
+	traceLimit  = 400
+)
+
+// Judge reads the booked keys back, runs all checks and adds their verdicts and the outcomes
+// of the requests to the result.
+func (s *Scene) Judge(ctx context.Context, r *seamexperiment.Result) error {
+	records := s.Records.All()
+	present, missing := s.Fleet.ReadBack(ctx, records, readBackLimit)
+	evidence, err := s.Fleet.Evidence(records)
+	if err != nil {
+		return err
+	}
+	evidence.Present = present
+	found := seamcheck.All(evidence)
+	r.Size = len(s.Fleet.Instances)
+	r.Add("requests", float64(len(records)), seamexperiment.Count)
+	counts := seamcaller.Count(records)
+	for _, o := range []seamcaller.Outcome{seamcaller.Done, seamcaller.Refused, seamcaller.Unknown, seamcaller.Unreached, seamcaller.Wrong} {
+		r.Add(string(o), float64(counts[o]), seamexperiment.Count)
+	}
+	r.AddMost("unreadable-keys", float64(len(missing)), seamexperiment.Count, 0)
+	r.Judge(found)
+	if len(found) > 0 {
+		r.Trace = s.trace(found[0])
+	}
+	return nil
+}
+
+// Finish judges the result of an experiment with one size.
+func (s *Scene) Finish(ctx context.Context, r seamexperiment.Result) ([]seamexperiment.Result, error) {
+	err := s.Judge(ctx, &r)
+	return []seamexperiment.Result{r}, err
+}
+
+// trace returns the events before a violation.
+func (s *Scene) trace(v seamcheck.Violation) []string {
+	if v.At.IsZero() {
+		return nil
+	}
+	return s.Fleet.Events.Trace(v.At.Add(-traceBefore), v.At.Add(time.Second), traceLimit)
+}
--- /dev/null
+++ b/internal/prove/seamtraffic/surge.go
@@ -0,0 +1,111 @@
+package seamtraffic
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cardamomseam/internal/prove/seamcaller"
+	"cardamomseam/internal/prove/seamexperiment"
+	"cardamomseam/internal/prove/seamfleet"
+	"cardamomseam/internal/prove/seamscene"
+	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/stand/seamstandtarget"
+)
+
+const (
+	surgeNodes   = 6
+	surgeSlots   = 8
+	surgeService = 40 * time.Millisecond
+	surgeJitter  = 0.2
+	surgeTime    = 5 * time.Second
+	// surgeDeadline is that of each request.
+	surgeDeadline = time.Second
+	// surgeFactor is the offered load over the capacity.
+	surgeFactor = 2
+	// steadyFactor is the load over the capacity at which the balance is measured.
+	steadyFactor = 0.5
+	// goodput is the stated target, a part of the capacity.
+	goodput = 0.9
+	// balanced is the stated target for the imbalance of equal targets.
+	balanced = 1.1
+)
+
+// surge offers half the capacity, which gives the imbalance, and then twice the capacity.
+func surge(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
+	s, stop, err := seamscene.Open(ctx, seamfleet.Config{
+		Nodes: surgeNodes, Regions: []string{"ost"}, Slots: surgeSlots, ServiceTime: surgeService, Jitter: surgeJitter,
+		Services: []seamrule.Document{seamscene.PlainDocument()},
+	}, o)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	capacity := float64(len(s.Fleet.Instances)) * surgeSlots / surgeService.Seconds()
+	d := surgeTime
+	if o.For > 0 {
+		d = o.For / 2
+	}
+	steady := offer(ctx, s, "steady", steadyFactor*capacity, d)
+	steadyEnd := time.Now()
+	over := offer(ctx, s, "surge", surgeFactor*capacity, d)
+	e, err := s.Fleet.Evidence(s.Records.All())
+	if err != nil {
+		return nil, err
+	}
+	r := seamexperiment.Result{}
+	r.Add("capacity", capacity, seamexperiment.PerSecond)
+	r.AddMost("steady-imbalance", imbalance(e.Lines, time.Time{}, steadyEnd), seamexperiment.Ratio, balanced)
+	r.AddMost("steady-failed", float64(steady.Sent-steady.Outcomes[seamcaller.Done]), seamexperiment.Count, 0)
+	r.Add("steady-p99", milliseconds(steady.Quantile(99)), seamexperiment.Milliseconds)
+	done := float64(over.Outcomes[seamcaller.Done]) / d.Seconds()
+	r.Add("surge-done", done, seamexperiment.PerSecond)
+	r.AddLeast("goodput", done/capacity, seamexperiment.Ratio, goodput)
+	r.Add("surge-imbalance", imbalance(e.Lines, steadyEnd, time.Now()), seamexperiment.Ratio)
+	r.Add("surge-refused", float64(over.Outcomes[seamcaller.Refused]), seamexperiment.Count)
+	r.AddMost("surge-unknown", float64(over.Outcomes[seamcaller.Unknown]), seamexperiment.Count, 0)
+	r.AddMost("surge-p99", milliseconds(over.Quantile(99)), seamexperiment.Milliseconds, float64(surgeDeadline.Milliseconds()))
+	r.Add("refusal-p99", refusalTime(s.Records.All()), seamexperiment.Milliseconds)
+	return s.Finish(ctx, r)
+}
+
+func offer(ctx context.Context, s *seamscene.Scene, name string, rate float64, d time.Duration) seamcaller.Report {
+	report := s.Client.Run(ctx, seamcaller.Load{Rate: rate, For: d, Records: s.Records, Next: func(n int) seamcaller.Request {
+		return seamcaller.Request{
+			ID: fmt.Sprintf("%s-%d", name, n), Kind: seamcaller.Echo, Service: seamscene.Plain, Size: loadSize,
+			Deadline: surgeDeadline, Caller: fmt.Sprintf("caller-%d", n%20),
+		}
+	}})
+	s.Say("%s: %.0f/s offered, %.0f/s done, p99 %s, outcomes %v", name, rate, report.Throughput(), report.Quantile(99), report.Outcomes)
+	return report
+}
+
+// imbalance returns the largest number of runs of one target over the mean.
+func imbalance(lines []seamstandtarget.Line, from, to time.Time) float64 {
+	counts := map[string]float64{}
+	total, largest := 0.0, 0.0
+	for _, x := range lines {
+		at := time.Unix(0, x.At)
+		if x.Kind != seamstandtarget.KindRun || at.Before(from) || at.After(to) {
+			continue
+		}
+		counts[x.Server]++
+		total++
+		largest = max(largest, counts[x.Server])
+	}
+	if total == 0 {
+		return 0
+	}
+	return largest / (total / float64(len(counts)))
+}
+
+// refusalTime returns the 99th percentile of the time until a refusal, in milliseconds.
+func refusalTime(records []seamcaller.Record) float64 {
+	r := seamcaller.NewReport()
+	for _, x := range records {
+		if x.Outcome == seamcaller.Refused {
+			_ = r.Latency.RecordValue(x.End.Sub(x.Start).Microseconds())
+		}
+	}
+	return milliseconds(r.Quantile(99))
+}
