--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -10,13 +10,24 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"cardamomseam/internal/prove/seamchaos"
+	"cardamomseam/internal/prove/seamcost"
 	"cardamomseam/internal/prove/seamexperiment"
+	"cardamomseam/internal/prove/seamownership"
 	"cardamomseam/internal/prove/seamplot"
+	"cardamomseam/internal/prove/seamspread"
+	"cardamomseam/internal/prove/seamtraffic"
 )
 
 // experiments returns all experiments.
 func experiments() *seamexperiment.Registry {
-	return seamexperiment.NewRegistry()
+	return seamexperiment.NewRegistry(
+		seamownership.Experiments,
+		seamtraffic.Experiments,
+		seamspread.Experiments,
+		seamchaos.Experiments,
+		seamcost.Experiments,
+	)
 }
 
 // MissedError says that an experiment failed, missed a target or found a broken promise.
--- a/internal/prove/seamcheck/check.go
+++ b/internal/prove/seamcheck/check.go
@@ -33,7 +33,7 @@
 	Name    string
 }
 
-// Violation is one broken promise.
+// Violation is one broken promise of those below.
 type Violation struct {
 	// Promise is one of the names below.
 	Promise string `json:"promise"`
@@ -59,10 +59,18 @@
 	Stale = "stale"
 	// Invariant means that a node itself found an invariant broken.
 	Invariant = "invariant"
+	// Reverted means that a node applied a lower revision of the rules, or that an accepted change is gone.
+	Reverted = "reverted"
+	// Force means that a recorded change is not in force at a live node in time.
+	Force = "force"
+	// NewWork means that a target got new work too long after its node was told to stop.
+	NewWork = "newwork"
+	// Stop means that a planned stop failed or cut a request.
+	Stop = "stop"
 )
 
 // Promises lists the promises.
-var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Stale, Invariant}
+var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Stale, Invariant, Reverted, Force, NewWork, Stop}
 
 // All runs every check.
 func All(e Evidence) []Violation {
--- a/internal/prove/seamfleet/admin.go
+++ b/internal/prove/seamfleet/admin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,28 +26,49 @@
 	if err != nil {
 		return r, err
 	}
-	err = call(ctx, http.MethodPut, "http://"+i.Admin+"/v1/rules/"+d.Service, body, &r)
+	err = call(ctx, http.MethodPut, "http://"+i.Admin+"/v1/rules/"+d.Service, nil, body, &r)
 	return r, err
 }
 
+// PutAt records a document if the revision is still the expected one. writer identifies the change.
+func (i *Instance) PutAt(ctx context.Context, d seamrule.Document, expect int64, writer string) (seamapi.Recorded, error) {
+	var r seamapi.Recorded
+	body, err := json.Marshal(d)
+	if err != nil {
+		return r, err
+	}
+	header := http.Header{}
+	header.Set("If-Match", strconv.FormatInt(expect, 10))
+	header.Set(seamapi.Writer, writer)
+	err = call(ctx, http.MethodPut, "http://"+i.Admin+"/v1/rules/"+d.Service, header, body, &r)
+	return r, err
+}
+
+// Page returns the document of a service.
+func (i *Instance) Page(ctx context.Context, service string) (seamapi.Page, error) {
+	var p seamapi.Page
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules/"+service, nil, nil, &p)
+	return p, err
+}
+
 // Listing returns the rules in force at the node.
 func (i *Instance) Listing(ctx context.Context) (seamapi.Listing, error) {
 	var l seamapi.Listing
-	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules", nil, &l)
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules", nil, nil, &l)
 	return l, err
 }
 
 // History returns the changes of a service's document.
 func (i *Instance) History(ctx context.Context, service string) (seamapi.History, error) {
 	var h seamapi.History
-	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules/"+service+"/history", nil, &h)
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/rules/"+service+"/history", nil, nil, &h)
 	return h, err
 }
 
 // Status returns what the node knows.
 func (i *Instance) Status(ctx context.Context) (seamapi.StatusReport, error) {
 	var s seamapi.StatusReport
-	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/status", nil, &s)
+	err := call(ctx, http.MethodGet, "http://"+i.Admin+"/v1/status", nil, nil, &s)
 	return s, err
 }
 
--- a/internal/prove/seamfleet/store.go
+++ b/internal/prove/seamfleet/store.go
@@ -76,7 +76,7 @@
 }
 
 func (s *Store) call(ctx context.Context, method, path string, body []byte, answer any) error {
-	return call(ctx, method, "http://"+s.Control+path, body, answer)
+	return call(ctx, method, "http://"+s.Control+path, nil, body, answer)
 }
 
 // AnswerError is an answer whose status is not a success.
@@ -92,13 +92,16 @@
 }
 
 // call makes one HTTP call with JSON bodies, bounded by controlTimeout.
-func call(ctx context.Context, method, url string, body []byte, answer any) error {
+func call(ctx context.Context, method, url string, header http.Header, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
+	for name, values := range header {
+		r.Header[name] = values
+	}
 	r.Header.Set("Content-Type", "application/json")
 	a, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -58,8 +58,24 @@
 
 	seed  uint64
 	loads int
+
+	mu    sync.Mutex
+	extra []seamcheck.Violation
+	// tolerated says of a lost booking whether the loss is one that the product tolerates.
+	tolerated func(seamcheck.Violation) bool
+}
+
+// Violate adds a violation that the experiment itself found.
+func (s *Scene) Violate(v seamcheck.Violation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extra = append(s.extra, v)
+	s.Say("VIOLATION %s: %s", v.Promise, v.Detail)
 }
 
+// Tolerate sets which violations are not counted as broken promises.
+func (s *Scene) Tolerate(f func(seamcheck.Violation) bool) { s.tolerated = f }
+
 // Open starts a fleet and waits until it serves. The returned function ends it.
 func Open(ctx context.Context, cfg seamfleet.Config, o seamexperiment.Options) (*Scene, func(), error) {
 	cfg.Seed, cfg.Keep = o.Seed, o.Keep
@@ -207,7 +223,8 @@
 		return err
 	}
 	evidence.Present = present
-	found := seamcheck.All(evidence)
+	found, tolerated := s.sift(seamcheck.All(evidence))
+	r.Add("tolerated", float64(tolerated), seamexperiment.Count)
 	r.Size = len(s.Fleet.Instances)
 	r.Add("requests", float64(len(records)), seamexperiment.Count)
 	counts := seamcaller.Count(records)
@@ -222,6 +239,20 @@
 	return nil
 }
 
+// sift adds the experiment's own violations and takes the tolerated ones out.
+func (s *Scene) sift(all []seamcheck.Violation) (found []seamcheck.Violation, tolerated int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range append(all, s.extra...) {
+		if s.tolerated != nil && s.tolerated(v) {
+			tolerated++
+			continue
+		}
+		found = append(found, v)
+	}
+	return found, tolerated
+}
+
 // Finish judges the result of an experiment with one size.
 func (s *Scene) Finish(ctx context.Context, r seamexperiment.Result) ([]seamexperiment.Result, error) {
 	err := s.Judge(ctx, &r)
