Stand-in target keeps the end of orders by the wall clock

Orders now carry Until; renewals that the target never had the slots of are refused, so that the node sends the complete set.

--- a/internal/stand/seamstandtarget/grants.go
+++ b/internal/stand/seamstandtarget/grants.go
@@ -73,8 +73,11 @@
 	if o.Incarnation < g.incarnation || (o.Incarnation == g.incarnation && o.Sequence < g.sequence) {
 		return verdict{}, &StaleError{Orders: o}
 	}
+	if !o.Full && o.Incarnation != g.incarnation {
+		return verdict{}, &StaleError{Orders: o} // a renewal of slots that this target never had
+	}
 	g.incarnation, g.sequence = o.Incarnation, o.Sequence
-	g.until = now.Add(time.Duration(o.Life) * time.Millisecond)
+	g.until = end(now, o)
 	v := verdict{until: g.until}
 	if o.Full {
 		v.changed, v.stale = g.replace(o.Slots)
@@ -83,6 +86,17 @@
 	return v, nil
 }
 
+// end returns the end of orders that arrived at now: the earlier of Life and Until, because
+// orders may have been on the way for long.
+func end(now time.Time, o seamtarget.Orders) time.Time {
+	until := now.Add(time.Duration(o.Life) * time.Millisecond)
+	if o.Until == 0 {
+		return until
+	}
+	left := time.UnixMilli(o.Until).Sub(now)
+	return now.Add(min(left, until.Sub(now)))
+}
+
 // replace makes the slots the complete set.
 func (g *grants) replace(orders []seamtarget.SlotOrder) (changed bool, stale []Held) {
 	named := map[uint32]bool{}
