--- a/internal/prove/seamcheck/check.go
+++ b/internal/prove/seamcheck/check.go
@@ -55,6 +55,8 @@
 	Lost = "lost"
 	// Answer means that an answer is not whole or belongs to another request.
 	Answer = "answer"
+	// Phantom means that a request was acknowledged and no target ran it.
+	Phantom = "phantom"
 	// Stale means that a node ordered a target to hold a slot with a lower epoch than before.
 	Stale = "stale"
 	// Invariant means that a node itself found an invariant broken.
@@ -70,7 +72,7 @@
 )
 
 // Promises lists the promises.
-var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Stale, Invariant, Reverted, Force, NewWork, Stop}
+var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Phantom, Stale, Invariant, Reverted, Force, NewWork, Stop}
 
 // All runs every check.
 func All(e Evidence) []Violation {
@@ -124,6 +126,9 @@
 		if x.Kind == seamcaller.Book && n > 1 {
 			found = append(found, Violation{Promise: Twice, At: x.End, Detail: fmt.Sprintf("%s of %s ran %d times", x.ID, x.Key, n)})
 		}
+		if n < 1 && len(e.Lines) > 0 && x.Outcome == seamcaller.Done && x.Status == 200 {
+			found = append(found, Violation{Promise: Phantom, At: x.End, Detail: fmt.Sprintf("%s %s was answered by %s and never ran", x.Kind, x.ID, x.Server)})
+		}
 		if n > 0 && (x.Outcome == seamcaller.Refused || x.Outcome == seamcaller.Unreached) {
 			found = append(found, Violation{
 				Promise: RefusedRan, At: x.End,
--- a/internal/prove/seamcheck/check_test.go
+++ b/internal/prove/seamcheck/check_test.go
@@ -66,6 +66,10 @@
 			Records: []seamcaller.Record{booking("r", seamcaller.Unknown)},
 			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "r"), line(seamstandtarget.KindRun, "r")},
 		}, []string{seamcheck.Twice}},
+		{"acknowledged and never ran", seamcheck.Evidence{
+			Records: []seamcaller.Record{booking("r", seamcaller.Done)},
+			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "s")},
+		}, []string{seamcheck.Phantom}},
 		{"refused and ran", seamcheck.Evidence{
 			Records: []seamcaller.Record{booking("r", seamcaller.Refused)},
 			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "r")},
--- a/internal/prove/seamfleet/fleet.go
+++ b/internal/prove/seamfleet/fleet.go
@@ -58,8 +58,8 @@
 	// FencedCan are the abilities of a target that checks fencing tokens, UnfencedCan those of one that doesn't.
 	FencedCan   = "grant,fence,cancel,deadline,standby"
 	UnfencedCan = "cancel,deadline"
-	// domainsPerRegion is the number of failure domains in each region.
-	domainsPerRegion = 2
+	// DomainsPerRegion is the number of failure domains in each region.
+	DomainsPerRegion = 2
 )
 
 // Regions of the two deployments.
@@ -169,14 +169,14 @@
 func (f *Fleet) lay(n int) (*Instance, error) {
 	region := f.cfg.Regions[n%len(f.cfg.Regions)]
 	rest := n / len(f.cfg.Regions)
-	domain := fmt.Sprintf("%s-%c", region, 'a'+rune(rest%domainsPerRegion))
+	domain := fmt.Sprintf("%s-%c", region, 'a'+rune(rest%DomainsPerRegion))
 	x := &Instance{
-		Place: seamproxy.Place{Name: fmt.Sprintf("%s-%d", domain, rest/domainsPerRegion+1), Domain: domain, Region: region},
+		Place: seamproxy.Place{Name: fmt.Sprintf("%s-%d", domain, rest/DomainsPerRegion+1), Domain: domain, Region: region},
 		fleet: f,
 		ended: map[string]time.Time{},
 	}
 	if s := f.cfg.Services; len(s) > 0 && n >= f.cfg.Bare {
-		x.Service = s[rest/domainsPerRegion%len(s)].Service
+		x.Service = s[rest/DomainsPerRegion%len(s)].Service
 	}
 	for _, address := range []*string{&x.Listen, &x.Ingress, &x.Announce, &x.Admin, &x.Port} {
 		free, err := f.ports.take()
@@ -263,6 +263,16 @@
 	return list
 }
 
+// Has reports whether an instance has a target of the service.
+func (f *Fleet) Has(service string) bool {
+	for _, x := range f.Instances {
+		if x.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Find returns the instance of a name.
 func (f *Fleet) Find(name string) (*Instance, error) {
 	for _, x := range f.Instances {
--- a/internal/prove/seamownership/outage.go
+++ b/internal/prove/seamownership/outage.go
@@ -20,7 +20,7 @@
 
 // outage takes the store away, loses a member and stops another as planned while it is gone.
 func outage(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
-	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes}, o)
+	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes, Services: keyedOnly()}, o)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/prove/seamownership/pause.go
+++ b/internal/prove/seamownership/pause.go
@@ -14,7 +14,7 @@
 
 // pause freezes one instance of each role and lets it go on, still believing what it believed.
 func pause(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
-	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes}, o)
+	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes, Services: keyedOnly()}, o)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/prove/seamownership/takeover.go
+++ b/internal/prove/seamownership/takeover.go
@@ -12,6 +12,7 @@
 	"cardamomseam/internal/prove/seamexperiment"
 	"cardamomseam/internal/prove/seamfleet"
 	"cardamomseam/internal/prove/seamscene"
+	"cardamomseam/internal/rule/seamrule"
 )
 
 // Experiments are the experiments of this package.
@@ -50,6 +51,11 @@
 	return otherwise
 }
 
+// keyedOnly gives every instance keys.
+func keyedOnly() []seamrule.Document {
+	return []seamrule.Document{seamscene.KeyedDocument(seamfleet.ReisingerRegions)}
+}
+
 func mix() seamscene.Mix {
 	m := seamscene.DefaultMix()
 	m.Echo = 0
@@ -58,7 +64,7 @@
 }
 
 func takeover(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
-	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes}, o)
+	s, stop, err := seamscene.Open(ctx, seamfleet.Config{Nodes: defaultNodes, Services: keyedOnly()}, o)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -86,7 +86,7 @@
 		cfg.Nodes = o.Nodes
 	}
 	if len(cfg.Services) == 0 {
-		cfg.Services = []seamrule.Document{KeyedDocument(cfg.Regions), PlainDocument()}
+		cfg.Services = services(cfg)
 	}
 	fleet, stopFleet, err := seamfleet.New(ctx, cfg)
 	if err != nil {
@@ -111,6 +111,16 @@
 	return s, stop, nil
 }
 
+// services returns both services, or the keyed one alone if there is just one instance for
+// each failure domain.
+func services(cfg seamfleet.Config) []seamrule.Document {
+	list := []seamrule.Document{KeyedDocument(cfg.Regions)}
+	if cfg.Nodes > len(cfg.Regions)*seamfleet.DomainsPerRegion {
+		list = append(list, PlainDocument())
+	}
+	return list
+}
+
 // nodes returns the nodes that a request's caller asks: those of the key's region, or all.
 func (s *Scene) nodes(q seamcaller.Request) []string {
 	for _, r := range s.Fleet.Regions() {
@@ -145,6 +155,9 @@
 	s.loads++
 	load := s.loads
 	random := rand.New(rand.NewPCG(s.seed, uint64(load)<<8))
+	if !s.Fleet.Has(Plain) {
+		m.Echo = 0
+	}
 	regions := s.Fleet.Regions()
 	return func(n int) seamcaller.Request {
 		q := seamcaller.Request{
