--- a/internal/prove/seamcheck/check.go
+++ b/internal/prove/seamcheck/check.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/stand/seamstandtarget"
 )
@@ -22,6 +23,8 @@
 	Ended map[string]time.Time
 	// Present holds the bookings found at the end, by service and key; nil if none were read.
 	Present map[Key][]string
+	// Broken are the events by which nodes report that an invariant does not hold.
+	Broken []seamevent.Event
 }
 
 // Key is one key of one service.
@@ -30,7 +33,7 @@
 	Name    string
 }
 
-// Violation is one broken promise.
+// Violation is one broken promise of those below.
 type Violation struct {
 	// Promise is one of the names below.
 	Promise string `json:"promise"`
@@ -52,10 +55,25 @@
 	Lost = "lost"
 	// Answer means that an answer is not whole or belongs to another request.
 	Answer = "answer"
+	// Phantom means that a request was acknowledged and no target ran it.
+	Phantom = "phantom"
 	// Stale means that a node ordered a target to hold a slot with a lower epoch than before.
 	Stale = "stale"
+	// Invariant means that a node itself found an invariant broken.
+	Invariant = "invariant"
+	// Reverted means that a node applied a lower revision of the rules, or that an accepted change is gone.
+	Reverted = "reverted"
+	// Force means that a recorded change is not in force at a live node in time.
+	Force = "force"
+	// NewWork means that a target got new work too long after its node was told to stop.
+	NewWork = "newwork"
+	// Stop means that a planned stop failed or cut a request.
+	Stop = "stop"
 )
 
+// Promises lists the promises.
+var Promises = []string{Owners, Twice, RefusedRan, Lost, Answer, Phantom, Stale, Invariant, Reverted, Force, NewWork, Stop}
+
 // All runs every check.
 func All(e Evidence) []Violation {
 	var found []Violation
@@ -63,7 +81,16 @@
 	found = append(found, runs(e)...)
 	found = append(found, lost(e)...)
 	found = append(found, answers(e)...)
-	return append(found, stale(e)...)
+	found = append(found, stale(e)...)
+	return append(found, invariants(e)...)
+}
+
+func invariants(e Evidence) []Violation {
+	var found []Violation
+	for _, x := range e.Broken {
+		found = append(found, Violation{Promise: Invariant, At: x.Time, Detail: fmt.Sprintf("%s: %v", x.Node, x.Fields)})
+	}
+	return found
 }
 
 // Count returns the number of violations of a promise.
@@ -99,6 +126,9 @@
 		if x.Kind == seamcaller.Book && n > 1 {
 			found = append(found, Violation{Promise: Twice, At: x.End, Detail: fmt.Sprintf("%s of %s ran %d times", x.ID, x.Key, n)})
 		}
+		if n < 1 && len(e.Lines) > 0 && x.Outcome == seamcaller.Done && x.Status == 200 {
+			found = append(found, Violation{Promise: Phantom, At: x.End, Detail: fmt.Sprintf("%s %s was answered by %s and never ran", x.Kind, x.ID, x.Server)})
+		}
 		if n > 0 && (x.Outcome == seamcaller.Refused || x.Outcome == seamcaller.Unreached) {
 			found = append(found, Violation{
 				Promise: RefusedRan, At: x.End,
--- a/internal/prove/seamcheck/check_test.go
+++ b/internal/prove/seamcheck/check_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/prove/seamcheck"
 	"cardamomseam/internal/stand/seamstandtarget"
@@ -65,6 +66,10 @@
 			Records: []seamcaller.Record{booking("r", seamcaller.Unknown)},
 			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "r"), line(seamstandtarget.KindRun, "r")},
 		}, []string{seamcheck.Twice}},
+		{"acknowledged and never ran", seamcheck.Evidence{
+			Records: []seamcaller.Record{booking("r", seamcaller.Done)},
+			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "s")},
+		}, []string{seamcheck.Phantom}},
 		{"refused and ran", seamcheck.Evidence{
 			Records: []seamcaller.Record{booking("r", seamcaller.Refused)},
 			Lines:   []seamstandtarget.Line{line(seamstandtarget.KindRun, "r")},
@@ -80,6 +85,9 @@
 		{"wrong answer", seamcheck.Evidence{
 			Records: []seamcaller.Record{booking("r", seamcaller.Wrong)},
 		}, []string{seamcheck.Answer}},
+		{"invariant", seamcheck.Evidence{
+			Broken: []seamevent.Event{{Node: "a", Name: seamevent.InvariantBroken}},
+		}, []string{seamcheck.Invariant}},
 		{"epoch fell", seamcheck.Evidence{
 			Lines: []seamstandtarget.Line{line(seamstandtarget.KindStale, "")},
 		}, []string{seamcheck.Stale}},
