A node without the target names the owner of a key; operators' commands

Change: the refusal of a keyed request names the owner; a leaving target serves its keys until they are handed over.

--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -8,17 +8,19 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"cardamomseam/internal/rule/seamcommand"
 )
 
 func main() {
 	root := &cli.Command{
 		Name:  "cardamomseam",
 		Usage: "route requests to the servers that own their keys",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			nodeCommand(),
 			checkCommand(),
 			demoCommand(),
-		},
+		}, seamcommand.Commands()...),
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/prove/seamdemo/fleet.go
+++ b/internal/prove/seamdemo/fleet.go
@@ -13,6 +13,7 @@
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/node/seamnode"
 	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/stand/seamstandstore"
 	"cardamomseam/internal/stand/seamstandtarget"
 )
@@ -176,7 +177,7 @@
 }
 
 // ingresses returns the addresses for callers.
-func (f *fleet) ingresses() []string {
+func (f *fleet) ingresses(seamcaller.Request) []string {
 	var addresses []string
 	for _, i := range f.live() {
 		addresses = append(addresses, i.settings.Ingress.Listen)
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -140,23 +140,38 @@
 	if left <= 0 {
 		return seamoutcome.Refuse(seamoutcome.Expired, "the deadline passed on the way")
 	}
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
 	announced, end := e.announced(head)
 	if end != nil {
-		return *end
+		return e.redirect(ctx, head, *end)
 	}
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
 	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(left)}
 	return c.record(ctx, left)
 }
 
+// redirect adds the owner of the key's slot to a refusal. A node without a
+// target for the service is asked for keys when it coordinates their cell.
+func (e *Egress) redirect(ctx context.Context, head *seamroutewire.RequestHead, end seamoutcome.End) seamoutcome.End {
+	if !head.GetKeyed() {
+		return end
+	}
+	_, release, err := e.owners.Acquire(ctx, seamslot.ID{Service: head.GetService(), Index: head.GetSlot()})
+	if err != nil {
+		return acquireEnd(ctx, err)
+	}
+	release()
+	return end
+}
+
 // announced returns what the target announced if it serves the request's service.
+// A leaving target goes on to serve the keys that it owns until they are handed over.
 func (e *Egress) announced(head *seamroutewire.RequestHead) (seamtarget.Announcement, *seamoutcome.End) {
 	a, ok := e.target.Current()
 	switch {
 	case !ok:
 		return a, refusal(seamoutcome.Target, "no target announces itself here")
-	case a.Leaving:
+	case a.Leaving && !head.GetKeyed():
 		return a, refusal(seamoutcome.Draining, "the target is leaving")
 	case a.Service != head.GetService():
 		return a, refusal(seamoutcome.Target, "the target here serves "+a.Service)
