--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -21,6 +21,8 @@
 	RuleRecorded     = "rule.recorded"
 	RuleApplied      = "rule.applied"
 	RuleAccepted     = "rule.accepted"
+	RuleFailed       = "rule.failed"
+	AuditWrite       = "audit.write"
 	StoreDown        = "store.down"
 	StoreUp          = "store.up"
 	RequestRefused   = "request.refused"
