--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -8,11 +8,12 @@
 	"cardamomseam/internal/route/seamroutewire"
 )
 
-// enter counts a request in, unless the egress is draining.
-func (e *Egress) enter() bool {
+// enter counts a request in, unless the node is leaving. Until it drains, it
+// still takes requests for the keys that it owns.
+func (e *Egress) enter(keyed bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.draining {
+	if e.draining || e.leaving && !keyed {
 		return false
 	}
 	e.inFlight++
@@ -44,6 +45,14 @@
 	return e.inFlight
 }
 
+// Leave refuses new requests without a key from now on. A node that is about to
+// stop calls it before it hands its slots over, and Drain afterwards.
+func (e *Egress) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 // Drain refuses new requests from now on and waits until those in flight ended
 // or ctx did, whose error it returns.
 func (e *Egress) Drain(ctx context.Context) error {
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -79,9 +79,10 @@
 	counters   *seamoutcome.Counters
 	events     seamevent.Sink
 
-	mu       sync.Mutex
-	draining bool
-	inFlight int
+	mu sync.Mutex
+	// leaving refuses requests without a key, and draining all.
+	leaving, draining bool
+	inFlight          int
 	// leaver is the run of the target that is leaving, since a time.
 	leaver string
 	since  time.Time
@@ -134,7 +135,7 @@
 }
 
 func (e *Egress) enterAndRun(ctx context.Context, head *seamroutewire.RequestHead, body io.Reader, out seamcall.Answer) seamoutcome.End {
-	if !e.enter() {
+	if !e.enter(head.GetKeyed()) {
 		return seamoutcome.Refuse(seamoutcome.Draining, "the node is leaving")
 	}
 	defer e.leave()
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -227,6 +227,22 @@
 	}
 }
 
+func TestLeavingNodeServesItsKeysUntilItDrains(t *testing.T) {
+	e, _ := newEgress(t, time.Minute, nil, nil)
+	keyed := func(n byte) *seamroutewire.RequestHead {
+		h := head(uint64(n))
+		h.Keyed, h.Id = true, append(make([]byte, 15), n)
+		return h
+	}
+	e.Leave()
+	expect(t, run(e, head(1)), seamoutcome.Refused, seamoutcome.Draining)
+	expect(t, run(e, keyed(2)), seamoutcome.Done, "")
+	if err := e.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	expect(t, run(e, keyed(3)), seamoutcome.Refused, seamoutcome.Draining)
+}
+
 func TestDrainWaitsForRequestsInFlight(t *testing.T) {
 	running, release := make(chan struct{}), make(chan struct{})
 	e, _ := newEgress(t, time.Minute, nil, func(http.ResponseWriter, *http.Request) {
