Long bodies are sent when the target's node asks for them

An upload that met a draining node was refused to its caller, since a part of its body was gone already. Now nothing of it is sent before it is admitted. Cause found by the drain test with bodies of up to 190 KB.

--- a/internal/route/seamegress/stream.go
+++ b/internal/route/seamegress/stream.go
@@ -95,6 +95,7 @@
 	// mu keeps a reader that outlives the request from the frames.
 	mu       sync.Mutex
 	stopped  bool
+	asked    bool
 	watching chan struct{}
 	rest     []byte
 	ended    bool
@@ -143,6 +144,9 @@
 	if b.stopped {
 		return 0, net.ErrClosed
 	}
+	if err := b.ask(); err != nil {
+		return 0, err
+	}
 	for len(b.rest) == 0 {
 		part, err := b.next()
 		if err != nil {
@@ -155,6 +159,16 @@
 	return n, nil
 }
 
+// ask tells the ingress, once, that the body is wanted. Until then nothing of it
+// was sent, so that a request that is refused can go elsewhere whole.
+func (b *streamBody) ask() error {
+	if b.asked {
+		return nil
+	}
+	b.asked = true
+	return seamframe.Write(b.conn, seamframe.Admitted, &seamroutewire.Admitted{})
+}
+
 // next returns the next chunk, or io.EOF after the last.
 func (b *streamBody) next() ([]byte, error) {
 	if b.ended {
--- a/internal/route/seamframe/frame.go
+++ b/internal/route/seamframe/frame.go
@@ -32,6 +32,10 @@
 	Hello       Type = 8
 	RelayOpen   Type = 9
 	RelayOpened Type = 10
+	Admitted    Type = 11
+
+	// last is the highest type.
+	last = Admitted
 )
 
 const (
@@ -137,7 +141,7 @@
 		return 0, err
 	}
 	number, wire := protowire.DecodeTag(tag)
-	if wire != protowire.BytesType || number < protowire.Number(RequestHead) || number > protowire.Number(RelayOpened) {
+	if wire != protowire.BytesType || number < protowire.Number(RequestHead) || number > protowire.Number(last) {
 		return 0, &Error{Fault: "unknown tag", Type: Type(number)}
 	}
 	return Type(number), nil
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -44,6 +44,8 @@
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
+	// admitted is closed when the node asks for a body that did not follow the head.
+	admitted chan struct{}
 	// drained says that nothing follows the last answer on its stream.
 	drained bool
 	// doubt is the end of an earlier attempt that may have run.
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -158,8 +158,8 @@
 	if err := back.egress.Drain(ctx); err != nil {
 		t.Fatal(err)
 	}
-	for range 20 {
-		r, _ := http.NewRequest(http.MethodPost, front.url("/book"), strings.NewReader("x"))
+	for i := range 20 {
+		r, _ := http.NewRequest(http.MethodPost, front.url("/book"), strings.NewReader(strings.Repeat("x", 1+i*10_000)))
 		got := do(t, r)
 		got.expect(t, 200, seamoutcome.Done, "")
 		if s := got.header.Get(seamheader.Server); s != "other" {
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -134,32 +134,48 @@
 	return buffer.Flush(conn)
 }
 
-// stream sends a long body while it receives the answer.
+// stream sends a long body, once the node asks for it, while it receives the answer.
 func (x *exchange) stream(conn net.Conn) (seamoutcome.End, error) {
-	sent := make(chan struct{})
+	admitted := make(chan struct{})
+	x.admitted = admitted
+	over, sent := make(chan struct{}), make(chan struct{})
 	go func() {
-		err := x.sendBody(conn)
-		if err != nil {
+		defer close(sent)
+		select {
+		case <-admitted:
+		case <-over:
+			return
+		}
+		if x.sendBody(conn) != nil {
 			// The node sees a body that is cut, and the receiving side stops waiting.
 			conn.Close()
 			conn.SetReadDeadline(time.Now().Add(answerGrace))
 		}
-		close(sent)
 	}()
 	end, err := x.receive(conn)
-	conn.Close()
-	select {
-	case <-sent:
-	default:
-		x.answer.stopReading()
-		<-sent
-	}
+	close(over)
+	x.endBody(conn, sent)
 	if failure := x.body.failure.Load(); failure != nil && err != nil {
 		return end, failure
 	}
 	return end, err
 }
 
+// endBody waits until nothing of the body is sent any more.
+func (x *exchange) endBody(conn net.Conn, sent <-chan struct{}) {
+	if x.body.count.Load() > 0 {
+		conn.Close()
+	}
+	select {
+	case <-sent:
+		return
+	case <-time.After(time.Millisecond):
+	}
+	conn.Close()
+	x.answer.stopReading()
+	<-sent
+}
+
 func (x *exchange) sendBody(conn net.Conn) error {
 	buffer, done := seamframe.NewBuffer()
 	defer done()
@@ -197,6 +213,8 @@
 			err = x.receiveHead(f, &a)
 		case seamframe.Chunk:
 			err = x.receiveChunk(f, &a)
+		case seamframe.Admitted:
+			err = x.receiveAdmitted(f)
 		case seamframe.AnswerEnd:
 			x.drained = reader.Buffered() == 0
 			return x.receiveEnd(f, &a)
@@ -235,6 +253,15 @@
 	return x.answer.Body(f.Payload)
 }
 
+func (x *exchange) receiveAdmitted(f seamframe.Frame) error {
+	if x.admitted == nil {
+		return &seamframe.Error{Fault: "body was asked for twice", Type: f.Type}
+	}
+	close(x.admitted)
+	x.admitted = nil
+	return nil
+}
+
 func (x *exchange) receiveEnd(f seamframe.Frame, a *answerState) (seamoutcome.End, error) {
 	w := new(seamroutewire.AnswerEnd)
 	if err := f.Decode(w); err != nil {
