--- a/internal/route/seamlimit/adaptive.go
+++ b/internal/route/seamlimit/adaptive.go
@@ -14,9 +14,9 @@
 	// nearLimit is the share of the limit in use from which the limit is tested.
 	nearLimit = 0.8
 	// fastWeight is the weight of one sample in the present latency.
-	fastWeight = 0.05
-	// fallWeight is the weight of one sample with which the usual latency falls.
-	fallWeight = 0.05
+	fastWeight = 0.02
+	// fallTime is the time in which the usual latency follows a lower one.
+	fallTime = time.Second
 	// riseTime is the time in which the usual latency follows a higher one, so
 	// that lasting slowness, which fewer requests do not cure, becomes usual.
 	riseTime = 10 * time.Second
@@ -89,10 +89,11 @@
 		return
 	}
 	a.fast += (latency - a.fast) * fastWeight
-	weight := min(max(since.Seconds(), 0)/riseTime.Seconds(), 1)
+	follow := riseTime
 	if a.fast < a.usual {
-		weight = fallWeight
+		follow = fallTime
 	}
+	weight := min(max(since.Seconds(), 0)/follow.Seconds(), 1)
 	a.usual += (a.fast - a.usual) * weight
 }
 
--- a/internal/route/seamlimit/limiter_test.go
+++ b/internal/route/seamlimit/limiter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -149,3 +151,34 @@
 		t.Errorf("limit %d after the shedding ended", a.Limit())
 	}
 }
+
+// TestMixOfShortAndLongRequestsKeepsTheLimit keeps a target busy with requests
+// of which one in ten takes thirty times as long as the others.
+func TestMixOfShortAndLongRequestsKeepsTheLimit(t *testing.T) {
+	const slots, requests = 12, 20_000
+	r := rand.New(rand.NewPCG(1, 2))
+	a := seamlimit.NewAdaptive(slots)
+	now := start
+	var running []time.Time
+	begun := map[time.Time]time.Time{}
+	sum := 0
+	for range requests {
+		for len(running) < a.Limit() {
+			end := now.Add(5*time.Millisecond + time.Duration(len(running)))
+			if r.IntN(10) == 0 {
+				end = end.Add(145 * time.Millisecond)
+			}
+			running = append(running, end)
+			begun[end] = now
+		}
+		slices.SortFunc(running, time.Time.Compare)
+		now = running[0]
+		a.Observe(now, seamlimit.Sample{Latency: now.Sub(begun[now]), Running: len(running)})
+		delete(begun, now)
+		running = running[1:]
+		sum += a.Limit()
+	}
+	if mean := float64(sum) / requests; mean < 0.95*slots {
+		t.Errorf("mean limit %.2f of %d", mean, slots)
+	}
+}
