Retired sessions end with their streams; a void tells of duplicates

A session that made room for another was closed after a second with whatever it carried. A void of an attempt whose duplicate ran said voided, so that the ingress would have said refused of an id that ran.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -161,7 +161,7 @@
 // limitByGrant ends the request with its grant if the target does not fence.
 func (c *call) limitByGrant(ctx context.Context, grant *seamgrant.Grant) (context.Context, context.CancelFunc) {
 	if grant == nil || c.announced.Has(seamtarget.CanFence) {
-		return context.WithCancel(ctx)
+		return ctx, func() {}
 	}
 	left := -seamclock.Most(c.egress.clock.Now(), grant.Until)
 	return context.WithTimeout(ctx, left)
--- a/internal/route/seamledger/ledger.go
+++ b/internal/route/seamledger/ledger.go
@@ -19,7 +19,7 @@
 const (
 	// Voided means that the attempt has not run and never will.
 	Voided State = "voided"
-	// Ran means that bytes of the attempt may have reached the target.
+	// Ran means that bytes of the attempt, or of a duplicate, may have reached the target.
 	Ran State = "ran"
 	// Unknown means that the ledger no longer remembers.
 	Unknown State = "unknown"
@@ -167,8 +167,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
-	if r, ok := l.runs[id]; ok && r.attempt == attempt {
-		if r.started {
+	if r, ok := l.runs[id]; ok {
+		if r.started || r.attempt != attempt {
+			// Also another attempt, of a duplicate, may have run the request.
 			return Ran
 		}
 		// An attempt arrives once, so that no record has to keep it from running.
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -41,7 +41,7 @@
 	Address string
 	// Listener is used instead of Address, if set.
 	Listener net.Listener
-	// Max is the largest number of sessions, in both directions together.
+	// Max is the largest number of sessions that take streams, in both directions together.
 	Max int
 	// Idle is the time after which a session without streams is closed.
 	Idle time.Duration
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -215,9 +215,9 @@
 	return peers
 }
 
-// Len returns the number of sessions.
+// Len returns the number of sessions that take new streams.
 func (p *Pool) Len() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.sessions)
+	return p.taking()
 }
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -65,12 +65,19 @@
 }
 
 func (s *session) idle(now time.Time) time.Duration {
-	if s.mux.NumStreams() > 0 {
+	if s.inUse() {
 		return 0
 	}
 	return now.Sub(time.Unix(0, s.used.Load()))
 }
 
+// inUse reports whether there are streams other than those kept for reuse here.
+func (s *session) inUse() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mux.NumStreams() > len(s.spare)
+}
+
 // open returns a spare stream of the kind or a new one.
 func (s *session) open(k Kind, now time.Time) (net.Conn, error) {
 	s.touch(now)
@@ -84,14 +91,17 @@
 	return &stream{Stream: c, session: s, kind: k}, nil
 }
 
-// retire tells the peer that the session ends, and ends it when its streams are closed.
+// retire lets the session take no new streams and tells the peer. The sweep
+// closes it when its streams ended.
 func (s *session) retire() {
 	if s.leaving.Swap(true) {
 		return
 	}
-	// A peer that does not hear of the end sees its stream break and voids it.
-	_ = s.mux.GoAway()
-	s.closeSpare(time.Now())
+	go func() {
+		// A peer that does not hear of the end sees its stream break and voids it.
+		_ = s.mux.GoAway()
+		s.closeSpare(time.Now())
+	}()
 }
 
 // accept hands the peer's streams to serve until the session ends.
--- a/internal/route/seamsession/sweep.go
+++ b/internal/route/seamsession/sweep.go
@@ -9,14 +9,14 @@
 func (p *Pool) reserve() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.sessions)+p.pending >= p.cfg.Max {
+	if p.taking()+p.pending >= p.cfg.Max {
 		s := p.longestIdle(time.Now())
 		if s == nil {
 			return &BusyError{At: p.self}
 		}
-		p.removeLocked(s)
+		p.dropRouteLocked(s)
+		s.touch(time.Now())
 		s.retire()
-		time.AfterFunc(lingerTime, func() { s.mux.Close() })
 	}
 	p.pending++
 	return nil
@@ -28,11 +28,22 @@
 	p.pending--
 }
 
+// taking returns the number of sessions that take new streams.
+func (p *Pool) taking() int {
+	n := 0
+	for s := range p.sessions {
+		if s.usable() {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) longestIdle(now time.Time) *session {
 	var found *session
 	var longest time.Duration
 	for s := range p.sessions {
-		if d := s.idle(now); d > longest {
+		if d := s.idle(now); d > longest && s.usable() {
 			found, longest = s, d
 		}
 	}
@@ -68,7 +79,7 @@
 		case idle > p.cfg.Idle || now.Sub(s.start) > p.cfg.Age || s.skewed(now):
 			p.dropRouteLocked(s)
 			s.touch(now)
-			go s.retire()
+			s.retire()
 		}
 	}
 }
