Ownership: members that get no answers are not granted to; slots get new epochs after a takeover

Two findings of the tests. With the way from the coordinator to a member cut in one direction, the member's renewals kept it in the cell although no grant reached it: renewals now say how many answers were missed.

--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -163,6 +163,7 @@
 func (c *Cell) update(m *info, n *seamcellwire.Renew, current bool) {
 	r := c.reign
 	m.heard = c.now
+	m.missed = n.GetMissed()
 	m.applied = max(m.applied, n.GetRules())
 	m.inflight = int(n.GetInflight())
 	m.version = 0
@@ -333,7 +334,7 @@
 func (c *Cell) life(m *info) time.Duration {
 	r := c.reign
 	end, ok := c.authority()
-	if !ok || !r.settled || !m.reported || c.lags(m) || c.applied == 0 {
+	if !ok || !r.settled || !m.reported || c.lags(m) || m.deaf() || c.applied == 0 {
 		return 0
 	}
 	life := min(c.cfg.Grant, end.Mono-c.now.Mono, end.Wall-c.now.Wall)
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -65,6 +65,11 @@
 	owner := r.infos[b.owner]
 	switch {
 	case owner != nil && b.reported:
+		// Only after a resignation is the earlier table known to be complete. Otherwise the slot
+		// may have had another owner since, under a higher token.
+		if !r.acting {
+			e.token = r.token()
+		}
 		e.owner = b.owner
 		e.owners = []uint32{b.owner}
 		r.since[id] = c.now
@@ -127,7 +132,7 @@
 			continue
 		}
 		switch {
-		case m.heard.Zero() || seamclock.Least(c.now, m.heard) >= c.cfg.Grant:
+		case m.heard.Zero() || m.deaf() || seamclock.Least(c.now, m.heard) >= c.cfg.Grant:
 			c.emit(seamevent.CellMemberLost, seamevent.Fields{"cell": r.entry.Record.ID, "member": m.peer.Name, "incarnation": m.peer.Incarnation})
 			c.drop(m)
 		case c.lags(m) && r.owned(m.id) > 0:
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -92,17 +92,32 @@
 	}
 	for _, x := range losses {
 		t.Run(x.name, func(t *testing.T) {
-			for seed := range int64(5) {
+			worst := time.Duration(0)
+			for seed := range int64(10) {
 				w := settled(t, 6, seed)
 				x.lose(t, w)
-				w.run(300 * time.Millisecond)
-				d := w.untilHeld(x.limit)
-				w.must(t, w.held() == slotNumber, "%d of %d slots held after %v (seed %d)", w.held(), slotNumber, d, seed)
+				d := w.restored(x.limit + time.Second)
+				w.must(t, d <= x.limit, "%d of %d slots held after %v (seed %d)", w.held(), slotNumber, d, seed)
+				worst = max(worst, d)
 			}
+			t.Logf("served again after %v at the worst", worst)
 		})
 	}
 }
 
+// restored runs for the time given and returns after how much of it all slots were held for good.
+func (w *world) restored(d time.Duration) time.Duration {
+	begin := w.now
+	last := begin
+	for w.now < begin+d && w.broken == "" {
+		w.run(10 * time.Millisecond)
+		if w.held() < slotNumber {
+			last = w.now
+		}
+	}
+	return last - begin
+}
+
 func TestAttestedLossEndsTheWait(t *testing.T) {
 	w := settled(t, 6, 1)
 	b, c := w.backup(), w.coordinator()
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -211,9 +211,9 @@
 	m.sequence++
 	m.sent[m.sequence] = c.now
 	m.renewed = c.now
-	m.unanswered++
 	delete(m.sent, m.sequence-sentLife)
 	x := c.renewal()
+	m.unanswered++
 	to := c.asked()
 	spread := m.unanswered > patience && !m.backup.Zero() && !m.backup.Same(to)
 	backup := m.backup
@@ -241,7 +241,7 @@
 	x := &seamcellwire.Renew{
 		Sequence: m.sequence, Version: m.table.version, Rules: c.applied,
 		Inflight: uint32(max(c.target.InFlight, 0)), Draining: c.draining, Announced: c.announced,
-		Leaving: m.farewells > 0,
+		Leaving: m.farewells > 0, Missed: uint32(m.unanswered),
 	}
 	if !m.joined {
 		x.Peer = peerWire(c.self)
@@ -379,6 +379,7 @@
 	m.pending = nil
 	m.reported = false
 	m.known = 0
+	m.unanswered = 0
 }
 
 func (c *Cell) takeLease(a *seamcellwire.Answer) {
@@ -502,6 +503,7 @@
 		return
 	}
 	m.coordinator = p
+	m.unanswered = 0
 }
 
 // readmit asks for admission anew, with an empty table. The lease is over by then.
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -148,7 +148,7 @@
 		w: w, alive: true, started: w.now, rate: 1 + (w.rnd.Float64()-0.5)/500,
 		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{},
 		peer: seampeer.Peer{
-			Name: name, Incarnation: uint64(w.count + 1), Address: "10.0.0." + name[1:] + ":1",
+			Name: name, Incarnation: uint64(w.count+1) + 1_795_000_000_000_000_000, Address: "10.0.0." + name[1:] + ":1",
 			Region: region, Domain: fmt.Sprintf("%s-%d", region, i/len(w.regions)%2),
 		},
 	}
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -90,6 +90,8 @@
 	version uint64
 	sent    uint64
 	heard   seamclock.Instant
+	// missed is the number of renewals of which the member has seen no answer.
+	missed uint32
 	// until is the latest end of a lease that the member can have.
 	until     seamclock.Instant
 	applied   int64
@@ -377,9 +379,14 @@
 	return best
 }
 
+// deaf reports whether the member does not seem to get answers, as when the way to it is cut.
+func (m *info) deaf() bool {
+	return m.missed >= patience
+}
+
 // hears reports whether the member has shown a sign of life lately.
 func (c *Cell) hears(x *info) bool {
-	return !x.heard.Zero() && seamclock.Most(c.now, x.heard) <= c.silence()
+	return !x.heard.Zero() && seamclock.Most(c.now, x.heard) <= c.silence() && !x.deaf()
 }
 
 // changeBackup writes the next epoch with another backup, or with none.
