--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -41,9 +41,11 @@
 	highest         map[seamslot.ID]uint64
 	holder          map[seamslot.ID]string
 	broken          string
-	trace           func(string, ...any)
-	bytes           map[string]int
-	emitted         map[string]int
+	// filter, if set, says how much later a datagram arrives, or that it is lost if negative.
+	filter  func(from, to string, m *seamcellwire.Message) time.Duration
+	trace   func(string, ...any)
+	bytes   map[string]int
+	emitted map[string]int
 }
 
 type event struct {
@@ -81,7 +83,11 @@
 	down     bool
 	// unknown is the probability that the answer of a write is lost.
 	unknown float64
-	writes  int
+	// deaf are the nodes that get no answers of their writes, silent those whose calls all fail.
+	deaf, silent map[string]bool
+	// slow is by how much longer writes of a node take.
+	slow   map[string]time.Duration
+	writes int
 }
 
 // node is one run of one instance.
@@ -127,7 +133,7 @@
 	w := &world{
 		t: t, rnd: rand.New(rand.NewSource(seed)), cfg: cfg, regions: regions, delay: 4 * time.Millisecond,
 		blocked: map[[2]string]bool{}, highest: map[seamslot.ID]uint64{}, holder: map[seamslot.ID]string{},
-		store: fakeStore{entries: map[string]seamcell.Entry{}}, trace: func(string, ...any) {},
+		store: fakeStore{entries: map[string]seamcell.Entry{}, deaf: map[string]bool{}, silent: map[string]bool{}, slow: map[string]time.Duration{}}, trace: func(string, ...any) {},
 		bytes: map[string]int{}, emitted: map[string]int{},
 	}
 	for i := range n {
@@ -144,12 +150,21 @@
 // start begins a new run of the instance with the index; index len(nodes) adds one.
 func (w *world) start(i int, name string) {
 	region := w.regions[i%len(w.regions)]
+	w.startNode(i, name, region, fmt.Sprintf("%s-%d", region, i/len(w.regions)%2))
+}
+
+// startIn adds a node in the failure domain.
+func (w *world) startIn(name, domain string) {
+	w.startNode(len(w.nodes), name, w.regions[0], domain)
+}
+
+func (w *world) startNode(i int, name, region, domain string) {
 	n := &node{
 		w: w, alive: true, started: w.now, rate: 1 + (w.rnd.Float64()-0.5)/500,
 		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{},
 		peer: seampeer.Peer{
 			Name: name, Incarnation: uint64(w.count+1) + 1_795_000_000_000_000_000, Address: "10.0.0." + name[1:] + ":1",
-			Region: region, Domain: fmt.Sprintf("%s-%d", region, i/len(w.regions)%2),
+			Region: region, Domain: domain,
 		},
 	}
 	n.target = seamcell.TargetState{
@@ -287,11 +302,17 @@
 	if w.rnd.Float64() < w.duplicate {
 		copies = 2
 	}
+	late := time.Duration(0)
+	if w.filter != nil {
+		if late = w.filter(n.peer.Name, a.To.Name, a.Message); late < 0 {
+			return
+		}
+	}
 	for range copies {
 		if w.rnd.Float64() < w.loss || w.blocked[[2]string{n.peer.Name, a.To.Name}] {
 			continue
 		}
-		w.after(w.latency(), func() { w.receive(a.To, data) })
+		w.after(late+w.latency(), func() { w.receive(a.To, data) })
 	}
 }
 
@@ -330,7 +351,7 @@
 // write applies a write, whose answer may be lost and which may take effect late.
 func (n *node) write(id uint64, key string, expect int64, e seamcell.Entry) {
 	w := n.w
-	wait := w.latency()
+	wait := w.latency() + w.store.slow[n.peer.Name]
 	lost := w.rnd.Float64() < w.store.unknown
 	if lost && w.rnd.Intn(2) == 0 {
 		n.stored(seamcell.StoreResult{ID: id, Outcome: seamcell.Unknown})
@@ -339,13 +360,13 @@
 		return
 	}
 	w.after(wait, func() {
-		if w.store.down {
+		if w.store.down || w.store.silent[n.peer.Name] {
 			n.stored(seamcell.StoreResult{ID: id, Outcome: seamcell.Unavailable})
 			return
 		}
 		r := w.apply(key, expect, e)
 		r.ID = id
-		if lost {
+		if lost || w.store.deaf[n.peer.Name] {
 			r = seamcell.StoreResult{ID: id, Outcome: seamcell.Unknown}
 		}
 		n.stored(r)
@@ -378,6 +399,9 @@
 	w.trace("%v store %s rev %d epoch %d coordinator %s backup %s ranges %v gifts %v taken %v", w.now, key, e.Revision, e.Record.Epoch, e.Record.Coordinator, e.Record.Backup, e.Record.Ranges, e.Record.Gifts, e.Record.Taken)
 	for _, n := range w.nodes {
 		role := n.cell.View(n.clock()).Role
+		if w.store.deaf[n.peer.Name] {
+			continue
+		}
 		if role == seamcell.RoleCoordinator || role == seamcell.RoleNone || role == seamcell.RoleJoining {
 			w.after(w.latency(), func() {
 				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Directory(now, []seamcell.Entry{e}) })
--- /dev/null
+++ b/internal/own/seamcell/pitfall_test.go
@@ -0,0 +1,230 @@
+package seamcell_test
+
+import (
+	"testing"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
+)
+
+// TestPitfalls causes, one by one, the situations in which two nodes could come to hold a slot.
+// The world checks at each event that they do not.
+func TestPitfalls(t *testing.T) {
+	pitfalls := []struct {
+		name  string
+		nodes int
+		cause func(t *testing.T, w *world)
+	}{
+		{"a promise arrives late", 4, func(_ *testing.T, w *world) {
+			b, c := w.backup().peer.Name, w.coordinator().peer.Name
+			w.store.silent[c] = true
+			cut := w.now + 200*time.Millisecond
+			w.filter = func(from, to string, m *seamcellwire.Message) time.Duration {
+				if from == c && to == b && w.now > cut {
+					return -1
+				}
+				if m.GetPromise() != nil {
+					return 950 * time.Millisecond
+				}
+				return 0
+			}
+		}},
+		{"old promises arrive again", 4, func(_ *testing.T, w *world) {
+			bn, cn := w.backup(), w.coordinator()
+			b, c := bn.peer.Name, cn.peer.Name
+			w.store.silent[c] = true
+			cut := w.now + 200*time.Millisecond
+			var old *seamcellwire.Message
+			w.filter = func(from, to string, m *seamcellwire.Message) time.Duration {
+				if m.GetPromise() != nil {
+					old = m
+				}
+				if from == c && to == b && w.now > cut {
+					return -1
+				}
+				return 0
+			}
+			for i := range 30 {
+				w.after(time.Duration(i)*100*time.Millisecond, func() {
+					if old != nil && cn.alive {
+						cn.act(func(now seamclock.Instant) []seamcell.Action { return cn.cell.Receive(now, old) })
+					}
+				})
+			}
+		}},
+		{"a takeover takes effect after beats have come back", 3, func(_ *testing.T, w *world) {
+			b, c := w.backup(), w.coordinator()
+			w.store.silent[c.peer.Name] = true
+			w.store.slow[b.peer.Name] = 600 * time.Millisecond
+			w.block(c, b, 1350*time.Millisecond)
+		}},
+		{"the coordinator resigns while a member cannot reach its successor", 3, func(t *testing.T, w *world) {
+			b, c, m := w.backup(), w.coordinator(), w.member(t)
+			w.filter = func(from, to string, _ *seamcellwire.Message) time.Duration {
+				if from == m.peer.Name && to == b.peer.Name || from == b.peer.Name && to == m.peer.Name {
+					return -1
+				}
+				return 0
+			}
+			c.act(c.cell.Drain)
+		}},
+		{"the coordinator sleeps right after a write", 4, func(_ *testing.T, w *world) {
+			b := w.backup()
+			w.coordinator().crash()
+			w.after(1300*time.Millisecond, func() {
+				b.pause(true)
+				w.after(3*time.Second, b.resume)
+			})
+		}},
+		{"every node sleeps at once", 4, func(_ *testing.T, w *world) {
+			for i, n := range w.nodes {
+				n.pause(i%2 == 0)
+				w.after(time.Duration(2+i)*time.Second, n.resume)
+			}
+		}},
+		{"coordinator and backup race for the record", 4, func(_ *testing.T, w *world) {
+			b, c := w.backup(), w.coordinator()
+			w.store.slow[c.peer.Name] = 500 * time.Millisecond
+			w.block(b, c, 3*time.Second)
+			w.block(c, b, 3*time.Second)
+		}},
+		{"answers of the store are lost for long", 4, func(_ *testing.T, w *world) {
+			for _, n := range w.nodes {
+				w.store.deaf[n.peer.Name] = true
+			}
+			w.coordinator().crash()
+			w.after(4*time.Second, func() { clear(w.store.deaf) })
+		}},
+		{"a member keeps beginning hand-overs", 4, func(t *testing.T, w *world) {
+			m := w.member(t)
+			m.hang = true
+			m.act(m.cell.Drain)
+		}},
+	}
+	for _, x := range pitfalls {
+		t.Run(x.name, func(t *testing.T) {
+			for seed := range int64(10) {
+				w := settled(t, x.nodes, seed)
+				x.cause(t, w)
+				w.run(6 * time.Second)
+				w.filter = nil
+				clear(w.store.silent)
+				clear(w.store.slow)
+				w.must(t, true, "")
+				w.untilHeld(10 * time.Second)
+				w.must(t, w.held() == slotNumber, "%d slots held in the end (seed %d)", w.held(), seed)
+			}
+		})
+	}
+}
+
+// TestLostAnswerThatNamesABackup lets the write of a new backup take effect without its writer's
+// knowledge. The new backup counts from when it learns of the record, while the old one still answers.
+func TestLostAnswerThatNamesABackup(t *testing.T) {
+	for seed := range int64(10) {
+		cfg := modelConfig()
+		w := newWorldOf(t, seed, 1, cfg, []string{"erie"})
+		w.startIn("n2", "erie-0")
+		w.run(8 * time.Second)
+		c := w.coordinator()
+		w.must(t, w.held() == slotNumber && w.backup() != nil, "cell did not settle")
+		w.store.deaf[c.peer.Name] = true
+		w.startIn("n1", "erie-1")
+		x := w.nodes[2]
+		w.run(2500 * time.Millisecond)
+		e := w.store.entries["cell/erie-1"]
+		w.must(t, e.Record.Backup.Same(x.peer) || e.Record.Coordinator.Same(x.peer), "the record names %s as backup", e.Record.Backup)
+		x.act(func(now seamclock.Instant) []seamcell.Action { return x.cell.Directory(now, []seamcell.Entry{e}) })
+		w.run(4 * time.Second)
+		w.must(t, true, "")
+		clear(w.store.deaf)
+		w.untilHeld(5 * time.Second)
+		w.must(t, w.held() == slotNumber, "%d slots held in the end", w.held())
+	}
+}
+
+// TestLeaseWaitsForTheTable gives a member a lease that needs changes which have not arrived.
+func TestLeaseWaitsForTheTable(t *testing.T) {
+	id := seamslot.ID{Service: service}
+	leader := seampeer.Peer{Name: "c", Incarnation: 7, Address: "10.0.0.1:1", Region: "erie", Domain: "erie-0"}
+	self := seampeer.Peer{Name: "m", Incarnation: 8, Address: "10.0.0.2:1", Region: "erie", Domain: "erie-1"}
+	cell := seamcell.New(modelConfig(), self, nil)
+	now := seamclock.Instant{Mono: time.Second, Wall: time.Hour}
+	cell.Target(now, seamcell.TargetState{Service: service, Name: "r", Address: "10.1.0.2:1", Slots: 1})
+	cell.Directory(now, []seamcell.Entry{{Key: "cell/erie-1", Revision: 1, Record: seamcell.Record{
+		ID: "erie-1", Region: "erie", Epoch: 1, Coordinator: leader, Horizon: 60_000,
+	}}})
+	sequence := uint64(0)
+	for _, a := range cell.Tick(now) {
+		if s, ok := a.(seamcell.Send); ok {
+			sequence = s.Message.GetRenew().GetSequence()
+		}
+	}
+	answer := func(a *seamcellwire.Answer) {
+		a.Id, a.Epoch = 2, 1
+		cell.Receive(now, &seamcellwire.Message{
+			Name: leader.Name, Incarnation: leader.Incarnation, Cell: "erie-1", Term: 2,
+			Body: &seamcellwire.Message_Answer{Answer: a},
+		})
+	}
+	answer(&seamcellwire.Answer{
+		Sequence: sequence, Life: 1000, Need: 9, From: 0, To: 5,
+		Slots: []*seamcellwire.Slot{{Service: service, Token: 5, Owner: 2, Stamp: 5}},
+	})
+	if _, ok := cell.Held(now, id); ok {
+		t.Fatal("slot is held before the table has the version that the lease needs")
+	}
+	answer(&seamcellwire.Answer{From: 5, To: 9, Slots: []*seamcellwire.Slot{{Service: service, Token: 6, Owner: 1, Stamp: 9}}})
+	if _, ok := cell.Held(now, id); ok {
+		t.Fatal("slot of another member is held")
+	}
+	if _, ok := cell.Lease(now); !ok {
+		t.Fatal("lease did not begin with the version that it needs")
+	}
+	answer(&seamcellwire.Answer{From: 9, To: 10, Slots: []*seamcellwire.Slot{{Service: service, Token: 7, Owner: 2, Stamp: 10}}})
+	if g, ok := cell.Held(now, id); !ok || g.Epoch != 7 {
+		t.Fatalf("slot is held %t under epoch %d, want 7", ok, g.Epoch)
+	}
+	if _, ok := cell.Held(now.Add(time.Second), id); ok {
+		t.Fatal("slot is held after the lease")
+	}
+}
+
+// TestLateNodeJoinsWithoutTheStore starts a node that knows a member's address and cannot read the store.
+func TestLateNodeJoinsWithoutTheStore(t *testing.T) {
+	w := settled(t, 3, 1)
+	w.store.down = true
+	w.start(3, "n3")
+	n := w.nodes[3]
+	n.act(func(now seamclock.Instant) []seamcell.Action {
+		return n.cell.Seeds(now, []seampeer.Peer{{Address: w.nodes[0].peer.Address}})
+	})
+	w.run(4 * time.Second)
+	w.must(t, n.cell.View(n.clock()).Role == seamcell.RoleMember, "late node has role %s", n.cell.View(n.clock()).Role)
+}
+
+// TestUnfencedTargetIsWaitedOut loses a server that does not check epochs.
+func TestUnfencedTargetIsWaitedOut(t *testing.T) {
+	const deadline = time.Second
+	w := settled(t, 6, 1)
+	for _, n := range w.nodes {
+		n.act(func(now seamclock.Instant) []seamcell.Action {
+			return n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Deadline: deadline})
+		})
+	}
+	m := w.member(t)
+	m.target.Fence = false
+	m.announce()
+	w.run(time.Second)
+	lease, _ := m.cell.Lease(m.clock())
+	left := -seamclock.Most(m.clock(), lease)
+	m.crash()
+	w.run(left + deadline)
+	w.must(t, w.held() < slotNumber, "slots of a server that checks no epochs were granted too early")
+	d := w.untilHeld(servedAgain)
+	w.must(t, w.held() == slotNumber, "%d slots held after %v", w.held(), left+deadline+d)
+}
