--- /dev/null
+++ b/internal/route/seamingress/fault_test.go
@@ -0,0 +1,279 @@
+package seamingress_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seampick"
+)
+
+// direction is a way through a proxy.
+type direction int
+
+const (
+	toBack direction = iota
+	toFront
+)
+
+// proxy passes connections on until it is armed to cut or to stall them.
+type proxy struct {
+	to string
+	l  net.Listener
+
+	mu sync.Mutex
+	// left is the number of bytes in each direction after which something happens; -1 is never.
+	left  [2]int
+	stall time.Duration
+}
+
+func newProxy(t *testing.T, to string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &proxy{to: to, l: l, left: [2]int{-1, -1}}
+	go p.listen()
+	return p
+}
+
+// arm lets the proxy act after so many bytes: it cuts, or stalls if a time is given.
+func (p *proxy) arm(d direction, after int, stall time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left = [2]int{-1, -1}
+	p.left[d] = after
+	p.stall = stall
+}
+
+func (p *proxy) listen() {
+	for {
+		in, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		go p.pass(out, in, toBack)
+		go p.pass(in, out, toFront)
+	}
+}
+
+func (p *proxy) pass(to, from net.Conn, d direction) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		allowed, stall := p.take(d, n)
+		if _, err := to.Write(buf[:allowed]); err != nil {
+			return
+		}
+		if allowed < n {
+			if stall == 0 {
+				return
+			}
+			time.Sleep(stall)
+			if _, err := to.Write(buf[allowed:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// take returns how many of n bytes pass before something happens.
+func (p *proxy) take(d direction, n int) (allowed int, stall time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left[d] < 0 || n < p.left[d] {
+		if p.left[d] > 0 {
+			p.left[d] -= n
+		}
+		return n, 0
+	}
+	allowed = p.left[d]
+	p.left[d] = -1
+	if allowed == n {
+		// Something happens after the last byte: hold back none, but act.
+		allowed = max(n-1, 0)
+	}
+	return allowed, p.stall
+}
+
+// ledger counts the runs of each booking at the targets.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// told counts the outcomes.
+	told map[string]int
+	// refused are the bookings that must never run.
+	refused []string
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, told: map[string]int{}}
+}
+
+// settle checks, once nothing more can arrive, that nothing ran that was
+// refused and nothing ran twice.
+func (l *ledger) settle(t *testing.T) {
+	t.Helper()
+	time.Sleep(100 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.refused {
+		if l.runs[b] > 0 {
+			t.Errorf("%s ran after it was refused", b)
+		}
+	}
+	for b, n := range l.runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", b, n)
+		}
+	}
+	t.Log("outcomes:", l.told)
+}
+
+func (l *ledger) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	l.mu.Lock()
+	l.runs[r.Header.Get("X-Booking")]++
+	l.mu.Unlock()
+	fmt.Fprintf(w, "booked %s %s", r.Header.Get("X-Booking"), body)
+}
+
+// check judges what a caller was told by what ran.
+func (l *ledger) check(t *testing.T, booking, want string, got result) {
+	t.Helper()
+	outcome := got.header.Get(seamheader.Outcome)
+	l.mu.Lock()
+	runs := l.runs[booking]
+	l.told[outcome]++
+	if outcome == seamheader.Refused {
+		l.refused = append(l.refused, booking)
+	}
+	l.mu.Unlock()
+	switch {
+	case runs > 1:
+		t.Errorf("%s ran %d times", booking, runs)
+	case got.err != nil:
+		// A cut answer says nothing, as unknown does.
+	case outcome == seamheader.Done && (runs != 1 || got.body != want):
+		t.Errorf("%s is done with %d runs and %q", booking, runs, got.body)
+	case outcome == seamheader.Refused && runs != 0:
+		t.Errorf("%s is refused (%s) with %d runs", booking, got.header.Get(seamheader.Reason), runs)
+	case outcome == "":
+		t.Errorf("%s has no outcome: %d %q", booking, got.status, got.body)
+	}
+}
+
+func (l *ledger) book(t *testing.T, n *node, booking string) result {
+	t.Helper()
+	r, _ := http.NewRequest(http.MethodPost, n.url("/book"), strings.NewReader("room"))
+	r.Header.Set("X-Booking", booking)
+	got := do(t, r)
+	l.check(t, booking, "booked "+booking+" room", got)
+	return got
+}
+
+// faultyPair is a pair with a proxy between its nodes.
+func faultyPair(t *testing.T, l *ledger) (front *node, p *proxy) {
+	front, back := pair(t, l.serve)
+	p = newProxy(t, back.peer.Address)
+	behind := back.peer
+	behind.Address = p.l.Addr().String()
+	front.directory.candidates = []seampick.Candidate{{Peer: behind, Slots: 32}}
+	front.rules.choice.Limits.Retries = 2
+	return front, p
+}
+
+func TestCutAtEveryByteRunsAtMostOnce(t *testing.T) {
+	l := newLedger()
+	front, p := faultyPair(t, l)
+	// A session's introduction, request and answer take fewer bytes than this.
+	const bytes, step = 700, 3
+	for d := toBack; d <= toFront; d++ {
+		for after := 0; after < bytes; after += step {
+			p.arm(d, after, 0)
+			l.book(t, front, fmt.Sprintf("%d/%d", d, after))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	l.settle(t)
+	if l.told[seamheader.Done] == 0 || l.told[seamheader.Unknown] == 0 {
+		t.Errorf("outcomes %v: the cuts did not hit", l.told)
+	}
+}
+
+func TestStalledRequestIsNeverRunAfterItsDeadline(t *testing.T) {
+	l := newLedger()
+	front, p := faultyPair(t, l)
+	front.rules.choice.Limits.Deadline = 100
+	l.book(t, front, "warm")
+	var late atomic.Int32
+	for i := range 8 {
+		p.arm(toBack, i*40, 300*time.Millisecond)
+		booking := fmt.Sprintf("stalled %d", i)
+		got := l.book(t, front, booking)
+		time.Sleep(400 * time.Millisecond)
+		l.check(t, booking, "booked "+booking+" room", got)
+		if got.header.Get(seamheader.Outcome) != seamheader.Done {
+			l.mu.Lock()
+			late.Add(int32(l.runs[booking]))
+			l.mu.Unlock()
+		}
+	}
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d requests ran after their deadline", n)
+	}
+}
+
+func TestRandomCutsAndStallsUnderLoad(t *testing.T) {
+	l := newLedger()
+	front, p := faultyPair(t, l)
+	front.rules.choice.Limits.Deadline = 500
+	const callers, each = 8, 150
+	stop := make(chan struct{})
+	var faults, calls sync.WaitGroup
+	faults.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(rand.N(4 * time.Millisecond)):
+				stall := time.Duration(rand.IntN(2)) * rand.N(30*time.Millisecond)
+				p.arm(direction(rand.IntN(2)), rand.IntN(4000), stall)
+			}
+		}
+	})
+	for c := range callers {
+		calls.Go(func() {
+			for i := range each {
+				l.book(t, front, fmt.Sprintf("%d-%d", c, i))
+			}
+		})
+	}
+	calls.Wait()
+	close(stop)
+	faults.Wait()
+	l.settle(t)
+}
