Ownership: stamps of state, fetches without gaps, time for the hand-over

A node fetched records after the highest revision that it knew, although single calls had told it later ones; only watches, lists and peers raise it now. A hand-over was cut at the longest deadline of a request, which the requests in flight alone may need; it has 2 s beyond that now.

--- a/internal/own/seamcell/action.go
+++ b/internal/own/seamcell/action.go
@@ -80,7 +80,8 @@
 type Fetch struct {
 	Kind Kind
 	// From is zero if the store is to be asked, because the coordinator is silent.
-	From     seampeer.Peer
+	From seampeer.Peer
+	// Revision is the one after which everything is wanted.
 	Revision int64
 }
 
--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -122,6 +122,7 @@
 		c.directory.loaded = true
 		for _, e := range entries {
 			c.learn(e)
+			c.directory.revision = max(c.directory.revision, e.Revision)
 		}
 	})
 }
@@ -243,9 +244,10 @@
 // Drained reports whether a planned stop is complete and the process may end.
 func (c *Cell) Drained() bool { return c.drained }
 
-// Records returns the known records, in order of their keys.
+// Records returns the known records, in order of their keys. The slice is shared and never
+// changes; later changes make a new one.
 func (c *Cell) Records() []Entry {
-	return append([]Entry(nil), c.directory.sorted()...)
+	return c.directory.sorted()
 }
 
 // sortedKeys returns the keys of m in order.
--- a/internal/own/seamcell/config.go
+++ b/internal/own/seamcell/config.go
@@ -21,6 +21,9 @@
 	Confirm time.Duration
 	// Horizon is the time after its last write for which a record binds the nodes that did not write it.
 	Horizon time.Duration
+	// Handover is the time beyond the longest deadline of a request after which a slot is released
+	// even if its server has not handed it over.
+	Handover time.Duration
 	// Orphan is the time without an answer after which a member looks for another cell.
 	Orphan time.Duration
 	// Publish is the shortest time between writes that only publish size and services.
@@ -57,6 +60,7 @@
 		Collect:   200 * time.Millisecond,
 		Confirm:   3 * time.Second,
 		Horizon:   30 * time.Minute,
+		Handover:  2 * time.Second,
 		Orphan:    10 * time.Second,
 		Publish:   5 * time.Second,
 		Retry:     200 * time.Millisecond,
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -130,7 +130,7 @@
 	silent := m.joined && c.reign == nil && c.now.Mono-m.answered.Mono >= c.cfg.Promise*2
 	if silent && c.now.Mono-m.fetched.Mono >= c.cfg.Promise {
 		m.fetched = c.now
-		c.do(Fetch{Kind: Directory, Revision: c.directory.revision})
+		c.do(Fetch{Kind: Directory, Revision: c.since()})
 	}
 }
 
@@ -422,6 +422,15 @@
 	m.pending = rest
 }
 
+// fetchOverlap is the number of revisions that are asked for again, because two watches may have
+// told the coordinator of changes in another order.
+const fetchOverlap = 256
+
+// since returns the revision after which records are asked for.
+func (c *Cell) since() int64 {
+	return max(0, c.directory.revision-fetchOverlap)
+}
+
 // fetchNewer asks the coordinator for rules and records that are newer than the own ones.
 func (c *Cell) fetchNewer(a *seamcellwire.Answer) {
 	m := c.member
@@ -434,7 +443,7 @@
 	}
 	if a.GetDirectory() > c.directory.revision {
 		m.fetched = c.now
-		c.do(Fetch{Kind: Directory, From: m.coordinator, Revision: c.directory.revision})
+		c.do(Fetch{Kind: Directory, From: m.coordinator, Revision: c.since()})
 	}
 }
 
@@ -594,7 +603,7 @@
 	m := c.member
 	for _, id := range sortedSlots(m.serving) {
 		s := m.serving[id]
-		if s == nil || !s.releasing || seamclock.Least(c.now, s.since) < c.deadline(id.Service)+c.cfg.Margin {
+		if s == nil || !s.releasing || seamclock.Least(c.now, s.since) < c.deadline(id.Service)+c.cfg.Handover {
 			continue
 		}
 		c.do(StopServing{Slot: id, Epoch: s.token})
--- a/internal/own/seamcell/pitfall_test.go
+++ b/internal/own/seamcell/pitfall_test.go
@@ -21,29 +21,29 @@
 	}{
 		{"a promise arrives late", 4, func(_ *testing.T, w *world) {
 			b, c := w.backup().peer.Name, w.coordinator().peer.Name
-			w.store.silent[c] = true
+			w.store.silent[c], w.store.deaf[c] = true, true
 			cut := w.now + 200*time.Millisecond
 			w.filter = func(from, to string, m *seamcellwire.Message) time.Duration {
-				if from == c && to == b && w.now > cut {
-					return -1
-				}
-				if m.GetPromise() != nil {
+				if m.GetPromise() != nil && to == c {
 					return 950 * time.Millisecond
 				}
+				if (from == c && to == b || to == c) && w.now > cut {
+					return -1
+				}
 				return 0
 			}
 		}},
 		{"old promises arrive again", 4, func(_ *testing.T, w *world) {
 			bn, cn := w.backup(), w.coordinator()
 			b, c := bn.peer.Name, cn.peer.Name
-			w.store.silent[c] = true
+			w.store.silent[c], w.store.deaf[c] = true, true
 			cut := w.now + 200*time.Millisecond
 			var old *seamcellwire.Message
 			w.filter = func(from, to string, m *seamcellwire.Message) time.Duration {
 				if m.GetPromise() != nil {
 					old = m
 				}
-				if from == c && to == b && w.now > cut {
+				if (from == c && to == b || to == c) && w.now > cut {
 					return -1
 				}
 				return 0
@@ -113,6 +113,7 @@
 				w.run(6 * time.Second)
 				w.filter = nil
 				clear(w.store.silent)
+				clear(w.store.deaf)
 				clear(w.store.slow)
 				w.must(t, true, "")
 				w.untilHeld(10 * time.Second)
--- a/internal/own/seamcell/store.go
+++ b/internal/own/seamcell/store.go
@@ -13,8 +13,12 @@
 	loaded  bool
 	entries map[string]Entry
 	// seen is when the present revision of a key became known.
-	seen     map[string]seamclock.Instant
+	seen map[string]seamclock.Instant
+	// revision is the highest that a watch, a list or a peer has told. Results of single calls
+	// do not raise it, for they leave gaps.
 	revision int64
+	// changes counts the entries that were taken.
+	changes uint64
 	// order are the entries in order of their keys; nil after a change.
 	order []Entry
 }
@@ -75,7 +79,7 @@
 	c.directory.entries[e.Key] = e
 	c.directory.order = nil
 	c.directory.seen[e.Key] = c.now
-	c.directory.revision = max(c.directory.revision, e.Revision)
+	c.directory.changes++
 	if p := c.calls.pending[e.Key]; p != nil && p.write && e.Revision > p.expect {
 		c.finishSwap(p, e)
 	}
