--- a/internal/own/seamcell/pitfall_test.go
+++ b/internal/own/seamcell/pitfall_test.go
@@ -1,6 +1,7 @@
 package seamcell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,9 +59,35 @@
 		}},
 		{"a takeover takes effect after beats have come back", 3, func(_ *testing.T, w *world) {
 			b, c := w.backup(), w.coordinator()
-			w.store.silent[c.peer.Name] = true
+			w.store.silent[c.peer.Name], w.store.deaf[c.peer.Name] = true, true
 			w.store.slow[b.peer.Name] = 600 * time.Millisecond
 			w.block(c, b, 1350*time.Millisecond)
+			cut := w.now + 1700*time.Millisecond
+			w.filter = func(_, to string, _ *seamcellwire.Message) time.Duration {
+				if to == c.peer.Name && w.now > cut {
+					return -1
+				}
+				return 0
+			}
+		}},
+		{"an old release arrives again", 2, func(_ *testing.T, w *world) {
+			c := w.coordinator()
+			var old []*seamcellwire.Message
+			w.filter = func(_, _ string, m *seamcellwire.Message) time.Duration {
+				if len(m.GetRenew().GetReleased()) > 0 {
+					old = append(old, m)
+				}
+				return 0
+			}
+			w.start(2, "n2")
+			w.after(2*time.Second, func() { w.nodes[2].crash() })
+			for i := range 60 {
+				w.after(time.Duration(i)*100*time.Millisecond, func() {
+					for _, m := range old {
+						c.act(func(now seamclock.Instant) []seamcell.Action { return c.cell.Receive(now, m) })
+					}
+				})
+			}
 		}},
 		{"the coordinator resigns while a member cannot reach its successor", 3, func(t *testing.T, w *world) {
 			b, c, m := w.backup(), w.coordinator(), w.member(t)
@@ -116,7 +143,7 @@
 				clear(w.store.deaf)
 				clear(w.store.slow)
 				w.must(t, true, "")
-				w.untilHeld(10 * time.Second)
+				w.untilHeld(5 * time.Second)
 				w.must(t, w.held() == slotNumber, "%d slots held in the end (seed %d)", w.held(), seed)
 			}
 		})
@@ -126,26 +153,42 @@
 // TestLostAnswerThatNamesABackup lets the write of a new backup take effect without its writer's
 // knowledge. The new backup counts from when it learns of the record, while the old one still answers.
 func TestLostAnswerThatNamesABackup(t *testing.T) {
-	for seed := range int64(10) {
-		cfg := modelConfig()
-		w := newWorldOf(t, seed, 1, cfg, []string{"erie"})
+	for _, alone := range []bool{true, false} {
+		t.Run(fmt.Sprintf("alone %t", alone), func(t *testing.T) {
+			for seed := range int64(10) {
+				loseAnswer(t, seed, alone)
+			}
+		})
+	}
+}
+
+func loseAnswer(t *testing.T, seed int64, alone bool) {
+	w := newWorld(t, seed, 1)
+	if !alone {
 		w.startIn("n2", "erie-0")
-		w.run(8 * time.Second)
-		c := w.coordinator()
-		w.must(t, w.held() == slotNumber && w.backup() != nil, "cell did not settle")
-		w.store.deaf[c.peer.Name] = true
-		w.startIn("n1", "erie-1")
-		x := w.nodes[2]
-		w.run(2500 * time.Millisecond)
-		e := w.store.entries["cell/erie-1"]
-		w.must(t, e.Record.Backup.Same(x.peer) || e.Record.Coordinator.Same(x.peer), "the record names %s as backup", e.Record.Backup)
-		x.act(func(now seamclock.Instant) []seamcell.Action { return x.cell.Directory(now, []seamcell.Entry{e}) })
-		w.run(4 * time.Second)
-		w.must(t, true, "")
-		clear(w.store.deaf)
-		w.untilHeld(5 * time.Second)
-		w.must(t, w.held() == slotNumber, "%d slots held in the end", w.held())
 	}
+	w.run(8 * time.Second)
+	c := w.coordinator()
+	w.must(t, w.held() == slotNumber && alone == (w.backup() == nil), "cell did not settle")
+	w.store.deaf[c.peer.Name] = true
+	w.startIn("n1", "erie-1")
+	x := w.nodes[len(w.nodes)-1]
+	w.run(2500 * time.Millisecond)
+	e := w.store.entries["cell/erie-1"]
+	w.must(t, e.Record.Backup.Same(x.peer) || e.Record.Coordinator.Same(x.peer), "the record names %s as backup", e.Record.Backup)
+	x.act(func(now seamclock.Instant) []seamcell.Action { return x.cell.Directory(now, []seamcell.Entry{e}) })
+	w.filter = func(_, to string, _ *seamcellwire.Message) time.Duration {
+		if to == c.peer.Name {
+			return -1
+		}
+		return 0
+	}
+	w.run(4 * time.Second)
+	w.must(t, true, "")
+	w.filter = nil
+	clear(w.store.deaf)
+	w.untilHeld(5 * time.Second)
+	w.must(t, w.held() == slotNumber, "%d slots held in the end", w.held())
 }
 
 // TestLeaseWaitsForTheTable gives a member a lease that needs changes which have not arrived.
