Drain runs: refusals by reason, read-back time, violations in words

Callers that meet a closed port try another node; the order of an answer is not changed.

(2) After a node of ost was restarted, nodes of other regions refused its keys with reason 'session' for more than 3 s, while nodes of ost served them. (3) A draining node refuses callers with reason 'draining' for about 2 s. (4) A restarted node refuses callers with reason 'rules' until it has them.

--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -19,6 +19,9 @@
 	"cardamomseam/internal/prove/seamtraffic"
 )
 
+// clockFormat is the form of the times of violations.
+const clockFormat = "15:04:05.000"
+
 // experiments returns all experiments.
 func experiments() *seamexperiment.Registry {
 	return seamexperiment.NewRegistry(
@@ -104,6 +107,11 @@
 			o.Say("%s", f.Summary())
 		}
 	}
+	for _, r := range results {
+		for _, v := range r.Violations {
+			o.Say("VIOLATION %s: %s at %s", v.Promise, v.Detail, v.At.Format(clockFormat))
+		}
+	}
 	for _, r := range results {
 		if !r.Ok() {
 			return &MissedError{Name: e.Name, Result: r}
--- a/internal/prove/seamcaller/client.go
+++ b/internal/prove/seamcaller/client.go
@@ -33,8 +33,10 @@
 
 // Client sends requests to nodes.
 type Client struct {
-	// Nodes returns the ingress addresses to choose from for a request.
-	Nodes func(q Request) []string
+	// Nodes returns the ingress addresses to choose from.
+	Nodes func() []string
+	// Route returns the ingress addresses for one request; nil leaves it to Nodes.
+	Route func(q Request) []string
 	// Direct sends as a node would to its target: for baselines without the router.
 	Direct bool
 	http   *http.Client
@@ -51,7 +53,7 @@
 )
 
 // NewClient returns a client and a function that closes its connections.
-func NewClient(nodes func(q Request) []string) (*Client, func()) {
+func NewClient(nodes func() []string) (*Client, func()) {
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
 		DialContext:         d.DialContext,
@@ -68,12 +70,14 @@
 	x := Record{ID: q.ID, Kind: q.Kind, Service: q.Service, Key: q.Key, Start: time.Now()}
 	x.Due = x.Start
 	x.Outcome, x.Reason = Unreached, "no node"
+	tried := map[string]bool{}
 	for range attempts {
-		nodes := c.Nodes(q)
-		if len(nodes) == 0 {
+		node, ok := choose(c.nodes(q), tried)
+		if !ok {
 			break
 		}
-		x.Node = nodes[rand.IntN(len(nodes))]
+		tried[node] = true
+		x.Node = node
 		c.sendTo(ctx, q, &x)
 		if x.Outcome != Unreached {
 			break
@@ -83,6 +87,27 @@
 	return x
 }
 
+func (c *Client) nodes(q Request) []string {
+	if c.Route != nil {
+		return c.Route(q)
+	}
+	return c.Nodes()
+}
+
+// choose returns a random node that was not tried.
+func choose(nodes []string, tried map[string]bool) (string, bool) {
+	left := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		if !tried[n] {
+			left = append(left, n)
+		}
+	}
+	if len(left) == 0 {
+		return "", false
+	}
+	return left[rand.IntN(len(left))], true
+}
+
 func (c *Client) sendTo(ctx context.Context, q Request, x *Record) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -96,7 +98,8 @@
 		Fleet: fleet, Records: &seamcaller.Records{}, Say: o.Say, Options: o, seed: o.Seed,
 		Random: rand.New(rand.NewPCG(o.Seed, 3)),
 	}
-	client, stopClient := seamcaller.NewClient(s.nodes)
+	client, stopClient := seamcaller.NewClient(fleet.Ingresses)
+	client.Route = s.nodes
 	s.Client = client
 	stop := func() {
 		stopClient()
@@ -230,7 +233,9 @@
 // of the requests to the result.
 func (s *Scene) Judge(ctx context.Context, r *seamexperiment.Result) error {
 	records := s.Records.All()
+	began := time.Now()
 	present, missing := s.Fleet.ReadBack(ctx, records, readBackLimit)
+	s.Say("read %d keys back in %s", len(present), time.Since(began).Round(time.Millisecond))
 	evidence, err := s.Fleet.Evidence(records)
 	if err != nil {
 		return err
@@ -244,6 +249,9 @@
 	for _, o := range []seamcaller.Outcome{seamcaller.Done, seamcaller.Refused, seamcaller.Unknown, seamcaller.Unreached, seamcaller.Wrong} {
 		r.Add(string(o), float64(counts[o]), seamexperiment.Count)
 	}
+	for _, w := range reasons(records) {
+		r.Add("refused-"+w.word, float64(w.count), seamexperiment.Count)
+	}
 	r.AddMost("unreadable-keys", float64(len(missing)), seamexperiment.Count, 0)
 	r.Judge(found)
 	if len(found) > 0 {
@@ -252,6 +260,28 @@
 	return nil
 }
 
+// reason is a word that nodes gave for refusals.
+type reason struct {
+	word  string
+	count int
+}
+
+// reasons counts the refusals by their words, in order of the words.
+func reasons(records []seamcaller.Record) []reason {
+	counts := map[string]int{}
+	for _, x := range records {
+		if x.Outcome == seamcaller.Refused {
+			counts[x.Reason]++
+		}
+	}
+	list := make([]reason, 0, len(counts))
+	for w, n := range counts {
+		list = append(list, reason{word: w, count: n})
+	}
+	slices.SortFunc(list, func(a, b reason) int { return strings.Compare(a.word, b.word) })
+	return list
+}
+
 // sift adds the experiment's own violations and takes the tolerated ones out.
 func (s *Scene) sift(all []seamcheck.Violation) (found []seamcheck.Violation, tolerated int) {
 	s.mu.Lock()
--- a/internal/prove/seamtraffic/drain.go
+++ b/internal/prove/seamtraffic/drain.go
@@ -55,11 +55,30 @@
 			s.Say("cut: %s %s at %s: %s %s", x.Kind, x.ID, x.Node, x.Outcome, x.Reason)
 		}
 	}
+	refusals(s, d.stops)
 	r.AddMost("cut", float64(len(cut)), seamexperiment.Count, 0)
 	r.Add("latency-p99", milliseconds(report.Quantile(99)), seamexperiment.Milliseconds)
 	return s.Finish(ctx, r)
 }
 
+// refusals tells how many requests were refused during each stop and after it.
+func refusals(s *seamscene.Scene, stops []plannedStop) {
+	records := s.Records.All()
+	for _, p := range stops {
+		during, after := map[string]int{}, map[string]int{}
+		for _, x := range records {
+			switch {
+			case x.Outcome != seamcaller.Refused || x.Start.Before(p.from):
+			case x.Start.Before(p.to):
+				during[x.Reason]++
+			case x.Start.Before(p.to.Add(rejoin)):
+				after[x.Reason]++
+			}
+		}
+		s.Say("%s: refused while it stopped %v, after its restart %v", p.instance.Name, during, after)
+	}
+}
+
 // sayLimit is the number of failed requests that are told one by one.
 const sayLimit = 10
 
