--- a/internal/prove/seamcaller/client.go
+++ b/internal/prove/seamcaller/client.go
@@ -33,10 +33,8 @@
 
 // Client sends requests to nodes.
 type Client struct {
-	// Nodes returns the ingress addresses to choose from.
-	Nodes func() []string
-	// Route returns the ingress addresses for one request; nil leaves it to Nodes.
-	Route func(q Request) []string
+	// Nodes returns the ingress addresses to choose from for a request.
+	Nodes func(q Request) []string
 	// Direct sends as a node would to its target: for baselines without the router.
 	Direct bool
 	http   *http.Client
@@ -53,7 +51,7 @@
 )
 
 // NewClient returns a client and a function that closes its connections.
-func NewClient(nodes func() []string) (*Client, func()) {
+func NewClient(nodes func(q Request) []string) (*Client, func()) {
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
 		DialContext:         d.DialContext,
@@ -72,7 +70,7 @@
 	x.Outcome, x.Reason = Unreached, "no node"
 	tried := map[string]bool{}
 	for range attempts {
-		node, ok := choose(c.nodes(q), tried)
+		node, ok := choose(c.Nodes(q), tried)
 		if !ok {
 			break
 		}
@@ -87,13 +85,6 @@
 	return x
 }
 
-func (c *Client) nodes(q Request) []string {
-	if c.Route != nil {
-		return c.Route(q)
-	}
-	return c.Nodes()
-}
-
 // choose returns a random node that was not tried.
 func choose(nodes []string, tried map[string]bool) (string, bool) {
 	left := make([]string, 0, len(nodes))
--- a/internal/prove/seamcaller/load_test.go
+++ b/internal/prove/seamcaller/load_test.go
@@ -25,7 +25,7 @@
 
 func direct(t *testing.T, address string) *seamcaller.Client {
 	t.Helper()
-	c, stop := seamcaller.NewClient(func() []string { return []string{address} })
+	c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{address} })
 	c.Direct = true
 	t.Cleanup(stop)
 	return c
--- a/internal/prove/seamfleet/serving.go
+++ b/internal/prove/seamfleet/serving.go
@@ -23,7 +23,7 @@
 // serving returns an error unless every open node serves the probed keys of a service.
 func (f *Fleet) serving(ctx context.Context, d seamrule.Document) error {
 	for _, node := range f.Ingresses() {
-		c, stop := seamcaller.NewClient(func() []string { return []string{node} })
+		c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{node} })
 		err := f.probe(ctx, c, d)
 		stop()
 		if err != nil {
@@ -100,7 +100,7 @@
 func (f *Fleet) ReadBack(ctx context.Context, records []seamcaller.Record, limit time.Duration) (present map[seamcheck.Key][]string, missing []seamcheck.Key) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c, stop := seamcaller.NewClient(f.Ingresses)
+	c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return f.Ingresses() })
 	defer stop()
 	present = map[seamcheck.Key][]string{}
 	seen := map[seamcheck.Key]bool{}
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -98,8 +98,7 @@
 		Fleet: fleet, Records: &seamcaller.Records{}, Say: o.Say, Options: o, seed: o.Seed,
 		Random: rand.New(rand.NewPCG(o.Seed, 3)),
 	}
-	client, stopClient := seamcaller.NewClient(fleet.Ingresses)
-	client.Route = s.nodes
+	client, stopClient := seamcaller.NewClient(s.nodes)
 	s.Client = client
 	stop := func() {
 		stopClient()
--- a/internal/prove/seamtraffic/load.go
+++ b/internal/prove/seamtraffic/load.go
@@ -106,7 +106,7 @@
 }
 
 func (b *beside) send(ctx context.Context, address string, direct bool, d time.Duration) seamcaller.Report {
-	c, stop := seamcaller.NewClient(func() []string { return []string{address} })
+	c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{address} })
 	defer stop()
 	c.Direct = direct
 	name := fmt.Sprintf("load-%d", time.Now().UnixNano())
