Requests wait, bounded, while the owner of their key changes

Cause: the demo refused 15 to 40 keyed requests during planned moves and a loss: retries were over within milliseconds, a move takes up to 300 ms. Change: a refusal that may be due to a change of owner is looked at again every 25 ms for at most 2 s, for at most 1024 requests of an ingress; the members' table names the next owner, who lets arrivals wait.

--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -282,5 +282,8 @@
 // Events returns the event stream of the node.
 func (n *Node) Events() *seamevent.Stream { return n.stream }
 
+// Ready reports whether the node has the rules that it needs to serve callers.
+func (n *Node) Ready() bool { return n.rules.Ready() }
+
 // View returns what the node knows of its cell.
 func (n *Node) View() seamcell.View { return n.keeper.View() }
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -58,6 +58,8 @@
 	// Owner is zero if the slot has none.
 	Owner   seampeer.Peer
 	Standby seampeer.Peer
+	// Next is the member to which the slot moves, zero if it does not move.
+	Next seampeer.Peer
 	// Synced says that the standby is up to date.
 	Synced bool
 	// Epoch is the fencing token.
@@ -179,6 +181,7 @@
 		v := SlotView{
 			Slot: id, Owner: t.peer(e.owner), Standby: t.peer(e.standby), Synced: e.synced,
 			Epoch: e.token, Moving: e.owner == 0 || e.state != stateOwned,
+			Next: t.peer(e.next),
 		}
 		if c.reign != nil {
 			v.Rate = c.reign.rates[id]
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -142,7 +142,7 @@
 	if !ok {
 		return false
 	}
-	return s.Owner.Same(k.self) && !s.Moving
+	return s.Owner.Same(k.self) && !s.Moving || s.Next.Same(k.self)
 }
 
 func (k *Keeper) notOwner(id slotID) error {
@@ -150,6 +150,9 @@
 	s, ok := snap.slots[id]
 	e := &seamgrant.NotOwnerError{Slot: id}
 	switch {
+	case ok && !s.Next.Zero() && !s.Next.Same(k.self):
+		e.Owner = s.Next.Address
+		e.Moving = true
 	case ok && !s.Owner.Zero() && !s.Owner.Same(k.self):
 		e.Owner = s.Owner.Address
 		e.Moving = s.Moving
--- a/internal/prove/seamdemo/fleet.go
+++ b/internal/prove/seamdemo/fleet.go
@@ -176,11 +176,13 @@
 	return slices.DeleteFunc(slices.Clone(f.instances), func(i *instance) bool { return i.gone })
 }
 
-// ingresses returns the addresses for callers.
+// ingresses returns the addresses of the nodes that are ready for callers.
 func (f *fleet) ingresses(seamcaller.Request) []string {
 	var addresses []string
 	for _, i := range f.live() {
-		addresses = append(addresses, i.settings.Ingress.Listen)
+		if i.node.Ready() {
+			addresses = append(addresses, i.settings.Ingress.Listen)
+		}
 	}
 	return addresses
 }
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -44,6 +44,8 @@
 	tried     []seampeer.Peer
 	redirects int
 	retries   int
+	// patience is the end of the wait for a change of owner; zero if there was none.
+	patience time.Time
 	// drained says that nothing follows the last answer on its stream.
 	drained bool
 	// doubt is the end of an earlier attempt that may have run.
@@ -52,6 +54,7 @@
 
 // run makes attempts until one decides the request or no further one is safe and useful.
 func (x *exchange) run(ctx context.Context) seamoutcome.End {
+	defer x.stopWaiting()
 	budget := x.ingress.budgets.Of(x.service)
 	budget.Earn(time.Now())
 	var last *seamoutcome.End
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -88,6 +88,8 @@
 	events    seamevent.Sink
 	stats     *stats
 	leaving   atomic.Bool
+	// waiting counts the requests that wait for a change of owner.
+	waiting atomic.Int64
 }
 
 // New returns an ingress.
--- /dev/null
+++ b/internal/route/seamingress/patience.go
@@ -0,0 +1,73 @@
+package seamingress
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+const (
+	// ownerPatience bounds the time for which a request waits while the slot of
+	// its key moves or its owner is replaced.
+	ownerPatience = 2 * time.Second
+	// ownerLook is the mean time between looks for the owner.
+	ownerLook = 25 * time.Millisecond
+	// ownerWaiters is the number of requests of an ingress that may wait so.
+	ownerWaiters = 1024
+)
+
+// awaitOwner decides whether a request whose owner refused it without having
+// run it waits for the slot to be served again. Nothing is spent from the retry
+// budget: no target did any work.
+func (x *exchange) awaitOwner(end seamoutcome.End, to seampeer.Peer) (wait time.Duration, again bool) {
+	if !x.choice.Keyed || !ownerChanging(end) {
+		return 0, false
+	}
+	now := time.Now()
+	if x.patience.IsZero() && !x.startWaiting(now) {
+		return 0, false
+	}
+	wait = ownerLook/2 + rand.N(ownerLook)
+	if now.Add(wait).After(x.patience) || !x.hasTime(wait) {
+		return 0, false
+	}
+	if end.Reason == seamoutcome.Session {
+		// What was learned about the owner is out of date; the coordinator knows better.
+		x.ingress.directory.Learn(x.service, x.head.GetSlot(), seampeer.Peer{})
+	}
+	x.redirects, x.left = 0, nil
+	x.hint = end.Owner
+	if end.Owner.Address == to.Address {
+		x.hint = seampeer.Peer{}
+	}
+	return wait, true
+}
+
+// ownerChanging reports whether the refusal may be due to a change of owner.
+func ownerChanging(end seamoutcome.End) bool {
+	if end.Outcome != seamoutcome.Refused {
+		return false
+	}
+	switch end.Reason {
+	case seamoutcome.Owner, seamoutcome.Session, seamoutcome.Draining, seamoutcome.Target, seamoutcome.Fenced:
+		return true
+	}
+	return false
+}
+
+func (x *exchange) startWaiting(now time.Time) bool {
+	if x.ingress.waiting.Add(1) > ownerWaiters {
+		x.ingress.waiting.Add(-1)
+		return false
+	}
+	x.patience = now.Add(ownerPatience)
+	return true
+}
+
+func (x *exchange) stopWaiting() {
+	if !x.patience.IsZero() {
+		x.ingress.waiting.Add(-1)
+	}
+}
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -21,6 +21,9 @@
 		x.ingress.stats.redirects.Inc()
 		return 0, x.hasTime(0)
 	}
+	if wait, again = x.awaitOwner(end, to); again {
+		return wait, true
+	}
 	if x.retries >= x.choice.Limits.Retries {
 		return 0, false
 	}
