Recording waits for the node's call budget; race test over the store's client

A node makes few calls a second, so bursts of changes met the budget at once and were refused. They now wait within the patience of the request. TestRaceOverTheWire repeats the race of operators with the store's client and the stand-in: lost answers, cut watches and outages.

--- a/internal/rule/seamadmin/server.go
+++ b/internal/rule/seamadmin/server.go
@@ -26,7 +26,7 @@
 
 const (
 	// DefaultAddress is where the API listens unless told otherwise.
-	DefaultAddress = "127.0.0.1:7480"
+	DefaultAddress = "127.0.0.1:7304"
 	// bodyLimit is the longest body of a request, in bytes.
 	bodyLimit = 256 << 10
 	// headerTime bounds the arrival of the headers of a request.
--- a/internal/rule/seambook/book.go
+++ b/internal/rule/seambook/book.go
@@ -170,7 +170,7 @@
 // force here, unless the change expects, and so replaces, the version in force.
 func (b *Book) read(ctx context.Context, service string, expect int64) (seamstore.Entry, error) {
 	key := KeyPrefix + service
-	entries, revision, err := b.store.List(ctx, seamstore.Configuration, key)
+	entries, revision, err := b.list(ctx, key)
 	if err != nil {
 		b.refused.Inc()
 		return seamstore.Entry{}, unavailable(service, err)
@@ -193,6 +193,23 @@
 	return entry, nil
 }
 
+// list reads the entries from the store. It waits while the call budget is used up.
+func (b *Book) list(ctx context.Context, key string) ([]seamstore.Entry, int64, error) {
+	for {
+		entries, revision, err := b.store.List(ctx, seamstore.Configuration, key)
+		if !awaitBudget(ctx, err) {
+			return entries, revision, err
+		}
+	}
+}
+
+// awaitBudget waits for the call budget if err says that it is used up, and reports
+// whether the call may be made again.
+func awaitBudget(ctx context.Context, err error) bool {
+	var budget *seamstore.BudgetError
+	return errors.As(err, &budget) && pause(ctx, max(budget.After, firstWait)) == nil
+}
+
 // replaces reports whether a change that expects the revision replaces the version in
 // force, which the store has lost.
 func (b *Book) replaces(service string, entry seamstore.Entry, expect int64) bool {
@@ -246,6 +263,9 @@
 		}
 		var unknown *seamstore.UnknownError
 		unsure = unsure || errors.As(err, &unknown)
+		if !unsure && awaitBudget(ctx, err) {
+			continue
+		}
 		if !unsure {
 			b.refused.Inc()
 			return Recorded{}, unavailable(service, err)
--- a/internal/rule/seambook/book_test.go
+++ b/internal/rule/seambook/book_test.go
@@ -11,12 +11,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/rule/seambook"
 	"cardamomseam/internal/rule/seamrule"
 	"cardamomseam/internal/rule/seamset"
 	"cardamomseam/internal/rule/seamstoretest"
+	"cardamomseam/internal/stand/seamstandstore"
 )
 
 var now = time.Unix(1_700_000_000, 0).UTC()
@@ -162,6 +165,35 @@
 	}
 }
 
+// budgeted is a store whose call budget is used up for some writes.
+type budgeted struct {
+	seamstore.Store
+	refusals int
+}
+
+func (b *budgeted) Swap(ctx context.Context, p seamstore.Priority, key string, expect int64, value []byte) (int64, error) {
+	if b.refusals--; b.refusals >= 0 {
+		return 0, &seamstore.BudgetError{Key: key, After: time.Millisecond}
+	}
+	return b.Store.Swap(ctx, p, key, expect, value)
+}
+
+func TestWaitsForCallBudget(t *testing.T) {
+	f := newFixture()
+	store := &budgeted{Store: f.store, refusals: 3}
+	book := seambook.New(store, f.set, seamevent.NewStream("n1"), metrics.NewSet())
+	if _, err := book.Put(t.Context(), stamp("blue", 0), tally(1)); err != nil {
+		t.Fatal(err)
+	}
+	store.refusals = 1000
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	var unavailable *seambook.UnavailableError
+	if _, err := book.Put(ctx, stamp("blue", seambook.AnyRevision), tally(2)); !errors.As(err, &unavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 func TestOlderStoreIsRefused(t *testing.T) {
 	f := newFixture()
 	v := seamrule.Version{Service: "tally", Revision: 40, Document: tally(1)}
@@ -218,22 +250,57 @@
 
 // TestRace lets operators change one document while answers are lost and the store goes down.
 func TestRace(t *testing.T) {
-	const operators, changes = 8, 5
-	f := newFixture()
+	store := &seamstoretest.Memory{}
 	draw := rand.New(rand.NewPCG(1, 2))
-	f.store.Decide = func() seamstoretest.Fate { return seamstoretest.Fate(draw.IntN(6) % 4 % 3) }
+	store.Decide = func() seamstoretest.Fate { return seamstoretest.Fate(draw.IntN(6) % 4 % 3) }
+	race(t, store, func(down bool) { store.SetDown(down) })
+}
+
+// TestRaceOverTheWire is TestRace with the store's client and the stand-in for the store.
+func TestRaceOverTheWire(t *testing.T) {
+	logx.Disable()
+	server, stop, err := seamstandstore.New(seamstandstore.Config{Address: "127.0.0.1:0", Seed: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	config := seamstore.Config{Endpoints: []string{server.Address()}, Timeout: 50 * time.Millisecond, Rate: 1000, Burst: 1000}
+	client, closeClient, err := seamstore.New(config, metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeClient()
+	race(t, client, func(down bool) {
+		faults := seamstandstore.Faults{Lost: 0.2, Cut: 0.2}
+		if down {
+			faults.Outage = seamstandstore.OutageDrop
+		}
+		if err := server.SetFaults(faults); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	})
+}
+
+// race runs the operators; fault begins and ends outages.
+func race(t *testing.T, store seamstore.Store, fault func(down bool)) {
+	const operators, changes = 8, 5
+	m, sink := metrics.NewSet(), seamevent.NewStream("n1")
+	set := seamset.New(sink, m)
+	book := seambook.New(store, set, sink, m)
 	ctx, cancel := context.WithCancel(t.Context())
 	var watch, group sync.WaitGroup
-	watch.Go(func() { _ = f.set.Watch(ctx, f.store) })
+	watch.Go(func() { _ = set.Watch(ctx, store) })
 	watch.Go(func() {
 		for down := false; ctx.Err() == nil; down = !down {
-			f.store.SetDown(down)
+			fault(down)
 			time.Sleep(time.Millisecond)
 		}
+		fault(false)
 	})
 	// The first bundle may be that of an empty store, at revision 0.
 	highest := int64(-1)
-	f.set.Subscribe(now, func(_ time.Time, b seamset.Bundle) {
+	set.Subscribe(now, func(_ time.Time, b seamset.Bundle) {
 		if b.Revision <= highest {
 			t.Errorf("revision %d after %d", b.Revision, highest)
 		}
@@ -245,7 +312,7 @@
 		group.Go(func() {
 			for c := range changes {
 				writer := fmt.Sprintf("%d/%d", o, c)
-				revision := put(t, f.book, writer)
+				revision := put(t, book, writer)
 				mu.Lock()
 				accepted[writer] = revision
 				mu.Unlock()
@@ -255,11 +322,7 @@
 	group.Wait()
 	cancel()
 	watch.Wait()
-	f.store.SetDown(false)
-	page, err := f.book.Read(t.Context(), "tally")
-	if err != nil {
-		t.Fatal(err)
-	}
+	page := read(t, book)
 	if len(page.Changes) != operators*changes {
 		t.Fatalf("%d changes in the history, want %d", len(page.Changes), operators*changes)
 	}
@@ -274,6 +337,19 @@
 	}
 }
 
+// read reads the record, also if some answers are lost.
+func read(t *testing.T, b *seambook.Book) seambook.Page {
+	var err error
+	for range 20 {
+		var page seambook.Page
+		if page, err = b.Read(t.Context(), "tally"); err == nil {
+			return page
+		}
+	}
+	t.Fatal(err)
+	return seambook.Page{}
+}
+
 // put repeats a change with the same writer until it is recorded.
 func put(t *testing.T, b *seambook.Book, writer string) int64 {
 	for range 100_000 {
--- a/internal/rule/seambook/record.go
+++ b/internal/rule/seambook/record.go
@@ -18,7 +18,7 @@
 	// KeyPrefix begins the store's keys of documents; the name of the service follows.
 	KeyPrefix = "rule/"
 	// recordLimit is the longest value written to the store, in bytes.
-	recordLimit = 1000 << 10
+	recordLimit = 1_000_000
 	// textLimit is the number of earlier versions whose text is kept.
 	textLimit = 50
 	// changeLimit is the number of changes that are kept without text.
