--- a/internal/rule/seamcommand/command_test.go
+++ b/internal/rule/seamcommand/command_test.go
@@ -10,7 +10,6 @@
 	"strings"
 	"testing"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"github.com/urfave/cli/v3"
 
@@ -37,17 +36,6 @@
 	return out.String(), err
 }
 
-func exitCode(err error) int {
-	var e *seamcommand.ExitError
-	if err == nil {
-		return 0
-	}
-	if errors.As(err, &e) {
-		return e.Code
-	}
-	return -1
-}
-
 var (
 	timePattern   = regexp.MustCompile(`20\d\d-\d\d-\d\dT[\d:.]+(Z|[+-]\d\d:\d\d)`)
 	uuidPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
@@ -112,7 +100,7 @@
 	for _, s := range steps {
 		args := append([]string{s.args[0], "--address", n.Address}, s.args[1:]...)
 		out, err := run(t, args...)
-		if code := exitCode(err); code != s.code {
+		if code := seamcommand.Code(err); code != s.code {
 			t.Fatalf("%s: exit code %d, want %d: %v", s.name, code, s.code, err)
 		}
 		if err != nil {
@@ -142,8 +130,8 @@
 		{"no node", []string{"get", "--address", "127.0.0.1:1"}, seamcommand.CodeUnavailable},
 	}
 	for _, tt := range tests {
-		if _, err := run(t, tt.args...); exitCode(err) != tt.code {
-			t.Errorf("%s: exit code %d, want %d: %v", tt.name, exitCode(err), tt.code, err)
+		if _, err := run(t, tt.args...); seamcommand.Code(err) != tt.code {
+			t.Errorf("%s: exit code %d, want %d: %v", tt.name, seamcommand.Code(err), tt.code, err)
 		}
 	}
 }
@@ -153,13 +141,13 @@
 	set := []string{"set", "--address", n.Address, "-f", "testdata/tally.yaml"}
 	n.Store.SetDown(true)
 	out, err := run(t, set...)
-	if exitCode(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "What is in force stays") {
+	if seamcommand.Code(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "What is in force stays") {
 		t.Fatalf("%s %v", out, err)
 	}
 	n.Store.SetDown(false)
 	n.SetPartition(true)
 	out, err = run(t, append(set, "--wait", "--limit", "300ms")...)
-	if exitCode(err) != seamcommand.CodePending || !strings.Contains(err.Error(), "missing cells: superior-1") {
+	if seamcommand.Code(err) != seamcommand.CodePending || !strings.Contains(err.Error(), "missing cells: superior-1") {
 		t.Fatalf("%s %v", out, err)
 	}
 	if !strings.Contains(out, "confirmed cell erie-1") {
@@ -171,7 +159,7 @@
 	n := seamadmintest.New(t)
 	n.Store.Decide = func() seamstoretest.Fate { return seamstoretest.RequestLost }
 	_, err := run(t, "set", "--address", n.Address, "-f", "testdata/tally.yaml", "--writer", "w-7", "--limit", "1s")
-	if exitCode(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "--writer w-7") {
+	if seamcommand.Code(err) != seamcommand.CodeUnavailable || !strings.Contains(err.Error(), "--writer w-7") {
 		t.Fatalf("got %v", err)
 	}
 }
--- a/internal/rule/seamcommand/exit.go
+++ b/internal/rule/seamcommand/exit.go
@@ -43,6 +43,18 @@
 // ExitCode returns the code.
 func (e *ExitError) ExitCode() int { return e.Code }
 
+// Code returns the exit code for the error of a command, 0 for none.
+func Code(err error) int {
+	if err == nil {
+		return 0
+	}
+	var e cli.ExitCoder
+	if errors.As(err, &e) {
+		return e.ExitCode()
+	}
+	return CodeFailure
+}
+
 // problemCodes are the exit codes of the problems that the API reports.
 var problemCodes = map[string]int{
 	seamapi.CodeInvalid:      CodeUsage,
--- a/internal/rule/seamcommand/status.go
+++ b/internal/rule/seamcommand/status.go
@@ -84,7 +84,7 @@
 		return nil
 	}
 	return &ExitError{Code: CodePending, Err: errors.Newf(
-		"revision %d is recorded but not accepted; missing cells: %s\nIt comes into force there as soon as they are reached; see cardamomseam status --revision %d.",
+		"revision %d is not accepted yet; missing cells: %s\nOnce recorded, it comes into force there as soon as they are reached; see cardamomseam status --revision %d.",
 		s.Revision, strings.Join(s.Missing(), ", "), s.Revision)}
 }
 
@@ -98,7 +98,7 @@
 	for {
 		next, err := r.client.Revision(ctx, recorded.Revision, len(seen), waitStep)
 		if err != nil && ctx.Err() != nil {
-			return pending(status)
+			return r.unaccepted(recorded, status, time.Since(began))
 		}
 		if err != nil {
 			return err
@@ -132,11 +132,21 @@
 	return nil
 }
 
-// acceptance is the output of an accepted change as JSON.
+// unaccepted reports a change that was not accepted in time.
+func (r run) unaccepted(recorded seamapi.Recorded, s seamconfirm.Status, after time.Duration) error {
+	if r.out.json {
+		if err := r.out.value(acceptance{Recorded: recorded, Status: s, After: after.Milliseconds()}); err != nil {
+			return err
+		}
+	}
+	return pending(s)
+}
+
+// acceptance is the output of a change that was waited for, as JSON.
 type acceptance struct {
 	Recorded seamapi.Recorded   `json:"recorded"`
 	Status   seamconfirm.Status `json:"status"`
-	// After is the time from the recording to the acceptance, in milliseconds.
+	// After is the time from the recording to the acceptance, or to the end of the wait, in milliseconds.
 	After int64 `json:"after"`
 }
 
