--- a/internal/rule/seamcommand/status.go
+++ b/internal/rule/seamcommand/status.go
@@ -90,23 +90,22 @@
 
 // await reports cell by cell until the change is accepted.
 func (r run) await(ctx context.Context, recorded seamapi.Recorded) error {
-	ctx, cancel := context.WithTimeout(ctx, r.Duration(flagLimit))
-	defer cancel()
 	began := time.Now()
+	limit := r.Duration(flagLimit)
 	seen := map[string]bool{}
-	status := seamconfirm.Status{Revision: recorded.Revision}
 	for {
-		next, err := r.client.Revision(ctx, recorded.Revision, len(seen), waitStep)
-		if err != nil && ctx.Err() != nil {
-			return r.unaccepted(recorded, status, time.Since(began))
-		}
+		wait := min(waitStep, max(0, limit-time.Since(began)))
+		status, err := r.client.Revision(ctx, recorded.Revision, len(seen), wait)
 		if err != nil {
 			return err
 		}
-		status = next
-		r.reportCells(status, seen, time.Since(began))
+		after := time.Since(began)
+		r.reportCells(status, seen, after)
 		if status.Accepted {
-			return r.accepted(recorded, status, time.Since(began))
+			return r.accepted(recorded, status, after)
+		}
+		if after >= limit {
+			return r.unaccepted(recorded, status, after)
 		}
 	}
 }
--- a/internal/rule/seamconfirm/confirmer.go
+++ b/internal/rule/seamconfirm/confirmer.go
@@ -354,11 +354,15 @@
 // late datagram takes nothing back.
 func (c *Confirmer) hear(s CellState) {
 	old := c.heard[s.Cell]
+	latest := s
 	if s.Epoch < old.Epoch {
-		s, old = old, s
+		latest = old
+	}
+	latest.Confirmed = max(old.Confirmed, s.Confirmed)
+	c.heard[s.Cell] = latest
+	if s.Confirmed > old.Confirmed {
+		c.wake()
 	}
-	s.Confirmed = max(old.Confirmed, s.Confirmed)
-	c.heard[s.Cell] = s
 }
 
 // Status returns what is known about the revision.
--- a/internal/rule/seamconfirm/confirmer_test.go
+++ b/internal/rule/seamconfirm/confirmer_test.go
@@ -192,3 +192,21 @@
 		t.Fatalf("states %+v", states)
 	}
 }
+
+func TestWaitEndsWithEachFurtherCell(t *testing.T) {
+	m := newMesh(2, never)
+	m.nodes["n1"].confirmed = 5
+	asking := m.nodes["n0"].confirmer
+	asking.Ask(start, 5)
+	waited := make(chan seamconfirm.Status, 1)
+	go func() { waited <- asking.Wait(t.Context(), 5, 0) }()
+	m.deliver(start)
+	select {
+	case s := <-waited:
+		if diff := cmp.Diff([]string{"cell-n0"}, s.Missing()); diff != "" {
+			t.Errorf("missing (-want +got):\n%s", diff)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the wait goes on after a cell confirmed")
+	}
+}
