Send members only what changed since their revision

A set is always the store's state at one revision, so the versions above it are all that a member lacks; the whole set for each change would cost members and regions needless bytes.

--- a/internal/rule/seamset/set.go
+++ b/internal/rule/seamset/set.go
@@ -161,6 +161,7 @@
 }
 
 // ApplyVersions puts later versions of single documents in force, like Apply.
+// They must be all that the store has between the set's revision and their highest one.
 func (s *Set) ApplyVersions(now time.Time, versions []seamrule.Version) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/rule/seamset/spread_test.go
+++ b/internal/rule/seamset/spread_test.go
@@ -1,22 +1,24 @@
 package seamset_test
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/rule/seambook"
 	"cardamomseam/internal/rule/seamrule"
+	"cardamomseam/internal/rule/seamrulewire"
 	"cardamomseam/internal/rule/seamset"
 	"cardamomseam/internal/rule/seamstoretest"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 // fetch lets one set fetch the rules of another over a connection in memory.
@@ -58,6 +60,30 @@
 	}
 }
 
+func TestServeSendsLaterVersionsOnly(t *testing.T) {
+	s := newSet()
+	tally := seamrule.Document{Service: "tally", Selectors: []seamrule.Selector{{Name: "all"}}}
+	apply(t, s, version(calendar(), 7), version(tally, 9))
+	for since, want := range map[int64]int{-1: 2, 7: 1, 9: 0} {
+		server, client := net.Pipe()
+		go func() {
+			_ = s.ServeStream(t.Context(), seampeer.Peer{}, server)
+			server.Close()
+		}()
+		if _, err := protodelim.MarshalTo(client, &seamrulewire.Fetch{Since: since}); err != nil {
+			t.Fatal(err)
+		}
+		var b seamrulewire.Bundle
+		if err := protodelim.UnmarshalFrom(bufio.NewReader(client), &b); err != nil {
+			t.Fatal(err)
+		}
+		client.Close()
+		if len(b.GetDocuments()) != want || b.GetRevision() != 9 {
+			t.Errorf("since %d: %d documents at revision %d, want %d", since, len(b.GetDocuments()), b.GetRevision(), want)
+		}
+	}
+}
+
 func TestFetchOfNoRulesMakesReady(t *testing.T) {
 	coordinator, member := newSet(), newSet()
 	apply(t, coordinator)
--- a/internal/rule/seamset/stream.go
+++ b/internal/rule/seamset/stream.go
@@ -83,17 +83,18 @@
 	return func() { stop() }
 }
 
-// wire returns the bundle in force if it is later than since.
+// wire returns the versions in force that are later than since. A set at revision since
+// has all others, because a set is always the store's state at one revision.
 func (s *Set) wire(since int64) (*seamrulewire.Bundle, error) {
 	c := s.current.Load()
 	if c == nil {
 		return &seamrulewire.Bundle{}, nil
 	}
 	bundle := &seamrulewire.Bundle{Revision: c.bundle.Revision, Ready: true}
-	if c.bundle.Revision <= since {
-		return bundle, nil
-	}
 	for _, v := range c.bundle.Versions {
+		if v.Revision <= since {
+			continue
+		}
 		text, err := json.Marshal(v.Document)
 		if err != nil {
 			return nil, errors.Wrapf(err, "encode the document of service %q", v.Service)
@@ -114,6 +115,6 @@
 		}
 		versions = append(versions, v)
 	}
-	_, err := s.Apply(time.Now(), NewBundle(versions))
+	_, err := s.ApplyVersions(time.Now(), versions)
 	return err
 }
