--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -59,6 +59,9 @@
 const (
 	defaultPatience = 2 * time.Second
 	defaultDial     = 500 * time.Millisecond
+	// leaveGrace is the time for which a target that is leaving still serves the
+	// slots that were not handed over yet.
+	leaveGrace = 2 * time.Second
 	// idSize is the length of a request id, in bytes.
 	idSize = 16
 )
@@ -76,9 +79,13 @@
 	counters   *seamoutcome.Counters
 	events     seamevent.Sink
 
-	mu       sync.Mutex
-	draining bool
-	inFlight int
+	mu sync.Mutex
+	// leaving refuses requests without a key, and draining all.
+	leaving, draining bool
+	inFlight          int
+	// leaver is the run of the target that is leaving, since a time.
+	leaver string
+	since  time.Time
 	// idle is closed when a draining egress has no request in flight.
 	idle chan struct{}
 }
@@ -128,7 +135,7 @@
 }
 
 func (e *Egress) enterAndRun(ctx context.Context, head *seamroutewire.RequestHead, body io.Reader, out seamcall.Answer) seamoutcome.End {
-	if !e.enter() {
+	if !e.enter(head.GetKeyed()) {
 		return seamoutcome.Refuse(seamoutcome.Draining, "the node is leaving")
 	}
 	defer e.leave()
@@ -165,13 +172,13 @@
 }
 
 // announced returns what the target announced if it serves the request's service.
-// A leaving target goes on to serve the keys that it owns until they are handed over.
+// A leaving target goes on for a while to serve the keys that it owns.
 func (e *Egress) announced(head *seamroutewire.RequestHead) (seamtarget.Announcement, *seamoutcome.End) {
 	a, ok := e.target.Current()
 	switch {
 	case !ok:
 		return a, refusal(seamoutcome.Target, "no target announces itself here")
-	case a.Leaving && !head.GetKeyed():
+	case a.Leaving && !e.mayLinger(head, a, time.Now()):
 		return a, refusal(seamoutcome.Draining, "the target is leaving")
 	case a.Service != head.GetService():
 		return a, refusal(seamoutcome.Target, "the target here serves "+a.Service)
