--- a/internal/rule/seamset/stream.go
+++ b/internal/rule/seamset/stream.go
@@ -41,6 +41,7 @@
 // The error is a *PeerNotReadyError if the peer has no rules itself.
 func (s *Set) Fetch(ctx context.Context, conn net.Conn, since int64) error {
 	defer limit(ctx, conn)()
+	since = min(since, s.Revision())
 	if s.current.Load() == nil {
 		since = unknownRevision
 	}
