--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -130,7 +130,7 @@
 	silent := m.joined && c.reign == nil && c.now.Mono-m.answered.Mono >= c.cfg.Promise*2
 	if silent && c.now.Mono-m.fetched.Mono >= c.cfg.Promise {
 		m.fetched = c.now
-		c.do(Fetch{Kind: Directory, Revision: c.directory.revision})
+		c.do(Fetch{Kind: Directory, Revision: c.since()})
 	}
 }
 
@@ -211,9 +211,9 @@
 	m.sequence++
 	m.sent[m.sequence] = c.now
 	m.renewed = c.now
-	m.unanswered++
 	delete(m.sent, m.sequence-sentLife)
 	x := c.renewal()
+	m.unanswered++
 	to := c.asked()
 	spread := m.unanswered > patience && !m.backup.Zero() && !m.backup.Same(to)
 	backup := m.backup
@@ -241,7 +241,7 @@
 	x := &seamcellwire.Renew{
 		Sequence: m.sequence, Version: m.table.version, Rules: c.applied,
 		Inflight: uint32(max(c.target.InFlight, 0)), Draining: c.draining, Announced: c.announced,
-		Leaving: m.farewells > 0,
+		Leaving: m.farewells > 0, Missed: uint32(m.unanswered),
 	}
 	if !m.joined {
 		x.Peer = peerWire(c.self)
@@ -379,6 +379,7 @@
 	m.pending = nil
 	m.reported = false
 	m.known = 0
+	m.unanswered = 0
 }
 
 func (c *Cell) takeLease(a *seamcellwire.Answer) {
@@ -421,6 +422,15 @@
 	m.pending = rest
 }
 
+// fetchOverlap is the number of revisions that are asked for again, because two watches may have
+// told the coordinator of changes in another order.
+const fetchOverlap = 256
+
+// since returns the revision after which records are asked for.
+func (c *Cell) since() int64 {
+	return max(0, c.directory.revision-fetchOverlap)
+}
+
 // fetchNewer asks the coordinator for rules and records that are newer than the own ones.
 func (c *Cell) fetchNewer(a *seamcellwire.Answer) {
 	m := c.member
@@ -433,7 +443,7 @@
 	}
 	if a.GetDirectory() > c.directory.revision {
 		m.fetched = c.now
-		c.do(Fetch{Kind: Directory, From: m.coordinator, Revision: c.directory.revision})
+		c.do(Fetch{Kind: Directory, From: m.coordinator, Revision: c.since()})
 	}
 }
 
@@ -502,6 +512,7 @@
 		return
 	}
 	m.coordinator = p
+	m.unanswered = 0
 }
 
 // readmit asks for admission anew, with an empty table. The lease is over by then.
@@ -592,7 +603,7 @@
 	m := c.member
 	for _, id := range sortedSlots(m.serving) {
 		s := m.serving[id]
-		if s == nil || !s.releasing || seamclock.Least(c.now, s.since) < c.deadline(id.Service)+c.cfg.Margin {
+		if s == nil || !s.releasing || seamclock.Least(c.now, s.since) < c.deadline(id.Service)+c.cfg.Handover {
 			continue
 		}
 		c.do(StopServing{Slot: id, Epoch: s.token})
--- a/internal/prove/seamcaller/client.go
+++ b/internal/prove/seamcaller/client.go
@@ -68,12 +68,14 @@
 	x := Record{ID: q.ID, Kind: q.Kind, Service: q.Service, Key: q.Key, Start: time.Now()}
 	x.Due = x.Start
 	x.Outcome, x.Reason = Unreached, "no node"
+	tried := map[string]bool{}
 	for range attempts {
-		nodes := c.Nodes(q)
-		if len(nodes) == 0 {
+		node, ok := choose(c.Nodes(q), tried)
+		if !ok {
 			break
 		}
-		x.Node = nodes[rand.IntN(len(nodes))]
+		tried[node] = true
+		x.Node = node
 		c.sendTo(ctx, q, &x)
 		if x.Outcome != Unreached {
 			break
@@ -83,6 +85,20 @@
 	return x
 }
 
+// choose returns a random node that was not tried.
+func choose(nodes []string, tried map[string]bool) (string, bool) {
+	left := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		if !tried[n] {
+			left = append(left, n)
+		}
+	}
+	if len(left) == 0 {
+		return "", false
+	}
+	return left[rand.IntN(len(left))], true
+}
+
 func (c *Client) sendTo(ctx context.Context, q Request, x *Record) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
