Spans only below sampled ones; small rises of latency are not slowness

The scheduling of processes made a target of 0.3 ms look slow, and the adaptive limit fell to a quarter.

--- a/internal/route/seamlimit/adaptive.go
+++ b/internal/route/seamlimit/adaptive.go
@@ -11,6 +11,9 @@
 	slowFloor = 0.25
 	// tolerance is the ratio of present to usual latency from which the target counts as slow.
 	tolerance = 2.5
+	// leastSlow is the least rise of the latency, in seconds, that counts as
+	// slowness: below it the scheduling of processes weighs more than the target.
+	leastSlow = 0.02
 	// nearLimit is the share of the limit in use from which the limit is tested.
 	nearLimit = 0.8
 	// fastWeight is the weight of one sample in the present latency.
@@ -73,7 +76,7 @@
 	}
 	a.average(now, s.Latency.Seconds())
 	switch {
-	case a.fast > tolerance*a.usual && float64(s.Running) >= a.limit/2:
+	case a.slow() && float64(s.Running) >= a.limit/2:
 		a.cut(now, max(tolerance*a.usual/a.fast, slowCut), max(slowFloor*a.slots, 1))
 	case float64(s.Running) >= nearLimit*a.limit && a.due(now):
 		a.limit = min(a.limit+1, a.slots)
@@ -81,6 +84,10 @@
 	}
 }
 
+func (a *Adaptive) slow() bool {
+	return a.fast > tolerance*a.usual && a.fast > a.usual+leastSlow
+}
+
 func (a *Adaptive) average(now time.Time, latency float64) {
 	since := now.Sub(a.sampled)
 	a.sampled = now
--- a/internal/route/seamspan/span.go
+++ b/internal/route/seamspan/span.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"cardamomseam/internal/route/seamoutcome"
 )
@@ -57,8 +58,12 @@
 }
 
 // Start begins a span. The caller ends it. ctx has a trace id afterwards, also
-// when nothing is recorded.
+// when nothing is recorded. The spans below one that is not sampled are not
+// sampled either, so none is begun.
 func Start(ctx context.Context, name string, kind trace.SpanKind) (context.Context, trace.Span) {
+	if above := trace.SpanContextFromContext(ctx); above.IsValid() && !above.IsSampled() {
+		return ctx, noop.Span{}
+	}
 	ctx, span := otel.Tracer(tracerName).Start(ctx, name, trace.WithSpanKind(kind))
 	if span.SpanContext().IsValid() {
 		return ctx, span
