The egress speaks HTTP on its own connections

net/http's transport hands each request to two goroutines of its connection and back, and repeats some requests by itself. The library's Request.Write and ReadResponse on connections of our own need neither; the gate stands in their writer, and an idle connection is looked at before it is used again.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -135,12 +135,14 @@
 	if err != nil {
 		return c.failed(ctx, g, p, err)
 	}
-	defer res.Body.Close()
 	p.answered()
-	if end := c.rejected(res, p); end != nil {
+	if end := c.rejected(res.Response, p); end != nil {
+		res.finish(res.drained())
 		return *end
 	}
-	return c.pass(ctx, res, p)
+	end := c.pass(ctx, res, p)
+	res.finish(end.Outcome == seamoutcome.Done)
+	return end
 }
 
 // newGate returns the gate of the request.
--- /dev/null
+++ b/internal/route/seamegress/client_test.go
@@ -0,0 +1,118 @@
+package seamegress_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamroutewire"
+)
+
+// script is a target that answers each request with the next text, and closes
+// the connection after an empty one or one that ends with "close".
+type script struct {
+	dials atomic.Int32
+	next  chan string
+}
+
+func (s *script) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.dials.Add(1)
+		go s.talk(c)
+	}
+}
+
+func (s *script) talk(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		text := <-s.next
+		body, last := strings.CutSuffix(text, "close")
+		fmt.Fprint(c, body)
+		if last || text == "" {
+			return
+		}
+	}
+}
+
+func scripted(t *testing.T) (*seamegress.Egress, *script) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &script{next: make(chan string, 8)}
+	go s.serve(l)
+	clock := seamclock.NewClock()
+	target := announcing{Service: "booker", Name: "t", Address: l.Addr().String(), Slots: 4, Connections: 4}
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, time.Minute}, target, clock, metrics.NewSet(), seamevent.NewStream("back"))
+	t.Cleanup(closeEgress)
+	return e, s
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nroom"
+
+func TestConnectionsToTarget(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		answers []string
+		// methods are those of the requests, and ends how they end.
+		methods []string
+		ends    []seamoutcome.Reason
+		dials   int32
+	}{
+		{"kept", []string{fine, fine}, []string{"POST", "POST"}, []seamoutcome.Reason{"", ""}, 1},
+		{"closed when idle", []string{fine + "close", fine}, []string{"POST", "POST"}, []seamoutcome.Reason{"", ""}, 2},
+		{"told to close", []string{strings.Replace(fine, "\r\n", "\r\nConnection: close\r\n", 1), fine}, []string{"POST", "POST"}, []seamoutcome.Reason{"", ""}, 2},
+		{"closed at a booking", []string{fine, ""}, []string{"POST", "POST"}, []seamoutcome.Reason{"", seamoutcome.Broken}, 1},
+		{"closed at a page", []string{fine, "", fine}, []string{"GET", "GET"}, []seamoutcome.Reason{"", ""}, 2},
+		{"interim answer", []string{"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + fine, fine}, []string{"POST", "POST"}, []seamoutcome.Reason{"", ""}, 1},
+		{"bytes after the answer", []string{fine + "HTTP", fine}, []string{"POST", "POST"}, []seamoutcome.Reason{"", ""}, 2},
+		{"too long headers", []string{"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 100_000) + "\r\n\r\n"}, []string{"POST"}, []seamoutcome.Reason{seamoutcome.Broken}, 1},
+		{"head", []string{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", fine}, []string{"HEAD", "POST"}, []seamoutcome.Reason{"", ""}, 1},
+		{"no HTTP", []string{"220 mail\r\n"}, []string{"POST"}, []seamoutcome.Reason{seamoutcome.Broken}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e, s := scripted(t)
+			for _, a := range tt.answers {
+				s.next <- a
+			}
+			for i, m := range tt.methods {
+				end := run(e, request(byte(i), m))
+				if end.Reason != tt.ends[i] {
+					t.Errorf("request %d: %s (%s)", i, end.Reason, end.Detail)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if n := s.dials.Load(); n != tt.dials {
+				t.Errorf("%d connections, want %d", n, tt.dials)
+			}
+		})
+	}
+}
+
+func request(n byte, method string) *seamroutewire.RequestHead {
+	h := head(uint64(n) + 1)
+	h.Id = append(make([]byte, 15), n)
+	h.Method, h.Idempotent = method, method != http.MethodPost
+	return h
+}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -68,16 +68,16 @@
 
 // Egress runs requests at one target. It is safe for concurrent use.
 type Egress struct {
-	cfg        Config
-	self       seampeer.Peer
-	owners     Owners
-	target     Target
-	clock      Clock
-	ledger     *seamledger.Ledger
-	limiter    *seamlimit.Limiter
-	transports *transports
-	counters   *seamoutcome.Counters
-	events     seamevent.Sink
+	cfg      Config
+	self     seampeer.Peer
+	owners   Owners
+	target   Target
+	clock    Clock
+	ledger   *seamledger.Ledger
+	limiter  *seamlimit.Limiter
+	targets  *targets
+	counters *seamoutcome.Counters
+	events   seamevent.Sink
 
 	mu sync.Mutex
 	// leaving refuses requests without a key, and draining all.
@@ -99,21 +99,21 @@
 		cfg.Dial = defaultDial
 	}
 	e := &Egress{
-		cfg:        cfg,
-		self:       self,
-		owners:     owners,
-		target:     target,
-		clock:      clock,
-		ledger:     seamledger.New(cfg.Records),
-		limiter:    seamlimit.New(cfg.Warm, set),
-		transports: &transports{dial: cfg.Dial},
-		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
-		events:     sink,
-		idle:       make(chan struct{}),
+		cfg:      cfg,
+		self:     self,
+		owners:   owners,
+		target:   target,
+		clock:    clock,
+		ledger:   seamledger.New(cfg.Records),
+		limiter:  seamlimit.New(cfg.Warm, set),
+		targets:  &targets{dial: cfg.Dial},
+		counters: seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
+		events:   sink,
+		idle:     make(chan struct{}),
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.ledger.Len()) })
-	return e, e.transports.close
+	return e, e.targets.close
 }
 
 // Load returns the present load of the target.
--- a/internal/route/seamegress/gate.go
+++ b/internal/route/seamegress/gate.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -100,25 +98,9 @@
 	return g.started, g.denial
 }
 
-// targetConn is a connection to the target that asks the gate of each request
-// before it sends the first byte.
-type targetConn struct {
-	net.Conn
-	gate atomic.Pointer[gate]
-}
-
-// Write sends p once the gate is open.
-func (c *targetConn) Write(p []byte) (int, error) {
-	g := c.gate.Swap(nil)
-	if g == nil {
-		return c.Conn.Write(p)
-	}
-	if err := g.open(); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(p)
-	if n == 0 && err != nil {
-		g.unsent()
-	}
-	return n, err
+// mayBeginAgain reports whether the request was not started, or may start twice.
+func (g *gate) mayBeginAgain() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.idempotent || !g.started && (g.denial == "" || g.denial == seamoutcome.Target)
 }
--- /dev/null
+++ b/internal/route/seamegress/pool.go
@@ -0,0 +1,175 @@
+package seamegress
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/member/seamtarget"
+)
+
+const (
+	// idleTarget is the time after which an idle connection to the target is not used again.
+	idleTarget = 15 * time.Second
+	// connectionLimit is the number of connections to a target that announced none.
+	connectionLimit = 1024
+)
+
+// targetPool holds the connections to one run of the target.
+type targetPool struct {
+	dialer  net.Dialer
+	address string
+	// places holds one token for each open connection.
+	places chan struct{}
+
+	mu sync.Mutex
+	// idle holds the connections without a request, the latest last.
+	idle   []*targetConn
+	closed bool
+}
+
+func newTargetPool(dial time.Duration, a seamtarget.Announcement) *targetPool {
+	limit := a.Connections
+	if limit <= 0 {
+		limit = connectionLimit
+	}
+	return &targetPool{dialer: net.Dialer{Timeout: dial}, address: a.Address, places: make(chan struct{}, limit)}
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *targetPool) get(ctx context.Context, now time.Time) (*targetConn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if now.Sub(c.idleSince) < idleTarget && quiet(c.Conn) {
+			c.reused = true
+			return c, nil
+		}
+		p.drop(c)
+	}
+}
+
+func (p *targetPool) takeIdle() *targetConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// dial opens a connection once there is a place for it.
+func (p *targetPool) dial(ctx context.Context) (*targetConn, error) {
+	select {
+	case p.places <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		<-p.places
+		return nil, err
+	}
+	return newTargetConn(c, p), nil
+}
+
+// put keeps a connection for the next request, and closes the one idle longest if that is too old.
+func (p *targetPool) put(c *targetConn, now time.Time) {
+	c.idleSince = now
+	p.mu.Lock()
+	var old *targetConn
+	switch {
+	case p.closed:
+		old = c
+	default:
+		p.idle = append(p.idle, c)
+		if first := p.idle[0]; now.Sub(first.idleSince) > idleTarget {
+			old = first
+			p.idle = slices.Delete(p.idle, 0, 1)
+		}
+	}
+	p.mu.Unlock()
+	if old != nil {
+		p.drop(old)
+	}
+}
+
+// drop closes a connection.
+func (p *targetPool) drop(c *targetConn) {
+	c.Close()
+	<-p.places
+}
+
+// close closes the idle connections, and the others when their requests end.
+func (p *targetPool) close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c)
+	}
+}
+
+// quiet reports whether an idle connection is open and nothing arrived on it.
+func quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// targets holds the connections to the present run of the target.
+type targets struct {
+	dial time.Duration
+
+	mu    sync.Mutex
+	name  string
+	limit int
+	pool  *targetPool
+}
+
+// of returns the connections for an announcement. Another run of the target, or
+// another number of connections, starts anew.
+func (t *targets) of(a seamtarget.Announcement) *targetPool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pool != nil && t.name == a.Name && t.limit == a.Connections && t.pool.address == a.Address {
+		return t.pool
+	}
+	if t.pool != nil {
+		t.pool.close()
+	}
+	t.name, t.limit = a.Name, a.Connections
+	t.pool = newTargetPool(t.dial, a)
+	return t.pool
+}
+
+func (t *targets) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pool != nil {
+		t.pool.close()
+	}
+}
--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -15,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 
-	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamheader"
@@ -25,12 +22,6 @@
 )
 
 const (
-	// idleTarget is the time after which an idle connection to the target is closed.
-	idleTarget = 15 * time.Second
-	// idleConnections is the number of idle connections kept to the target.
-	idleConnections = 128
-	// headerLimit is the largest size of the target's headers, in bytes.
-	headerLimit = 64 << 10
 	// wholeLimit is the largest body that is passed on in one piece with its end, in bytes.
 	wholeLimit = 16 << 10
 	// copyBuffer is the size of the parts in which longer bodies are passed on, in bytes.
@@ -42,70 +33,15 @@
 	return &b
 }}
 
-// transports holds the connections to the present run of the target.
-type transports struct {
-	dial time.Duration
-
-	mu        sync.Mutex
-	name      string
-	limit     int
-	transport *http.Transport
-}
-
-// of returns the transport for an announcement. Another run of the target, or
-// another number of connections, gets another transport.
-func (t *transports) of(a seamtarget.Announcement) *http.Transport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.transport != nil && t.name == a.Name && t.limit == a.Connections {
-		return t.transport
-	}
-	if t.transport != nil {
-		t.transport.CloseIdleConnections()
-	}
-	t.name, t.limit = a.Name, a.Connections
-	t.transport = newTransport(t.dial, a.Connections)
-	return t.transport
-}
-
-func (t *transports) close() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.transport != nil {
-		t.transport.CloseIdleConnections()
-	}
-}
-
-func newTransport(dial time.Duration, connections int) *http.Transport {
-	d := &net.Dialer{Timeout: dial}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &targetConn{Conn: c}, nil
-		},
-		DisableCompression:     true,
-		IdleConnTimeout:        idleTarget,
-		MaxIdleConnsPerHost:    idleConnections,
-		MaxConnsPerHost:        connections,
-		MaxResponseHeaderBytes: headerLimit,
-	}
-}
-
 // roundTrip sends the request through the gate and returns the head of the answer.
-func (c *call) roundTrip(ctx context.Context, g *gate) (*http.Response, error) {
+func (c *call) roundTrip(ctx context.Context, g *gate) (*answer, error) {
 	ctx, span := seamspan.Start(ctx, "target", trace.SpanKindClient)
 	defer span.End()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { i.Conn.(*targetConn).gate.Store(g) },
-	})
 	req, err := c.request(ctx, g.grant)
 	if err != nil {
 		return nil, err
 	}
-	return c.egress.transports.of(c.announced).RoundTrip(req)
+	return c.egress.targets.of(c.announced).exchange(ctx, req, g)
 }
 
 func (c *call) request(ctx context.Context, grant *seamgrant.Grant) (*http.Request, error) {
@@ -127,7 +63,7 @@
 	}
 	seamcall.Header(req.Header, c.head.GetHeaders())
 	c.order(ctx, req.Header, grant)
-	return req.WithContext(ctx), nil
+	return req, nil
 }
 
 // bodyAgain returns a function that gives a short body once more, for a
@@ -160,6 +96,10 @@
 	}
 	h[seamheader.Request] = []string{c.head.GetRequest()}
 	h[seamspan.Header] = []string{seamspan.Format(ctx)}
+	if _, ok := h["User-Agent"]; !ok {
+		// The library would put its own name there.
+		h["User-Agent"] = nil
+	}
 }
 
 // rejection returns why the target says that it did not run the request, or nothing.
@@ -202,7 +142,7 @@
 }
 
 // pass hands the target's answer on.
-func (c *call) pass(ctx context.Context, res *http.Response, p *place) seamoutcome.End {
+func (c *call) pass(ctx context.Context, res *answer, p *place) seamoutcome.End {
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	head := c.answerHead(res)
@@ -212,7 +152,7 @@
 	return c.passParts(ctx, res, head, *buffer, p)
 }
 
-func (c *call) answerHead(res *http.Response) *seamroutewire.AnswerHead {
+func (c *call) answerHead(res *answer) *seamroutewire.AnswerHead {
 	return &seamroutewire.AnswerHead{
 		Id:      c.head.GetId(),
 		Attempt: c.head.GetAttempt(),
@@ -224,8 +164,9 @@
 }
 
 // passWhole reads the body to its end, which frees the place, before it hands anything on.
-func (c *call) passWhole(ctx context.Context, res *http.Response, head *seamroutewire.AnswerHead, buffer []byte, p *place) seamoutcome.End {
-	n, err := io.ReadFull(res.Body, buffer[:max(bodyLength(c.head, res), 0)])
+func (c *call) passWhole(ctx context.Context, res *answer, head *seamroutewire.AnswerHead, buffer []byte, p *place) seamoutcome.End {
+	n, err := io.ReadFull(res.Body, buffer[:bodyLength(c.head, res)])
+	res.finish(err == nil)
 	p.free(true, sheds(res.StatusCode))
 	if err != nil {
 		return seamoutcome.Doubt(late(ctx, ctx), err.Error())
@@ -241,7 +182,7 @@
 	return seamoutcome.Finish()
 }
 
-func bodyLength(head *seamroutewire.RequestHead, res *http.Response) int {
+func bodyLength(head *seamroutewire.RequestHead, res *answer) int {
 	if head.GetMethod() == http.MethodHead {
 		return 0
 	}
@@ -249,7 +190,7 @@
 }
 
 // passParts hands the body on as it arrives.
-func (c *call) passParts(ctx context.Context, res *http.Response, head *seamroutewire.AnswerHead, buffer []byte, p *place) seamoutcome.End {
+func (c *call) passParts(ctx context.Context, res *answer, head *seamroutewire.AnswerHead, buffer []byte, p *place) seamoutcome.End {
 	defer p.free(true, sheds(res.StatusCode))
 	if err := c.out.Head(head); err != nil {
 		return seamoutcome.Doubt(seamoutcome.Cancelled, err.Error())
