Placement weighed against static and bounded-load hashing

The skew experiment replays one trace (Zipf 0.99, 65 hot keys replaced within 5 min, one server lost) through Plan and three baselines: static hashing, consistent hashing with bounded loads by its definition, and the same with slots that stay until the bound is exceeded. The defaults become 16 moves a plan, 20 s of dwell and rates over 10 s.

--- a/internal/node/seamsetting/settings.go
+++ b/internal/node/seamsetting/settings.go
@@ -127,10 +127,10 @@
 	Unavailable float64 `json:"unavailable,default=1" allow:"0..100"`
 	// Interval is the time between two plans. Default: 5s.
 	Interval time.Duration `json:"interval,default=5s" allow:"50ms..10m"`
-	// Moves is the largest number of planned moves in one interval of one service. Default: 4.
-	Moves int `json:"moves,default=4" allow:"0..1000"`
-	// Dwell is the time for which a moved slot stays where it is. Default: 1m.
-	Dwell time.Duration `json:"dwell,default=1m" allow:"0s..24h"`
+	// Moves is the largest number of planned moves in one interval of one service. Default: 16.
+	Moves int `json:"moves,default=16" allow:"0..1000"`
+	// Dwell is the time for which a moved slot stays where it is. Default: 20s.
+	Dwell time.Duration `json:"dwell,default=20s" allow:"0s..24h"`
 }
 
 // Session bounds the sessions to other nodes.
--- a/internal/own/seamplace/plan_test.go
+++ b/internal/own/seamplace/plan_test.go
@@ -280,3 +280,21 @@
 		r.Fatalf("still moving after 60 plans: %+v", seamplace.Plan(at, v))
 	})
 }
+
+func BenchmarkPlan(b *testing.B) {
+	v := seamplace.View{Config: seamplace.DefaultConfig()}
+	for i := range 12 {
+		v.Members = append(v.Members, member(fmt.Sprintf("m%d", i), string(rune('a'+i%2))))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range uint32(4096) {
+		owner := random.IntN(12)
+		standby := v.Members[(owner+1)%12].Name
+		v.Slots = append(v.Slots, slot(i, v.Members[owner].Name, standby, random.ExpFloat64()))
+	}
+	v.Slots[0].Rate = 500
+	b.ResetTimer()
+	for range b.N {
+		seamplace.Plan(now, v)
+	}
+}
--- a/internal/own/seamplace/view.go
+++ b/internal/own/seamplace/view.go
@@ -47,7 +47,7 @@
 	// Moved is the time of the last change of owner; zero if it never changed.
 	Moved seamclock.Instant
 	// Hot says that a single key of the slot carries at least half the mean load of a member.
-	// Such a slot does not move for balance; its neighbours do.
+	// The busiest such slot of a member does not move for balance; its neighbours do.
 	Hot bool
 	// Callers is the part of the requests that come from each region, by region.
 	Callers map[string]float64
@@ -79,8 +79,8 @@
 		Imbalance:   1,
 		Churn:       1,
 		Unavailable: 1,
-		Moves:       4,
-		Dwell:       time.Minute,
+		Moves:       16,
+		Dwell:       20 * time.Second,
 		Handover:    200 * time.Millisecond,
 		Promotion:   50 * time.Millisecond,
 	}
--- a/internal/prove/seamskew/baseline.go
+++ b/internal/prove/seamskew/baseline.go
@@ -22,10 +22,7 @@
 // while that one is away to the next in the list.
 func newStatic(servers int) decide {
 	return func(_ seamclock.Instant, v seamplace.View) []seamplace.Move {
-		live := map[string]bool{}
-		for _, m := range v.Members {
-			live[m.Name] = true
-		}
+		live := liveServers(v)
 		owner := func(s seamplace.Slot) string {
 			i := int(xxhash.Sum64String(s.ID.String()) % uint64(servers))
 			for !live[server(i)] {
@@ -50,8 +47,20 @@
 func newBounded(servers int) decide {
 	ring := newRing(servers)
 	return func(_ seamclock.Instant, v seamplace.View) []seamplace.Move {
-		placed := place(ring, v)
-		return changes(v.Slots, func(s seamplace.Slot) string { return placed[s.ID.Index] })
+		p := newPlacement(ring, v)
+		p.place(byHash(v.Slots))
+		return changes(v.Slots, p.owner)
+	}
+}
+
+// newSticky returns bounded loads with memory: a slot stays where it is until its server
+// exceeds the bound, and only then walks the ring.
+func newSticky(servers int) decide {
+	ring := newRing(servers)
+	return func(_ seamclock.Instant, v seamplace.View) []seamplace.Move {
+		p := newPlacement(ring, v)
+		p.place(p.keep(byHash(v.Slots)))
+		return changes(v.Slots, p.owner)
 	}
 }
 
@@ -67,58 +76,100 @@
 	return ring
 }
 
-// place returns the owner of each slot by its index.
-func place(ring []point, v seamplace.View) map[uint32]string {
-	live := map[string]bool{}
-	for _, m := range v.Members {
-		live[m.Name] = true
+// placement is a placement of slots under bounded loads in the making.
+type placement struct {
+	ring  []point
+	live  map[string]bool
+	bound float64
+	load  map[string]float64
+	// owners holds the owner of each slot by its index.
+	owners map[uint32]string
+}
+
+func newPlacement(ring []point, v seamplace.View) *placement {
+	p := &placement{
+		ring:   ring,
+		live:   liveServers(v),
+		load:   map[string]float64{},
+		owners: map[uint32]string{},
 	}
 	total := 0.0
 	for _, s := range v.Slots {
 		total += s.Rate
 	}
-	bound := loadBound * total / float64(len(v.Members))
-	load := map[string]float64{}
-	placed := map[uint32]string{}
-	for _, s := range byHash(v.Slots) {
-		to := walk(ring, s, live, load, bound)
-		load[to] += s.Rate
-		placed[s.ID.Index] = to
+	p.bound = loadBound * total / float64(len(v.Members))
+	return p
+}
+
+func liveServers(v seamplace.View) map[string]bool {
+	live := map[string]bool{}
+	for _, m := range v.Members {
+		live[m.Name] = true
 	}
-	return placed
+	return live
 }
 
-// byHash returns the slots in the order of their hashes.
-func byHash(slots []seamplace.Slot) []seamplace.Slot {
-	sorted := slices.Clone(slots)
-	slices.SortFunc(sorted, func(a, b seamplace.Slot) int { return cmp.Compare(hash(a), hash(b)) })
-	return sorted
+func (p *placement) owner(s seamplace.Slot) string {
+	return p.owners[s.ID.Index]
 }
 
-func hash(s seamplace.Slot) uint64 {
-	return xxhash.Sum64String(s.ID.String())
+func (p *placement) put(s seamplace.Slot, server string) {
+	p.load[server] += s.Rate
+	p.owners[s.ID.Index] = server
 }
 
-// walk returns the first live server after the slot's hash that has room. A slot too
-// large for any bound goes to an empty server, or to the first live one.
-func walk(ring []point, s seamplace.Slot, live map[string]bool, load map[string]float64, bound float64) string {
-	start, _ := slices.BinarySearchFunc(ring, hash(s), func(p point, h uint64) int { return cmp.Compare(p.hash, h) })
-	first := ""
-	for i := range ring {
-		p := ring[(start+i)%len(ring)]
-		if !live[p.server] {
+// room reports whether the server may take s. An empty server takes any slot.
+func (p *placement) room(s seamplace.Slot, server string) bool {
+	return p.live[server] && (p.load[server] == 0 || p.load[server]+s.Rate <= p.bound)
+}
+
+// keep leaves slots with their owners as far as the bound allows, and returns the rest.
+func (p *placement) keep(slots []seamplace.Slot) []seamplace.Slot {
+	var rest []seamplace.Slot
+	for _, s := range slots {
+		if !p.room(s, s.Owner) {
+			rest = append(rest, s)
 			continue
 		}
-		if first == "" {
-			first = p.server
+		p.put(s, s.Owner)
+	}
+	return rest
+}
+
+func (p *placement) place(slots []seamplace.Slot) {
+	for _, s := range slots {
+		p.put(s, p.walk(s))
+	}
+}
+
+// walk returns the first live server after the slot's hash that has room, or else the
+// first live one.
+func (p *placement) walk(s seamplace.Slot) string {
+	start, _ := slices.BinarySearchFunc(p.ring, hash(s), func(x point, h uint64) int { return cmp.Compare(x.hash, h) })
+	first := ""
+	for i := range p.ring {
+		server := p.ring[(start+i)%len(p.ring)].server
+		if p.room(s, server) {
+			return server
 		}
-		if load[p.server] == 0 || load[p.server]+s.Rate <= bound {
-			return p.server
+		if first == "" && p.live[server] {
+			first = server
 		}
 	}
 	return first
 }
 
+// byHash returns the slots in the order of their hashes.
+func byHash(slots []seamplace.Slot) []seamplace.Slot {
+	sorted := slices.Clone(slots)
+	slices.SortFunc(sorted, func(a, b seamplace.Slot) int { return cmp.Compare(hash(a), hash(b)) })
+	return sorted
+}
+
+func hash(s seamplace.Slot) uint64 {
+	return xxhash.Sum64String(s.ID.String())
+}
+
 // changes returns the moves to the owners that a policy wants.
 func changes(slots []seamplace.Slot, owner func(seamplace.Slot) string) []seamplace.Move {
 	var moves []seamplace.Move
--- a/internal/prove/seamskew/fleet.go
+++ b/internal/prove/seamskew/fleet.go
@@ -30,11 +30,15 @@
 	policy string
 	decide decide
 	view   seamplace.View
+	// pauses holds the times for which a moved slot is not served.
+	pauses seamplace.Config
 	// lost is the server that is away, or empty.
 	lost string
 	// back is the time at which it returns.
-	back    seamclock.Instant
-	losses  int
+	back   seamclock.Instant
+	losses int
+	// granted is the time at which the slots of the last lost server are granted again.
+	granted seamclock.Instant
 	elapsed int
 	// load holds the requests by server since the last sample.
 	load  map[string]float64
@@ -46,6 +50,7 @@
 		config: c,
 		policy: policy,
 		decide: d,
+		pauses: seamplace.DefaultConfig(),
 		load:   map[string]float64{},
 		meter:  seammeasure.NewMeter(c.Keys),
 		view:   seamplace.View{Config: weights},
@@ -87,7 +92,7 @@
 	f.count(t)
 	lost := f.lose(t.now)
 	f.restore(t.now)
-	due := f.elapsed%int(f.config.Interval/time.Second) == 0
+	due := f.elapsed%int(f.config.Interval/time.Second) == 0 && seamclock.Past(t.now, f.granted)
 	if due || lost || f.elapsed == 1 {
 		f.plan(t, lost)
 	}
@@ -121,8 +126,9 @@
 	if f.losses == f.config.Losses || f.elapsed != every*(f.losses+1) {
 		return false
 	}
-	f.lost = server((f.losses*5 + 3) % f.config.Servers)
+	f.lost = server(f.losses % f.config.Servers)
 	f.back = now.Add(absence)
+	f.granted = now.Add(detection + f.pauses.Handover)
 	f.losses++
 	f.meter.Lost(wall(now), f.lost)
 	return true
@@ -149,14 +155,11 @@
 	for _, m := range moves {
 		f.release(now, m)
 	}
-	for _, pause := range []time.Duration{handover.Promotion, handover.Handover} {
+	for _, pause := range []time.Duration{f.pauses.Promotion, f.pauses.Handover} {
 		f.grant(now, moves, pause)
 	}
 }
 
-// handover holds the times for which a moved slot is not served.
-var handover = seamplace.DefaultConfig()
-
 // release ends the ownership of a slot that moves away from a live server.
 func (f *fleet) release(now seamclock.Instant, m seamplace.Move) {
 	if m.From != m.To && m.From != "" {
@@ -179,11 +182,11 @@
 	}
 }
 
-func (*fleet) pause(s seamplace.Slot, m seamplace.Move) time.Duration {
+func (f *fleet) pause(s seamplace.Slot, m seamplace.Move) time.Duration {
 	if s.Standby == m.To || s.Owner == m.To {
-		return handover.Promotion
+		return f.pauses.Promotion
 	}
-	return handover.Handover
+	return f.pauses.Handover
 }
 
 func (f *fleet) outcome(now seamclock.Instant) Outcome {
--- a/internal/prove/seamskew/skew.go
+++ b/internal/prove/seamskew/skew.go
@@ -1,4 +1,4 @@
-// Package seamskew compares the placement of slots with two baselines on one trace of
+// Package seamskew compares the placement of slots with baselines on one trace of
 // requests: Zipf keys, a hot set that changes, and the loss of a server. It replays the
 // trace through the functions that decide; there is no network.
 package seamskew
@@ -11,7 +11,7 @@
 	"cardamomseam/internal/own/seamplace"
 )
 
-// Config describes the trace and the fleet. Zero fields take the defaults of NewConfig.
+// Config describes the trace and the fleet.
 type Config struct {
 	// Seed makes the trace; the same seed gives the same result.
 	Seed uint64 `json:"seed"`
@@ -54,6 +54,39 @@
 	}
 }
 
+// ConfigError says that a field of Config has a value that makes no trace.
+type ConfigError struct {
+	Field   string
+	Allowed string
+}
+
+// Error names the field and what is allowed.
+func (e *ConfigError) Error() string {
+	return "skew: " + e.Field + " must be " + e.Allowed
+}
+
+func (c Config) check() error {
+	rules := []struct {
+		ok             bool
+		field, allowed string
+	}{
+		{c.Duration >= sampleLength*time.Second, "duration", "at least 10s"},
+		{c.Servers >= 2, "servers", "at least 2"},
+		{c.Slots >= 1, "slots", "at least 1"},
+		{c.Hot >= 1 && c.Keys > c.Hot, "hot", "at least 1 and less than keys"},
+		{c.Rate >= 1, "rate", "at least 1"},
+		{c.Shift >= time.Second, "shift", "at least 1s"},
+		{c.Interval >= time.Second, "interval", "at least 1s"},
+		{c.Losses >= 0, "losses", "at least 0"},
+	}
+	for _, r := range rules {
+		if !r.ok {
+			return &ConfigError{Field: r.field, Allowed: r.allowed}
+		}
+	}
+	return nil
+}
+
 // Result is what the policies did on the same trace.
 type Result struct {
 	Config Config `json:"config"`
@@ -72,7 +105,7 @@
 }
 
 // Missed returns the targets that were missed: with the weights of either deployment the
-// imbalance is lower than with both baselines, and the churn no more than with bounded loads.
+// imbalance is lower than with each baseline, and the churn no more than with bounded loads.
 func (r Result) Missed() []string {
 	var missed []string
 	for _, ours := range r.Policies {
@@ -96,8 +129,11 @@
 	return missed
 }
 
-// Run replays the trace. The error is ctx's, if it ends before the trace.
+// Run replays the trace. The error is *ConfigError, or ctx's if it ends before the trace.
 func Run(ctx context.Context, c Config) (Result, error) {
+	if err := c.check(); err != nil {
+		return Result{}, err
+	}
 	t := newTrace(c)
 	fleets := newFleets(c)
 	least := 0.0
@@ -119,22 +155,20 @@
 	return r, nil
 }
 
-// newFleets returns a fleet for each policy.
+// newFleets returns a fleet for each policy; the weights are those of the examples.
 func newFleets(c Config) []*fleet {
 	exchange, ateliers := seamplace.DefaultConfig(), seamplace.DefaultConfig()
-	exchange.Imbalance = heavyWeight
-	ateliers.Unavailable = heavyWeight
+	exchange.Imbalance, exchange.Churn = 4, 2
+	ateliers.Unavailable = 4
 	return []*fleet{
 		newFleet(c, Exchange, seamplace.Plan, exchange),
 		newFleet(c, Ateliers, seamplace.Plan, ateliers),
 		newFleet(c, Static, newStatic(c.Servers), seamplace.Config{}),
+		newFleet(c, Sticky, newSticky(c.Servers), seamplace.Config{}),
 		newFleet(c, Bounded, newBounded(c.Servers), seamplace.Config{}),
 	}
 }
 
-// heavyWeight is the weight of what a deployment weighs most; see examples.
-const heavyWeight = 4
-
 // Names of the policies.
 const (
 	// Exchange is the product's placement with the weights of the Fieldwork Exchange.
@@ -145,4 +179,6 @@
 	Static = "static"
 	// Bounded is consistent hashing with bounded loads.
 	Bounded = "bounded"
+	// Sticky is the same, but a slot stays until its server exceeds the bound.
+	Sticky = "sticky"
 )
--- a/internal/prove/seamskew/trace.go
+++ b/internal/prove/seamskew/trace.go
@@ -14,7 +14,7 @@
 
 const (
 	// rateWindow is the time constant of the rates that the policies see.
-	rateWindow = 20 * time.Second
+	rateWindow = 10 * time.Second
 	// sketchLimit is the number of keys in the sketch.
 	sketchLimit = 128
 	// topKeys is the number of keys that are looked at for hot slots.
