--- a/internal/observe/seamlog/bridge.go
+++ b/internal/observe/seamlog/bridge.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"strings"
 
 	"github.com/apex/log"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -10,6 +12,9 @@
 // source is the value of the field that marks go-zero's lines.
 const source = "go-zero"
 
+// interceptor is the file of go-zero that logs each call of an HTTP client.
+const interceptor = "internal/loginterceptor.go"
+
 // Bridge writes go-zero's log, which is one for the process, through l and turns its
 // statistics off. The clean-up function gives go-zero's log back.
 func Bridge(l *Log) (restore func()) {
@@ -41,8 +46,22 @@
 // Error logs an error.
 func (b *bridge) Error(v any, fields ...logx.LogField) { b.entry(fields).Error(fmt.Sprint(v)) }
 
-// Info logs at info.
-func (b *bridge) Info(v any, fields ...logx.LogField) { b.entry(fields).Info(fmt.Sprint(v)) }
+// Info logs at info, but for the lines about each call of an HTTP client, which metrics count.
+func (b *bridge) Info(v any, fields ...logx.LogField) {
+	if fromInterceptor(fields) {
+		return
+	}
+	b.entry(fields).Info(fmt.Sprint(v))
+}
+
+func fromInterceptor(fields []logx.LogField) bool {
+	for _, f := range fields {
+		if caller, ok := f.Value.(string); ok && f.Key == "caller" {
+			return strings.HasPrefix(caller, interceptor)
+		}
+	}
+	return false
+}
 
 // Severe logs an error.
 func (b *bridge) Severe(v any) { b.entry(nil).Error(fmt.Sprint(v)) }
@@ -63,3 +82,18 @@
 	}
 	return b.logger.WithFields(named)
 }
+
+// Silence drops go-zero's log, which is one for the process. The returned
+// function gives it back.
+func Silence() (restore func()) {
+	former := logx.Reset()
+	logx.DisableStat()
+	logx.SetLevel(logx.SevereLevel)
+	logx.SetWriter(logx.NewWriter(io.Discard))
+	return func() {
+		logx.Reset()
+		if former != nil {
+			logx.SetWriter(former)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/seamingress/repeat.go
@@ -0,0 +1,118 @@
+package seamingress
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamretry"
+)
+
+// next decides whether another attempt follows, and after which wait.
+func (x *exchange) next(end seamoutcome.End, to seampeer.Peer, budget *seamretry.Budget) (wait time.Duration, again bool) {
+	hint := x.hint
+	x.hint = seampeer.Peer{}
+	if !x.mayRepeat(end) {
+		return 0, false
+	}
+	if x.follow(end, to, hint) {
+		x.redirects++
+		x.ingress.stats.redirects.Inc()
+		return 0, x.hasTime(0)
+	}
+	if wait, again = x.awaitOwner(end, to); again {
+		return wait, true
+	}
+	if x.retries >= x.choice.Limits.Retries {
+		return 0, false
+	}
+	wait = max(seamretry.Wait(x.retries), min(end.After, seamretry.Last))
+	if !x.hasTime(wait) {
+		return 0, false
+	}
+	if !budget.Spend(time.Now()) {
+		x.ingress.stats.starved.Inc()
+		return 0, false
+	}
+	x.retries++
+	x.ingress.stats.retries.Inc()
+	if !x.choice.Keyed {
+		x.tried = append(x.tried, to)
+	}
+	return wait, true
+}
+
+// mayRepeat reports whether another attempt is safe.
+func (x *exchange) mayRepeat(end seamoutcome.End) bool {
+	if x.answer.started || !x.body.again() {
+		return false
+	}
+	switch end.Outcome {
+	case seamoutcome.Refused:
+		return seamoutcome.Lookup(end.Reason).Elsewhere && x.anchored(end.Reason)
+	case seamoutcome.Unknown:
+		return x.head.GetIdempotent() && end.Reason != seamoutcome.Cancelled
+	default:
+		return x.head.GetIdempotent() && !x.choice.Keyed && x.answer.shed()
+	}
+}
+
+// anchored reports whether a request may leave its node for the reason. A
+// request that its caller named leaves only a node that will not run a duplicate
+// of it either.
+func (x *exchange) anchored(r seamoutcome.Reason) bool {
+	if x.named == "" || x.choice.Keyed || x.head.GetIdempotent() {
+		return true
+	}
+	return r == seamoutcome.Draining
+}
+
+// follow reports whether the next attempt goes to another node at once, without
+// a retry being spent: the node that refused did no work.
+func (x *exchange) follow(end seamoutcome.End, to, hint seampeer.Peer) bool {
+	if x.redirects >= redirectLimit || end.Outcome != seamoutcome.Refused {
+		return false
+	}
+	switch end.Reason {
+	case seamoutcome.Owner:
+		if !x.leads(end.Owner.Address, to, hint) {
+			return false
+		}
+		x.hint = end.Owner
+		return true
+	case seamoutcome.Draining, seamoutcome.Target, seamoutcome.Session:
+		// Another target is tried, or another node is asked for the owner.
+		x.left = append(x.left, to)
+		return true
+	}
+	return false
+}
+
+// leads reports whether a hint leads to a node that was not left and not just asked.
+func (x *exchange) leads(address string, to, hint seampeer.Peer) bool {
+	if address == "" || address == to.Address || address == hint.Address {
+		return false
+	}
+	return !slices.ContainsFunc(x.left, func(p seampeer.Peer) bool { return p.Address == address })
+}
+
+func (x *exchange) hasTime(wait time.Duration) bool {
+	return time.Until(x.deadline) > wait+leastLeft
+}
+
+// pause waits and reports whether the caller is still there.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
