Skew as an experiment of seambench

The experiments share a registry and a form of results with targets; skew takes it, in place of its own list of missed targets. Its targets are the lowest imbalance of all baselines and the churn of bounded-load hashing on the same trace.

--- /dev/null
+++ b/internal/prove/seamskew/experiment.go
@@ -0,0 +1,92 @@
+package seamskew
+
+import (
+	"context"
+	"time"
+
+	"cardamomseam/internal/prove/seamexperiment"
+)
+
+// Experiments are the experiments of this package.
+var Experiments = []seamexperiment.Experiment{
+	{
+		Name:  "skew",
+		Usage: "placement beside static and bounded-load hashing under a hot set that changes (a replay, no processes)",
+		Run:   runExperiment,
+	},
+}
+
+// keySeconds is the unit of unavailable time.
+const keySeconds = "key-s"
+
+// runExperiment maps the options: For is the length of the trace, Rounds the losses.
+func runExperiment(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
+	c := NewConfig(o.Seed)
+	if o.For > 0 {
+		c.Duration = o.For
+	}
+	if o.Nodes > 0 {
+		c.Servers = o.Nodes
+	}
+	if o.Rate > 0 {
+		c.Rate = int(o.Rate)
+	}
+	if o.Rounds > 0 {
+		c.Losses = o.Rounds
+	}
+	started := time.Now()
+	r, err := Run(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	x := r.figures()
+	x.Started, x.Took = started, time.Since(started).Seconds()
+	return []seamexperiment.Result{x}, nil
+}
+
+// figures returns the result in the form of the bench.
+func (r Result) figures() seamexperiment.Result {
+	x := seamexperiment.Result{Name: "skew", Seed: r.Config.Seed, Size: r.Config.Servers}
+	x.Add("least-imbalance", r.Least, seamexperiment.Ratio)
+	for _, p := range r.Policies {
+		r.add(&x, p)
+	}
+	return x
+}
+
+// add adds the measures of one policy; ours have the baselines' as targets.
+func (r Result) add(x *seamexperiment.Result, p Outcome) {
+	if p.Ours {
+		x.AddMost(p.Policy+"-imbalance", p.Imbalance, seamexperiment.Ratio, r.lowestBaseline())
+		x.AddMost(p.Policy+"-churn", p.Churn, seamexperiment.PerMinute, r.boundedChurn())
+	} else {
+		x.Add(p.Policy+"-imbalance", p.Imbalance, seamexperiment.Ratio)
+		x.Add(p.Policy+"-churn", p.Churn, seamexperiment.PerMinute)
+	}
+	x.Add(p.Policy+"-peak", p.Peak, seamexperiment.Ratio)
+	x.Add(p.Policy+"-changes", float64(p.Changes), seamexperiment.Count)
+	x.Add(p.Policy+"-forced", float64(p.Forced), seamexperiment.Count)
+	x.Add(p.Policy+"-unavailable", p.Unavailable, keySeconds)
+	x.Add(p.Policy+"-longest", p.Longest, seamexperiment.Seconds)
+}
+
+// lowestBaseline returns the lowest imbalance of a baseline.
+func (r Result) lowestBaseline() float64 {
+	lowest := 0.0
+	for _, p := range r.Policies {
+		if !p.Ours && (lowest == 0 || p.Imbalance < lowest) {
+			lowest = p.Imbalance
+		}
+	}
+	return lowest
+}
+
+// boundedChurn returns the churn of consistent hashing with bounded loads.
+func (r Result) boundedChurn() float64 {
+	for _, p := range r.Policies {
+		if p.Policy == Bounded {
+			return p.Churn
+		}
+	}
+	return 0
+}
--- a/internal/prove/seamskew/skew.go
+++ b/internal/prove/seamskew/skew.go
@@ -104,31 +104,6 @@
 	seammeasure.Report
 }
 
-// Missed returns the targets that were missed: with the weights of either deployment the
-// imbalance is lower than with each baseline, and the churn no more than with bounded loads.
-func (r Result) Missed() []string {
-	var missed []string
-	for _, ours := range r.Policies {
-		for _, base := range r.Policies {
-			if ours.Ours && !base.Ours {
-				missed = append(missed, misses(ours, base)...)
-			}
-		}
-	}
-	return missed
-}
-
-func misses(ours, base Outcome) []string {
-	var missed []string
-	if ours.Imbalance >= base.Imbalance {
-		missed = append(missed, "imbalance of "+ours.Policy+" not below "+base.Policy)
-	}
-	if base.Policy == Bounded && ours.Churn > base.Churn {
-		missed = append(missed, "churn of "+ours.Policy+" above "+base.Policy)
-	}
-	return missed
-}
-
 // Run replays the trace. The error is *ConfigError, or ctx's if it ends before the trace.
 func Run(ctx context.Context, c Config) (Result, error) {
 	if err := c.check(); err != nil {
--- a/internal/prove/seamskew/skew_test.go
+++ b/internal/prove/seamskew/skew_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"cardamomseam/internal/prove/seamexperiment"
 	"cardamomseam/internal/prove/seamskew"
 )
 
@@ -17,7 +18,6 @@
 	c := seamskew.NewConfig(seed)
 	c.Duration = 6 * time.Minute
 	c.Rate = 1000
-	c.Keys = 20_000
 	return c
 }
 
@@ -25,32 +25,29 @@
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r, err := seamskew.Run(context.Background(), short(seed))
+			c := short(seed)
+			o := seamexperiment.Options{Seed: seed, For: c.Duration, Rate: float64(c.Rate)}
+			results, err := seamskew.Experiments[0].Run(context.Background(), o)
 			if err != nil {
 				t.Fatal(err)
 			}
-			for _, p := range r.Policies {
-				t.Logf("%-9s imbalance %.3f churn %.1f unavailable %.0f", p.Policy, p.Imbalance, p.Churn, p.Unavailable)
+			r := results[0]
+			for _, f := range r.Figures {
+				t.Log(f.Summary())
 			}
-			if missed := r.Missed(); len(missed) > 0 {
-				t.Fatal(missed)
+			targets := 0
+			for _, f := range r.Figures {
+				if f.Target != nil {
+					targets++
+				}
+			}
+			if !r.Ok() || targets != 4 {
+				t.Fatalf("%d targets, missed %v", targets, r.Missed())
 			}
 		})
 	}
 }
 
-func TestMissedNamesWorsePolicy(t *testing.T) {
-	worse := seamskew.Outcome{Policy: seamskew.Exchange, Ours: true}
-	worse.Imbalance, worse.Churn = 2, 30
-	base := seamskew.Outcome{Policy: seamskew.Bounded}
-	base.Imbalance, base.Churn = 1.5, 20
-	r := seamskew.Result{Policies: []seamskew.Outcome{worse, base}}
-	want := []string{"imbalance of exchange not below bounded", "churn of exchange above bounded"}
-	if d := cmp.Diff(want, r.Missed()); d != "" {
-		t.Fatal(d)
-	}
-}
-
 func TestSameSeedSameResult(t *testing.T) {
 	c := short(7)
 	c.Duration = time.Minute
