--- a/internal/node/seamsetting/load_test.go
+++ b/internal/node/seamsetting/load_test.go
@@ -4,12 +4,12 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"gopkg.in/yaml.v3"
 
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/rule/seamrule"
@@ -158,15 +158,12 @@
 }
 
 func checkDocument(path string) error {
-	f, err := os.Open(path)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	d := yaml.NewDecoder(f)
-	d.KnownFields(true)
-	var document seamrule.Document
-	return d.Decode(&document)
+	_, err = seamrule.Parse(text)
+	return err
 }
 
 func FuzzParse(f *testing.F) {
@@ -183,3 +180,41 @@
 		}
 	})
 }
+
+// TestPageOfSettings checks that the operators' page lists each field with its default and
+// what is allowed.
+func TestPageOfSettings(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range rows(reflect.TypeFor[seamsetting.Settings](), "") {
+		if !strings.Contains(string(page), row) {
+			t.Errorf("no row begins with %s", row)
+		}
+	}
+}
+
+// rows returns how the row of each field begins.
+func rows(group reflect.Type, path string) []string {
+	var begins []string
+	for _, f := range reflect.VisibleFields(group) {
+		name, option, _ := strings.Cut(f.Tag.Get("json"), ",")
+		element := f.Type
+		suffix := ""
+		if element.Kind() == reflect.Slice {
+			element, suffix = element.Elem(), "[]"
+		}
+		if element.Kind() == reflect.Struct {
+			begins = append(begins, rows(element, path+name+suffix+".")...)
+			continue
+		}
+		begin := "| `" + path + name + "` | "
+		if value, ok := strings.CutPrefix(option, "default="); ok {
+			allowed := strings.Replace(f.Tag.Get("allow"), "..", " to ", 1)
+			begin += "`" + value + "` | " + strings.ReplaceAll(allowed, "|", ", ")
+		}
+		begins = append(begins, begin)
+	}
+	return begins
+}
--- a/internal/node/seamsetting/settings.go
+++ b/internal/node/seamsetting/settings.go
@@ -33,7 +33,7 @@
 	Place Place `json:"place"`
 	// Session bounds the sessions to other nodes.
 	Session Session `json:"session"`
-	// Limit bounds the work that a node takes on.
+	// Limit bounds the work that a node takes on for its target.
 	Limit Limit `json:"limit"`
 	// Target says what the target beside the node does with orders.
 	Target Target `json:"target"`
@@ -53,10 +53,9 @@
 	Header int `json:"header,default=65536" allow:"1024..1048576"`
 	// Body is the largest request body, in bytes. Default: 67108864.
 	Body int64 `json:"body,default=67108864" allow:"0..1099511627776"`
-	// Grace is the time a caller has to send its request header. Default: 5s.
-	Grace time.Duration `json:"grace,default=5s" allow:"100ms..5m"`
-	// Idle is the time for which an unused connection of a caller stays open. Default: 2m.
-	Idle time.Duration `json:"idle,default=2m" allow:"1s..1h"`
+	// Slow bounds each wait for a caller to send a part of a request or take a part of an
+	// answer. Default: 10s.
+	Slow time.Duration `json:"slow,default=10s" allow:"100ms..5m"`
 }
 
 // Announce takes the announcements of the target beside the node.
@@ -83,7 +82,7 @@
 	Hash string `json:"hash" allow:"sha256"`
 	// Roles say what the team may do: read, write, operate. Required.
 	Roles []string `json:"roles" allow:"read|write|operate" count:"1..3"`
-	// Services are those whose rules the team may write; empty means all. Default: all.
+	// Services are those that the team may touch. Default: all.
 	Services []string `json:"services,optional" allow:"name" count:"0..256"`
 }
 
@@ -141,14 +140,17 @@
 	Idle time.Duration `json:"idle,default=1m" allow:"1s..1h"`
 }
 
-// Limit bounds the work that a node takes on.
+// Limit bounds the work that a node takes on for its target. The queue is set by the rules of
+// the service, the number of requests at once by the target's announcement.
 type Limit struct {
-	// Queue is the number of requests that may wait for the target. Default: 64.
-	Queue int `json:"queue,default=64" allow:"0..65536"`
-	// Callers is the number of requests of all callers in progress at the ingress. Default: 4096.
-	Callers int `json:"callers,default=4096" allow:"1..1048576"`
-	// Retries is the number of retries allowed for each 100 requests. Default: 10.
-	Retries int `json:"retries,default=10" allow:"0..100"`
+	// Patience bounds the wait for a slot that is arriving. Default: 2s.
+	Patience time.Duration `json:"patience,default=2s" allow:"10ms..1m"`
+	// Warm is the time in which a cold target reaches all its slots. Default: 10s.
+	Warm time.Duration `json:"warm,default=10s" allow:"1ms..10m"`
+	// Records is the number of request ids that are remembered. Default: 131072.
+	Records int `json:"records,default=131072" allow:"1024..1048576"`
+	// Dial bounds the opening of a connection to the target. Default: 500ms.
+	Dial time.Duration `json:"dial,default=500ms" allow:"10ms..10s"`
 }
 
 // Target says what the target beside the node does with orders.
