--- a/internal/prove/seamchaos/chaos.go
+++ b/internal/prove/seamchaos/chaos.go
@@ -31,8 +31,8 @@
 	// healed is the time after the last fault before the final checks.
 	healed = 8 * time.Second
 	// stepLeast and stepSpread bound the time between two faults.
-	stepLeast  = 800 * time.Millisecond
-	stepSpread = 2500 * time.Millisecond
+	stepLeast  = 300 * time.Millisecond
+	stepSpread = 1200 * time.Millisecond
 	// faultLimit is the number of faults at once.
 	faultLimit = 2
 	// lastForce bounds the time in which the last recorded change must be in force at the end.
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -57,6 +57,8 @@
 	Say func(format string, values ...any)
 	// Options are those of the command line.
 	Options seamexperiment.Options
+	// Anywhere lets callers ask nodes of all regions instead of those of the key's region.
+	Anywhere bool
 
 	seed  uint64
 	loads int
@@ -125,6 +127,9 @@
 
 // nodes returns the nodes that a request's caller asks: those of the key's region, or all.
 func (s *Scene) nodes(q seamcaller.Request) []string {
+	if s.Anywhere {
+		return s.Fleet.Ingresses()
+	}
 	for _, r := range s.Fleet.Regions() {
 		if len(q.Key) > len(r) && q.Key[:len(r)] == r {
 			if list := s.Fleet.IngressesOf(r); len(list) > 0 {
--- a/internal/prove/seamtraffic/crossed.go
+++ b/internal/prove/seamtraffic/crossed.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	crossedNodes = 6
+	crossedNodes = 9
 	crossedRate  = 1000
 	crossedTime  = 100 * time.Second
 	// crossedJitter delays the pieces of connections and the datagrams.
@@ -38,6 +38,7 @@
 	if o.For > 0 {
 		d = o.For
 	}
+	s.Anywhere = true
 	m := seamscene.DefaultMix()
 	m.Echo, m.Size = 0.4, crossedSize
 	heal := s.Fleet.Network.Inject(seamproxy.Fault{From: "*", To: "*", Link: seamproxy.Link{Jitter: crossedJitter, Loss: crossedLoss}})
