--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -24,9 +24,6 @@
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailure)
+		os.Exit(seamcommand.Code(err))
 	}
 }
-
-// exitFailure is the exit code of a command that failed.
-const exitFailure = 1
--- a/internal/node/seamnode/admin.go
+++ b/internal/node/seamnode/admin.go
@@ -83,7 +83,7 @@
 	}
 	for _, e := range n.keeper.Records() {
 		if !e.Deleted && e.Record.ID != "" && !e.Record.Coordinator.Zero() {
-			report.Cells = append(report.Cells, n.cellStatus(e.Record, view))
+			report.Cells = append(report.Cells, cellStatus(e.Record, view))
 		}
 	}
 	for _, m := range view.Members {
@@ -96,7 +96,7 @@
 	return seamapi.StoreStatus{Reachable: h.Reachable, Since: h.Since}
 }
 
-func (n *Node) cellStatus(r seamcell.Record, view seamcell.View) seamapi.CellStatus {
+func cellStatus(r seamcell.Record, view seamcell.View) seamapi.CellStatus {
 	s := seamapi.CellStatus{
 		Cell:        r.ID,
 		Region:      r.Region,
@@ -107,14 +107,8 @@
 	for _, x := range r.Ranges {
 		s.Slots += int(x.Len())
 	}
-	for _, c := range n.confirmer.Status(n.rules.Revision()).Cells {
-		if c.Cell == r.ID {
-			s.Revision = c.Confirmed
-		}
-	}
 	if r.ID == view.Cell {
 		s.Owned, s.Owners = ownersOf(view)
-		s.Reachable = n.store.Health().Reachable
 	}
 	return s
 }
--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -1,6 +1,8 @@
 package seamkeeper
 
 import (
+	"time"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
@@ -8,7 +10,9 @@
 
 // snapshot is what the request path reads of the cell. It never changes.
 type snapshot struct {
-	view  seamcell.View
+	view seamcell.View
+	// changed is the time at which epoch, members or owners last differed from those before.
+	changed time.Time
 	slots map[slotID]seamcell.SlotView
 	// records are those of all cells and services, in order of their keys.
 	records []seamcell.Entry
@@ -38,10 +42,32 @@
 	for _, e := range s.records {
 		s.addRanges(e)
 	}
+	s.changed = time.Unix(0, int64(now.Wall))
+	if before := k.snapshot.Load(); before != nil && sameCell(before.view, view) {
+		s.changed = before.changed
+	}
 	k.snapshot.Store(s)
 	k.arrivals.wake()
 }
 
+// sameCell reports whether two views agree on epoch, members and owners.
+func sameCell(a, b seamcell.View) bool {
+	if a.Cell != b.Cell || a.Epoch != b.Epoch || len(a.Members) != len(b.Members) || len(a.Slots) != len(b.Slots) {
+		return false
+	}
+	for i := range a.Slots {
+		if a.Slots[i].Owner != b.Slots[i].Owner {
+			return false
+		}
+	}
+	return true
+}
+
+// Changed returns the time of the last change of the cell's epoch, members or owners.
+func (k *Keeper) Changed() time.Time {
+	return k.snapshot.Load().changed
+}
+
 func (s *snapshot) addRanges(e seamcell.Entry) {
 	if e.Deleted || e.Record.ID == "" {
 		return
--- a/internal/prove/seamfleet/fleet.go
+++ b/internal/prove/seamfleet/fleet.go
@@ -97,14 +97,19 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	ports, releasePorts, err := newPorts()
+	if err != nil {
+		return nil, nil, err
+	}
 	f := &Fleet{
 		Directory: directory,
 		Network:   seamproxy.NewNetwork(cfg.Latencies, cfg.Seed),
 		Events:    newEvents(),
 		cfg:       cfg,
-		ports:     newPorts(),
+		ports:     ports,
 		processes: seamproxy.NewProcesses(),
 	}
+	f.cleanups = append(f.cleanups, releasePorts)
 	if !cfg.Keep {
 		f.cleanups = append(f.cleanups, func() { _ = os.RemoveAll(directory) })
 	}
--- a/internal/prove/seamfleet/port.go
+++ b/internal/prove/seamfleet/port.go
@@ -13,35 +13,52 @@
 	firstPort = 20_000
 	// lastPort lies below the ports that the kernel gives to outgoing connections.
 	lastPort = 32_000
-	portStep = 500
+	// blockSize is the number of ports that one fleet may use.
+	blockSize = 600
 )
 
-// ports hands out loopback addresses that are free for TCP and UDP.
+// ports hands out loopback addresses that are free for TCP and UDP. Each fleet
+// has a block of ports to itself, so that an instance that is down for a while
+// finds its ports free when it returns.
 type ports struct {
+	// guard listens on the first port of the block as long as the block is in use.
+	guard net.Listener
+
 	mu   sync.Mutex
 	next int
+	end  int
 }
 
-func newPorts() *ports {
-	span := (lastPort - firstPort) / portStep
-	return &ports{next: firstPort + os.Getpid()%span*portStep}
+// newPorts takes a block. The clean-up function gives it back.
+func newPorts() (*ports, func(), error) {
+	blocks := (lastPort - firstPort) / blockSize
+	for n := range blocks {
+		first := firstPort + (os.Getpid()+n)%blocks*blockSize
+		guard, err := net.Listen("tcp", loopback(first))
+		if err != nil {
+			continue
+		}
+		p := &ports{guard: guard, next: first, end: first + blockSize}
+		return p, func() { _ = guard.Close() }, nil
+	}
+	return nil, nil, errors.New("every block of loopback ports is in use")
 }
 
 // take returns a free ip:port.
 func (p *ports) take() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for range lastPort - firstPort {
+	for p.next+1 < p.end {
 		p.next++
-		if p.next >= lastPort {
-			p.next = firstPort
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next))
-		if free(address) {
+		if address := loopback(p.next); free(address) {
 			return address, nil
 		}
 	}
-	return "", errors.New("no free port on the loopback interface")
+	return "", errors.New("the fleet's block of ports is used up")
+}
+
+func loopback(port int) string {
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
 func free(address string) bool {
