--- a/internal/prove/seamskew/skew_test.go
+++ b/internal/prove/seamskew/skew_test.go
@@ -2,22 +2,74 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/prove/seamexperiment"
 	"cardamomseam/internal/prove/seamskew"
 )
 
-func TestTry(t *testing.T) {
-	for seed := range uint64(3) {
-		r, err := seamskew.Run(context.Background(), seamskew.NewConfig(seed+1))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Logf("least %v missed %v", r.Least, r.Missed())
-		for _, p := range r.Policies {
-			b, _ := json.Marshal(p)
-			t.Log(string(b))
-		}
+// short is a trace small enough for every run of the tests.
+func short(seed uint64) seamskew.Config {
+	c := seamskew.NewConfig(seed)
+	c.Duration = 6 * time.Minute
+	c.Rate = 1000
+	return c
+}
+
+func TestTargets(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := short(seed)
+			o := seamexperiment.Options{Seed: seed, For: c.Duration, Rate: float64(c.Rate)}
+			results, err := seamskew.Experiments[0].Run(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := results[0]
+			for _, f := range r.Figures {
+				t.Log(f.Summary())
+			}
+			targets := 0
+			for _, f := range r.Figures {
+				if f.Target != nil {
+					targets++
+				}
+			}
+			if !r.Ok() || targets != 4 {
+				t.Fatalf("%d targets, missed %v", targets, r.Missed())
+			}
+		})
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	c := short(7)
+	c.Duration = time.Minute
+	first, err := seamskew.Run(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := seamskew.Run(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(first, second); d != "" {
+		t.Fatal(d)
+	}
+}
+
+func TestRunRefusesBadConfig(t *testing.T) {
+	c := seamskew.NewConfig(1)
+	c.Hot = c.Keys
+	_, err := seamskew.Run(context.Background(), c)
+	var e *seamskew.ConfigError
+	if !errors.As(err, &e) || e.Field != "hot" {
+		t.Fatalf("error is %v", err)
 	}
 }
