--- a/internal/route/seamegress/client.go
+++ b/internal/route/seamegress/client.go
@@ -135,11 +135,13 @@
 	t.gate = g
 	stop := context.AfterFunc(ctx, func() { t.SetDeadline(time.Unix(1, 0)) })
 	sent, err := t.send(r)
-	if err == nil {
-		var res *http.Response
-		if res, err = t.receive(r); err == nil { //nolint:bodyclose // finish closes the connection that the body is read from
+	if err == nil || g.hasStarted() {
+		// A target may answer and close before it has read the request.
+		res, readErr := t.receive(r) //nolint:bodyclose // finish closes the connection that the body is read from
+		if readErr == nil {
 			return &answer{Response: res, conn: t, stop: stop, sent: sent}, nil
 		}
+		err = errors.CombineErrors(err, readErr)
 	}
 	stop()
 	t.pool.drop(t)
@@ -151,7 +153,7 @@
 func (t *targetConn) send(r *http.Request) (sent func() bool, err error) {
 	if r.Body == nil || r.GetBody != nil {
 		err := t.write(r)
-		return func() bool { return true }, err
+		return func() bool { return err == nil }, err
 	}
 	var done atomic.Bool
 	body := &watchedSource{ReadCloser: r.Body}
--- a/internal/route/seamegress/gate.go
+++ b/internal/route/seamegress/gate.go
@@ -91,6 +91,12 @@
 	g.denial = seamoutcome.Target
 }
 
+// hasStarted reports whether bytes may have reached the target.
+func (g *gate) hasStarted() bool {
+	started, _ := g.state()
+	return started
+}
+
 // state reports whether the request was started and why it was denied.
 func (g *gate) state() (started bool, denial seamoutcome.Reason) {
 	g.mu.Lock()
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -377,3 +377,24 @@
 	r, _ := http.NewRequest(http.MethodGet, front.url("/page"), nil)
 	do(t, r).expect(t, 502, seamoutcome.Unknown, seamoutcome.Broken)
 }
+
+func TestAnswerBeforeTheEndOfAnUpload(t *testing.T) {
+	front, back := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInsufficientStorage)
+		fmt.Fprint(w, "no room")
+	})
+	back.directory.candidates = front.directory.candidates
+	for _, n := range []*node{front, back} {
+		for _, size := range []int{10, 20_000, 5_000_000} {
+			r, _ := http.NewRequest(http.MethodPost, n.url("/photo"), strings.NewReader(strings.Repeat("x", size)))
+			got := do(t, r)
+			got.expect(t, 507, seamoutcome.Done, "")
+			if got.body != "no room" {
+				t.Errorf("%d bytes: %q, %v", size, got.body, got.err)
+			}
+		}
+	}
+	if n := back.egress.InFlight(); n != 0 {
+		t.Errorf("%d requests in flight", n)
+	}
+}
