--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -15,6 +15,7 @@
 	"cardamomseam/internal/prove/seamexperiment"
 	"cardamomseam/internal/prove/seamownership"
 	"cardamomseam/internal/prove/seamplot"
+	"cardamomseam/internal/prove/seamskew"
 	"cardamomseam/internal/prove/seamspread"
 	"cardamomseam/internal/prove/seamtraffic"
 )
@@ -30,6 +31,7 @@
 		seamspread.Experiments,
 		seamchaos.Experiments,
 		seamcost.Experiments,
+		seamskew.Experiments,
 	)
 }
 
--- a/internal/node/seamnode/drain.go
+++ b/internal/node/seamnode/drain.go
@@ -29,8 +29,10 @@
 	if err := n.egress.Drain(ctx); err != nil {
 		return n.cut(err, "requests are in flight at the target")
 	}
-	if err := n.server.Drain(ctx, n.settings.Drain.Grace); err != nil {
-		return n.cut(err, "callers' requests are in flight")
+	if server := n.server.Load(); server != nil {
+		if err := server.Drain(ctx, n.settings.Drain.Grace); err != nil {
+			return n.cut(err, "callers' requests are in flight")
+		}
 	}
 	n.sink.Emit(time.Now(), seamevent.NodeDrained, seamevent.Fields{"took": time.Since(started).String()})
 	return nil
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,7 +61,8 @@
 	book      *seambook.Book
 	confirmer *seamconfirm.Confirmer
 
-	server *seamingress.Server
+	// server is nil until the node is ready for callers.
+	server atomic.Pointer[seamingress.Server]
 
 	orderOnce sync.Once
 	ordered   chan struct{}
@@ -256,7 +258,12 @@
 // in front of it, and the ingress for callers.
 func (n *Node) startRequests(c *cleanups, _ Options) error {
 	n.targets = seamannounce.NewRegistry(n.settings.Announce.Life, n.sink, n.keeper)
-	egress, stop := seamegress.New(seamegress.Config{}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
+	egress, stop := seamegress.New(seamegress.Config{
+		Patience: n.settings.Limit.Patience,
+		Warm:     n.settings.Limit.Warm,
+		Records:  n.settings.Limit.Records,
+		Dial:     n.settings.Limit.Dial,
+	}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
 	n.egress = egress
 	c.add(stop)
 	n.sessions.Register(seamsession.Request, egress)
@@ -265,15 +272,42 @@
 		Address: n.settings.Ingress.Listen,
 		Body:    n.settings.Ingress.Body,
 		Headers: n.settings.Ingress.Header,
+		Slow:    n.settings.Ingress.Slow,
 	}, n.self, n.rules, directory{n.keeper}, n.sessions, egress, n.set, n.sink)
+	c.add(n.closeServer)
+	c.add(background(n.serveWhenReady))
+	c.add(background(func(ctx context.Context) { reportLoad(ctx, n.keeper, egress.InFlight) }))
+	return nil
+}
+
+// readyInterval is the time between looks whether the node may serve callers.
+const readyInterval = 20 * time.Millisecond
+
+// serveWhenReady opens the address for callers once the node has the rules that
+// it needs. Until then a caller's connection is refused and it goes elsewhere.
+func (n *Node) serveWhenReady(ctx context.Context) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !n.rules.Ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 	server, err := n.ingress.Serve()
 	if err != nil {
-		return err
+		n.sink.Emit(time.Now(), seamevent.NodeStopped, seamevent.Fields{"error": err.Error()})
+		n.order() // a node without callers is of no use: it stops as planned
+		return
+	}
+	n.server.Store(server)
+}
+
+func (n *Node) closeServer() {
+	if server := n.server.Load(); server != nil {
+		_ = server.Close()
 	}
-	n.server = server
-	c.add(func() { _ = server.Close() })
-	c.add(background(func(ctx context.Context) { reportLoad(ctx, n.keeper, egress.InFlight) }))
-	return nil
 }
 
 // Self returns the identity of the node.
@@ -282,8 +316,8 @@
 // Events returns the event stream of the node.
 func (n *Node) Events() *seamevent.Stream { return n.stream }
 
-// Ready reports whether the node has the rules that it needs to serve callers.
-func (n *Node) Ready() bool { return n.rules.Ready() }
+// Ready reports whether the node serves callers.
+func (n *Node) Ready() bool { return n.server.Load() != nil }
 
 // View returns what the node knows of its cell.
 func (n *Node) View() seamcell.View { return n.keeper.View() }
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -107,6 +107,8 @@
 	rosters  *rosters
 	orders   *orders
 	fetching [2]atomic.Bool
+	// lonely wakes the reading of the directory.
+	lonely chan struct{}
 }
 
 // New starts a keeper. The clean-up function stops it; grants then lapse by
@@ -114,12 +116,13 @@
 func New(cfg Config, self seampeer.Peer, parts Parts) (*Keeper, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
-		cfg:   cfg,
-		self:  self,
-		parts: parts,
-		ctx:   ctx,
-		cell:  seamcell.New(cfg.Cell, self, parts.Placer),
-		hints: newHints(),
+		cfg:    cfg,
+		self:   self,
+		parts:  parts,
+		ctx:    ctx,
+		cell:   seamcell.New(cfg.Cell, self, parts.Placer),
+		hints:  newHints(),
+		lonely: make(chan struct{}, 1),
 	}
 	k.holdings.slots = map[slotID]*holding{}
 	k.rosters = newRosters(k)
--- a/internal/own/seamkeeper/locate.go
+++ b/internal/own/seamkeeper/locate.go
@@ -50,7 +50,7 @@
 	if p, ok := k.hints.find(id); ok {
 		return p, true
 	}
-	p := snap.coordinator(id)
+	p := snap.keeperOf(id, k.self)
 	return p, !p.Zero()
 }
 
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
@@ -145,6 +146,14 @@
 	return s.Owner.Same(k.self) && !s.Moving || s.Next.Same(k.self)
 }
 
+// knownElsewhere returns the node to ask for a slot that is not in the own cell.
+func (k *Keeper) knownElsewhere(id slotID) seampeer.Peer {
+	if p, ok := k.hints.find(id); ok {
+		return p
+	}
+	return k.snapshot.Load().keeperOf(id, k.self)
+}
+
 func (k *Keeper) notOwner(id slotID) error {
 	snap := k.snapshot.Load()
 	s, ok := snap.slots[id]
@@ -159,7 +168,7 @@
 	case ok:
 		e.Moving = true
 	default:
-		e.Owner = k.coordinatorOf(id).Address
+		e.Owner = k.knownElsewhere(id).Address
 	}
 	return e
 }
--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -13,7 +13,7 @@
 	view seamcell.View
 	// changed is the time at which epoch, members or owners last differed from those before.
 	changed time.Time
-	slots map[slotID]seamcell.SlotView
+	slots   map[slotID]seamcell.SlotView
 	// records are those of all cells and services, in order of their keys.
 	records []seamcell.Entry
 	// ranges are the ranges of all cells by service.
@@ -22,8 +22,8 @@
 
 // cellRange is a range of slots and the coordinator of the cell that owns it.
 type cellRange struct {
-	from, to    uint32
-	coordinator seampeer.Peer
+	from, to            uint32
+	coordinator, backup seampeer.Peer
 }
 
 // publish makes the present state of the cell readable without a lock. mu is
@@ -43,13 +43,33 @@
 		s.addRanges(e)
 	}
 	s.changed = time.Unix(0, int64(now.Wall))
-	if before := k.snapshot.Load(); before != nil && sameCell(before.view, view) {
-		s.changed = before.changed
+	if before := k.snapshot.Load(); before != nil {
+		if sameCell(before.view, view) {
+			s.changed = before.changed
+		}
+		if before.view.Cell != "" && view.Cell == "" {
+			k.keepOwners(before.view)
+		}
 	}
 	k.snapshot.Store(s)
 	k.arrivals.wake()
 }
 
+// keepOwners remembers the owners in a cell that this node has left, so that its
+// callers are served while the node stops.
+func (k *Keeper) keepOwners(left seamcell.View) {
+	for _, x := range left.Slots {
+		owner := x.Owner
+		if !x.Next.Zero() {
+			owner = x.Next
+		}
+		if !owner.Zero() && !owner.Same(k.self) {
+			k.hints.learn(x.Slot, owner)
+		}
+	}
+	k.wakeBootstrap()
+}
+
 // sameCell reports whether two views agree on epoch, members and owners.
 func sameCell(a, b seamcell.View) bool {
 	if a.Cell != b.Cell || a.Epoch != b.Epoch || len(a.Members) != len(b.Members) || len(a.Slots) != len(b.Slots) {
@@ -73,19 +93,21 @@
 		return
 	}
 	for _, r := range e.Record.Ranges {
-		s.ranges[r.Service] = append(s.ranges[r.Service], cellRange{from: r.From, to: r.To, coordinator: e.Record.Coordinator})
+		s.ranges[r.Service] = append(s.ranges[r.Service], cellRange{from: r.From, to: r.To, coordinator: e.Record.Coordinator, backup: e.Record.Backup})
 	}
 }
 
-func (s *snapshot) coordinator(id slotID) seampeer.Peer {
+// keeperOf returns a node other than self that knows the owner of the slot: the
+// coordinator of its cell, or the backup.
+func (s *snapshot) keeperOf(id slotID, self seampeer.Peer) seampeer.Peer {
 	for _, r := range s.ranges[id.Service] {
-		if id.Index >= r.from && id.Index < r.to {
-			return r.coordinator
+		if id.Index < r.from || id.Index >= r.to {
+			continue
+		}
+		if r.coordinator.Same(self) {
+			return r.backup
 		}
+		return r.coordinator
 	}
 	return seampeer.Peer{}
 }
-
-func (k *Keeper) coordinatorOf(id slotID) seampeer.Peer {
-	return k.snapshot.Load().coordinator(id)
-}
--- a/internal/own/seamkeeper/store.go
+++ b/internal/own/seamkeeper/store.go
@@ -98,11 +98,20 @@
 		select {
 		case <-k.ctx.Done():
 			return
+		case <-k.lonely:
 		case <-time.After(lonelyInterval/2 + rand.N(lonelyInterval)):
 		}
 	}
 }
 
+// wakeBootstrap has the directory read soon.
+func (k *Keeper) wakeBootstrap() {
+	select {
+	case k.lonely <- struct{}{}:
+	default:
+	}
+}
+
 func (k *Keeper) isLonely() bool {
 	role := k.View().Role
 	return role == seamcell.RoleNone || role == seamcell.RoleJoining
