--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -204,7 +204,7 @@
 
 func (n *Node) startRules(c *cleanups, _ Options) error {
 	n.book = seambook.New(n.store, n.rules, n.sink, n.set)
-	n.confirmer = seamconfirm.New(cells{keeper: n.keeper}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
+	n.confirmer = seamconfirm.New(cells{keeper: n.keeper, store: n.store}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
 	n.datagrams.Register(seamdatagram.Confirm, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
 		n.confirmer.Receive(time.Now(), from, payload)
 	}))
@@ -282,5 +282,8 @@
 // Events returns the event stream of the node.
 func (n *Node) Events() *seamevent.Stream { return n.stream }
 
+// Ready reports whether the node has the rules that it needs to serve callers.
+func (n *Node) Ready() bool { return n.rules.Ready() }
+
 // View returns what the node knows of its cell.
 func (n *Node) View() seamcell.View { return n.keeper.View() }
