--- a/internal/prove/seamfleet/serving.go
+++ b/internal/prove/seamfleet/serving.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/prove/seamcheck"
@@ -17,20 +18,25 @@
 	"cardamomseam/internal/stand/seamstandtarget"
 )
 
-// probeKeys is the number of keys of each region that are probed.
-const probeKeys = 8
+const (
+	// probeKeys is the number of keys of each region that are probed.
+	probeKeys = 8
+	// probeLimit is the number of nodes that are probed at once.
+	probeLimit = 12
+)
 
 // serving returns an error unless every open node serves the probed keys of a service.
 func (f *Fleet) serving(ctx context.Context, d seamrule.Document) error {
+	var probes errgroup.Group
+	probes.SetLimit(probeLimit)
 	for _, node := range f.Ingresses() {
-		c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{node} })
-		err := f.probe(ctx, c, d)
-		stop()
-		if err != nil {
-			return errors.Wrap(err, node)
-		}
+		probes.Go(func() error {
+			c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return []string{node} })
+			defer stop()
+			return errors.Wrap(f.probe(ctx, c, d), node)
+		})
 	}
-	return nil
+	return probes.Wait()
 }
 
 func (f *Fleet) probe(ctx context.Context, c *seamcaller.Client, d seamrule.Document) error {
--- a/internal/prove/seamspread/race.go
+++ b/internal/prove/seamspread/race.go
@@ -14,10 +14,11 @@
 	"cardamomseam/internal/prove/seamexperiment"
 	"cardamomseam/internal/prove/seamfleet"
 	"cardamomseam/internal/prove/seamscene"
+	"cardamomseam/internal/rule/seamapi"
 )
 
 const (
-	raceNodes = 6
+	raceNodes = 9
 	operators = 8
 	// raceChanges is the number of changes that each operator tries.
 	raceChanges = 15
@@ -89,10 +90,30 @@
 	t.failed++
 }
 
+const (
+	patience     = 10 * time.Second
+	patientPause = 300 * time.Millisecond
+)
+
+// patient repeats a read while the node says that its store calls are used up.
+func patient[T any](ctx context.Context, read func() (T, error)) (T, error) {
+	end := time.Now().Add(patience)
+	for {
+		found, err := read()
+		var answer *seamfleet.AnswerError
+		if !errors.As(err, &answer) || answer.Status != http.StatusServiceUnavailable || time.Now().After(end) {
+			return found, err
+		}
+		if !seamscene.Wait(ctx, patientPause) {
+			return found, ctx.Err()
+		}
+	}
+}
+
 func operate(ctx context.Context, s *seamscene.Scene, operator, count int, t *tally) {
 	x := s.Fleet.Instances[operator%len(s.Fleet.Instances)]
 	for n := range count {
-		page, err := x.Page(ctx, seamscene.Plain)
+		page, err := patient(ctx, func() (seamapi.Page, error) { return x.Page(ctx, seamscene.Plain) })
 		if err != nil {
 			t.unread()
 			continue
@@ -110,7 +131,7 @@
 	var first []string
 	differing := 0
 	for _, x := range s.Fleet.Instances {
-		h, err := x.History(ctx, seamscene.Plain)
+		h, err := patient(ctx, func() (seamapi.History, error) { return x.History(ctx, seamscene.Plain) })
 		if err != nil {
 			return errors.Wrap(err, x.Name)
 		}
--- a/internal/prove/seamtraffic/surge.go
+++ b/internal/prove/seamtraffic/surge.go
@@ -58,7 +58,7 @@
 	r.AddMost("steady-imbalance", imbalance(e.Lines, time.Time{}, steadyEnd), seamexperiment.Ratio, balanced)
 	r.AddMost("steady-failed", float64(steady.Sent-steady.Outcomes[seamcaller.Done]), seamexperiment.Count, 0)
 	r.Add("steady-p99", milliseconds(steady.Quantile(99)), seamexperiment.Milliseconds)
-	done := float64(over.Outcomes[seamcaller.Done]) / d.Seconds()
+	done := over.Throughput()
 	r.Add("surge-done", done, seamexperiment.PerSecond)
 	r.AddLeast("goodput", done/capacity, seamexperiment.Ratio, goodput)
 	r.Add("surge-imbalance", imbalance(e.Lines, steadyEnd, time.Now()), seamexperiment.Ratio)
