--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -46,6 +46,8 @@
 	retries   int
 	// patience is the end of the wait for a change of owner; zero if there was none.
 	patience time.Time
+	// admitted is closed when the node asks for a body that did not follow the head.
+	admitted chan struct{}
 	// drained says that nothing follows the last answer on its stream.
 	drained bool
 	// doubt is the end of an earlier attempt that may have run.
