--- a/internal/route/seamingress/choose.go
+++ b/internal/route/seamingress/choose.go
@@ -34,18 +34,24 @@
 }
 
 // region returns the region in which duplicates of a named request meet: that
-// of the id's prefix "REGION/", or the own one.
+// of the id's prefix "REGION/", else the own one, else the first by name.
 func (x *exchange) region(all []seampick.Candidate) string {
-	prefix, _, found := strings.Cut(x.named, "/")
-	if !found {
-		return x.ingress.self.Region
-	}
+	prefix, _, _ := strings.Cut(x.named, "/")
+	own, first := false, ""
 	for _, c := range all {
-		if c.Peer.Region == prefix {
+		region := c.Peer.Region
+		if region == prefix {
 			return prefix
 		}
+		own = own || region == x.ingress.self.Region
+		if first == "" || region < first {
+			first = region
+		}
+	}
+	if own {
+		return x.ingress.self.Region
 	}
-	return x.ingress.self.Region
+	return first
 }
 
 // owner returns the node believed to own the key. If none is known, any node of
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+func TestNamedRequestIsServedByAnotherRegion(t *testing.T) {
+	front, _ := pair(t, echo)
+	front.directory.candidates[0].Peer.Region = "west"
+	for _, name := range []string{"visit 8", "west/visit 8", "nowhere/visit 8"} {
+		r, _ := http.NewRequest(http.MethodPost, front.url("/book"), nil)
+		r.Header.Set(seamheader.Request, name)
+		do(t, r).expect(t, 200, seamoutcome.Done, "")
+	}
+}
+
 func TestDrainingNodeIsLeftForAnother(t *testing.T) {
 	front, back := pair(t, echo)
 	other := newNode(t, "other", echo)
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -25,6 +25,11 @@
 	if wait, again = x.awaitOwner(end, to); again {
 		return wait, true
 	}
+	return x.spend(end, to, budget)
+}
+
+// spend takes a retry from the rule's number and the service's budget, if both have one.
+func (x *exchange) spend(end seamoutcome.End, to seampeer.Peer, budget *seamretry.Budget) (wait time.Duration, again bool) {
 	if x.retries >= x.choice.Limits.Retries {
 		return 0, false
 	}
