Lease, standbys and hints: faults of the keeper mended

Cause: a review of the keeper against the state machine found that a pause between extending the lease and taking a slot away could admit a request for a slot with another owner; that an announcement from before new orders marked a new standby as synced; that a fetch without a peer dialled nothing; and the demo looped on a learned owner that was gone (refused 'owner' for 30 s).

--- a/internal/member/seamtarget/announcement.go
+++ b/internal/member/seamtarget/announcement.go
@@ -22,8 +22,15 @@
 	Cold bool `json:"cold,omitempty"`
 	// Leaving says that the target is about to stop and wants no new work.
 	Leaving bool `json:"leaving,omitempty"`
-	// Synced lists the slots, as service/index, for which its standby is up to date.
-	Synced []string `json:"synced,omitempty"`
+	// Synced lists the slots whose standby is up to date.
+	Synced []SyncedSlot `json:"synced,omitempty"`
+}
+
+// SyncedSlot is a slot whose standby has a complete copy.
+type SyncedSlot struct {
+	Slot uint32 `json:"slot"`
+	// Standby is the ip:port of the standby's target, as the orders named it.
+	Standby string `json:"standby"`
 }
 
 // Abilities that a target may announce.
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -158,7 +158,7 @@
 
 func (n *Node) startOwnership(c *cleanups, _ Options) error {
 	n.rules = seamset.New(n.sink, n.set)
-	source := &ruleSource{set: n.rules, sessions: n.sessions}
+	source := n.ruleSource()
 	keeper, stop, err := seamkeeper.New(keeperConfig(n.settings), n.self, seamkeeper.Parts{
 		Store:     n.store,
 		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
@@ -226,11 +226,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
-		source := &ruleSource{set: n.rules, sessions: n.sessions}
+		source := n.ruleSource()
 		_ = source.Fetch(ctx, from) // the watch brings what this misses
 	}()
 }
 
+func (n *Node) ruleSource() *ruleSource {
+	return &ruleSource{set: n.rules, sessions: n.sessions, store: n.store}
+}
+
 // fetchTimeout bounds one fetch of rules from another node.
 const fetchTimeout = 2 * time.Second
 
--- a/internal/node/seamnode/rules.go
+++ b/internal/node/seamnode/rules.go
@@ -13,6 +13,7 @@
 	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamsession"
+	"cardamomseam/internal/rule/seambook"
 	"cardamomseam/internal/rule/seamrule"
 	"cardamomseam/internal/rule/seamset"
 )
@@ -21,6 +22,7 @@
 type ruleSource struct {
 	set      *seamset.Set
 	sessions *seamsession.Pool
+	store    seamstore.Store
 }
 
 // Fetch asks the peer for rules later than those in force.
@@ -33,6 +35,24 @@
 	return r.set.Fetch(ctx, conn, r.set.Revision())
 }
 
+// Read reads the store's rules.
+func (r *ruleSource) Read(ctx context.Context) error {
+	entries, _, err := r.store.List(ctx, seamstore.Configuration, seambook.KeyPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read rules")
+	}
+	versions := make([]seamrule.Version, 0, len(entries))
+	for _, e := range entries {
+		v, err := seambook.Version(e)
+		if err != nil {
+			return errors.Wrap(err, "read rules")
+		}
+		versions = append(versions, v)
+	}
+	_, err = r.set.ApplyVersions(time.Now(), versions)
+	return errors.Wrap(err, "apply rules")
+}
+
 // Labels returns the labels by which selectors choose the instance.
 func (r *ruleSource) Labels(service string, peer seampeer.Peer, own map[string]string) map[string]string {
 	return r.set.Labels(service, seamrule.Instance{Name: peer.Name, Region: peer.Region, Domain: peer.Domain, Labels: own})
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -38,6 +38,9 @@
 	Fence bool
 }
 
+// publishInterval is the time after which loads that changed alone are published.
+const publishInterval = 250 * time.Millisecond
+
 // DefaultConfig returns the settings that the documentation describes.
 func DefaultConfig() Config {
 	return Config{
@@ -63,6 +66,8 @@
 type Rules interface {
 	// Fetch asks the peer for rules later than those in force and applies them.
 	Fetch(ctx context.Context, from seampeer.Peer) error
+	// Read reads the rules from the store and applies them.
+	Read(ctx context.Context) error
 	// Labels returns the labels that operators and target gave to the instance.
 	Labels(service string, peer seampeer.Peer, own map[string]string) map[string]string
 }
@@ -95,10 +100,13 @@
 	tasks sync.WaitGroup
 
 	// mu guards cell and everything that follows from its actions.
-	mu      sync.Mutex
-	cell    *seamcell.Cell
-	target  seamcell.TargetState
-	watcher context.CancelFunc
+	mu     sync.Mutex
+	cell   *seamcell.Cell
+	target seamcell.TargetState
+	stamp  seamcell.Stamp
+	// published is the time of the latest snapshot.
+	published seamclock.Instant
+	watcher   context.CancelFunc
 
 	holdings holdings
 	arrivals arrivals
@@ -145,11 +153,17 @@
 	defer k.mu.Unlock()
 	now := k.parts.Clock.Now()
 	actions := event(k.cell, now)
-	k.refreshLease(now)
+	lease := k.lease(now)
+	// A slot that is taken away here must not be admitted under the lease that
+	// follows: the lease is shortened before the actions and extended after them.
+	k.holdings.shortenLease(lease)
 	for _, a := range actions {
 		k.perform(now, a)
 	}
-	if len(actions) > 0 {
+	k.holdings.setLease(lease)
+	k.orders.renew(lease)
+	if stamp := k.cell.Stamp(); stamp != k.stamp || seamclock.Most(now, k.published) >= publishInterval {
+		k.stamp, k.published = stamp, now
 		k.publish(now)
 	}
 }
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -49,6 +49,15 @@
 	return h.until
 }
 
+// shortenLease moves the end of the lease to until if that is earlier.
+func (h *holdings) shortenLease(until seamclock.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until.Mono < h.until.Mono || until.Wall < h.until.Wall {
+		h.until = until
+	}
+}
+
 func (h *holdings) setLease(until seamclock.Instant) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -147,11 +156,13 @@
 }
 
 // knownElsewhere returns the node to ask for a slot that is not in the own cell.
+// The records go before what was learned, which may name an owner that is gone.
 func (k *Keeper) knownElsewhere(id slotID) seampeer.Peer {
-	if p, ok := k.hints.find(id); ok {
+	if p := k.snapshot.Load().keeperOf(id, k.self); !p.Zero() {
 		return p
 	}
-	return k.snapshot.Load().keeperOf(id, k.self)
+	p, _ := k.hints.find(id)
+	return p
 }
 
 func (k *Keeper) notOwner(id slotID) error {
@@ -183,14 +194,13 @@
 	return until, !seamclock.Past(k.parts.Clock.Now(), until)
 }
 
-// refreshLease copies the end of the lease from the state machine. mu is held.
-func (k *Keeper) refreshLease(now seamclock.Instant) {
+// lease returns the end of the lease by the state machine. mu is held.
+func (k *Keeper) lease(now seamclock.Instant) seamclock.Instant {
 	until, running := k.cell.Lease(now)
 	if !running {
-		until = now
+		return now
 	}
-	k.holdings.setLease(until)
-	k.orders.renew(until)
+	return until
 }
 
 func (k *Keeper) serve(a seamcell.Serve) {
--- a/internal/own/seamkeeper/perform.go
+++ b/internal/own/seamkeeper/perform.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
@@ -59,15 +58,23 @@
 		defer busy.Store(false)
 		ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
 		defer cancel()
-		if err := k.fetchFrom(ctx, a.Kind, a.From); err != nil {
+		if err := k.fetchFrom(ctx, a); err != nil {
 			k.parts.Metrics.GetOrCreateCounter(`cardamomseam_fetch_failed_total`).Inc()
 		}
 	})
 }
 
-func (k *Keeper) fetchFrom(ctx context.Context, kind seamcell.Kind, from seampeer.Peer) error {
-	if kind == seamcell.Rules {
-		return k.parts.Rules.Fetch(ctx, from)
+// fetchFrom asks the peer of a Fetch, or the store if it names none.
+func (k *Keeper) fetchFrom(ctx context.Context, a seamcell.Fetch) error {
+	switch {
+	case a.Kind == seamcell.Rules && a.From.Zero():
+		return k.parts.Rules.Read(ctx)
+	case a.Kind == seamcell.Rules:
+		return k.parts.Rules.Fetch(ctx, a.From)
+	case a.From.Zero():
+		k.readDirectory()
+		return nil
+	default:
+		return k.fetchDirectory(ctx, a.From, a.Revision)
 	}
-	return k.fetchDirectory(ctx, from)
 }
--- a/internal/own/seamkeeper/rosters.go
+++ b/internal/own/seamkeeper/rosters.go
@@ -265,9 +265,9 @@
 	return answer
 }
 
-// fetchDirectory asks a node for the records that are later than those known here.
-func (k *Keeper) fetchDirectory(ctx context.Context, from seampeer.Peer) error {
-	question := &seamrosterwire.Ask{Directory: &seamrosterwire.DirectoryAsk{Since: k.directoryRevision()}}
+// fetchDirectory asks a node for the records that are later than revision since.
+func (k *Keeper) fetchDirectory(ctx context.Context, from seampeer.Peer, since int64) error {
+	question := &seamrosterwire.Ask{Directory: &seamrosterwire.DirectoryAsk{Since: since}}
 	answer := &seamrosterwire.DirectoryAnswer{}
 	if err := k.ask(ctx, from, question, answer); err != nil {
 		return err
@@ -285,15 +285,6 @@
 	return nil
 }
 
-// directoryRevision returns the highest revision among the known records.
-func (k *Keeper) directoryRevision() int64 {
-	var highest int64
-	for _, e := range k.snapshot.Load().records {
-		highest = max(highest, e.Revision)
-	}
-	return highest
-}
-
 // seeds returns the configured addresses of other nodes.
 func (k *Keeper) seeds() []seampeer.Peer {
 	peers := make([]seampeer.Peer, 0, len(k.cfg.Seeds))
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -1,8 +1,6 @@
 package seamkeeper
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"cardamomseam/internal/member/seamtarget"
@@ -43,35 +41,20 @@
 		Fence:       k.cfg.Fence && a.Has(seamtarget.CanFence),
 		Cold:        a.Cold,
 		Leaving:     a.Leaving,
-		Synced:      k.synced(a),
+		Synced:      synced(a),
 	}
 }
 
-// synced maps what the target reports as copied to the standbys that it was told.
-func (k *Keeper) synced(a seamtarget.Announcement) []seamcell.SyncedSlot {
-	var slots []seamcell.SyncedSlot
-	for _, text := range a.Synced {
-		id, ok := parseSlot(text)
-		if !ok {
-			continue
-		}
-		if h, _ := k.holdings.find(id); h != nil {
-			slots = append(slots, seamcell.SyncedSlot{Slot: id, Standby: h.standby})
-		}
+// synced returns what the target has copied, and to whom.
+func synced(a seamtarget.Announcement) []seamcell.SyncedSlot {
+	slots := make([]seamcell.SyncedSlot, 0, len(a.Synced))
+	for _, x := range a.Synced {
+		id := slotID{Service: a.Service, Index: x.Slot}
+		slots = append(slots, seamcell.SyncedSlot{Slot: id, Standby: x.Standby})
 	}
 	return slots
 }
 
-// parseSlot reads service/index.
-func parseSlot(text string) (slotID, bool) {
-	service, index, ok := strings.Cut(text, "/")
-	if !ok {
-		return slotID{}, false
-	}
-	n, err := strconv.ParseUint(index, 10, 32)
-	return slotID{Service: service, Index: uint32(n)}, err == nil
-}
-
 // Report tells the state machine the load of the own target. interval is the
 // time since the last report.
 func (k *Keeper) Report(inFlight int, interval time.Duration) {
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -33,10 +33,6 @@
 	if now.Add(wait).After(x.patience) || !x.hasTime(wait) {
 		return 0, false
 	}
-	if end.Reason == seamoutcome.Session {
-		// What was learned about the owner is out of date; the coordinator knows better.
-		x.ingress.directory.Learn(x.service, x.head.GetSlot(), seampeer.Peer{})
-	}
 	x.redirects, x.left = 0, nil
 	x.hint = end.Owner
 	if end.Owner.Address == to.Address {
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -17,6 +17,10 @@
 	if !x.mayRepeat(end) {
 		return 0, false
 	}
+	if x.choice.Keyed && end.Reason == seamoutcome.Session {
+		// What was learned about the owner is out of date; its cell knows better.
+		x.ingress.directory.Learn(x.service, x.head.GetSlot(), seampeer.Peer{})
+	}
 	if x.follow(end, to, hint) {
 		x.redirects++
 		x.ingress.stats.redirects.Inc()
--- a/internal/stand/seamstandtarget/state.go
+++ b/internal/stand/seamstandtarget/state.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -229,14 +230,14 @@
 	return &StatusError{Address: address, Status: answer.StatusCode}
 }
 
-// synced returns the slots, as service/index, whose standby is up to date.
-func (c *copier) synced(service string) []string {
+// synced returns the slots whose standby is up to date, in order.
+func (c *copier) synced() []seamtarget.SyncedSlot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []string
+	var list []seamtarget.SyncedSlot
 	for slot := range c.ready {
-		list = append(list, fmt.Sprintf("%s/%d", service, slot))
+		list = append(list, seamtarget.SyncedSlot{Slot: slot, Standby: c.standbys[slot].address})
 	}
-	sort.Strings(list)
+	slices.SortFunc(list, func(a, b seamtarget.SyncedSlot) int { return cmp.Compare(a.Slot, b.Slot) })
 	return list
 }
--- a/internal/stand/seamstandtarget/target.go
+++ b/internal/stand/seamstandtarget/target.go
@@ -178,7 +178,7 @@
 		Can:         t.cfg.Can,
 		Cold:        t.cfg.Cold && now.Sub(t.started) < ColdTime,
 		Leaving:     b.Leaving,
-		Synced:      t.copies.synced(t.cfg.Service),
+		Synced:      t.copies.synced(),
 	}
 }
 
