--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -13,7 +13,7 @@
 	view seamcell.View
 	// changed is the time at which epoch, members or owners last differed from those before.
 	changed time.Time
-	slots map[slotID]seamcell.SlotView
+	slots   map[slotID]seamcell.SlotView
 	// records are those of all cells and services, in order of their keys.
 	records []seamcell.Entry
 	// ranges are the ranges of all cells by service.
