--- a/internal/prove/seamcost/cost.go
+++ b/internal/prove/seamcost/cost.go
@@ -23,8 +23,9 @@
 var sizes = []int{6, 12, 24, 48, 96}
 
 const (
-	// calm is the time after the start before anything is measured.
-	calm = 5 * time.Second
+	// calm is the time after the start before anything is measured: the sessions that the first
+	// requests opened are closed when they have not been used for a minute.
+	calm = 75 * time.Second
 	// span is the time of each measurement.
 	span = 10 * time.Second
 	// loadPerNode is the number of requests a second for each node of the measurement under load.
