Ledger tells where the bookings of a slot went; found: bookings lost by a takeover

Seen at 22:29:24.3: coordinator ost-a-1 was killed; its backup ost-b-1, which owned slot 12 with all its bookings, let the slot lapse at 25.008, took over at 25.010, and at 25.358 moved the slot as planned to ost-a-2, whose target was empty (slot.moved planned from ost-b-1 to ost-a-2). The target answered the hand-over with 409, because it no longer held the slot; after three attempts the move went on, and 174 acknowledged bookings were gone although their server lived. Two causes: the stand-in refused to hand over a slot that had lapsed (changed here: it hands over what it held last with that epoch), and the keeper grants a slot to an empty server after a failed hand-over. The second stands: a move whose hand-over fails must be taken back while the old server lives. The result's trace now begins with the history of the slot.

--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -20,6 +20,9 @@
 	"cardamomseam/internal/prove/seamtraffic"
 )
 
+// traceLines is the number of lines of a trace that are told besides the JSON line.
+const traceLines = 30
+
 // clockFormat is the form of the times of violations.
 const clockFormat = "15:04:05.000"
 
@@ -113,6 +116,9 @@
 		for _, v := range r.Violations {
 			o.Say("VIOLATION %s: %s at %s", v.Promise, v.Detail, v.At.Format(clockFormat))
 		}
+		for _, line := range r.Trace[:min(len(r.Trace), traceLines)] {
+			o.Say("  %s", line)
+		}
 	}
 	for _, r := range results {
 		if !r.Ok() {
--- a/internal/prove/seamcheck/check.go
+++ b/internal/prove/seamcheck/check.go
@@ -39,6 +39,9 @@
 	Promise string `json:"promise"`
 	// Detail says what was seen.
 	Detail string `json:"detail"`
+	// Service and Slot are those concerned, if Service is not empty.
+	Service string `json:"service,omitempty"`
+	Slot    uint32 `json:"slot,omitempty"`
 	// At is the wall-clock time, if it is known.
 	At time.Time `json:"at,omitzero"`
 }
@@ -150,12 +153,18 @@
 			present[id] = true
 		}
 	}
+	slots := map[string]uint32{}
+	for _, x := range e.Lines {
+		if x.Kind == seamstandtarget.KindRun {
+			slots[x.Request] = x.Slot
+		}
+	}
 	for _, x := range e.Records {
 		acknowledged := x.Kind == seamcaller.Book && x.Outcome == seamcaller.Done && x.Status == 200
 		_, wasRead := e.Present[Key{Service: x.Service, Name: x.Key}]
 		if acknowledged && wasRead && !present[x.ID] {
 			found = append(found, Violation{
-				Promise: Lost, At: x.End,
+				Promise: Lost, At: x.End, Service: x.Service, Slot: slots[x.ID],
 				Detail: fmt.Sprintf("booking %s of %s, acknowledged by %s, is gone", x.ID, x.Key, x.Server),
 			})
 		}
@@ -209,7 +218,7 @@
 			}
 			length := time.Duration(min(earlier.to, later.to) - later.from)
 			found = append(found, Violation{
-				Promise: Owners, At: time.Unix(0, later.from),
+				Promise: Owners, At: time.Unix(0, later.from), Service: slot.service, Slot: slot.index,
 				Detail: fmt.Sprintf("%s/%d was held by %s (epoch %d) and %s (epoch %d) for %s",
 					slot.service, slot.index, earlier.server, earlier.epoch, later.server, later.epoch, length),
 			})
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -260,7 +260,7 @@
 	r.AddMost("unreadable-keys", float64(len(missing)), seamexperiment.Count, 0)
 	r.Judge(found)
 	if len(found) > 0 {
-		r.Trace = s.trace(found[0])
+		r.Trace = s.trace(evidence, found[0])
 	}
 	return nil
 }
@@ -307,10 +307,14 @@
 	return []seamexperiment.Result{r}, err
 }
 
-// trace returns the events before a violation.
-func (s *Scene) trace(v seamcheck.Violation) []string {
+// trace returns the history of the slot concerned and the events before a violation.
+func (s *Scene) trace(e seamcheck.Evidence, v seamcheck.Violation) []string {
+	var lines []string
+	if v.Service != "" {
+		lines = seamcheck.History(e, v.Service, v.Slot)
+	}
 	if v.At.IsZero() {
-		return nil
+		return lines
 	}
-	return s.Fleet.Events.Trace(v.At.Add(-traceBefore), v.At.Add(time.Second), traceLimit)
+	return append(lines, s.Fleet.Events.Trace(v.At.Add(-traceBefore), v.At.Add(time.Second), traceLimit)...)
 }
--- a/internal/stand/seamstandtarget/grants.go
+++ b/internal/stand/seamstandtarget/grants.go
@@ -16,8 +16,9 @@
 	sequence    uint64
 	until       time.Time
 	held        map[uint32]*slotGrant
-	// seen is the highest epoch known of each slot.
+	// seen is the highest epoch known of each slot, last that with which the target held it last.
 	seen map[uint32]uint64
+	last map[uint32]uint64
 }
 
 type slotGrant struct {
@@ -31,7 +32,7 @@
 }
 
 func newGrants() *grants {
-	return &grants{held: map[uint32]*slotGrant{}, seen: map[uint32]uint64{}}
+	return &grants{held: map[uint32]*slotGrant{}, seen: map[uint32]uint64{}, last: map[uint32]uint64{}}
 }
 
 // StaleError says that orders are older than others that arrived before.
@@ -120,6 +121,7 @@
 // hold takes the order of one slot and reports whether its epoch is new.
 func (g *grants) hold(o seamtarget.SlotOrder) bool {
 	g.seen[o.Slot] = o.Epoch
+	g.last[o.Slot] = o.Epoch
 	s := g.held[o.Slot]
 	if s == nil || s.epoch != o.Epoch {
 		g.held[o.Slot] = &slotGrant{epoch: o.Epoch, standby: o.Standby}
@@ -212,15 +214,20 @@
 }
 
 // release stops new requests of a slot and returns a channel that is closed once none runs.
+// A slot that the target held last with this epoch, and that lapsed, runs none.
 func (g *grants) release(slot uint32, epoch uint64) (<-chan struct{}, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.held[slot]
+	done := make(chan struct{})
+	if s == nil && g.last[slot] == epoch && g.seen[slot] == epoch {
+		close(done)
+		return done, nil
+	}
 	if s == nil || s.epoch != epoch {
 		return nil, &FencedError{Slot: slot, Epoch: epoch, Reason: reasonEpoch}
 	}
 	s.released = true
-	done := make(chan struct{})
 	if s.running == 0 {
 		close(done)
 		return done, nil
--- a/internal/stand/seamstandtarget/handler.go
+++ b/internal/stand/seamstandtarget/handler.go
@@ -268,8 +268,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	s := State{Slot: h.Slot, Epoch: h.Epoch, Bookings: t.bookings.slot(h.Slot)}
-	return errors.Wrap(t.copies.send(ctx, h.Successor, s), "state of the slot")
+	s := State{Slot: h.Slot, Epoch: h.Epoch, Whole: true, Bookings: t.bookings.slot(h.Slot)}
+	x := Line{Kind: KindHanded, Slot: h.Slot, Epoch: h.Epoch, Standby: h.Successor, Count: len(s.Bookings)}
+	err := t.copies.send(ctx, h.Successor, s)
+	if err != nil {
+		x.Kind = KindUnhanded
+	}
+	t.ledger.add(x)
+	return errors.Wrap(err, "state of the slot")
 }
 
 func (t *Target) takeState(w http.ResponseWriter, r *http.Request) {
@@ -282,6 +288,9 @@
 		return
 	}
 	t.bookings.merge(s.Slot, s.Bookings)
+	if s.Whole {
+		t.ledger.add(Line{Kind: KindState, Slot: s.Slot, Epoch: s.Epoch, Count: len(s.Bookings)})
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/stand/seamstandtarget/ledger.go
+++ b/internal/stand/seamstandtarget/ledger.go
@@ -26,6 +26,10 @@
 	Until int64 `json:"until,omitempty"`
 	// Held is the complete set of slots, in lines of the kind orders whose set differs from the one before.
 	Held []Held `json:"held,omitempty"`
+	// Count is the number of bookings, in lines of the kinds state and handed.
+	Count int `json:"count,omitempty"`
+	// Standby is the address of the slot's standby, in lines of the kind synced.
+	Standby string `json:"standby,omitempty"`
 	// Changed says that Held is meant, even if it is empty.
 	Changed bool `json:"changed,omitempty"`
 }
@@ -52,6 +56,15 @@
 	KindOrders = "orders"
 	// KindReleased is written when a slot was handed over.
 	KindReleased = "released"
+	// KindState is written when another target sent all bookings of a slot.
+	KindState = "state"
+	// KindHanded is written when the bookings of a slot were sent to its successor,
+	// KindUnhanded when that failed.
+	KindHanded   = "handed"
+	KindUnhanded = "unhanded"
+	// KindSynced is written when the standby of a slot came up to date, KindUnsynced when it fell behind.
+	KindSynced   = "synced"
+	KindUnsynced = "unsynced"
 	// KindStale is written when an order named an epoch lower than one seen before.
 	KindStale = "stale"
 )
--- a/internal/stand/seamstandtarget/state.go
+++ b/internal/stand/seamstandtarget/state.go
@@ -17,8 +17,10 @@
 
 // State is the body of POST seamtarget.StatePath: bookings of one slot.
 type State struct {
-	Slot     uint32    `json:"slot"`
-	Epoch    uint64    `json:"epoch"`
+	Slot  uint32 `json:"slot"`
+	Epoch uint64 `json:"epoch"`
+	// Whole says that these are all bookings of the slot.
+	Whole    bool      `json:"whole,omitempty"`
 	Bookings []Booking `json:"bookings"`
 }
 
@@ -41,6 +43,7 @@
 type copier struct {
 	ctx      context.Context
 	bookings *bookings
+	ledger   *ledger
 	// changed is called when the set of synced slots changes.
 	changed func()
 	client  *http.Client
@@ -52,10 +55,11 @@
 	locks map[uint32]*sync.Mutex
 }
 
-func newCopier(ctx context.Context, b *bookings, changed func()) *copier {
+func newCopier(ctx context.Context, b *bookings, l *ledger, changed func()) *copier {
 	return &copier{
 		ctx:      ctx,
 		bookings: b,
+		ledger:   l,
 		changed:  changed,
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 		standbys: map[uint32]standbyOrder{},
@@ -108,13 +112,14 @@
 // wait, the few bookings that have come since.
 func (c *copier) syncOnce(slot uint32, o standbyOrder) bool {
 	first := c.bookings.slot(slot)
-	if c.sendWithin(stateTimeout, slot, o, first) != nil {
+	if c.sendWithin(stateTimeout, o, State{Slot: slot, Epoch: o.epoch, Whole: true, Bookings: first}) != nil {
 		return false
 	}
 	l := c.lock(slot)
 	l.Lock()
 	defer l.Unlock()
-	if rest := missing(c.bookings.slot(slot), first); len(rest) > 0 && c.sendWithin(copyTimeout, slot, o, rest) != nil {
+	rest := missing(c.bookings.slot(slot), first)
+	if len(rest) > 0 && c.sendWithin(copyTimeout, o, State{Slot: slot, Epoch: o.epoch, Bookings: rest}) != nil {
 		return false
 	}
 	c.mu.Lock()
@@ -123,6 +128,7 @@
 		return false
 	}
 	c.ready[slot] = true
+	c.ledger.add(Line{Kind: KindSynced, Slot: slot, Epoch: o.epoch, Standby: o.address, Count: len(first) + len(rest)})
 	return true
 }
 
@@ -141,10 +147,10 @@
 	return rest
 }
 
-func (c *copier) sendWithin(limit time.Duration, slot uint32, o standbyOrder, list []Booking) error {
+func (c *copier) sendWithin(limit time.Duration, o standbyOrder, s State) error {
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
-	return c.send(ctx, o.address, State{Slot: slot, Epoch: o.epoch, Bookings: list})
+	return c.send(ctx, o.address, s)
 }
 
 func (c *copier) current(slot uint32, o standbyOrder) bool {
@@ -175,7 +181,7 @@
 	o, ready := c.standbys[slot], c.ready[slot]
 	c.mu.Unlock()
 	if ready {
-		err := c.sendWithin(copyTimeout, slot, o, []Booking{x})
+		err := c.sendWithin(copyTimeout, o, State{Slot: slot, Epoch: o.epoch, Bookings: []Booking{x}})
 		var fenced *FencedError
 		if errors.As(err, &fenced) {
 			return false, err
@@ -191,6 +197,7 @@
 	c.mu.Lock()
 	delete(c.ready, slot)
 	c.mu.Unlock()
+	c.ledger.add(Line{Kind: KindUnsynced, Slot: slot, Epoch: o.epoch, Standby: o.address})
 	c.changed()
 	go c.sync(slot, o)
 }
--- a/internal/stand/seamstandtarget/target.go
+++ b/internal/stand/seamstandtarget/target.go
@@ -93,7 +93,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.announce = newAnnouncer(cfg.Node, t.announcement)
-	t.copies = newCopier(ctx, t.bookings, t.announce.now)
+	t.copies = newCopier(ctx, t.bookings, t.ledger, t.announce.now)
 	t.server = &http.Server{
 		Handler:           t.handler(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/stand/seamstandtarget/target_test.go
+++ b/internal/stand/seamstandtarget/target_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+func TestHandoverOfLapsedSlot(t *testing.T) {
+	from, to := start(t, "a"), start(t, "b")
+	grant(t, from, 1, life, seamtarget.SlotOrder{Slot: 3, Epoch: 7})
+	book(t, from, "one", 3, 7)
+	grant(t, from, 2, life)
+	for epoch, status := range map[uint64]int{6: http.StatusConflict, 7: http.StatusNoContent} {
+		h := seamtarget.Handover{Slot: 3, Epoch: epoch, Successor: to.Address()}
+		if got, _ := send(t, http.MethodPost, "http://"+from.Address()+seamtarget.HandoverPath, h, nil); got != status {
+			t.Errorf("handover of epoch %d answered %d, not %d", epoch, got, status)
+		}
+	}
+	grant(t, to, 1, life, seamtarget.SlotOrder{Slot: 3, Epoch: 8})
+	_, receipt := book(t, to, "two", 3, 8)
+	if diff := cmp.Diff([]string{"one", "two"}, receipt.IDs); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestShedsBeyondSlots(t *testing.T) {
 	x := start(t, "a")
 	x.Behave(seamstandtarget.Behaviour{Shed: 1})
