A slot whose state could not be handed over goes back to its server

Change: Cell.Kept releases a slot as kept; the coordinator grants it to the same member again under a new epoch, a range that was leaving is taken back.

--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -187,7 +187,7 @@
 		return
 	}
 	for _, h := range n.GetReleased() {
-		c.released(m, slotOf(h), h.GetToken())
+		c.released(m, slotOf(h), h.GetToken(), h.GetKept())
 	}
 	for _, h := range n.GetSynced() {
 		c.setSynced(m, slotOf(h), h.GetToken(), true)
@@ -204,8 +204,9 @@
 	return seamslot.ID{Service: h.GetService(), Index: h.GetIndex()}
 }
 
-// released takes a slot from its owner, who has handed it over.
-func (c *Cell) released(m *info, id seamslot.ID, token uint64) {
+// released takes a slot from its owner, who has handed it over. A kept slot, whose state
+// could not be handed over, goes back to the owner.
+func (c *Cell) released(m *info, id seamslot.ID, token uint64, kept bool) {
 	r := c.reign
 	e := r.table.slots[id]
 	if e == nil || e.owner != m.id || e.token != token {
@@ -213,9 +214,16 @@
 	}
 	e.previous = e.owner
 	e.owner = 0
-	if e.outside != nil && e.state == stateReleasing {
+	switch {
+	case kept && e.outside != nil && r.ranges.out != nil:
+		e.state, e.next = stateOwned, e.previous
+		c.takeBack(r.ranges.out)
+		r.ranges.settled = c.now
+	case kept:
+		e.state, e.next, e.outside = stateOwned, e.previous, nil
+	case e.outside != nil && e.state == stateReleasing:
 		e.state = stateReleased
-	} else {
+	default:
 		e.state = stateOwned
 	}
 	r.table.changeSlot(e)
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -254,6 +254,9 @@
 // target, the standby, the member that had the slot, or the one with the fewest.
 func (c *Cell) pick(id seamslot.ID, e *slotEntry, list []*info, counts map[uint32]int) *info {
 	r := c.reign
+	if m := c.keeper(id, e); m != nil {
+		return m
+	}
 	if m := r.infos[e.next]; m != nil && c.usable(m, id.Service) {
 		return m
 	}
@@ -278,6 +281,16 @@
 	return r.lightest(list, counts)
 }
 
+// keeper returns the member that released the slot but still has its state, also if it
+// is to give its slots away.
+func (c *Cell) keeper(id seamslot.ID, e *slotEntry) *info {
+	m := c.reign.infos[e.previous]
+	if m == nil || e.next != e.previous {
+		return nil
+	}
+	return c.ready(m, id.Service)
+}
+
 // ready returns the member, or nil while it must be waited for.
 func (c *Cell) ready(m *info, service string) *info {
 	e := c.reign.table.roster[m.id]
--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -225,6 +225,16 @@
 	})
 }
 
+// Kept says that the own target could not hand the slot over after a graceful StopServing,
+// and still has its state. The slot comes back under a new epoch.
+func (c *Cell) Kept(now seamclock.Instant, id seamslot.ID) []Action {
+	return c.step(now, func() {
+		if c.member != nil {
+			c.releaseKept(id)
+		}
+	})
+}
+
 // Drain begins the planned stop of this node. Drained reports its end.
 func (c *Cell) Drain(now seamclock.Instant) []Action {
 	return c.step(now, func() {
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -328,3 +328,32 @@
 	w.run(8 * time.Second)
 	w.must(t, w.held() == slotNumber, "%d slots held", w.held())
 }
+
+func TestFailedHandoverKeepsTheState(t *testing.T) {
+	w := settled(t, 6, 1)
+	n := w.member(t)
+	n.keeps = true
+	had := heldBy(n)
+	n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Drain(now) })
+	w.run(5 * time.Second)
+	w.must(t, !n.cell.Drained(), "drained although no slot could be handed over")
+	w.untilHeld(servedAgain)
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		if had[id] && n.cell.Owner(id).Name != n.peer.Name {
+			t.Fatalf("slot %v is granted to %v, which has no state", id, n.cell.Owner(id))
+		}
+	}
+	n.keeps = false
+	w.run(5 * time.Second)
+	w.must(t, n.cell.Drained(), "not drained after hand-overs worked again")
+}
+
+func heldBy(n *node) map[seamslot.ID]bool {
+	had := map[seamslot.ID]bool{}
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		_, had[id] = n.cell.Held(n.clock(), id)
+	}
+	return had
+}
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -62,6 +62,8 @@
 	serving map[seamslot.ID]*serving
 	// released are the tokens of slots handed over and not yet seen to have changed.
 	released map[seamslot.ID]uint64
+	// kept are the tokens of released slots whose state could not be handed over.
+	kept map[seamslot.ID]uint64
 	// past are the tokens under which slots were served last.
 	past  map[seamslot.ID]uint64
 	loads []uint32
@@ -86,7 +88,7 @@
 	return &member{
 		cell: cell, coordinator: coordinator, backup: backup, table: newTable(0), answered: now,
 		sent: map[uint64]seamclock.Instant{}, serving: map[seamslot.ID]*serving{},
-		released: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
+		released: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
 	}
 }
 
@@ -251,7 +253,9 @@
 	}
 	for _, id := range sortedSlots(m.released) {
 		if m.leaseTerm == m.table.term && len(x.Released) < listLimit {
-			x.Released = append(x.Released, held(id, m.released[id]))
+			h := held(id, m.released[id])
+			h.Kept = m.kept[id] == h.GetToken()
+			x.Released = append(x.Released, h)
 		}
 	}
 	c.addSynced(x)
@@ -578,6 +582,15 @@
 	}
 }
 
+// releaseKept releases a slot whose state could not be handed over. The member gets it
+// back under a new token, so that acknowledged state is not left behind.
+func (c *Cell) releaseKept(id seamslot.ID) {
+	if s := c.member.serving[id]; s != nil {
+		c.member.kept[id] = s.token
+	}
+	c.release(id)
+}
+
 // release marks a slot as handed over.
 func (c *Cell) release(id seamslot.ID) {
 	m := c.member
@@ -607,7 +620,7 @@
 			continue
 		}
 		c.do(StopServing{Slot: id, Epoch: s.token})
-		c.release(id)
+		c.releaseKept(id)
 	}
 }
 
@@ -665,6 +678,7 @@
 	for _, id := range sortedSlots(m.released) {
 		if e := t.slots[id]; e == nil || e.owner != number || e.token != m.released[id] {
 			delete(m.released, id)
+			delete(m.kept, id)
 		}
 	}
 }
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -93,12 +93,14 @@
 
 // node is one run of one instance.
 type node struct {
-	w       *world
-	peer    seampeer.Peer
-	cell    *seamcell.Cell
-	name    string
-	alive   bool
-	paused  bool
+	w      *world
+	peer   seampeer.Peer
+	cell   *seamcell.Cell
+	name   string
+	alive  bool
+	paused bool
+	// keeps says that hand-overs of the node's target fail.
+	keeps   bool
 	waiting []func()
 	started time.Duration
 	rate    float64
@@ -276,7 +278,12 @@
 		delete(n.told, a.Slot)
 		if a.Graceful && !n.hang {
 			w.after(w.latency(), func() {
-				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Released(now, a.Slot) })
+				n.act(func(now seamclock.Instant) []seamcell.Action {
+					if n.keeps {
+						return n.cell.Kept(now, a.Slot)
+					}
+					return n.cell.Released(now, a.Slot)
+				})
 			})
 		}
 	case seamcell.Fetch:
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -554,9 +554,12 @@
 			continue
 		}
 		e.outside = nil
-		if e.state == stateReleased {
+		switch e.state {
+		case stateReleased:
 			e.state = stateOwned
 			r.hints[id] = r.table.peer(e.previous).Name
+		case stateReleasing:
+			r.hints[id] = r.table.peer(e.owner).Name
 		}
 		r.table.changeSlot(e)
 	}
