Keeper: hand-overs, orders and the time after the clean-up

Cause: the client of the orders bounded hand-overs to 500 ms although 2 s were meant, and after three quick failures the slot went on without its state and without an event. A renewal that overlapped a grant marked the slot as ready before the target had its orders, and a new run of a target on the same address was served before it took any. A hand-over could start after the slot had been released for being overdue, and its release could meet a later grant of the slot. After the clean-up, datagrams still moved the state machine and started tasks beside the wait for their end.

Change: hand-overs are repeated for 2 s and then reported (handover.failed); only complete orders make slots ready; a new run of the target starts without; nothing is handed over or released for a slot that has gone; a stopped keeper takes no events and starts no tasks.

--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -18,6 +18,7 @@
 	SlotReleased     = "slot.released"
 	SlotMoved        = "slot.moved"
 	SlotLapsed       = "slot.lapsed"
+	HandoverFailed   = "handover.failed"
 	RuleRecorded     = "rule.recorded"
 	RuleApplied      = "rule.applied"
 	RuleAccepted     = "rule.accepted"
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -97,7 +97,10 @@
 	self  seampeer.Peer
 	parts Parts
 	ctx   context.Context
-	tasks sync.WaitGroup
+	// starting guards stopped, after which no task is started.
+	starting sync.Mutex
+	stopped  bool
+	tasks    sync.WaitGroup
 
 	// mu guards cell and everything that follows from its actions.
 	mu     sync.Mutex
@@ -142,15 +145,35 @@
 	k.tasks.Go(k.orders.run)
 	return k, func() {
 		cancel()
-		k.stopWatching()
+		k.refuseTasks()
 		k.tasks.Wait()
 	}, nil
 }
 
-// step runs one event through the state machine and performs its actions.
+// background runs f as a task that the clean-up waits for. After the clean-up
+// began it does nothing.
+func (k *Keeper) background(f func()) {
+	k.starting.Lock()
+	defer k.starting.Unlock()
+	if !k.stopped {
+		k.tasks.Go(f)
+	}
+}
+
+func (k *Keeper) refuseTasks() {
+	k.starting.Lock()
+	defer k.starting.Unlock()
+	k.stopped = true
+}
+
+// step runs one event through the state machine and performs its actions. A
+// stopped keeper takes no part in its cell any more.
 func (k *Keeper) step(event func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.ctx.Err() != nil {
+		return
+	}
 	now := k.parts.Clock.Now()
 	actions := event(k.cell, now)
 	lease := k.lease(now)
--- a/internal/own/seamkeeper/orders.go
+++ b/internal/own/seamkeeper/orders.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 )
@@ -23,10 +24,9 @@
 	orderTimeout = 500 * time.Millisecond
 	// orderRetry is the time between attempts to give orders.
 	orderRetry = 20 * time.Millisecond
-	// handoverTimeout bounds one attempt to hand the state of a slot over.
-	handoverTimeout = 2 * time.Second
-	// handoverAttempts is the number of attempts to hand the state of a slot over.
-	handoverAttempts = 3
+	// handoverTime bounds all attempts to hand the state of a slot over. Meanwhile
+	// nobody serves the slot.
+	handoverTime = 2 * time.Second
 	// renewStep is the smallest gain of a lease that is passed on to the target.
 	renewStep = 100 * time.Millisecond
 )
@@ -50,7 +50,9 @@
 	wake   chan struct{}
 
 	mu sync.Mutex
-	// address of the target; empty if it takes no orders.
+	// target is the name of the target's run, address its address; both are empty if
+	// it takes no orders.
+	target  string
 	address string
 	until   seamclock.Instant
 	// version counts changes of the set of slots, sent the last one that the target has taken.
@@ -65,19 +67,21 @@
 func newOrders(k *Keeper) *orders {
 	return &orders{
 		keeper: k,
-		client: &http.Client{Timeout: orderTimeout},
+		client: &http.Client{},
 		wake:   make(chan struct{}, 1),
 		taken:  make(chan struct{}),
 	}
 }
 
-// setTarget names the target that takes orders, or none.
-func (o *orders) setTarget(address string) {
+// setTarget names the target that takes orders, or none. A new run of it has
+// taken no orders yet.
+func (o *orders) setTarget(target, address string) {
 	o.mu.Lock()
-	changed := o.address != address
-	o.address = address
+	changed := o.target != target || o.address != address
+	o.target, o.address = target, address
 	if changed {
 		o.version++
+		o.keeper.holdings.unready()
 	}
 	o.mu.Unlock()
 	if changed {
@@ -156,14 +160,14 @@
 func (o *orders) push() bool {
 	now := o.keeper.parts.Clock.Now()
 	o.mu.Lock()
-	address, until, version := o.address, o.until, o.version
+	target, address, until, version := o.target, o.address, o.until, o.version
 	full := version != o.sent
 	o.sequence++
 	sequence := o.sequence
 	o.mu.Unlock()
 	slots, served := o.keeper.holdings.orders()
 	if address == "" {
-		o.took(version, until, served)
+		o.took(target, version, until, served)
 		return true
 	}
 	body := seamtarget.Orders{
@@ -175,6 +179,8 @@
 	}
 	if full {
 		body.Slots = slots
+	} else {
+		served = nil // a slot that has just come is not in the orders
 	}
 	ctx, cancel := context.WithTimeout(o.keeper.ctx, orderTimeout)
 	defer cancel()
@@ -182,7 +188,7 @@
 		o.failed()
 		return o.keeper.ctx.Err() != nil
 	}
-	o.took(version, until, served)
+	o.took(target, version, until, served)
 	return true
 }
 
@@ -193,11 +199,14 @@
 	o.version++
 }
 
-func (o *orders) took(version uint64, until seamclock.Instant, served []*holding) {
-	for _, h := range served {
-		h.ready.Store(true)
-	}
+// took notes that the run of the target has taken orders with the holdings.
+func (o *orders) took(target string, version uint64, until seamclock.Instant, served []*holding) {
 	o.mu.Lock()
+	if target == o.target {
+		for _, h := range served {
+			h.ready.Store(true)
+		}
+	}
 	o.sent = max(o.sent, version)
 	o.renewed = until
 	close(o.taken)
@@ -207,7 +216,8 @@
 }
 
 // handOver lets the target send the state of a slot to the successor's target.
-func (o *orders) handOver(ctx context.Context, a seamcell.StopServing) {
+// It repeats failed attempts for a bounded time, while the slot is not released.
+func (o *orders) handOver(ctx context.Context, a seamcell.StopServing, h *holding) {
 	o.mu.Lock()
 	address := o.address
 	o.mu.Unlock()
@@ -215,19 +225,40 @@
 		return
 	}
 	body := seamtarget.Handover{Slot: a.Slot.Index, Epoch: a.Epoch, Successor: a.Target}
-	for range handoverAttempts {
-		if o.tryHandOver(ctx, address, body) == nil {
+	ctx, cancel := context.WithTimeout(ctx, handoverTime)
+	defer cancel()
+	for {
+		err := o.call(ctx, http.MethodPost, address, seamtarget.HandoverPath, body)
+		if err == nil {
+			return
+		}
+		if !pause(ctx, orderRetry) || !o.keeper.holdings.has(a.Slot, h) {
+			o.lostState(a, err)
 			return
 		}
-		time.Sleep(orderRetry)
 	}
-	o.keeper.parts.Metrics.GetOrCreateCounter(`cardamomseam_handover_failed_total`).Inc()
 }
 
-func (o *orders) tryHandOver(ctx context.Context, address string, body seamtarget.Handover) error {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
-	return o.call(ctx, http.MethodPost, address, seamtarget.HandoverPath, body)
+// lostState reports that a slot goes to its successor without its state.
+func (o *orders) lostState(a seamcell.StopServing, err error) {
+	k := o.keeper
+	k.parts.Metrics.GetOrCreateCounter(`cardamomseam_handover_failed_total`).Inc()
+	k.parts.Sink.Emit(time.Now(), seamevent.HandoverFailed, seamevent.Fields{
+		"slot":      a.Slot.String(),
+		"epoch":     a.Epoch,
+		"successor": a.Successor.String(),
+		"error":     err.Error(),
+	})
+}
+
+// pause waits and reports whether ctx has not ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
 }
 
 func (o *orders) call(ctx context.Context, method, address, path string, body any) error {
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -229,36 +229,63 @@
 		k.orders.change()
 		return
 	}
-	k.tasks.Go(func() { k.handOver(a, h) })
+	k.background(func() { k.handOver(a, h) })
 }
 
 // handOver waits for the requests in flight on the slot, lets the target send
 // its state to the successor, and releases the slot.
 func (k *Keeper) handOver(a seamcell.StopServing, h *holding) {
 	if h != nil {
-		if k.awaitIdle(h) {
-			k.orders.handOver(k.ctx, a)
+		if k.awaitIdle(a.Slot, h) {
+			k.orders.handOver(k.ctx, a, h)
+		}
+		if !k.holdings.drop(a.Slot, h) {
+			return // released already, because it took too long
 		}
-		k.drop(a.Slot, h)
 		k.orders.changeAndWait(k.ctx)
 	}
-	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Released(now, a.Slot) })
+	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action {
+		if again, _ := k.holdings.find(a.Slot); again != nil {
+			return nil
+		}
+		return c.Released(now, a.Slot)
+	})
 }
 
-func (k *Keeper) drop(id slotID, h *holding) {
-	k.holdings.mu.Lock()
-	defer k.holdings.mu.Unlock()
-	if k.holdings.slots[id] == h {
-		delete(k.holdings.slots, id)
+// has reports whether h is still the holding of the slot.
+func (h *holdings) has(id slotID, x *holding) bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.slots[id] == x
+}
+
+// drop removes a holding and reports whether it was still that of the slot.
+func (h *holdings) drop(id slotID, x *holding) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.slots[id] != x {
+		return false
+	}
+	delete(h.slots, id)
+	return true
+}
+
+// unready has requests wait until the target has taken its orders.
+func (h *holdings) unready() {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, x := range h.slots {
+		x.ready.Store(false)
 	}
 }
 
 // awaitIdle waits until no request is in flight on the slot. It reports false
-// if the lease ended before, because the slot may then have another owner.
-func (k *Keeper) awaitIdle(h *holding) bool {
+// if the lease ended or the slot was released before, because the slot may then
+// have another owner.
+func (k *Keeper) awaitIdle(id slotID, h *holding) bool {
 	const poll = 2 * time.Millisecond
 	for {
-		if k.ctx.Err() != nil || seamclock.Past(k.parts.Clock.Now(), k.holdings.lease()) {
+		if k.ctx.Err() != nil || !k.holdings.has(id, h) || seamclock.Past(k.parts.Clock.Now(), k.holdings.lease()) {
 			return false
 		}
 		if h.inFlight.Load() == 0 {
--- a/internal/own/seamkeeper/perform.go
+++ b/internal/own/seamkeeper/perform.go
@@ -17,11 +17,11 @@
 	case seamcell.Send:
 		k.send(a)
 	case seamcell.Swap:
-		k.tasks.Go(func() { k.swap(a) })
+		k.background(func() { k.swap(a) })
 	case seamcell.Read:
-		k.tasks.Go(func() { k.readRecord(a) })
+		k.background(func() { k.readRecord(a) })
 	case seamcell.Remove:
-		k.tasks.Go(func() { k.remove(a) })
+		k.background(func() { k.remove(a) })
 	case seamcell.Serve:
 		k.serve(a)
 	case seamcell.StopServing:
@@ -54,7 +54,7 @@
 	if !busy.CompareAndSwap(false, true) {
 		return
 	}
-	k.tasks.Go(func() {
+	k.background(func() {
 		defer busy.Store(false)
 		ctx, cancel := context.WithTimeout(k.ctx, k.cfg.Call)
 		defer cancel()
--- a/internal/own/seamkeeper/rosters.go
+++ b/internal/own/seamkeeper/rosters.go
@@ -112,7 +112,7 @@
 	}
 	if now.Sub(x.read) > rosterLife && now.Sub(x.asked) > rosterLife/4 {
 		x.asked = now
-		r.keeper.tasks.Go(func() { r.refresh(cell) })
+		r.keeper.background(func() { r.refresh(cell) })
 	}
 	if now.Sub(x.read) > rosterStale {
 		return nil
--- a/internal/own/seamkeeper/store.go
+++ b/internal/own/seamkeeper/store.go
@@ -159,7 +159,7 @@
 	if coordinates && !watching {
 		ctx, cancel := context.WithCancel(k.ctx)
 		k.watcher = cancel
-		k.tasks.Go(func() { k.watchDirectory(ctx) })
+		k.background(func() { k.watchDirectory(ctx) })
 	}
 	if !coordinates && watching {
 		k.watcher()
@@ -167,15 +167,6 @@
 	}
 }
 
-func (k *Keeper) stopWatching() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.watcher != nil {
-		k.watcher()
-		k.watcher = nil
-	}
-}
-
 func (k *Keeper) watchDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
 		entries, revision, err := k.listRecords(ctx)
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -14,14 +14,14 @@
 // TargetChanged takes a change of the own target.
 func (k *Keeper) TargetChanged(a seamtarget.Announcement, present bool) {
 	state := seamcell.TargetState{}
-	address := ""
+	run, address := "", ""
 	if present {
 		state = k.stateOf(a)
 		if a.Has(seamtarget.CanGrant) {
-			address = a.Address
+			run, address = a.Name, a.Address
 		}
 	}
-	k.orders.setTarget(address)
+	k.orders.setTarget(run, address)
 	k.mu.Lock()
 	state.InFlight, state.Loads = k.target.InFlight, k.target.Loads
 	k.target = state
