--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -197,6 +197,7 @@
 		ArgsUsage: "FILE...",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "directory", Value: "docs/plots", Usage: "`DIRECTORY` to write to"},
+			&cli.StringSliceFlag{Name: "only", Usage: "`NAME` of a picture to draw; repeatable (default: all)"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			var results []seamexperiment.Result
@@ -207,7 +208,7 @@
 				}
 				results = append(results, list...)
 			}
-			files, err := seamplot.Draw(results, c.String("directory"))
+			files, err := seamplot.Draw(results, c.String("directory"), c.StringSlice("only"))
 			for _, f := range files {
 				fmt.Println(f)
 			}
--- a/internal/prove/seamplot/plot.go
+++ b/internal/prove/seamplot/plot.go
@@ -4,6 +4,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 
@@ -31,12 +32,16 @@
 
 // Draw draws the results into a directory and returns the files that it wrote. There is one
 // picture for each kind of series, and one for each figure that was measured at several sizes.
-func Draw(results []seamexperiment.Result, directory string) ([]string, error) {
+// If only is not empty, other pictures are left out.
+func Draw(results []seamexperiment.Result, directory string, only []string) ([]string, error) {
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, err
 	}
 	var files []string
 	for _, p := range append(seriesPictures(results), sizePictures(results)...) {
+		if len(only) > 0 && !slices.Contains(only, p.name) {
+			continue
+		}
 		drawn, err := p.draw(directory)
 		if err != nil {
 			return files, errors.Wrap(err, p.name)
@@ -63,36 +68,57 @@
 	return ordered(pictures)
 }
 
-// sizePictures draws each figure against the number of nodes.
+// sizePictures draws figures against the number of nodes. Figures whose names differ in the
+// middle only, as idle-member-sent and idle-backup-sent, are lines of one picture.
 func sizePictures(results []seamexperiment.Result) []picture {
 	pictures := map[string]*picture{}
 	for _, r := range results {
 		for _, f := range r.Figures {
-			name := fileName(r.Name, f.Name)
+			title, line := splitName(f.Name)
+			name := fileName(r.Name, title)
 			p := pictures[name]
 			if p == nil {
-				p = &picture{
-					name: name, title: r.Name + " " + f.Name, xName: "nodes", yName: f.Unit,
-					lines: []seamexperiment.Series{{Name: f.Name}},
-				}
+				p = &picture{name: name, title: r.Name + " " + title, xName: "nodes", yName: f.Unit}
 				pictures[name] = p
 			}
-			p.lines[0].X = append(p.lines[0].X, float64(r.Size))
-			p.lines[0].Y = append(p.lines[0].Y, f.Value)
+			p.add(line, float64(r.Size), f.Value)
 		}
 	}
 	for name, p := range pictures {
-		if !severalSizes(p.lines[0].X) {
+		if !p.severalSizes() {
 			delete(pictures, name)
 		}
 	}
 	return ordered(pictures)
 }
 
-func severalSizes(sizes []float64) bool {
-	for _, s := range sizes {
-		if s != sizes[0] {
-			return true
+// splitName splits a figure's name into that of its picture and that of its line.
+func splitName(name string) (title, line string) {
+	parts := strings.Split(name, "-")
+	last := len(parts) - 1
+	if last < 2 {
+		return name, name
+	}
+	return parts[0] + "-" + parts[last], strings.Join(parts[1:last], "-")
+}
+
+func (p *picture) add(line string, x, y float64) {
+	for i := range p.lines {
+		if p.lines[i].Name == line {
+			p.lines[i].X = append(p.lines[i].X, x)
+			p.lines[i].Y = append(p.lines[i].Y, y)
+			return
+		}
+	}
+	p.lines = append(p.lines, seamexperiment.Series{Name: line, X: []float64{x}, Y: []float64{y}})
+}
+
+func (p *picture) severalSizes() bool {
+	for _, l := range p.lines {
+		for _, x := range l.X {
+			if x != l.X[0] {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/prove/seamplot/plot_test.go
+++ b/internal/prove/seamplot/plot_test.go
@@ -16,13 +16,16 @@
 	for _, size := range []int{6, 12} {
 		r := seamexperiment.Result{Name: "cost", Size: size}
 		r.Add("memory", float64(size), "B")
+		r.Add("idle-member-sent", float64(size), "B/s")
+		r.Add("idle-backup-sent", float64(size), "B/s")
+		r.Add("left-out", float64(size), "B/s")
 		results = append(results, r)
 	}
 	alone := seamexperiment.Result{Name: "takeover", Size: 6, Series: []seamexperiment.Series{
 		{Name: "losses", XName: "losses", YName: "unavailable s", X: []float64{1, 2}, Y: []float64{1, 2}},
 	}}
 	alone.Add("p99", 1, "s")
-	files, err := seamplot.Draw(append(results, alone), t.TempDir())
+	files, err := seamplot.Draw(append(results, alone), t.TempDir(), []string{"takeover-unavailable-s", "cost-idle-sent", "cost-memory"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +36,10 @@
 			t.Errorf("%s is empty: %v", f, err)
 		}
 	}
-	want := []string{"takeover-unavailable-s.png", "takeover-unavailable-s.svg", "cost-memory.png", "cost-memory.svg"}
+	want := []string{
+		"takeover-unavailable-s.png", "takeover-unavailable-s.svg",
+		"cost-idle-sent.png", "cost-idle-sent.svg", "cost-memory.png", "cost-memory.svg",
+	}
 	if diff := cmp.Diff(want, names); diff != "" {
 		t.Error(diff)
 	}
