--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -21,6 +21,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamkeeper"
+	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -56,6 +57,7 @@
 	targets   *seamannounce.Registry
 	keeper    *seamkeeper.Keeper
 	egress    *seamegress.Egress
+	keys      *seamsketch.Keys
 	ingress   *seamingress.Ingress
 	rules     *seamset.Set
 	book      *seambook.Book
@@ -68,6 +70,13 @@
 	ordered   chan struct{}
 }
 
+const (
+	// keyLimit is the number of keys that a node counts to find the most used ones.
+	keyLimit = 256
+	// keyWindow is the time constant with which the counts decay.
+	keyWindow = 10 * time.Second
+)
+
 // New starts a node. The clean-up function stops it at once; a planned stop
 // calls Drain first.
 func New(s seamsetting.Settings, o Options) (*Node, func(), error) {
@@ -85,6 +94,7 @@
 		set:     metrics.NewSet(),
 		stream:  seamevent.NewStream(s.Name),
 		ring:    o.Ring,
+		keys:    seamsketch.NewKeys(keyLimit, keyWindow),
 		ordered: make(chan struct{}),
 	}
 	c := &cleanups{}
@@ -267,7 +277,7 @@
 		Warm:     n.settings.Limit.Warm,
 		Records:  n.settings.Limit.Records,
 		Dial:     n.settings.Limit.Dial,
-	}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
+	}, n.self, n.keeper, n.targets, n.clock, n.keys, n.set, n.sink)
 	n.egress = egress
 	c.add(stop)
 	n.sessions.Register(seamsession.Request, egress)
--- a/internal/own/seamsketch/keys.go
+++ b/internal/own/seamsketch/keys.go
@@ -60,6 +60,22 @@
 	return all[:min(n, len(all))]
 }
 
+// Hottest returns for each slot with counted keys the rate of the most used one, in
+// requests a second. It is never too high, so that no slot is taken as hot by mistake.
+func (k *Keys) Hottest(now seamclock.Instant) map[seamslot.ID]float64 {
+	rates := map[seamslot.ID]float64{}
+	for i := range k.shards {
+		k.shards[i].hottest(now, rates)
+	}
+	return rates
+}
+
+func (s *shard) hottest(now seamclock.Instant, rates map[seamslot.ID]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sketch.hottest(now, rates)
+}
+
 func (s *shard) top(now seamclock.Instant, n int) []Key {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/own/seamsketch/sketch.go
+++ b/internal/own/seamsketch/sketch.go
@@ -98,7 +98,7 @@
 	if len(s.entries) == 0 {
 		return nil
 	}
-	scale := 1 / (s.weight(now) * s.span(now))
+	scale := s.scale(now)
 	keys := make([]Key, 0, len(s.entries))
 	for _, e := range s.entries {
 		keys = append(keys, Key{Key: e.key, Slot: e.slot, Rate: e.count * scale, Error: e.error * scale})
@@ -109,6 +109,22 @@
 	return keys[:min(n, len(keys))]
 }
 
+// hottest raises the rates of the slots to those that their keys have at least.
+func (s *Sketch) hottest(now seamclock.Instant, rates map[seamslot.ID]float64) {
+	if len(s.entries) == 0 {
+		return
+	}
+	scale := s.scale(now)
+	for _, e := range s.entries {
+		rates[e.slot] = max(rates[e.slot], (e.count-e.error)*scale)
+	}
+}
+
+// scale returns the rate for which a count of 1 stands, in requests a second.
+func (s *Sketch) scale(now seamclock.Instant) float64 {
+	return 1 / (s.weight(now) * s.span(now))
+}
+
 // weight returns the weight of a request at now. Later requests weigh more, which is the
 // same as letting earlier ones decay.
 func (s *Sketch) weight(now seamclock.Instant) float64 {
--- a/internal/own/seamsketch/sketch_test.go
+++ b/internal/own/seamsketch/sketch_test.go
@@ -72,6 +72,10 @@
 	if top.Slot.Index != 3 {
 		t.Fatalf("slot is %s", top.Slot)
 	}
+	hottest := k.Hottest(at(2 * time.Minute))
+	if len(hottest) != 1 || math.Abs(hottest[top.Slot]-(top.Rate-top.Error)) > 1e-6 || hottest[top.Slot] < 0.7*rate/10 {
+		t.Fatalf("hottest keys are %v, top is %+v", hottest, top)
+	}
 }
 
 func TestSketchSurvivesLongQuiet(t *testing.T) {
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -83,6 +83,7 @@
 		end.After = v.After
 		return end
 	}
+	c.countKey()
 	p := &place{limiter: c.egress.limiter, start: time.Now()}
 	defer p.free(false, false)
 	if grant != nil && v.Waited > 0 {
@@ -97,6 +98,15 @@
 	return c.run(ctx, grant, p)
 }
 
+// countKey counts the key of an admitted request.
+func (c *call) countKey() {
+	if !c.head.GetKeyed() {
+		return
+	}
+	slot := seamslot.ID{Service: c.head.GetService(), Index: c.head.GetSlot()}
+	c.egress.keys.Count(c.egress.clock.Now(), slot, string(c.head.GetKey()))
+}
+
 // place is one of the target's slots.
 type place struct {
 	limiter *seamlimit.Limiter
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -39,6 +39,12 @@
 	Current() (seamtarget.Announcement, bool)
 }
 
+// Keys counts the use of keys.
+type Keys interface {
+	// Count counts one request for the key. It is called for each request.
+	Count(now seamclock.Instant, slot seamslot.ID, key string)
+}
+
 // Clock reads the clocks of the machine.
 type Clock interface {
 	Now() seamclock.Instant
@@ -73,6 +79,7 @@
 	owners   Owners
 	target   Target
 	clock    Clock
+	keys     Keys
 	ledger   *seamledger.Ledger
 	limiter  *seamlimit.Limiter
 	targets  *targets
@@ -91,7 +98,7 @@
 }
 
 // New returns an egress and a function that closes its connections to the target.
-func New(cfg Config, self seampeer.Peer, owners Owners, target Target, clock Clock, set *metrics.Set, sink seamevent.Sink) (*Egress, func()) {
+func New(cfg Config, self seampeer.Peer, owners Owners, target Target, clock Clock, keys Keys, set *metrics.Set, sink seamevent.Sink) (*Egress, func()) {
 	if cfg.Patience <= 0 {
 		cfg.Patience = defaultPatience
 	}
@@ -104,6 +111,7 @@
 		owners:   owners,
 		target:   target,
 		clock:    clock,
+		keys:     keys,
 		ledger:   seamledger.New(cfg.Records),
 		limiter:  seamlimit.New(cfg.Warm, set),
 		targets:  &targets{dial: cfg.Dial},
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -18,6 +18,7 @@
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamegress"
@@ -58,11 +59,16 @@
 		}
 	}))
 	t.Cleanup(target.Close)
+	return newCountingEgress(t, life, can, target, seamsketch.NewKeys(16, time.Minute)), &runs
+}
+
+func newCountingEgress(t *testing.T, life time.Duration, can []string, target *httptest.Server, keys seamegress.Keys) *seamegress.Egress {
+	t.Helper()
 	clock := seamclock.NewClock()
 	announced := announcing{Service: "booker", Name: "t", Address: target.Listener.Addr().String(), Slots: 2, Can: can}
-	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, life}, announced, clock, metrics.NewSet(), seamevent.NewStream("back"))
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, life}, announced, clock, keys, metrics.NewSet(), seamevent.NewStream("back"))
 	t.Cleanup(closeEgress)
-	return e, &runs
+	return e
 }
 
 func head(attempt uint64) *seamroutewire.RequestHead {
@@ -99,6 +105,26 @@
 	}
 }
 
+func TestKeysOfAdmittedRequestsAreCounted(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(target.Close)
+	keys := seamsketch.NewKeys(16, time.Minute)
+	e := newCountingEgress(t, time.Minute, nil, target, keys)
+	keyed := func(attempt uint64, key string, left int64) *seamroutewire.RequestHead {
+		h := head(attempt)
+		h.Idempotent, h.Keyed, h.Key, h.Slot, h.Left = true, true, []byte(key), 5, left
+		return h
+	}
+	expect(t, run(e, keyed(1, "room-\xff", 2000)), seamoutcome.Done, "")
+	expect(t, run(e, keyed(2, "late", 0)), seamoutcome.Refused, seamoutcome.Expired)
+	expect(t, run(e, head(3)), seamoutcome.Done, "")
+	top := keys.Top(seamclock.NewClock().Now(), 16)
+	want := seamslot.ID{Service: "booker", Index: 5}
+	if len(top) != 1 || top[0].Key != "room-\xff" || top[0].Slot != want {
+		t.Fatalf("counted %+v", top)
+	}
+}
+
 func TestVoid(t *testing.T) {
 	e, runs := newEgress(t, time.Minute, nil, nil)
 	ask := func(attempt, incarnation uint64) seamledger.State {
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -138,7 +139,7 @@
 	}
 	t.Cleanup(closePool)
 	n.pool = pool
-	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, set, events)
+	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewKeys(16, time.Minute), set, events)
 	t.Cleanup(closeEgress)
 	n.egress = egress
 	pool.Register(seamsession.Request, egress)
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -141,6 +141,7 @@
 		Headers:    seamcall.Fields(r.Header),
 		Slot:       choice.Slot,
 		Keyed:      choice.Keyed,
+		Key:        []byte(choice.Key),
 		Idempotent: idempotent(r),
 		Caller:     callerOf(r),
 		Queue:      int32(queueOf(choice.Limits)),
--- a/internal/rule/seamrule/document.go
+++ b/internal/rule/seamrule/document.go
@@ -114,6 +114,8 @@
 	Keyed bool
 	// Slot is the index of the key's slot.
 	Slot uint32
+	// Key is the key, at most MaxKey bytes; empty for a service without keys.
+	Key string
 	// Revision is the revision of the rules that decided.
 	Revision int64
 }
--- a/internal/rule/seamrule/program.go
+++ b/internal/rule/seamrule/program.go
@@ -161,6 +161,7 @@
 	if p.source != nil {
 		c.Keyed = true
 		c.Slot = p.Slot(q.Key)
+		c.Key = q.Key
 	}
 	return c, nil
 }
