Members report the rate of each slot's hottest key

The coordinator knew only the rate of a slot, so that a slot of many warm keys counted as hot and was held in place.

--- a/internal/node/seamnode/adapters.go
+++ b/internal/node/seamnode/adapters.go
@@ -87,8 +87,8 @@
 // reportInterval is the time between reports of the own load to the cell.
 const reportInterval = 250 * time.Millisecond
 
-// reportLoad tells the keeper the requests in flight until ctx ends.
-func reportLoad(ctx context.Context, k *seamkeeper.Keeper, inFlight func() int) {
+// reportLoad tells the keeper the load of the target until ctx ends.
+func (n *Node) reportLoad(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	last := time.Now()
@@ -97,7 +97,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			k.Report(inFlight(), now.Sub(last))
+			n.keeper.Report(seamkeeper.Load{InFlight: n.egress.InFlight(), Hottest: n.keys.Hottest(n.clock.Now())}, now.Sub(last))
 			last = now
 		}
 	}
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -290,7 +290,7 @@
 	}, n.self, n.rules, directory{n.keeper}, n.sessions, egress, n.set, n.sink)
 	c.add(n.closeServer)
 	c.add(background(n.serveWhenReady))
-	c.add(background(func(ctx context.Context) { reportLoad(ctx, n.keeper, egress.InFlight) }))
+	c.add(background(n.reportLoad))
 	return nil
 }
 
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -476,7 +476,7 @@
 	for _, s := range l.GetSlots() {
 		id := seamslot.ID{Service: s.GetService(), Index: s.GetIndex()}
 		if e := r.table.slots[id]; e != nil && e.owner == m.id {
-			r.rates[id] = float64(s.GetRate()) / 1000
+			r.loads[id] = SlotLoad{Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest())}
 		}
 	}
 }
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -119,7 +119,7 @@
 		e.state, e.owner, e.standby, e.synced, e.next, e.outside = stateGone, 0, 0, false, 0, nil
 		r.table.changeSlot(e)
 		delete(r.since, id)
-		delete(r.rates, id)
+		delete(r.loads, id)
 	}
 }
 
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -45,6 +45,26 @@
 	return nil
 }
 
+func TestPlacerSeesReports(t *testing.T) {
+	w := settled(t, 3, 5)
+	for _, n := range w.nodes {
+		n.target.Loads, n.target.Cold = nil, true
+		for i := range uint32(slotNumber) {
+			load := seamcell.SlotLoad{Slot: seamslot.ID{Service: service, Index: i}, Rate: 100, Hottest: 62.5}
+			n.target.Loads = append(n.target.Loads, load)
+		}
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Target(now, n.target) })
+	}
+	w.run(12 * time.Second)
+	w.must(t, len(w.placed.Members) == 3 && len(w.placed.Slots) == slotNumber, "placer saw %+v", w.placed)
+	for _, m := range w.placed.Members {
+		w.must(t, m.Cold, "member %+v is not cold", m)
+	}
+	for _, s := range w.placed.Slots {
+		w.must(t, s.Rate == 100 && s.Hottest == 62.5, "slot %+v", s)
+	}
+}
+
 func TestLossIsServedAgain(t *testing.T) {
 	losses := []struct {
 		name  string
--- a/internal/own/seamcell/input.go
+++ b/internal/own/seamcell/input.go
@@ -71,6 +71,8 @@
 	Slot seamslot.ID
 	// Rate is in requests per second.
 	Rate float64
+	// Hottest is the rate of the slot's most used key, in requests per second; 0 if it is low.
+	Hottest float64
 }
 
 // ServiceState is a keyed service as the rules describe it.
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -291,7 +291,7 @@
 	l := &seamcellwire.Load{}
 	size := 0
 	for _, s := range c.target.Loads {
-		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: uint64(max(s.Rate, 0) * 1000)}
+		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
 		size += proto.Size(w) + 2
 		if size > c.payload() {
 			break
@@ -303,6 +303,13 @@
 	}
 }
 
+// rateUnit is the number of units of a rate on the wire in one request per second.
+const rateUnit = 1000
+
+func rateWire(rate float64) uint64 { return uint64(max(rate, 0) * rateUnit) }
+
+func rateOf(wire uint64) float64 { return float64(wire) / rateUnit }
+
 // envelope is the room left in a datagram for all but lists, in bytes.
 const envelope = 300
 
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -26,6 +26,8 @@
 
 // world runs the state machines of several nodes against a fake network and a fake store.
 type world struct {
+	// placed is what the latest plan was made from.
+	placed  seamcell.PlaceView
 	t       testing.TB
 	rnd     *rand.Rand
 	now     time.Duration
@@ -143,6 +145,12 @@
 	return w
 }
 
+// Plan implements seamcell.Placer and keeps what the coordinator shows it.
+func (w *world) Plan(now seamclock.Instant, v seamcell.PlaceView) []seamcell.Move {
+	w.placed = v
+	return seamcell.EvenPlacer{}.Plan(now, v)
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.count++
 	heap.Push(&w.events, event{at: w.now + d, n: w.count, run: f})
@@ -173,7 +181,7 @@
 		Slots: 12, Standby: i%3 != 2, Fence: true,
 	}
 	n.name = n.peer.String()
-	n.cell = seamcell.New(w.cfg, n.peer, nil)
+	n.cell = seamcell.New(w.cfg, n.peer, w)
 	if i < len(w.nodes) {
 		w.nodes[i] = n
 	} else {
--- a/internal/own/seamcell/placer.go
+++ b/internal/own/seamcell/placer.go
@@ -30,6 +30,8 @@
 	Service  string
 	Capacity int
 	InFlight int
+	// Cold says that the target wants a slow start.
+	Cold bool
 }
 
 // PlaceSlot is a slot with an owner.
@@ -41,6 +43,8 @@
 	Synced bool
 	// Rate is in requests per second.
 	Rate float64
+	// Hottest is the rate of the slot's most used key, in requests per second; 0 if it is low.
+	Hottest float64
 	// Held is the time since the owner got the slot.
 	Held time.Duration
 }
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -112,7 +112,7 @@
 		}
 		v.Members = append(v.Members, PlaceMember{
 			Name: m.peer.Name, Domain: m.peer.Domain, Region: m.peer.Region,
-			Service: e.target.Service, Capacity: r.capacity(id), InFlight: m.inflight,
+			Service: e.target.Service, Capacity: r.capacity(id), InFlight: m.inflight, Cold: e.target.Cold,
 		})
 	}
 	for _, id := range r.table.ids() {
@@ -122,7 +122,7 @@
 		}
 		v.Slots = append(v.Slots, PlaceSlot{
 			Slot: id, Owner: r.table.peer(e.owner).Name, Standby: r.table.peer(e.standby).Name, Synced: e.synced,
-			Rate: r.rates[id], Held: seamclock.Least(c.now, r.since[id]),
+			Rate: r.loads[id].Rate, Hottest: r.loads[id].Hottest, Held: seamclock.Least(c.now, r.since[id]),
 		})
 	}
 	return v
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -50,7 +50,7 @@
 	begun     seamclock.Instant
 	had       bool
 	since     map[seamslot.ID]seamclock.Instant
-	rates     map[seamslot.ID]float64
+	loads     map[seamslot.ID]SlotLoad
 	hints     map[seamslot.ID]string
 	holds     map[seamslot.ID]seamclock.Instant
 	planned   seamclock.Instant
@@ -116,7 +116,7 @@
 		entry: e, term: uint64(e.Record.Epoch) << 1, acting: acting, infos: map[uint32]*info{},
 		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
 		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
-		rates: map[seamslot.ID]float64{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
+		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
 		published: c.now, improved: c.now,
 	}
 	r.horizon = c.horizonFrom(first, e.Record)
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -184,7 +184,7 @@
 			Next: t.peer(e.next),
 		}
 		if c.reign != nil {
-			v.Rate = c.reign.rates[id]
+			v.Rate = c.reign.loads[id].Rate
 		}
 		views = append(views, v)
 	}
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -6,6 +6,7 @@
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
 )
 
 // loadSmoothing is the share of the latest interval in the rate of a slot.
@@ -55,12 +56,23 @@
 	return slots
 }
 
+// Load is the load of the own target.
+type Load struct {
+	// InFlight is the number of requests that run and wait.
+	InFlight int
+	// Hottest holds the rates of the most used keys by slot, in requests per second.
+	Hottest map[seamslot.ID]float64
+}
+
 // Report tells the state machine the load of the own target. interval is the
 // time since the last report.
-func (k *Keeper) Report(inFlight int, interval time.Duration) {
+func (k *Keeper) Report(load Load, interval time.Duration) {
 	loads := k.holdings.loads(interval, k.lastRates())
+	for i := range loads {
+		loads[i].Hottest = load.Hottest[loads[i].Slot]
+	}
 	k.mu.Lock()
-	k.target.InFlight = inFlight
+	k.target.InFlight = load.InFlight
 	k.target.Loads = loads
 	k.mu.Unlock()
 	k.tellTarget()
