One planner for idle and busy services, from steady rates

Below one request a second and member slots were spread by their number, above it by their rates, and near that load each planner undid the other's moves. The rate of a slot was an average over about 0.4 s, so that noise looked like load.

--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -14,6 +14,7 @@
 	"cardamomseam/internal/member/seamannounce"
 	"cardamomseam/internal/member/seamdatagram"
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/node/seamplacer"
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamlog"
@@ -174,7 +175,7 @@
 		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
 		Streams:   streams{sessions: n.sessions},
 		Rules:     source,
-		Placer:    placer{settings: n.settings.Place, rules: n.rules},
+		Placer:    seamplacer.New(n.settings.Place, n.rules),
 		Orders:    n,
 		Sink:      n.sink,
 		Metrics:   n.set,
--- /dev/null
+++ b/internal/node/seamplacer/service.go
@@ -0,0 +1,31 @@
+package seamplacer
+
+import (
+	"maps"
+	"slices"
+
+	"cardamomseam/internal/own/seamcell"
+)
+
+// byService divides a view into one for each service that has members, in order of service.
+func byService(view seamcell.PlaceView) []seamcell.PlaceView {
+	views := map[string]*seamcell.PlaceView{}
+	for _, m := range view.Members {
+		v := views[m.Service]
+		if v == nil {
+			v = &seamcell.PlaceView{Moving: view.Moving}
+			views[m.Service] = v
+		}
+		v.Members = append(v.Members, m)
+	}
+	for _, s := range view.Slots {
+		if v := views[s.Slot.Service]; v != nil {
+			v.Slots = append(v.Slots, s)
+		}
+	}
+	divided := make([]seamcell.PlaceView, 0, len(views))
+	for _, name := range slices.Sorted(maps.Keys(views)) {
+		divided = append(divided, *views[name])
+	}
+	return divided
+}
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -26,8 +26,12 @@
 	closing  atomic.Bool
 	inFlight atomic.Int64
 	served   atomic.Int64
-	// counted is the value of served at the last report of load; the reporter alone uses it.
+	// What follows belongs to the reporter of loads alone.
+	// counted is the value of served at the last report.
 	counted int64
+	// rate is the average of the requests per second, seen the time over which it was taken.
+	rate float64
+	seen time.Duration
 }
 
 // holdings are the slots of this node's server, and the end of its lease.
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -1,6 +1,7 @@
 package seamkeeper
 
 import (
+	"math"
 	"time"
 
 	"cardamomseam/internal/member/seamtarget"
@@ -9,8 +10,8 @@
 	"cardamomseam/internal/own/seamslot"
 )
 
-// loadSmoothing is the share of the latest interval in the rate of a slot.
-const loadSmoothing = 0.5
+// loadWindow is the time constant of the moving average that is the rate of a slot.
+const loadWindow = 10 * time.Second
 
 // TargetChanged takes a change of the own target.
 func (k *Keeper) TargetChanged(a seamtarget.Announcement, present bool) {
@@ -67,7 +68,7 @@
 // Report tells the state machine the load of the own target. interval is the
 // time since the last report.
 func (k *Keeper) Report(load Load, interval time.Duration) {
-	loads := k.holdings.loads(interval, k.lastRates())
+	loads := k.holdings.loads(interval)
 	for i := range loads {
 		loads[i].Hottest = load.Hottest[loads[i].Slot]
 	}
@@ -82,27 +83,29 @@
 	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Target(now, k.target) })
 }
 
-func (k *Keeper) lastRates() map[slotID]float64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	rates := make(map[slotID]float64, len(k.target.Loads))
-	for _, l := range k.target.Loads {
-		rates[l.Slot] = l.Rate
-	}
-	return rates
-}
-
-// loads returns the smoothed rates of the slots in requests per second.
-func (h *holdings) loads(interval time.Duration, last map[slotID]float64) []seamcell.SlotLoad {
+// loads returns the average rates of the slots in requests per second.
+func (h *holdings) loads(interval time.Duration) []seamcell.SlotLoad {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	loads := make([]seamcell.SlotLoad, 0, len(h.slots))
 	for id, x := range h.slots {
-		served := x.served.Load()
-		rate := float64(served-x.counted) / interval.Seconds()
-		x.counted = served
-		smooth := loadSmoothing*rate + (1-loadSmoothing)*last[id]
-		loads = append(loads, seamcell.SlotLoad{Slot: id, Rate: smooth})
+		loads = append(loads, seamcell.SlotLoad{Slot: id, Rate: x.measure(interval)})
 	}
 	return loads
 }
+
+// measure takes the requests of the latest interval into the average and returns it. While
+// less than a window was seen, all of it counts alike.
+func (x *holding) measure(interval time.Duration) float64 {
+	if interval <= 0 {
+		return x.rate
+	}
+	served := x.served.Load()
+	rate := float64(served-x.counted) / interval.Seconds()
+	x.counted = served
+	x.seen += interval
+	decayed := 1 - math.Exp(-float64(interval)/float64(loadWindow))
+	part := max(decayed, float64(interval)/float64(x.seen))
+	x.rate += part * (rate - x.rate)
+	return x.rate
+}
