Operators see the most used keys

GET /v1/keys and the command keys list the keys that a node's target served most, with slot, rate and the bound of its error, of the services that the team touches. There is no metric for each key.

--- a/internal/node/seamnode/admin.go
+++ b/internal/node/seamnode/admin.go
@@ -29,6 +29,7 @@
 		Confirmer: n.confirmer,
 		Targets:   n,
 		Status:    n,
+		Keys:      n,
 		Orders:    orders{node: n},
 		Events:    n.stream,
 		Metrics:   n.set,
@@ -92,6 +93,21 @@
 	return report
 }
 
+// Keys returns the keys that this node's target served most.
+func (n *Node) Keys(time.Time) seamapi.KeysReport {
+	report := seamapi.KeysReport{Node: n.self.Name}
+	for _, k := range n.keys.Top(n.clock.Now(), keyLimit) {
+		report.Keys = append(report.Keys, seamapi.KeyRate{
+			Key:     k.Key,
+			Service: k.Slot.Service,
+			Slot:    k.Slot.Index,
+			Rate:    k.Rate,
+			Error:   k.Error,
+		})
+	}
+	return report
+}
+
 func storeStatus(h seamstore.Health) seamapi.StoreStatus {
 	return seamapi.StoreStatus{Reachable: h.Reachable, Since: h.Since}
 }
--- a/internal/rule/seamadmin/route.go
+++ b/internal/rule/seamadmin/route.go
@@ -44,6 +44,7 @@
 		{Method: http.MethodPost, Path: "/v1/try", Handler: s.read(s.try)},
 		{Method: http.MethodGet, Path: "/v1/revision", Handler: s.read(s.revision)},
 		{Method: http.MethodGet, Path: "/v1/status", Handler: s.read(s.status)},
+		{Method: http.MethodGet, Path: "/v1/keys", Handler: s.read(s.keys)},
 		{Method: http.MethodPut, Path: "/v1/nodes/:node/drain", Handler: s.write(seamteam.Operate, s.drain)},
 		{Method: http.MethodPut, Path: "/v1/cells/:cell/attest", Handler: s.write(seamteam.Operate, s.attest)},
 		{Method: http.MethodGet, Path: "/v1/events", Handler: s.events},
--- a/internal/rule/seamadmin/server.go
+++ b/internal/rule/seamadmin/server.go
@@ -60,6 +60,12 @@
 	Status(ctx context.Context) seamapi.StatusReport
 }
 
+// Keys tells how much keys are used.
+type Keys interface {
+	// Keys returns the most used keys of the node's target, the most used first.
+	Keys(now time.Time) seamapi.KeysReport
+}
+
 // Orders carries out the operators' orders.
 // An error with a Status method chooses the HTTP status of the answer.
 type Orders interface {
@@ -77,6 +83,7 @@
 	Confirmer *seamconfirm.Confirmer
 	Targets   Targets
 	Status    Status
+	Keys      Keys
 	Orders    Orders
 	// Events is the stream of the node; the API adds audit events to it.
 	Events  *seamevent.Stream
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -242,6 +242,30 @@
 	}
 }
 
+func TestKeys(t *testing.T) {
+	token, hash := seamteam.NewToken()
+	team := seamteam.Team{Name: "blue", Hash: hash, Roles: []seamteam.Role{seamteam.Read}, Services: []string{"tally"}}
+	n := seamadmintest.New(t, team)
+	c := seamclient.Client{Address: n.Address, Token: token}
+	for limit, want := range map[int][]string{1: {"household-7"}, 256: {"household-7", "household-9"}} {
+		report, err := c.Keys(t.Context(), limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, k := range report.Keys {
+			got = append(got, k.Key)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("limit %d (-want +got):\n%s", limit, diff)
+		}
+	}
+	_, err := c.Keys(t.Context(), 257)
+	isProblem(t, err, http.StatusBadRequest, seamapi.CodeInvalid)
+	_, err = seamclient.Client{Address: n.Address}.Keys(t.Context(), 1)
+	isProblem(t, err, http.StatusUnauthorized, seamapi.CodeUnauthorized)
+}
+
 func TestStart(t *testing.T) {
 	var open *seamteam.OpenError
 	parts := seamadmin.Parts{Metrics: metrics.NewSet(), Events: seamevent.NewStream("n1")}
--- a/internal/rule/seamadmintest/node.go
+++ b/internal/rule/seamadmintest/node.go
@@ -55,6 +55,7 @@
 		Confirmer: n.confirmer(t, m),
 		Targets:   n,
 		Status:    n,
+		Keys:      n,
 		Orders:    n,
 		Events:    n.Events,
 		Metrics:   m,
@@ -150,6 +151,15 @@
 	}
 }
 
+// Keys implements seamadmin.Keys.
+func (n *Node) Keys(time.Time) seamapi.KeysReport {
+	return seamapi.KeysReport{Node: "n1", Keys: []seamapi.KeyRate{
+		{Key: "household-7", Service: "tally", Slot: 5, Rate: 1200, Error: 2.25},
+		{Key: "b\x1b[31m\n", Service: "booker", Slot: 300, Rate: 41.5, Error: 41},
+		{Key: "household-9", Service: "tally", Slot: 0, Rate: 3},
+	}}
+}
+
 // Drain implements seamadmin.Orders.
 func (n *Node) Drain(_ context.Context, node string) error {
 	n.order("drain " + node)
--- a/internal/rule/seamclient/client.go
+++ b/internal/rule/seamclient/client.go
@@ -93,6 +93,11 @@
 	return get[seamapi.StatusReport](ctx, c, "/v1/status", nil)
 }
 
+// Keys returns up to limit of the keys that the node's target served most.
+func (c Client) Keys(ctx context.Context, limit int) (seamapi.KeysReport, error) {
+	return get[seamapi.KeysReport](ctx, c, "/v1/keys", url.Values{"limit": {strconv.Itoa(limit)}})
+}
+
 // Put records the document, which is YAML or JSON.
 func (c Client) Put(ctx context.Context, service string, document []byte, e Edit) (seamapi.Recorded, error) {
 	return c.change(ctx, request{method: http.MethodPut, path: rulePath(service), body: document}, e)
--- a/internal/rule/seamcommand/command.go
+++ b/internal/rule/seamcommand/command.go
@@ -44,7 +44,7 @@
 func Commands() []*cli.Command {
 	return []*cli.Command{
 		getCommand(), historyCommand(), setCommand(), deleteCommand(), labelCommand(), diffCommand(), tryCommand(),
-		statusCommand(), watchCommand(), drainCommand(), attestCommand(), tokenCommand(),
+		statusCommand(), keysCommand(), watchCommand(), drainCommand(), attestCommand(), tokenCommand(),
 	}
 }
 
