--- a/internal/own/seamkeeper/keeper_test.go
+++ b/internal/own/seamkeeper/keeper_test.go
@@ -256,7 +256,7 @@
 	// Datagrams, streams and looks of requests come until the process ends.
 	for _, n := range f.nodes {
 		n.keeper.Candidates(service)
-		n.keeper.Report(1, time.Second)
+		n.keeper.Report(seamkeeper.Load{InFlight: 1}, time.Second)
 	}
 	f.await("leases lapse", func() bool { return f.served(slots) == 0 })
 }
--- a/internal/own/seamkeeper/orders.go
+++ b/internal/own/seamkeeper/orders.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
 )
 
 const (
@@ -31,6 +32,16 @@
 	renewStep = 100 * time.Millisecond
 )
 
+// NoSuccessorError says that a slot is to be handed over to a node without a target.
+type NoSuccessorError struct {
+	Slot seamslot.ID
+}
+
+// Error names the slot.
+func (e *NoSuccessorError) Error() string {
+	return fmt.Sprintf("slot %s has no successor that could take its state", e.Slot)
+}
+
 // OrderError says that the target did not take an order.
 type OrderError struct {
 	Path   string
@@ -216,13 +227,18 @@
 }
 
 // handOver lets the target send the state of a slot to the successor's target.
-// It repeats failed attempts for a bounded time, while the slot is not released.
-func (o *orders) handOver(ctx context.Context, a seamcell.StopServing, h *holding) {
+// It repeats failed attempts for a bounded time, while the slot is not released,
+// and reports whether the successor has the state.
+func (o *orders) handOver(ctx context.Context, a seamcell.StopServing, h *holding) bool {
 	o.mu.Lock()
 	address := o.address
 	o.mu.Unlock()
-	if address == "" || a.Target == "" {
-		return
+	if address == "" {
+		return true // the target takes no orders and keeps no state by slot
+	}
+	if a.Target == "" {
+		o.failedHandover(a, &NoSuccessorError{Slot: a.Slot})
+		return false
 	}
 	body := seamtarget.Handover{Slot: a.Slot.Index, Epoch: a.Epoch, Successor: a.Target}
 	ctx, cancel := context.WithTimeout(ctx, handoverTime)
@@ -230,17 +246,17 @@
 	for {
 		err := o.call(ctx, http.MethodPost, address, seamtarget.HandoverPath, body)
 		if err == nil {
-			return
+			return true
 		}
 		if !pause(ctx, orderRetry) || !o.keeper.holdings.has(a.Slot, h) {
-			o.lostState(a, err)
-			return
+			o.failedHandover(a, err)
+			return false
 		}
 	}
 }
 
-// lostState reports that a slot goes to its successor without its state.
-func (o *orders) lostState(a seamcell.StopServing, err error) {
+// failedHandover reports that the state of a slot stays where it is.
+func (o *orders) failedHandover(a seamcell.StopServing, err error) {
 	k := o.keeper
 	k.parts.Metrics.GetOrCreateCounter(`cardamomseam_handover_failed_total`).Inc()
 	k.parts.Sink.Emit(time.Now(), seamevent.HandoverFailed, seamevent.Fields{
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -237,11 +237,13 @@
 }
 
 // handOver waits for the requests in flight on the slot, lets the target send
-// its state to the successor, and releases the slot.
+// its state to the successor, and releases the slot. A slot whose state could not
+// be sent comes back.
 func (k *Keeper) handOver(a seamcell.StopServing, h *holding) {
+	handed := true
 	if h != nil {
 		if k.awaitIdle(a.Slot, h) {
-			k.orders.handOver(k.ctx, a, h)
+			handed = k.orders.handOver(k.ctx, a, h)
 		}
 		if !k.holdings.drop(a.Slot, h) {
 			return // released already, because it took too long
@@ -252,6 +254,9 @@
 		if again, _ := k.holdings.find(a.Slot); again != nil {
 			return nil
 		}
+		if !handed {
+			return c.Kept(now, a.Slot)
+		}
 		return c.Released(now, a.Slot)
 	})
 }
