--- a/internal/own/seamkeeper/keeper_test.go
+++ b/internal/own/seamkeeper/keeper_test.go
@@ -12,6 +12,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamkeeper"
 )
 
 func TestLostNodeIsReplaced(t *testing.T) {
