A slot whose hand-over failed rests before it is moved again

Cause: a draining member whose hand-overs fail was asked again at once, so its slots were served only between attempts of 2 s. Change: the coordinator leaves such a slot with its server for the settle time.

--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -214,6 +214,9 @@
 	}
 	e.previous = e.owner
 	e.owner = 0
+	if kept {
+		r.kept[id] = c.now
+	}
 	switch {
 	case kept && e.outside != nil && r.ranges.out != nil:
 		e.state, e.next = stateOwned, e.previous
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -46,7 +46,7 @@
 		if moving >= c.cfg.Moves*evacuations {
 			return moving
 		}
-		if m == nil || e.state != stateOwned || !c.mustGive(m, id.Service) || r.ranges.keeps(id) {
+		if m == nil || e.state != stateOwned || !c.mustGive(m, id.Service) || r.ranges.keeps(id) || c.rests(id) {
 			continue
 		}
 		to := c.successor(id, e)
@@ -59,6 +59,16 @@
 	return moving
 }
 
+// rests reports whether the slot stays where it is because its hand-over failed lately.
+func (c *Cell) rests(id seamslot.ID) bool {
+	failed, ok := c.reign.kept[id]
+	if ok && seamclock.Least(c.now, failed) >= c.cfg.Settle {
+		delete(c.reign.kept, id)
+		return false
+	}
+	return ok
+}
+
 // mustGive reports whether the member is to give its slots of the service away.
 func (c *Cell) mustGive(m *info, service string) bool {
 	t := c.reign.table.roster[m.id].target
@@ -90,7 +100,7 @@
 func (c *Cell) move(m Move) bool {
 	r := c.reign
 	e := r.table.slots[m.Slot]
-	if e == nil || e.owner == 0 || e.state != stateOwned || r.ranges.keeps(m.Slot) {
+	if e == nil || e.owner == 0 || e.state != stateOwned || r.ranges.keeps(m.Slot) || c.rests(m.Slot) {
 		return false
 	}
 	to := named(c.candidates(m.Slot.Service), m.To)
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -46,10 +46,12 @@
 	patient bool
 	beliefs map[seamslot.ID]belief
 	// quiet is the instant before which leases of an earlier term may run.
-	quiet     seamclock.Instant
-	begun     seamclock.Instant
-	had       bool
-	since     map[seamslot.ID]seamclock.Instant
+	quiet seamclock.Instant
+	begun seamclock.Instant
+	had   bool
+	since map[seamslot.ID]seamclock.Instant
+	// kept are the times at which hand-overs failed.
+	kept      map[seamslot.ID]seamclock.Instant
 	loads     map[seamslot.ID]SlotLoad
 	hints     map[seamslot.ID]string
 	holds     map[seamslot.ID]seamclock.Instant
@@ -116,6 +118,7 @@
 		entry: e, term: uint64(e.Record.Epoch) << 1, acting: acting, infos: map[uint32]*info{},
 		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
 		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
+		kept:  map[seamslot.ID]seamclock.Instant{},
 		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
 		published: c.now, improved: c.now,
 	}
