Egress: a long request follows the renewed lease

Cause: at a target that does not fence, a request ended with the grant as of its admission, at most 1 s later, although the lease was renewed meanwhile.

Change: Owners tells the lease as renewed (Held, which the keeper had). The request ends when the lease is over. The target is still told the grant as of the start, for the node may be paused.

A target that announces deadline but not fence still stops at what it was told, so there long requests end with the grant of their start.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -160,13 +160,12 @@
 	}
 }
 
-// limitByGrant ends the request with its grant if the target does not fence.
+// limitByGrant ends the request with the node's lease on the slot if the target does not fence.
 func (c *call) limitByGrant(ctx context.Context, grant *seamgrant.Grant) (context.Context, context.CancelFunc) {
 	if grant == nil || c.announced.Has(seamtarget.CanFence) {
 		return ctx, func() {}
 	}
-	left := -seamclock.Most(c.egress.clock.Now(), grant.Until)
-	return context.WithTimeout(ctx, left)
+	return limitByLease(ctx, c.egress.owners, c.egress.clock, *grant)
 }
 
 // failed judges a request without an answer.
@@ -187,7 +186,7 @@
 // unstarted returns the reason for which a request did not reach its gate.
 func unstarted(ctx context.Context, g *gate) seamoutcome.Reason {
 	if ctx.Err() == nil && g.ctx.Err() != nil {
-		// Only the grant bounds the request more than its own deadline.
+		// Only the lease bounds the request more than its own deadline.
 		return seamoutcome.Owner
 	}
 	return early(ctx, seamoutcome.Target)
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -32,6 +32,9 @@
 	// when the request ended. It may wait, bounded by ctx, while the slot
 	// arrives. The error is *seamgrant.NotOwnerError if this node does not own the slot.
 	Acquire(ctx context.Context, id seamslot.ID) (seamgrant.Grant, func(), error)
+	// Held returns the end of the node's lease on the slot as renewed by now,
+	// and false if the node holds the slot no longer under the epoch.
+	Held(id seamslot.ID, epoch uint64) (until seamclock.Instant, held bool)
 }
 
 // Target tells what the target last announced.
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -40,6 +40,23 @@
 	return seamgrant.Grant{Slot: id, Epoch: 1, Until: g.clock.Now().Add(g.life)}, func() {}, nil
 }
 
+func (g granting) Held(seamslot.ID, uint64) (seamclock.Instant, bool) {
+	return seamclock.Instant{}, false
+}
+
+// renewing grants every slot for a time, and renews the lease until it is lost.
+type renewing struct {
+	granting
+	lost atomic.Bool
+	// looks counts the looks at the lease.
+	looks atomic.Int32
+}
+
+func (r *renewing) Held(seamslot.ID, uint64) (seamclock.Instant, bool) {
+	r.looks.Add(1)
+	return r.clock.Now().Add(r.life), !r.lost.Load()
+}
+
 // announcing is a target that announced itself.
 type announcing seamtarget.Announcement
 
@@ -59,10 +76,16 @@
 	}))
 	t.Cleanup(target.Close)
 	clock := seamclock.NewClock()
+	return egressOf(t, granting{clock, life}, clock, target, can), &runs
+}
+
+// egressOf returns an egress before the target.
+func egressOf(t *testing.T, owners seamegress.Owners, clock *seamclock.Clock, target *httptest.Server, can []string) *seamegress.Egress {
+	t.Helper()
 	announced := announcing{Service: "booker", Name: "t", Address: target.Listener.Addr().String(), Slots: 2, Can: can}
-	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, life}, announced, clock, metrics.NewSet(), seamevent.NewStream("back"))
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, owners, announced, clock, metrics.NewSet(), seamevent.NewStream("back"))
 	t.Cleanup(closeEgress)
-	return e, &runs
+	return e
 }
 
 func head(attempt uint64) *seamroutewire.RequestHead {
@@ -151,6 +174,46 @@
 	}
 }
 
+func TestLongRequestFollowsTheRenewedLease(t *testing.T) {
+	const life = 100 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// lost says that the lease is not renewed while the request runs.
+		lost    bool
+		outcome seamoutcome.Outcome
+		reason  seamoutcome.Reason
+	}{
+		{"renewed", false, seamoutcome.Done, ""},
+		{"lost", true, seamoutcome.Unknown, seamoutcome.Timeout},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := seamclock.NewClock()
+			owners := &renewing{granting: granting{clock, life}}
+			ended := make(chan struct{})
+			target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				owners.lost.Store(tt.lost)
+				for owners.looks.Load() < 3 {
+					select {
+					case <-r.Context().Done():
+						close(ended)
+						return
+					case <-time.After(time.Millisecond):
+					}
+				}
+			}))
+			t.Cleanup(target.Close)
+			e := egressOf(t, owners, clock, target, nil)
+			h := head(1)
+			h.Keyed = true
+			h.Left = 10_000
+			expect(t, run(e, h), tt.outcome, tt.reason)
+			if tt.lost {
+				<-ended // the target sees that its connection is closed
+			}
+		})
+	}
+}
+
 func TestRequestThatWaitedInASessionIsNotStarted(t *testing.T) {
 	e, runs := newEgress(t, time.Minute, nil, nil)
 	near, far := net.Pipe()
--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamheader"
@@ -91,8 +93,8 @@
 		h[seamheader.Epoch] = []string{strconv.FormatUint(grant.Epoch, 10)}
 		h[seamheader.Slot] = []string{strconv.FormatUint(uint64(grant.Slot.Index), 10)}
 	}
-	if d, ok := ctx.Deadline(); ok {
-		h[seamheader.Deadline] = []string{strconv.FormatInt(time.Until(d).Milliseconds(), 10)}
+	if left, ok := c.left(ctx, grant); ok {
+		h[seamheader.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	}
 	h[seamheader.Request] = []string{c.head.GetRequest()}
 	h[seamspan.Header] = []string{seamspan.Format(ctx)}
@@ -102,6 +104,21 @@
 	}
 }
 
+// left returns the time that the target is told. A target that does not fence is
+// told no more than the grant as it is now, for the node may be paused from here on.
+func (c *call) left(ctx context.Context, grant *seamgrant.Grant) (time.Duration, bool) {
+	d, ok := ctx.Deadline()
+	left := time.Until(d)
+	if grant == nil || c.announced.Has(seamtarget.CanFence) {
+		return left, ok
+	}
+	granted := -seamclock.Most(c.egress.clock.Now(), grant.Until)
+	if !ok {
+		return granted, true
+	}
+	return min(left, granted), true
+}
+
 // rejection returns why the target says that it did not run the request, or nothing.
 func rejection(res *http.Response) seamoutcome.Reason {
 	if res.Header.Get(seamheader.Outcome) != seamheader.Refused {
@@ -134,7 +151,7 @@
 		return seamoutcome.Timeout
 	case ctx.Err() != nil:
 		return seamoutcome.Cancelled
-	case errors.Is(limited.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(limited), context.DeadlineExceeded):
 		return seamoutcome.Timeout
 	default:
 		return seamoutcome.Broken
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -77,6 +77,12 @@
 	return seamgrant.Grant{Slot: id, Epoch: 7, Until: f.clock.Now().Add(f.life)}, func() {}, nil
 }
 
+func (f *fakeOwners) Held(seamslot.ID, uint64) (seamclock.Instant, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now().Add(f.life), f.other == ""
+}
+
 // fakeTarget announces a test server.
 type fakeTarget struct {
 	mu        sync.Mutex
