Ingress: tests of the wait for an owner

Waits until the owner appears, ends after the patience, is bounded, forgets unreachable owners, and runs nothing twice, also with cuts at many bytes of the session.

--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -39,6 +39,7 @@
 type fakeDirectory struct {
 	mu         sync.Mutex
 	owner      seampeer.Peer
+	learned    []seampeer.Peer
 	candidates []seampick.Candidate
 }
 
@@ -52,6 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.owner = p
+	f.learned = append(f.learned, p)
 }
 
 func (f *fakeDirectory) Candidates(string) []seampick.Candidate {
@@ -66,12 +68,15 @@
 	mu    sync.Mutex
 	other string
 	life  time.Duration
+	// asked counts the requests; until is the one up to which other is named, 0 for all.
+	asked, until int
 }
 
 func (f *fakeOwners) Acquire(_ context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.other != "" {
+	f.asked++
+	if f.other != "" && (f.until == 0 || f.asked <= f.until) {
 		return seamgrant.Grant{}, nil, &seamgrant.NotOwnerError{Slot: id, Owner: f.other}
 	}
 	return seamgrant.Grant{Slot: id, Epoch: 7, Until: f.clock.Now().Add(f.life)}, func() {}, nil
--- /dev/null
+++ b/internal/route/seamingress/patience_test.go
@@ -0,0 +1,170 @@
+package seamingress_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seampick"
+)
+
+// keyedPair is a pair for a keyed service whose slots are believed to be owned by back.
+func keyedPair(t *testing.T, handler http.HandlerFunc) (front, back *node) {
+	t.Helper()
+	front, back = pair(t, handler)
+	front.rules.choice.Keyed = true
+	front.rules.choice.Limits.Deadline = 10_000
+	front.directory.owner = back.peer
+	return front, back
+}
+
+func post(t *testing.T, n *node) result {
+	t.Helper()
+	r, _ := http.NewRequest(http.MethodPost, n.url("/book"), nil)
+	return do(t, r)
+}
+
+// moving makes the node refuse as one whose slot moves, until its owners were asked so often.
+func (f *fakeOwners) moving(other string, asks int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.other, f.until = other, f.asked+asks
+}
+
+func (f *fakeOwners) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked
+}
+
+func TestRequestWaitsForItsOwner(t *testing.T) {
+	var runs atomic.Int32
+	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	back.owners.moving(back.peer.Address, 5)
+	post(t, front).expect(t, 200, seamoutcome.Done, "")
+	if asked, ran := back.owners.count(), runs.Load(); asked != 6 || ran != 1 {
+		t.Errorf("the owner was asked %d times and the request ran %d times", asked, ran)
+	}
+	if n := seamingress.Waiting(front.ingress); n != 0 {
+		t.Errorf("%d requests wait after the end of all", n)
+	}
+}
+
+func TestRequestWithoutOwnerEndsBeforeItsDeadline(t *testing.T) {
+	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
+	front.rules.choice.Limits.Deadline = 60_000
+	back.owners.moving(back.peer.Address, 1<<30)
+	got := post(t, front)
+	got.expect(t, 503, seamoutcome.Refused, seamoutcome.Owner)
+	if got.header.Get("Retry-After") == "" {
+		t.Error("the caller is not told when to come back")
+	}
+	if n := seamingress.Waiting(front.ingress); n != 0 {
+		t.Errorf("%d requests wait after the end of all", n)
+	}
+}
+
+func TestRequestsThatWaitAreBounded(t *testing.T) {
+	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
+	back.owners.moving(back.peer.Address, 1<<30)
+	seamingress.FillWaiting(front.ingress)
+	post(t, front).expect(t, 503, seamoutcome.Refused, seamoutcome.Owner)
+	if asked := back.owners.count(); asked != 1 {
+		t.Errorf("the owner was asked %d times", asked)
+	}
+	if n := seamingress.Waiting(front.ingress); n != seamingress.OwnerWaiters {
+		t.Errorf("%d requests wait, want %d", n, seamingress.OwnerWaiters)
+	}
+}
+
+func TestUnreachableOwnerIsForgotten(t *testing.T) {
+	front, back := keyedPair(t, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := seampeer.Peer{Name: "dead", Incarnation: 1, Address: l.Addr().String()}
+	l.Close()
+	front.directory.owner = dead
+	got := post(t, front)
+	got.expect(t, 200, seamoutcome.Done, "")
+	if s := got.header.Get(seamheader.Server); s != back.peer.Name {
+		t.Errorf("served by %q", s)
+	}
+	front.directory.mu.Lock()
+	defer front.directory.mu.Unlock()
+	if l := front.directory.learned; len(l) == 0 || l[0].Address != "" || !slices.ContainsFunc(l, back.peer.Same) {
+		t.Errorf("learned %v, want nothing and then %s", l, back.peer)
+	}
+}
+
+func TestWaitNeverRunsARequestTwice(t *testing.T) {
+	refuse := func(w http.ResponseWriter) {
+		w.Header().Set(seamheader.Outcome, seamheader.Refused)
+		w.WriteHeader(http.StatusConflict)
+	}
+	for _, tt := range []struct {
+		name string
+		// refusals is the number of times that the target refuses the epoch.
+		refusals int32
+		broken   bool
+		status   int
+		outcome  seamoutcome.Outcome
+		reason   seamoutcome.Reason
+	}{
+		{"target fences at first", 3, false, 200, seamoutcome.Done, ""},
+		{"target breaks", 0, true, 502, seamoutcome.Unknown, seamoutcome.Broken},
+		{"target fences and then breaks", 2, true, 502, seamoutcome.Unknown, seamoutcome.Broken},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var refused, runs atomic.Int32
+			front, back := keyedPair(t, func(w http.ResponseWriter, _ *http.Request) {
+				if refused.Add(1) <= tt.refusals {
+					refuse(w)
+					return
+				}
+				runs.Add(1)
+				if tt.broken {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			back.owners.moving(back.peer.Address, 2)
+			post(t, front).expect(t, tt.status, tt.outcome, tt.reason)
+			if n := runs.Load(); n != 1 {
+				t.Errorf("the request ran %d times", n)
+			}
+		})
+	}
+}
+
+func TestCutsWhileTheOwnerMovesRunAtMostOnce(t *testing.T) {
+	l := newLedger()
+	front, back := keyedPair(t, l.serve)
+	p := newProxy(t, back.peer.Address)
+	behind := back.peer
+	behind.Address = p.l.Addr().String()
+	front.directory.owner = behind
+	front.directory.candidates = []seampick.Candidate{{Peer: behind, Slots: 32}}
+	// A refusal, a look, and an answer take fewer bytes than this.
+	const bytes, step = 1000, 45
+	for d := toBack; d <= toFront; d++ {
+		for after := 0; after < bytes; after += step {
+			back.owners.moving(behind.Address, 1)
+			p.arm(d, after, 0)
+			l.book(t, front, fmt.Sprintf("moving %d/%d", d, after))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	l.settle(t)
+	if l.told[seamheader.Done] == 0 || l.told[seamheader.Unknown] == 0 {
+		t.Errorf("outcomes %v: the cuts did not hit", l.told)
+	}
+}
