--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -62,6 +62,9 @@
 	var last *seamoutcome.End
 	for {
 		to, ok := x.choose()
+		if !ok && x.lookAgain(ctx, last) {
+			continue
+		}
 		if !ok {
 			return x.exhausted(last)
 		}
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -1,6 +1,7 @@
 package seamingress
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -41,6 +42,16 @@
 	return wait, true
 }
 
+// lookAgain waits if no node is left to ask after the last one refused, and
+// reports whether to ask all once more.
+func (x *exchange) lookAgain(ctx context.Context, last *seamoutcome.End) bool {
+	if last == nil {
+		return false
+	}
+	wait, again := x.awaitOwner(*last, seampeer.Peer{})
+	return again && pause(ctx, wait)
+}
+
 // ownerChanging reports whether the refusal may be due to a change of owner.
 func ownerChanging(end seamoutcome.End) bool {
 	if end.Outcome != seamoutcome.Refused {
--- a/internal/route/seamingress/patience_test.go
+++ b/internal/route/seamingress/patience_test.go
@@ -62,8 +62,12 @@
 	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
 	front.rules.choice.Limits.Deadline = 60_000
 	back.owners.moving(back.peer.Address, 1<<30)
+	start := time.Now()
 	got := post(t, front)
 	got.expect(t, 503, seamoutcome.Refused, seamoutcome.Owner)
+	if took := time.Since(start); took > 30*time.Second {
+		t.Errorf("the refusal took %s", took)
+	}
 	if got.header.Get("Retry-After") == "" {
 		t.Error("the caller is not told when to come back")
 	}
@@ -106,6 +110,36 @@
 	}
 }
 
+func TestOnlyNodeIsAskedAgain(t *testing.T) {
+	front, back := keyedPair(t, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	behind := back.peer
+	behind.Address = l.Addr().String()
+	l.Close()
+	front.directory.owner = behind
+	front.directory.candidates = []seampick.Candidate{{Peer: behind, Slots: 32}}
+	done := make(chan result, 1)
+	go func() {
+		r, _ := http.NewRequest(http.MethodPost, front.url("/book"), nil)
+		done <- do(t, r)
+	}()
+	for seamingress.Waiting(front.ingress) == 0 {
+		select {
+		case got := <-done:
+			t.Fatalf("got %d (%s) without a wait", got.status, got.header.Get(seamheader.Reason))
+		case <-time.After(time.Millisecond):
+		}
+	}
+	front.directory.mu.Lock()
+	front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
+	front.directory.mu.Unlock()
+	got := <-done
+	got.expect(t, 200, seamoutcome.Done, "")
+}
+
 func TestWaitNeverRunsARequestTwice(t *testing.T) {
 	refuse := func(w http.ResponseWriter) {
 		w.Header().Set(seamheader.Outcome, seamheader.Refused)
