--- a/internal/node/seamplacer/placer.go
+++ b/internal/node/seamplacer/placer.go
@@ -12,15 +12,8 @@
 	"cardamomseam/internal/rule/seamrule"
 )
 
-const (
-	// baseRate is the load per member that all slots of a service share alike besides their
-	// own, in requests a second. Unused slots are spread by their number, and the noise of
-	// low rates stays below the tolerance of a plan.
-	baseRate = 10.0
-	// hotShare is the part of the mean load of a member from which a single key makes its
-	// slot hot.
-	hotShare = 0.5
-)
+// hotShare is the part of the mean load of a member from which a single key makes its slot hot.
+const hotShare = 0.5
 
 // Rules know the documents in force.
 type Rules interface {
@@ -65,15 +58,13 @@
 			Cold:     m.Cold,
 		})
 	}
-	members := float64(len(v.Members))
-	base := baseRate * members / float64(max(1, len(v.Slots)))
-	hot := hotShare * (baseRate + rateOf(v)/members)
+	hot := hotShare * (seamplace.ProductBase + rateOf(v)/float64(len(v.Members)))
 	for _, s := range v.Slots {
 		view.Slots = append(view.Slots, seamplace.Slot{
 			ID:      s.Slot,
 			Owner:   s.Owner,
 			Standby: s.Standby,
-			Rate:    base + s.Rate,
+			Rate:    s.Rate,
 			Moved:   moved(now, s),
 			Hot:     s.Hottest >= hot,
 		})
@@ -92,6 +83,7 @@
 // config returns the weights of the service's rules, or else those of the settings.
 func (p *Placer) config(service string) seamplace.Config {
 	c := seamplace.DefaultConfig()
+	c.Base = seamplace.ProductBase
 	c.Moves, c.Dwell = p.settings.Moves, p.settings.Dwell
 	version, _ := p.rules.Version(service)
 	w := version.Document.Place
--- a/internal/own/seamplace/view.go
+++ b/internal/own/seamplace/view.go
@@ -62,6 +62,10 @@
 	Churn float64
 	// Unavailable weighs the time in which keys are not served.
 	Unavailable float64
+	// Base is the load for each member that all slots share alike besides their own, in
+	// requests a second. It spreads unused slots by their number and damps the noise of low
+	// rates; with 0, nothing is balanced below 1 request a second for each member.
+	Base float64
 	// Moves is the largest number of moves of one plan that only improve the balance,
 	// the region of owners or the place of standbys.
 	Moves int
@@ -73,6 +77,10 @@
 	Promotion time.Duration
 }
 
+// ProductBase is the Base with which nodes plan: the noise of rates averaged over 10 s then
+// stays below what a plan tolerates.
+const ProductBase = 10.0
+
 // DefaultConfig returns equal weights and the defaults of the settings.
 func DefaultConfig() Config {
 	return Config{
