A new coordinator plans only once loads were reported

A coordinator that takes over starts without loads. Its first plan came at once and took all slots for unused ones, or members that had not reported for idle ones.

--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+// TestPlacerWaitsForReports checks that a new coordinator does not plan while it
+// takes busy slots for unused ones.
+func TestPlacerWaitsForReports(t *testing.T) {
+	w := settled(t, 5, 5)
+	for _, n := range w.nodes {
+		n.target.Loads = nil
+		for i := range uint32(slotNumber) {
+			load := seamcell.SlotLoad{Slot: seamslot.ID{Service: service, Index: i}, Rate: 100}
+			n.target.Loads = append(n.target.Loads, load)
+		}
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Target(now, n.target) })
+	}
+	w.run(6 * time.Second)
+	w.plans, w.unmeasured = 0, 0
+	w.coordinator().crash()
+	w.run(20 * time.Second)
+	w.must(t, w.plans > 0, "no plan was made after the loss of the coordinator")
+	w.must(t, w.unmeasured == 0, "plans saw %d slots without their load", w.unmeasured)
+}
+
 func TestLossIsServedAgain(t *testing.T) {
 	losses := []struct {
 		name  string
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -27,16 +27,18 @@
 // world runs the state machines of several nodes against a fake network and a fake store.
 type world struct {
 	// placed is what the latest plan was made from.
-	placed  seamcell.PlaceView
-	t       testing.TB
-	rnd     *rand.Rand
-	now     time.Duration
-	events  eventQueue
-	count   int
-	nodes   []*node
-	store   fakeStore
-	cfg     seamcell.Config
-	regions []string
+	placed seamcell.PlaceView
+	// plans is the number of plans, unmeasured that of slots without load in them.
+	plans, unmeasured int
+	t                 testing.TB
+	rnd               *rand.Rand
+	now               time.Duration
+	events            eventQueue
+	count             int
+	nodes             []*node
+	store             fakeStore
+	cfg               seamcell.Config
+	regions           []string
 	// loss and duplicate are probabilities; delay is the longest delay of a datagram.
 	loss, duplicate float64
 	delay           time.Duration
@@ -148,6 +150,12 @@
 // Plan implements seamcell.Placer and keeps what the coordinator shows it.
 func (w *world) Plan(now seamclock.Instant, v seamcell.PlaceView) []seamcell.Move {
 	w.placed = v
+	w.plans++
+	for _, s := range v.Slots {
+		if s.Rate == 0 {
+			w.unmeasured++
+		}
+	}
 	return seamcell.EvenPlacer{}.Plan(now, v)
 }
 
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -13,7 +13,7 @@
 	r := c.reign
 	moving := r.moving()
 	moving = c.evacuate(moving)
-	if moving >= c.cfg.Moves || !r.planned.Zero() && c.now.Mono-r.planned.Mono < c.cfg.Plan {
+	if moving >= c.cfg.Moves || !c.mayPlan() {
 		return
 	}
 	r.planned = c.now
@@ -27,6 +27,15 @@
 	}
 }
 
+// mayPlan reports whether the loads are known and the last plan is old enough.
+func (c *Cell) mayPlan() bool {
+	r := c.reign
+	if !r.measured.Zero() && seamclock.Least(c.now, r.measured) < 0 {
+		return false
+	}
+	return r.planned.Zero() || c.now.Mono-r.planned.Mono >= c.cfg.Plan
+}
+
 func (r *reign) moving() int {
 	n := 0
 	for _, e := range r.table.slots {
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/reign.go
@@ -46,14 +46,16 @@
 	patient bool
 	beliefs map[seamslot.ID]belief
 	// quiet is the instant before which leases of an earlier term may run.
-	quiet     seamclock.Instant
-	begun     seamclock.Instant
-	had       bool
-	since     map[seamslot.ID]seamclock.Instant
-	loads     map[seamslot.ID]SlotLoad
-	hints     map[seamslot.ID]string
-	holds     map[seamslot.ID]seamclock.Instant
-	planned   seamclock.Instant
+	quiet   seamclock.Instant
+	begun   seamclock.Instant
+	had     bool
+	since   map[seamslot.ID]seamclock.Instant
+	loads   map[seamslot.ID]SlotLoad
+	hints   map[seamslot.ID]string
+	holds   map[seamslot.ID]seamclock.Instant
+	planned seamclock.Instant
+	// measured is the instant by which members have reported the loads of inherited slots.
+	measured  seamclock.Instant
 	published seamclock.Instant
 	improved  seamclock.Instant
 	ranges    rangeMoves
@@ -144,6 +146,10 @@
 	}
 }
 
+// measureReports is the number of reports of load for which a new coordinator waits before
+// it plans. The second comes also from members that were given slots meanwhile.
+const measureReports = 2
+
 // inherit takes over the roster and the owners that this node knows as a member.
 func (c *Cell) inherit(before seampeer.Peer) {
 	r := c.reign
@@ -168,6 +174,9 @@
 			}
 		}
 	}
+	if len(r.beliefs) > 0 {
+		r.measured = c.now.Add(measureReports * c.cfg.Report)
+	}
 	if r.find(c.self) == nil {
 		c.admit(c.self, TargetState{})
 	}
