Members report the loads of all their slots

A report was cut at one datagram, about 40 slots, and the coordinator took the rest for unused. With the former code the extended test sees the cell's slots without load.

--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -49,7 +49,8 @@
 	w := settled(t, 3, 5)
 	for _, n := range w.nodes {
 		n.target.Loads, n.target.Cold = nil, true
-		for i := range uint32(slotNumber) {
+		for i := range uint32(200 + slotNumber) { // more than one datagram holds, the slots of the cell last
+			i = 199 + slotNumber - i
 			load := seamcell.SlotLoad{Slot: seamslot.ID{Service: service, Index: i}, Rate: 100, Hottest: 62.5}
 			n.target.Loads = append(n.target.Loads, load)
 		}
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -285,20 +285,27 @@
 	}
 }
 
+// sendLoad reports the loads of the slots in as many datagrams as they need.
 func (c *Cell) sendLoad() {
-	m := c.member
-	m.loaded = c.now
+	c.member.loaded = c.now
 	l := &seamcellwire.Load{}
 	size := 0
 	for _, s := range c.target.Loads {
 		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
-		size += proto.Size(w) + 2
-		if size > c.payload() {
-			break
+		n := proto.Size(w) + 2
+		if size+n > c.payload() {
+			c.sendLoads(l)
+			l, size = &seamcellwire.Load{}, 0
 		}
 		l.Slots = append(l.Slots, w)
+		size += n
 	}
-	if len(l.Slots) > 0 {
+	c.sendLoads(l)
+}
+
+func (c *Cell) sendLoads(l *seamcellwire.Load) {
+	m := c.member
+	if len(l.GetSlots()) > 0 {
 		c.send(m.coordinator, &seamcellwire.Message{Cell: m.cell, Term: m.table.term, Body: &seamcellwire.Message_Load{Load: l}})
 	}
 }
