--- a/cmd/seambench/run.go
+++ b/cmd/seambench/run.go
@@ -20,6 +20,9 @@
 	"cardamomseam/internal/prove/seamtraffic"
 )
 
+// traceLines is the number of lines of a trace that are told besides the JSON line.
+const traceLines = 30
+
 // clockFormat is the form of the times of violations.
 const clockFormat = "15:04:05.000"
 
@@ -113,6 +116,9 @@
 		for _, v := range r.Violations {
 			o.Say("VIOLATION %s: %s at %s", v.Promise, v.Detail, v.At.Format(clockFormat))
 		}
+		for _, line := range r.Trace[:min(len(r.Trace), traceLines)] {
+			o.Say("  %s", line)
+		}
 	}
 	for _, r := range results {
 		if !r.Ok() {
@@ -191,6 +197,7 @@
 		ArgsUsage: "FILE...",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "directory", Value: "docs/plots", Usage: "`DIRECTORY` to write to"},
+			&cli.StringSliceFlag{Name: "only", Usage: "`NAME` of a picture to draw; repeatable (default: all)"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			var results []seamexperiment.Result
@@ -201,7 +208,7 @@
 				}
 				results = append(results, list...)
 			}
-			files, err := seamplot.Draw(results, c.String("directory"))
+			files, err := seamplot.Draw(results, c.String("directory"), c.StringSlice("only"))
 			for _, f := range files {
 				fmt.Println(f)
 			}
