--- a/internal/prove/seamcaller/load.go
+++ b/internal/prove/seamcaller/load.go
@@ -35,6 +35,8 @@
 	Skipped int64
 	// Outcomes counts the records of each outcome.
 	Outcomes map[Outcome]int64
+	// Reasons counts the reasons of requests that were not done.
+	Reasons map[string]int64
 	// Latency holds the latencies of requests done, in microseconds since they were due.
 	Latency *hdrhistogram.Histogram
 	// Took is the time from the first request's due time to the last answer.
@@ -45,6 +47,7 @@
 func NewReport() Report {
 	return Report{
 		Outcomes: map[Outcome]int64{},
+		Reasons:  map[string]int64{},
 		Latency:  hdrhistogram.New(lowestLatency, highestLatency, precision),
 	}
 }
@@ -57,6 +60,9 @@
 	for outcome, n := range o.Outcomes {
 		r.Outcomes[outcome] += n
 	}
+	for reason, n := range o.Reasons {
+		r.Reasons[reason] += n
+	}
 	r.Latency.Merge(o.Latency)
 }
 
@@ -90,6 +96,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.report.Outcomes[x.Outcome]++
+	if x.Outcome != Done {
+		c.report.Reasons[x.Reason]++
+	}
 	if x.Outcome == Done {
 		_ = c.report.Latency.RecordValue(max(x.End.Sub(x.Due).Microseconds(), lowestLatency))
 	}
--- a/internal/prove/seamchaos/kind.go
+++ b/internal/prove/seamchaos/kind.go
@@ -25,6 +25,7 @@
 	killName  = "kill"
 	pauseName = "pause"
 	stopName  = "stop"
+	leaveName = "leave"
 	cutName   = "partition"
 )
 
@@ -38,6 +39,7 @@
 	{"store", planStore},
 	{"race", planRace},
 	{stopName, planStop},
+	{leaveName, planLeave},
 }
 
 // nothing is the plan when no instance is free.
@@ -236,6 +238,28 @@
 	}
 }
 
+// planLeave lets a target announce that it leaves, stops it once its node has taken all work
+// away, and starts a new run of it.
+func planLeave(c *run) func(context.Context) {
+	x := c.take()
+	if x == nil {
+		return nothing
+	}
+	return func(ctx context.Context) {
+		from := time.Now()
+		defer c.release(leaveName, x, from)
+		c.scene.Say("target of %s leaves", x.Name)
+		if err := x.StopTarget(); err != nil {
+			c.scene.Violate(seamcheck.Violation{Promise: seamcheck.Stop, At: time.Now(), Detail: err.Error()})
+		}
+		c.say(from, "target of %s has left", x.Name)
+		if err := x.StartTarget(); err != nil {
+			c.scene.Say("start of the target of %s: %v", x.Name, err)
+		}
+		seamscene.Wait(ctx, standbyTime)
+	}
+}
+
 // checkNewWork looks for requests that began at a target too long after the order to stop.
 func (c *run) checkNewWork(x *seamfleet.Instance, from, to time.Time) {
 	e, err := c.scene.Fleet.Evidence(nil)
--- a/internal/prove/seamfleet/instance.go
+++ b/internal/prove/seamfleet/instance.go
@@ -176,6 +176,17 @@
 	return err
 }
 
+// StopTarget tells the target to leave and waits for its end; the node goes on.
+func (i *Instance) StopTarget() error {
+	p := i.Target()
+	if p == nil {
+		return nil
+	}
+	err := p.Terminate(stopLimit)
+	i.noteEnd()
+	return err
+}
+
 // StopNode stops the node as planned; the target goes on.
 func (i *Instance) StopNode() error {
 	p := i.Node()
--- a/internal/prove/seamtraffic/load.go
+++ b/internal/prove/seamtraffic/load.go
@@ -30,15 +30,17 @@
 	loadTime = 3 * time.Second
 	// loadSize is the size of an answer, in bytes.
 	loadSize = 512
-	// loadService is the service time of the target.
-	loadService = 300 * time.Microsecond
+	// loadService is less than the target can tell, so that it answers at once.
+	loadService = time.Nanosecond
+	// loadSlots are enough for the target not to queue: the router is measured, not the target.
+	loadSlots = 110
 	// addedTarget is the stated target for what the router adds to p99, in milliseconds.
 	addedTarget = 2.0
 )
 
 func load(ctx context.Context, o seamexperiment.Options) ([]seamexperiment.Result, error) {
 	s, stop, err := seamscene.Open(ctx, seamfleet.Config{
-		Nodes: 2, Bare: 1, Regions: []string{"ost"}, NoLedger: true, ServiceTime: loadService,
+		Nodes: 2, Bare: 1, Regions: []string{"ost"}, NoLedger: true, ServiceTime: loadService, Slots: loadSlots,
 		Services: []seamrule.Document{seamscene.PlainDocument()}, Level: "warn",
 	}, o)
 	if err != nil {
@@ -99,8 +101,8 @@
 			return err
 		}
 		b.cost.add(before, after, routed.Sent)
-		b.scene.Say("turn %d: direct p50 %s p99 %s, routed p50 %s p99 %s, routed done %.0f/s", n+1,
-			direct.Quantile(50), direct.Quantile(99), routed.Quantile(50), routed.Quantile(99), routed.Throughput())
+		b.scene.Say("turn %d: direct p50 %s p99 %s, routed p50 %s p99 %s, routed done %.0f/s, not done %v", n+1,
+			direct.Quantile(50), direct.Quantile(99), routed.Quantile(50), routed.Quantile(99), routed.Throughput(), routed.Reasons)
 	}
 	return ctx.Err()
 }
@@ -161,6 +163,7 @@
 	r.AddMost("added-p99", milliseconds(routed.Quantile(99)-direct.Quantile(99)), seamexperiment.Milliseconds, addedTarget)
 	r.Add("routed-done", routed.Throughput(), seamexperiment.PerSecond)
 	r.AddMost("routed-failed", float64(routed.Sent-routed.Outcomes[seamcaller.Done]), seamexperiment.Count, 0)
+	r.AddMost("direct-failed", float64(direct.Sent-direct.Outcomes[seamcaller.Done]), seamexperiment.Count, 0)
 	r.AddMost("skipped", float64(routed.Skipped+direct.Skipped), seamexperiment.Count, 0)
 	n := float64(max(b.cost.requests, 1))
 	r.Add("cpu-request", float64(b.cost.cpu.Microseconds())/n, seamexperiment.Microseconds)
