--- a/internal/node/seamnode/rules.go
+++ b/internal/node/seamnode/rules.go
@@ -25,8 +25,13 @@
 	store    seamstore.Store
 }
 
-// Fetch asks the peer for rules later than those in force.
+// Fetch asks the peer for rules later than those in force. A node without rules
+// reads the store first: a peer may lag behind what an earlier run of this
+// instance had in force.
 func (r *ruleSource) Fetch(ctx context.Context, from seampeer.Peer) error {
+	if !r.set.Ready() && r.Read(ctx) == nil {
+		return nil
+	}
 	conn, err := r.sessions.Open(ctx, from, seamsession.Rules)
 	if err != nil {
 		return errors.Wrap(err, "fetch rules")
