--- a/internal/own/seamkeeper/orders.go
+++ b/internal/own/seamkeeper/orders.go
@@ -50,9 +50,7 @@
 	wake   chan struct{}
 
 	mu sync.Mutex
-	// target is the name of the target's run, address its address; both are empty if
-	// it takes no orders.
-	target  string
+	// address of the target; empty if it takes no orders.
 	address string
 	until   seamclock.Instant
 	// version counts changes of the set of slots, sent the last one that the target has taken.
@@ -73,15 +71,14 @@
 	}
 }
 
-// setTarget names the target that takes orders, or none. A new run of it has
-// taken no orders yet.
-func (o *orders) setTarget(target, address string) {
+// setTarget names the target that takes orders, or none. For a new run the state
+// machine releases all slots, so that each is granted, and ordered, anew.
+func (o *orders) setTarget(address string) {
 	o.mu.Lock()
-	changed := o.target != target || o.address != address
-	o.target, o.address = target, address
+	changed := o.address != address
+	o.address = address
 	if changed {
 		o.version++
-		o.keeper.holdings.unready()
 	}
 	o.mu.Unlock()
 	if changed {
@@ -160,14 +157,14 @@
 func (o *orders) push() bool {
 	now := o.keeper.parts.Clock.Now()
 	o.mu.Lock()
-	target, address, until, version := o.target, o.address, o.until, o.version
+	address, until, version := o.address, o.until, o.version
 	full := version != o.sent
 	o.sequence++
 	sequence := o.sequence
 	o.mu.Unlock()
 	slots, served := o.keeper.holdings.orders()
 	if address == "" {
-		o.took(target, version, until, served)
+		o.took(version, until, served)
 		return true
 	}
 	body := seamtarget.Orders{
@@ -188,7 +185,7 @@
 		o.failed()
 		return o.keeper.ctx.Err() != nil
 	}
-	o.took(target, version, until, served)
+	o.took(version, until, served)
 	return true
 }
 
@@ -199,14 +196,12 @@
 	o.version++
 }
 
-// took notes that the run of the target has taken orders with the holdings.
-func (o *orders) took(target string, version uint64, until seamclock.Instant, served []*holding) {
-	o.mu.Lock()
-	if target == o.target {
-		for _, h := range served {
-			h.ready.Store(true)
-		}
+// took notes that the target has taken orders with the holdings.
+func (o *orders) took(version uint64, until seamclock.Instant, served []*holding) {
+	for _, h := range served {
+		h.ready.Store(true)
 	}
+	o.mu.Lock()
 	o.sent = max(o.sent, version)
 	o.renewed = until
 	close(o.taken)
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -270,15 +270,6 @@
 	return true
 }
 
-// unready has requests wait until the target has taken its orders.
-func (h *holdings) unready() {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	for _, x := range h.slots {
-		x.ready.Store(false)
-	}
-}
-
 // awaitIdle waits until no request is in flight on the slot. It reports false
 // if the lease ended or the slot was released before, because the slot may then
 // have another owner.
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -14,14 +14,14 @@
 // TargetChanged takes a change of the own target.
 func (k *Keeper) TargetChanged(a seamtarget.Announcement, present bool) {
 	state := seamcell.TargetState{}
-	run, address := "", ""
+	address := ""
 	if present {
 		state = k.stateOf(a)
 		if a.Has(seamtarget.CanGrant) {
-			run, address = a.Name, a.Address
+			address = a.Address
 		}
 	}
-	k.orders.setTarget(run, address)
+	k.orders.setTarget(address)
 	k.mu.Lock()
 	state.InFlight, state.Loads = k.target.InFlight, k.target.Loads
 	k.target = state
