--- a/internal/own/seamkeeper/keeper_test.go
+++ b/internal/own/seamkeeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/rule/seamstoretest"
 )
 
 func TestLostNodeIsReplaced(t *testing.T) {
@@ -47,6 +49,34 @@
 	}
 }
 
+func TestLostAnswersOfTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var writes atomic.Int32
+	fates := []seamstoretest.Fate{seamstoretest.AnswerLost, seamstoretest.RequestLost, seamstoretest.Answered}
+	f.store.Decide = func() seamstoretest.Fate {
+		return fates[int(writes.Add(1)-1)%len(fates)]
+	}
+	for range 4 {
+		f.add()
+	}
+	f.watch()
+	f.awaitServed(f.nodes)
+	gone := f.withRole(seamcell.RoleCoordinator)
+	gone.stop()
+	f.await("slots are served elsewhere", func() bool {
+		for i := range uint32(slots) {
+			if h := f.holders(i); len(h) != 1 || h[0] == gone {
+				return false
+			}
+		}
+		return true
+	})
+	if n := writes.Load(); n < int32(len(fates)) {
+		t.Errorf("%d writes; not all fates were met", n)
+	}
+}
+
 func TestDrainHandsOver(t *testing.T) {
 	for _, down := range []bool{false, true} {
 		t.Run(map[bool]string{false: "with store", true: "without store"}[down], func(t *testing.T) {
