--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -14,6 +14,7 @@
 	"cardamomseam/internal/member/seamannounce"
 	"cardamomseam/internal/member/seamdatagram"
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/node/seamplacer"
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamlog"
@@ -21,6 +22,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamkeeper"
+	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -56,6 +58,7 @@
 	targets   *seamannounce.Registry
 	keeper    *seamkeeper.Keeper
 	egress    *seamegress.Egress
+	keys      *seamsketch.Keys
 	ingress   *seamingress.Ingress
 	rules     *seamset.Set
 	book      *seambook.Book
@@ -68,6 +71,13 @@
 	ordered   chan struct{}
 }
 
+const (
+	// keyLimit is the number of keys that a node counts to find the most used ones.
+	keyLimit = 256
+	// keyWindow is the time constant with which the counts decay.
+	keyWindow = 10 * time.Second
+)
+
 // New starts a node. The clean-up function stops it at once; a planned stop
 // calls Drain first.
 func New(s seamsetting.Settings, o Options) (*Node, func(), error) {
@@ -85,6 +95,7 @@
 		set:     metrics.NewSet(),
 		stream:  seamevent.NewStream(s.Name),
 		ring:    o.Ring,
+		keys:    seamsketch.NewKeys(keyLimit, keyWindow),
 		ordered: make(chan struct{}),
 	}
 	c := &cleanups{}
@@ -164,7 +175,7 @@
 		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
 		Streams:   streams{sessions: n.sessions},
 		Rules:     source,
-		Placer:    placer{settings: n.settings.Place, rules: n.rules},
+		Placer:    seamplacer.New(n.settings.Place, n.rules),
 		Orders:    n,
 		Sink:      n.sink,
 		Metrics:   n.set,
@@ -267,7 +278,7 @@
 		Warm:     n.settings.Limit.Warm,
 		Records:  n.settings.Limit.Records,
 		Dial:     n.settings.Limit.Dial,
-	}, n.self, n.keeper, n.targets, n.clock, n.set, n.sink)
+	}, n.self, n.keeper, n.targets, n.clock, n.keys, n.set, n.sink)
 	n.egress = egress
 	c.add(stop)
 	n.sessions.Register(seamsession.Request, egress)
@@ -280,7 +291,7 @@
 	}, n.self, n.rules, directory{n.keeper}, n.sessions, egress, n.set, n.sink)
 	c.add(n.closeServer)
 	c.add(background(n.serveWhenReady))
-	c.add(background(func(ctx context.Context) { reportLoad(ctx, n.keeper, egress.InFlight) }))
+	c.add(background(n.reportLoad))
 	return nil
 }
 
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -45,6 +45,47 @@
 	return nil
 }
 
+func TestPlacerSeesReports(t *testing.T) {
+	w := settled(t, 3, 5)
+	for _, n := range w.nodes {
+		n.target.Loads, n.target.Cold = nil, true
+		for i := range uint32(200 + slotNumber) { // more than one datagram holds, the slots of the cell last
+			i = 199 + slotNumber - i
+			load := seamcell.SlotLoad{Slot: seamslot.ID{Service: service, Index: i}, Rate: 100, Hottest: 62.5}
+			n.target.Loads = append(n.target.Loads, load)
+		}
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Target(now, n.target) })
+	}
+	w.run(12 * time.Second)
+	w.must(t, len(w.placed.Members) == 3 && len(w.placed.Slots) == slotNumber, "placer saw %+v", w.placed)
+	for _, m := range w.placed.Members {
+		w.must(t, m.Cold, "member %+v is not cold", m)
+	}
+	for _, s := range w.placed.Slots {
+		w.must(t, s.Rate == 100 && s.Hottest == 62.5, "slot %+v", s)
+	}
+}
+
+// TestPlacerWaitsForReports checks that a new coordinator does not plan while it
+// takes busy slots for unused ones.
+func TestPlacerWaitsForReports(t *testing.T) {
+	w := settled(t, 5, 5)
+	for _, n := range w.nodes {
+		n.target.Loads = nil
+		for i := range uint32(slotNumber) {
+			load := seamcell.SlotLoad{Slot: seamslot.ID{Service: service, Index: i}, Rate: 100}
+			n.target.Loads = append(n.target.Loads, load)
+		}
+		n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Target(now, n.target) })
+	}
+	w.run(6 * time.Second)
+	w.plans, w.unmeasured = 0, 0
+	w.coordinator().crash()
+	w.run(20 * time.Second)
+	w.must(t, w.plans > 0, "no plan was made after the loss of the coordinator")
+	w.must(t, w.unmeasured == 0, "plans saw %d slots without their load", w.unmeasured)
+}
+
 func TestLossIsServedAgain(t *testing.T) {
 	losses := []struct {
 		name  string
@@ -328,3 +369,32 @@
 	w.run(8 * time.Second)
 	w.must(t, w.held() == slotNumber, "%d slots held", w.held())
 }
+
+func TestFailedHandoverKeepsTheState(t *testing.T) {
+	w := settled(t, 6, 1)
+	n := w.member(t)
+	n.keeps = true
+	had := heldBy(n)
+	n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Drain(now) })
+	w.run(5 * time.Second)
+	w.must(t, !n.cell.Drained(), "drained although no slot could be handed over")
+	w.untilHeld(servedAgain)
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		if had[id] && n.cell.Owner(id).Name != n.peer.Name {
+			t.Fatalf("slot %v is granted to %v, which has no state", id, n.cell.Owner(id))
+		}
+	}
+	n.keeps = false
+	w.run(5 * time.Second)
+	w.must(t, n.cell.Drained(), "not drained after hand-overs worked again")
+}
+
+func heldBy(n *node) map[seamslot.ID]bool {
+	had := map[seamslot.ID]bool{}
+	for i := range uint32(slotNumber) {
+		id := seamslot.ID{Service: service, Index: i}
+		_, had[id] = n.cell.Held(n.clock(), id)
+	}
+	return had
+}
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -62,6 +62,8 @@
 	serving map[seamslot.ID]*serving
 	// released are the tokens of slots handed over and not yet seen to have changed.
 	released map[seamslot.ID]uint64
+	// kept are the tokens of released slots whose state could not be handed over.
+	kept map[seamslot.ID]uint64
 	// past are the tokens under which slots were served last.
 	past  map[seamslot.ID]uint64
 	loads []uint32
@@ -86,7 +88,7 @@
 	return &member{
 		cell: cell, coordinator: coordinator, backup: backup, table: newTable(0), answered: now,
 		sent: map[uint64]seamclock.Instant{}, serving: map[seamslot.ID]*serving{},
-		released: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
+		released: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
 	}
 }
 
@@ -251,7 +253,9 @@
 	}
 	for _, id := range sortedSlots(m.released) {
 		if m.leaseTerm == m.table.term && len(x.Released) < listLimit {
-			x.Released = append(x.Released, held(id, m.released[id]))
+			h := held(id, m.released[id])
+			h.Kept = m.kept[id] == h.GetToken()
+			x.Released = append(x.Released, h)
 		}
 	}
 	c.addSynced(x)
@@ -285,24 +289,38 @@
 	}
 }
 
+// sendLoad reports the loads of the slots in as many datagrams as they need.
 func (c *Cell) sendLoad() {
-	m := c.member
-	m.loaded = c.now
+	c.member.loaded = c.now
 	l := &seamcellwire.Load{}
 	size := 0
 	for _, s := range c.target.Loads {
-		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: uint64(max(s.Rate, 0) * 1000)}
-		size += proto.Size(w) + 2
-		if size > c.payload() {
-			break
+		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
+		n := proto.Size(w) + 2
+		if size+n > c.payload() {
+			c.sendLoads(l)
+			l, size = &seamcellwire.Load{}, 0
 		}
 		l.Slots = append(l.Slots, w)
+		size += n
 	}
-	if len(l.Slots) > 0 {
+	c.sendLoads(l)
+}
+
+func (c *Cell) sendLoads(l *seamcellwire.Load) {
+	m := c.member
+	if len(l.GetSlots()) > 0 {
 		c.send(m.coordinator, &seamcellwire.Message{Cell: m.cell, Term: m.table.term, Body: &seamcellwire.Message_Load{Load: l}})
 	}
 }
 
+// rateUnit is the number of units of a rate on the wire in one request per second.
+const rateUnit = 1000
+
+func rateWire(rate float64) uint64 { return uint64(max(rate, 0) * rateUnit) }
+
+func rateOf(wire uint64) float64 { return float64(wire) / rateUnit }
+
 // envelope is the room left in a datagram for all but lists, in bytes.
 const envelope = 300
 
@@ -578,6 +596,15 @@
 	}
 }
 
+// releaseKept releases a slot whose state could not be handed over. The member gets it
+// back under a new token, so that acknowledged state is not left behind.
+func (c *Cell) releaseKept(id seamslot.ID) {
+	if s := c.member.serving[id]; s != nil {
+		c.member.kept[id] = s.token
+	}
+	c.release(id)
+}
+
 // release marks a slot as handed over.
 func (c *Cell) release(id seamslot.ID) {
 	m := c.member
@@ -607,7 +634,7 @@
 			continue
 		}
 		c.do(StopServing{Slot: id, Epoch: s.token})
-		c.release(id)
+		c.releaseKept(id)
 	}
 }
 
@@ -665,6 +692,7 @@
 	for _, id := range sortedSlots(m.released) {
 		if e := t.slots[id]; e == nil || e.owner != number || e.token != m.released[id] {
 			delete(m.released, id)
+			delete(m.kept, id)
 		}
 	}
 }
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -26,15 +26,19 @@
 
 // world runs the state machines of several nodes against a fake network and a fake store.
 type world struct {
-	t       testing.TB
-	rnd     *rand.Rand
-	now     time.Duration
-	events  eventQueue
-	count   int
-	nodes   []*node
-	store   fakeStore
-	cfg     seamcell.Config
-	regions []string
+	// placed is what the latest plan was made from.
+	placed seamcell.PlaceView
+	// plans is the number of plans, unmeasured that of slots without load in them.
+	plans, unmeasured int
+	t                 testing.TB
+	rnd               *rand.Rand
+	now               time.Duration
+	events            eventQueue
+	count             int
+	nodes             []*node
+	store             fakeStore
+	cfg               seamcell.Config
+	regions           []string
 	// loss and duplicate are probabilities; delay is the longest delay of a datagram.
 	loss, duplicate float64
 	delay           time.Duration
@@ -93,12 +97,14 @@
 
 // node is one run of one instance.
 type node struct {
-	w       *world
-	peer    seampeer.Peer
-	cell    *seamcell.Cell
-	name    string
-	alive   bool
-	paused  bool
+	w      *world
+	peer   seampeer.Peer
+	cell   *seamcell.Cell
+	name   string
+	alive  bool
+	paused bool
+	// keeps says that hand-overs of the node's target fail.
+	keeps   bool
 	waiting []func()
 	started time.Duration
 	rate    float64
@@ -143,6 +149,18 @@
 	return w
 }
 
+// Plan implements seamcell.Placer and keeps what the coordinator shows it.
+func (w *world) Plan(now seamclock.Instant, v seamcell.PlaceView) []seamcell.Move {
+	w.placed = v
+	w.plans++
+	for _, s := range v.Slots {
+		if s.Rate == 0 {
+			w.unmeasured++
+		}
+	}
+	return seamcell.EvenPlacer{}.Plan(now, v)
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.count++
 	heap.Push(&w.events, event{at: w.now + d, n: w.count, run: f})
@@ -173,7 +191,7 @@
 		Slots: 12, Standby: i%3 != 2, Fence: true,
 	}
 	n.name = n.peer.String()
-	n.cell = seamcell.New(w.cfg, n.peer, nil)
+	n.cell = seamcell.New(w.cfg, n.peer, w)
 	if i < len(w.nodes) {
 		w.nodes[i] = n
 	} else {
@@ -276,7 +294,12 @@
 		delete(n.told, a.Slot)
 		if a.Graceful && !n.hang {
 			w.after(w.latency(), func() {
-				n.act(func(now seamclock.Instant) []seamcell.Action { return n.cell.Released(now, a.Slot) })
+				n.act(func(now seamclock.Instant) []seamcell.Action {
+					if n.keeps {
+						return n.cell.Kept(now, a.Slot)
+					}
+					return n.cell.Released(now, a.Slot)
+				})
 			})
 		}
 	case seamcell.Fetch:
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -13,7 +13,7 @@
 	r := c.reign
 	moving := r.moving()
 	moving = c.evacuate(moving)
-	if moving >= c.cfg.Moves || !r.planned.Zero() && c.now.Mono-r.planned.Mono < c.cfg.Plan {
+	if moving >= c.cfg.Moves || !c.mayPlan() {
 		return
 	}
 	r.planned = c.now
@@ -27,6 +27,15 @@
 	}
 }
 
+// mayPlan reports whether the loads are known and the last plan is old enough.
+func (c *Cell) mayPlan() bool {
+	r := c.reign
+	if !r.measured.Zero() && seamclock.Least(c.now, r.measured) < 0 {
+		return false
+	}
+	return r.planned.Zero() || c.now.Mono-r.planned.Mono >= c.cfg.Plan
+}
+
 func (r *reign) moving() int {
 	n := 0
 	for _, e := range r.table.slots {
@@ -46,7 +55,7 @@
 		if moving >= c.cfg.Moves*evacuations {
 			return moving
 		}
-		if m == nil || e.state != stateOwned || !c.mustGive(m, id.Service) || r.ranges.keeps(id) {
+		if m == nil || e.state != stateOwned || !c.mustGive(m, id.Service) || r.ranges.keeps(id) || c.rests(id) {
 			continue
 		}
 		to := c.successor(id, e)
@@ -59,6 +68,16 @@
 	return moving
 }
 
+// rests reports whether the slot stays where it is because its hand-over failed lately.
+func (c *Cell) rests(id seamslot.ID) bool {
+	failed, ok := c.reign.kept[id]
+	if ok && seamclock.Least(c.now, failed) >= c.cfg.Settle {
+		delete(c.reign.kept, id)
+		return false
+	}
+	return ok
+}
+
 // mustGive reports whether the member is to give its slots of the service away.
 func (c *Cell) mustGive(m *info, service string) bool {
 	t := c.reign.table.roster[m.id].target
@@ -90,7 +109,7 @@
 func (c *Cell) move(m Move) bool {
 	r := c.reign
 	e := r.table.slots[m.Slot]
-	if e == nil || e.owner == 0 || e.state != stateOwned || r.ranges.keeps(m.Slot) {
+	if e == nil || e.owner == 0 || e.state != stateOwned || r.ranges.keeps(m.Slot) || c.rests(m.Slot) {
 		return false
 	}
 	to := named(c.candidates(m.Slot.Service), m.To)
@@ -112,7 +131,7 @@
 		}
 		v.Members = append(v.Members, PlaceMember{
 			Name: m.peer.Name, Domain: m.peer.Domain, Region: m.peer.Region,
-			Service: e.target.Service, Capacity: r.capacity(id), InFlight: m.inflight,
+			Service: e.target.Service, Capacity: r.capacity(id), InFlight: m.inflight, Cold: e.target.Cold,
 		})
 	}
 	for _, id := range r.table.ids() {
@@ -122,7 +141,7 @@
 		}
 		v.Slots = append(v.Slots, PlaceSlot{
 			Slot: id, Owner: r.table.peer(e.owner).Name, Standby: r.table.peer(e.standby).Name, Synced: e.synced,
-			Rate: r.rates[id], Held: seamclock.Least(c.now, r.since[id]),
+			Rate: r.loads[id].Rate, Hottest: r.loads[id].Hottest, Held: seamclock.Least(c.now, r.since[id]),
 		})
 	}
 	return v
