A kept slot waits for its server instead of going elsewhere

Cause: several failed hand-overs that end together send several renewals at once, which say that answers were missed. For that moment the coordinator took the server as one that it must wait for, and gave the slot to another member without the state that was kept. Seen as TestFailedHandOverKeepsTheSlot: 2 of 6 runs side by side under the race detector.

Change: while the member lives and serves the service, the slot waits for it.

--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -255,7 +255,7 @@
 func (c *Cell) pick(id seamslot.ID, e *slotEntry, list []*info, counts map[uint32]int) *info {
 	r := c.reign
 	if m := c.keeper(id, e); m != nil {
-		return m
+		return c.ready(m, id.Service)
 	}
 	if m := r.infos[e.next]; m != nil && c.usable(m, id.Service) {
 		return m
@@ -282,13 +282,13 @@
 }
 
 // keeper returns the member that released the slot but still has its state, also if it
-// is to give its slots away.
+// is to give its slots away or must be waited for. A lost member is none.
 func (c *Cell) keeper(id seamslot.ID, e *slotEntry) *info {
 	m := c.reign.infos[e.previous]
-	if m == nil || e.next != e.previous {
+	if m == nil || e.next != e.previous || c.reign.table.roster[m.id].target.Service != id.Service {
 		return nil
 	}
-	return c.ready(m, id.Service)
+	return m
 }
 
 // ready returns the member, or nil while it must be waited for.
