--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -254,7 +254,7 @@
 // target, the standby, the member that had the slot, or the one with the fewest.
 func (c *Cell) pick(id seamslot.ID, e *slotEntry, list []*info, counts map[uint32]int) *info {
 	r := c.reign
-	if m := r.keeper(e); m != nil {
+	if m := c.keeper(id, e); m != nil {
 		return c.ready(m, id.Service)
 	}
 	if m := r.infos[e.next]; m != nil && c.usable(m, id.Service) {
@@ -282,12 +282,13 @@
 }
 
 // keeper returns the member that released the slot but still has its state, also if it
-// is to give its slots away. It is waited for as long as it is a member.
-func (r *reign) keeper(e *slotEntry) *info {
-	if e.next != e.previous {
+// is to give its slots away or must be waited for. A lost member is none.
+func (c *Cell) keeper(id seamslot.ID, e *slotEntry) *info {
+	m := c.reign.infos[e.previous]
+	if m == nil || e.next != e.previous || c.reign.table.roster[m.id].target.Service != id.Service {
 		return nil
 	}
-	return r.infos[e.previous]
+	return m
 }
 
 // ready returns the member, or nil while it must be waited for.
--- a/internal/own/seamkeeper/keeper_test.go
+++ b/internal/own/seamkeeper/keeper_test.go
@@ -256,13 +256,13 @@
 	f.watch()
 	leaver := f.withRole(seamcell.RoleMember)
 	index := f.ownedBy(leaver)[0]
-	g, release, err := leaver.keeper.Acquire(context.Background(), slot(index))
+	overdue, release, err := leaver.keeper.Acquire(context.Background(), slot(index))
 	if err != nil {
 		t.Fatal(err)
 	}
 	drained := drain(leaver)
 	for held := true; held; {
-		_, held = leaver.keeper.Held(slot(index), g.Epoch)
+		_, held = leaver.keeper.Held(slot(index), overdue.Epoch)
 	}
 	release()
 	if err := <-drained; err != nil {
@@ -272,8 +272,8 @@
 	// The state of the new owner must not be replaced by that of the former one.
 	time.Sleep(100 * time.Millisecond)
 	for _, h := range leaver.target.handed(index) {
-		if h.Epoch <= g.Epoch {
-			t.Errorf("handed over under epoch %d while its request ran", h.Epoch)
+		if h.Epoch <= overdue.Epoch {
+			t.Errorf("the slot was handed over after its release: %+v", h)
 		}
 	}
 }
