--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -16,7 +16,7 @@
 	if n.GetPeer() != nil {
 		c.noteArrival(peerOf(n.GetPeer()))
 	}
-	r := c.reign
+	r := c.coordination
 	if r == nil || r.resigned || x.GetCell() != "" && x.GetCell() != r.entry.Record.ID {
 		c.redirect(x, n)
 		return
@@ -61,7 +61,7 @@
 
 // ask admits a node that asks for admission, or refuses it.
 func (c *Cell) ask(x *seamcellwire.Message, n *seamcellwire.Renew) *info {
-	r := c.reign
+	r := c.coordination
 	from := c.sender(x, n)
 	switch {
 	case n.GetPeer() == nil:
@@ -80,7 +80,7 @@
 
 // full reports whether the cell has no room for another instance.
 func (c *Cell) full(name string) bool {
-	r := c.reign
+	r := c.coordination
 	names := map[string]bool{name: true}
 	for _, m := range r.infos {
 		names[m.peer.Name] = true
@@ -99,8 +99,8 @@
 			return known
 		}
 	}
-	if c.reign != nil {
-		if known := c.reign.table.known(p); !known.Zero() {
+	if c.coordination != nil {
+		if known := c.coordination.table.known(p); !known.Zero() {
 			return known
 		}
 	}
@@ -122,7 +122,7 @@
 
 // admit adds a member to the roster.
 func (c *Cell) admit(p seampeer.Peer, t TargetState) *info {
-	r := c.reign
+	r := c.coordination
 	r.lastID++
 	m := &info{id: r.lastID, peer: p, reported: true, lag: seamclock.Instant{}}
 	e := &rosterEntry{id: m.id, peer: p, target: t}
@@ -134,7 +134,7 @@
 
 func (c *Cell) refuse(to seampeer.Peer, n *seamcellwire.Renew, cause seamcellwire.Refuse_Cause) {
 	c.send(to, &seamcellwire.Message{
-		Cell: c.reign.entry.Record.ID, Term: c.reign.term,
+		Cell: c.coordination.entry.Record.ID, Term: c.coordination.term,
 		Body: &seamcellwire.Message_Refuse{Refuse: &seamcellwire.Refuse{Sequence: n.GetSequence(), Cause: cause}},
 	})
 }
@@ -161,7 +161,7 @@
 
 // update takes what a renewal says about its sender.
 func (c *Cell) update(m *info, n *seamcellwire.Renew, current bool) {
-	r := c.reign
+	r := c.coordination
 	m.heard = c.now
 	m.missed = n.GetMissed()
 	m.applied = max(m.applied, n.GetRules())
@@ -207,7 +207,7 @@
 // released takes a slot from its owner, who has handed it over. A kept slot, whose state
 // could not be handed over, goes back to the owner.
 func (c *Cell) released(m *info, id seamslot.ID, token uint64, kept bool) {
-	r := c.reign
+	r := c.coordination
 	e := r.table.slots[id]
 	if e == nil || e.owner != m.id || e.token != token {
 		return
@@ -233,7 +233,7 @@
 }
 
 func (c *Cell) setSynced(m *info, id seamslot.ID, token uint64, synced bool) {
-	r := c.reign
+	r := c.coordination
 	e := r.table.slots[id]
 	if e == nil || e.owner != m.id || e.token != token || e.standby == 0 || e.synced == synced {
 		return
@@ -243,7 +243,7 @@
 }
 
 // owned returns the number of slots that the member owns.
-func (r *reign) owned(id uint32) int {
+func (r *coordination) owned(id uint32) int {
 	n := 0
 	for _, e := range r.table.slots {
 		if e.owner == id {
@@ -255,7 +255,7 @@
 
 // drop removes a member; its slots become free.
 func (c *Cell) drop(m *info) {
-	r := c.reign
+	r := c.coordination
 	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.standby == m.id {
@@ -284,7 +284,7 @@
 	default:
 		e.state = stateOwned
 	}
-	c.reign.table.changeSlot(e)
+	c.coordination.table.changeSlot(e)
 }
 
 func without(ids []uint32, id uint32) []uint32 {
@@ -300,7 +300,7 @@
 // limit returns the version of the table that members other than the backup may have. A change
 // goes to the backup first, so that the backup's table is never older than that of a member.
 func (c *Cell) limit() uint64 {
-	r := c.reign
+	r := c.coordination
 	if r.sole || r.entry.Record.Backup.Zero() {
 		return r.table.version
 	}
@@ -312,15 +312,15 @@
 
 // limitOf returns the version of the table that the member may have.
 func (c *Cell) limitOf(m *info) uint64 {
-	if m.peer.Same(c.reign.entry.Record.Backup) {
-		return c.reign.table.version
+	if m.peer.Same(c.coordination.entry.Record.Backup) {
+		return c.coordination.table.version
 	}
 	return c.limit()
 }
 
 // answer answers a renewal.
 func (c *Cell) answer(m *info, n *seamcellwire.Renew, current bool) {
-	r := c.reign
+	r := c.coordination
 	life := time.Duration(0)
 	if current {
 		life = c.life(m)
@@ -343,7 +343,7 @@
 // life returns the length of the lease that the member can be given now. Nothing is granted
 // before this node has rules.
 func (c *Cell) life(m *info) time.Duration {
-	r := c.reign
+	r := c.coordination
 	end, ok := c.authority()
 	if !ok || !r.settled || !m.reported || c.lags(m) || m.deaf() || c.applied == 0 {
 		return 0
@@ -364,7 +364,7 @@
 
 // updateLag notes since when members lag behind the rules.
 func (c *Cell) updateLag() {
-	r := c.reign
+	r := c.coordination
 	for _, id := range sortedKeys(r.infos) {
 		m := r.infos[id]
 		switch {
@@ -380,7 +380,7 @@
 
 // header returns an answer with the fields that all answers have.
 func (c *Cell) header(m *info) *seamcellwire.Answer {
-	r := c.reign
+	r := c.coordination
 	return &seamcellwire.Answer{
 		Id: m.id, Announced: m.announced, Rules: c.applied, Directory: c.directory.revision,
 		Epoch: r.entry.Record.Epoch, Backup: c.backupNumber(),
@@ -389,14 +389,14 @@
 
 // backupNumber returns the number of the backup, or 0 if there is none that watches.
 func (c *Cell) backupNumber() uint32 {
-	if c.reign.sole {
+	if c.coordination.sole {
 		return 0
 	}
-	return c.reign.table.number(c.reign.entry.Record.Backup)
+	return c.coordination.table.number(c.coordination.entry.Record.Backup)
 }
 
 // inflights returns the requests in flight at the members, in order of their numbers.
-func (r *reign) inflights() []uint32 {
+func (r *coordination) inflights() []uint32 {
 	loads := make([]uint32, 0, len(r.infos))
 	for _, id := range sortedKeys(r.infos) {
 		loads = append(loads, uint32(max(r.infos[id].inflight, 0)))
@@ -406,7 +406,7 @@
 
 // sendChanges sends an answer with the changes that the member has not been sent.
 func (c *Cell) sendChanges(m *info, a *seamcellwire.Answer) {
-	r := c.reign
+	r := c.coordination
 	parts := r.table.changes(m.sent, c.limitOf(m), c.payload())
 	if len(parts) == 0 {
 		parts = []part{{}}
@@ -423,10 +423,10 @@
 
 // pushAll sends changes to members without waiting for their renewals.
 func (c *Cell) pushAll() {
-	r := c.reign
+	r := c.coordination
 	for _, id := range sortedKeys(r.infos) {
 		m := r.infos[id]
-		if m != nil && m.sent < c.limitOf(m) && m.reported && c.reign == r {
+		if m != nil && m.sent < c.limitOf(m) && m.reported && c.coordination == r {
 			c.sendChanges(m, c.header(m))
 		}
 	}
@@ -434,7 +434,7 @@
 
 // sendLead tells a node that this one is the coordinator, and asks for its report.
 func (c *Cell) sendLead(to seampeer.Peer, id uint32) {
-	r := c.reign
+	r := c.coordination
 	c.send(to, &seamcellwire.Message{Cell: r.entry.Record.ID, Term: r.term, Body: &seamcellwire.Message_Answer{Answer: &seamcellwire.Answer{
 		Id: id, Epoch: r.entry.Record.Epoch, Report: true, Peer: peerWire(c.self),
 	}}})
@@ -442,14 +442,14 @@
 
 // leadTo tells a member that this node is the coordinator.
 func (c *Cell) leadTo(p seampeer.Peer) {
-	r := c.reign
+	r := c.coordination
 	if known := r.table.known(p); !known.Zero() {
 		c.sendLead(known, 0)
 	}
 }
 
 func (c *Cell) onReport(x *seamcellwire.Message, p *seamcellwire.Report) {
-	r := c.reign
+	r := c.coordination
 	if r == nil || x.GetCell() != r.entry.Record.ID || x.GetTerm() != r.term {
 		return
 	}
@@ -476,7 +476,7 @@
 }
 
 func (c *Cell) onLoad(x *seamcellwire.Message, l *seamcellwire.Load) {
-	r := c.reign
+	r := c.coordination
 	if r == nil || x.GetCell() != r.entry.Record.ID || x.GetTerm() != r.term {
 		return
 	}
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -7,9 +7,9 @@
 	"cardamomseam/internal/own/seamslot"
 )
 
-// advanceReign settles, frees and assigns slots, and sends the changes.
-func (c *Cell) advanceReign() {
-	r := c.reign
+// advanceCoordination settles, frees and assigns slots, and sends the changes.
+func (c *Cell) advanceCoordination() {
+	r := c.coordination
 	if _, ok := c.authority(); !ok {
 		return
 	}
@@ -26,7 +26,7 @@
 
 // settle turns the reports of an earlier term into the table of this one.
 func (c *Cell) settle() {
-	r := c.reign
+	r := c.coordination
 	if !c.collected() && seamclock.Least(c.now, r.collect) < 0 {
 		return
 	}
@@ -45,10 +45,10 @@
 
 // collected reports whether all members that may have served have reported.
 func (c *Cell) collected() bool {
-	if c.reign.patient {
+	if c.coordination.patient {
 		return false
 	}
-	for _, m := range c.reign.infos {
+	for _, m := range c.coordination.infos {
 		if !m.reported {
 			return false
 		}
@@ -57,7 +57,7 @@
 }
 
 func (c *Cell) settleSlot(id seamslot.ID, b belief) {
-	r := c.reign
+	r := c.coordination
 	e := &slotEntry{token: b.token, previous: b.owner, standby: b.standby, synced: b.synced}
 	if r.infos[b.standby] == nil {
 		e.standby, e.synced = 0, false
@@ -84,14 +84,14 @@
 }
 
 // fences reports whether the member's target refuses requests of an earlier epoch.
-func (r *reign) fences(id uint32) bool {
+func (r *coordination) fences(id uint32) bool {
 	e := r.table.roster[id]
 	return e != nil && e.target.Fence
 }
 
 // addSlots makes entries for slots of the cell's ranges that have none.
 func (c *Cell) addSlots() {
-	r := c.reign
+	r := c.coordination
 	for _, x := range r.entry.Record.Ranges {
 		for i := x.From; i < x.To; i++ {
 			id := seamslot.ID{Service: x.Service, Index: i}
@@ -107,7 +107,7 @@
 
 // dropForeign marks slots that have left the cell's ranges.
 func (c *Cell) dropForeign() {
-	r := c.reign
+	r := c.coordination
 	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		if e.state == stateGone || r.entry.Record.Has(id) {
@@ -125,7 +125,7 @@
 
 // dropLost removes members that are silent and whose leases are over.
 func (c *Cell) dropLost() {
-	r := c.reign
+	r := c.coordination
 	for _, id := range sortedKeys(r.infos) {
 		m := r.infos[id]
 		if m.peer.Same(c.self) || !c.leaseOver(m) {
@@ -144,7 +144,7 @@
 // leaseOver reports whether no lease of the member can be running, and no request of one
 // that its target would not refuse.
 func (c *Cell) leaseOver(m *info) bool {
-	r := c.reign
+	r := c.coordination
 	wait := c.cfg.Margin
 	if n := r.table.roster[m.id]; !n.target.Fence && r.owned(m.id) > 0 {
 		wait += c.deadline(n.target.Service)
@@ -153,7 +153,7 @@
 }
 
 func (c *Cell) freeAll(m *info) {
-	r := c.reign
+	r := c.coordination
 	for _, id := range r.table.ids() {
 		if e := r.table.slots[id]; e.owner == m.id {
 			c.free(e)
@@ -163,14 +163,14 @@
 
 // usable reports whether the member can be given slots of the service.
 func (c *Cell) usable(m *info, service string) bool {
-	e := c.reign.table.roster[m.id]
+	e := c.coordination.table.roster[m.id]
 	return e.target.Service == service && service != "" && !e.target.Leaving && !c.memberDraining(m) &&
 		m.reported && !c.lags(m) && c.hears(m)
 }
 
 // candidates returns the members that can be given slots of the service.
 func (c *Cell) candidates(service string) []*info {
-	r := c.reign
+	r := c.coordination
 	var list []*info
 	for _, id := range sortedKeys(r.infos) {
 		if c.usable(r.infos[id], service) {
@@ -181,7 +181,7 @@
 }
 
 // counts returns the number of slots of the service owned by, or moving to, each member.
-func (r *reign) counts(service string) map[uint32]int {
+func (r *coordination) counts(service string) map[uint32]int {
 	n := map[uint32]int{}
 	for id, e := range r.table.slots {
 		if id.Service != service {
@@ -197,12 +197,12 @@
 }
 
 // capacity returns the weight of a member in an even spread.
-func (r *reign) capacity(id uint32) int {
+func (r *coordination) capacity(id uint32) int {
 	return max(r.table.roster[id].target.Slots, 1)
 }
 
 // lightest returns the member with the fewest slots for its capacity, or nil.
-func (r *reign) lightest(list []*info, counts map[uint32]int) *info {
+func (r *coordination) lightest(list []*info, counts map[uint32]int) *info {
 	var best *info
 	for _, m := range list {
 		if best == nil || (counts[m.id]+1)*r.capacity(best.id) < (counts[best.id]+1)*r.capacity(m.id) {
@@ -214,7 +214,7 @@
 
 // assignFree gives each free slot an owner.
 func (c *Cell) assignFree() {
-	r := c.reign
+	r := c.coordination
 	var counts map[uint32]int
 	service := ""
 	var list []*info
@@ -237,7 +237,7 @@
 
 // rested reports whether no right of an earlier term can be left for the slot.
 func (c *Cell) rested(id seamslot.ID) bool {
-	r := c.reign
+	r := c.coordination
 	if !r.quiet.Zero() && seamclock.Least(c.now, r.quiet) < 0 {
 		return false
 	}
@@ -253,7 +253,7 @@
 // pick returns the member that gets a free slot: the planned successor, the same run of the
 // target, the standby, the member that had the slot, or the one with the fewest.
 func (c *Cell) pick(id seamslot.ID, e *slotEntry, list []*info, counts map[uint32]int) *info {
-	r := c.reign
+	r := c.coordination
 	if m := c.keeper(id, e); m != nil {
 		return c.ready(m, id.Service)
 	}
@@ -284,8 +284,8 @@
 // keeper returns the member that released the slot but still has its state, also if it
 // is to give its slots away or must be waited for. A lost member is none.
 func (c *Cell) keeper(id seamslot.ID, e *slotEntry) *info {
-	m := c.reign.infos[e.previous]
-	if m == nil || e.next != e.previous || c.reign.table.roster[m.id].target.Service != id.Service {
+	m := c.coordination.infos[e.previous]
+	if m == nil || e.next != e.previous || c.coordination.table.roster[m.id].target.Service != id.Service {
 		return nil
 	}
 	return m
@@ -293,7 +293,7 @@
 
 // ready returns the member, or nil while it must be waited for.
 func (c *Cell) ready(m *info, service string) *info {
-	e := c.reign.table.roster[m.id]
+	e := c.coordination.table.roster[m.id]
 	if e.target.Service != service || !c.hears(m) || c.lags(m) {
 		return nil
 	}
@@ -301,7 +301,7 @@
 }
 
 // sameRun returns the member whose target is the run that a lost member had.
-func (r *reign) sameRun(previous uint32, list []*info) *info {
+func (r *coordination) sameRun(previous uint32, list []*info) *info {
 	lost := r.table.roster[previous]
 	if lost == nil || !lost.gone || lost.target.Name == "" {
 		return nil
@@ -324,7 +324,7 @@
 }
 
 func (c *Cell) assign(id seamslot.ID, e *slotEntry, m *info) {
-	r := c.reign
+	r := c.coordination
 	if e.previous != 0 && e.previous != m.id {
 		c.emit(seamevent.SlotMoved, seamevent.Fields{
 			"slot": id.String(), "from": r.table.peer(e.previous).Name, "to": m.peer.Name, "planned": e.next != 0,
@@ -353,7 +353,7 @@
 
 // assignStandbys names a standby for each slot whose target copies to one.
 func (c *Cell) assignStandbys() {
-	r := c.reign
+	r := c.coordination
 	load := map[uint32]int{}
 	for _, e := range r.table.slots {
 		load[e.standby]++
@@ -383,7 +383,7 @@
 // pickStandby returns the standby of a slot: the present one if it will do, or else the one with
 // the fewest, in another failure domain if there is one.
 func (c *Cell) pickStandby(e *slotEntry, list []*info, load map[uint32]int) *info {
-	r := c.reign
+	r := c.coordination
 	owner := r.infos[e.owner]
 	if owner == nil {
 		return nil
--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -34,11 +34,11 @@
 	draining  bool
 	drained   bool
 
-	joining  joining
-	member   *member
-	watch    *watch
-	reign    *reign
-	farewell *farewell
+	joining      joining
+	member       *member
+	watch        *watch
+	coordination *coordination
+	resignation  *resignation
 	// looked is when abandoned cells were last looked for.
 	looked seamclock.Instant
 }
@@ -80,8 +80,8 @@
 
 // advance does what has become possible through an event.
 func (c *Cell) advance() {
-	if c.reign != nil {
-		c.advanceReign()
+	if c.coordination != nil {
+		c.advanceCoordination()
 	}
 	if c.member != nil {
 		c.reconcile()
@@ -171,14 +171,14 @@
 func (c *Cell) Tick(now seamclock.Instant) []Action {
 	return c.step(now, func() {
 		c.retryCalls()
-		if c.reign != nil {
-			c.tickReign()
+		if c.coordination != nil {
+			c.tickCoordination()
 		}
 		if c.watch != nil {
 			c.tickWatch()
 		}
-		if c.farewell != nil {
-			c.tickFarewell()
+		if c.resignation != nil {
+			c.tickResignation()
 		}
 		if c.member != nil {
 			c.tickMember()
@@ -239,7 +239,7 @@
 func (c *Cell) Drain(now seamclock.Instant) []Action {
 	return c.step(now, func() {
 		c.draining = true
-		if c.member == nil && c.farewell == nil {
+		if c.member == nil && c.resignation == nil {
 			c.drained = true
 		}
 	})
--- a/internal/own/seamcell/reign.go
+++ b/internal/own/seamcell/coordination.go
@@ -11,10 +11,10 @@
 	"cardamomseam/internal/platform/seamstore"
 )
 
-// reign is the part of the coordinator of a cell.
-type reign struct {
+// coordination is the part of the coordinator of a cell.
+type coordination struct {
 	entry Entry
-	// term orders the reigns of a cell: twice the epoch in which it began, plus one if it
+	// term orders the tenures of coordinators of a cell: twice the epoch in which it began, plus one if it
 	// began by the resignation of the coordinator of that epoch.
 	term    uint64
 	acting  bool
@@ -110,13 +110,13 @@
 	cell string
 }
 
-// actingCounter is the first token counter of a reign that began by a resignation.
+// actingCounter is the first token counter of a coordination that began by a resignation.
 const actingCounter = 1 << 31
 
-// startReign makes this node the coordinator. first is when the write that made it so was first sent,
+// startCoordination makes this node the coordinator. first is when the write that made it so was first sent,
 // or, of an acting coordinator, when its last promise was.
-func (c *Cell) startReign(e Entry, first seamclock.Instant, before seampeer.Peer, acting bool) {
-	r := &reign{
+func (c *Cell) startCoordination(e Entry, first seamclock.Instant, before seampeer.Peer, acting bool) {
+	r := &coordination{
 		entry: e, term: uint64(e.Record.Epoch) << 1, acting: acting, infos: map[uint32]*info{},
 		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
 		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
@@ -132,7 +132,7 @@
 		r.quiet = c.now.Add(c.cfg.Grant + c.cfg.Margin)
 	}
 	r.table = newTable(r.term)
-	c.reign = r
+	c.coordination = r
 	if c.member == nil || c.member.cell != e.Record.ID || !c.member.joined {
 		if c.member != nil {
 			c.stopServing()
@@ -155,7 +155,7 @@
 
 // inherit takes over the roster and the owners that this node knows as a member.
 func (c *Cell) inherit(before seampeer.Peer) {
-	r := c.reign
+	r := c.coordination
 	t := c.member.table
 	for _, id := range sortedKeys(t.roster) {
 		r.lastID = max(r.lastID, id)
@@ -196,7 +196,7 @@
 
 // authority returns the instant at which the coordinator's right to grant ends, and whether it has one.
 func (c *Cell) authority() (seamclock.Instant, bool) {
-	r := c.reign
+	r := c.coordination
 	if r == nil || r.resigned {
 		return seamclock.Instant{}, false
 	}
@@ -210,7 +210,7 @@
 }
 
 // find returns the member with the identity, or nil.
-func (r *reign) find(p seampeer.Peer) *info {
+func (r *coordination) find(p seampeer.Peer) *info {
 	for _, id := range sortedKeys(r.infos) {
 		if r.infos[id].peer.Same(p) {
 			return r.infos[id]
@@ -220,15 +220,15 @@
 }
 
 // token returns the next fencing token.
-func (r *reign) token() uint64 {
+func (r *coordination) token() uint64 {
 	r.counter++
 	return uint64(r.entry.Record.Epoch)<<32 | uint64(r.counter)
 }
 
-// stepDown ends the reign; another has begun or will.
+// stepDown ends the coordination; another has begun or will.
 func (c *Cell) stepDown() {
-	r := c.reign
-	c.reign = nil
+	r := c.coordination
+	c.coordination = nil
 	c.emit(seamevent.CellStopped, seamevent.Fields{"cell": r.entry.Record.ID, "epoch": r.entry.Record.Epoch})
 	if c.member != nil {
 		c.stopServing()
@@ -239,7 +239,7 @@
 
 // adoptRecord takes a revision of the own cell's record that another node has written.
 func (c *Cell) adoptRecord(e Entry) {
-	r := c.reign
+	r := c.coordination
 	if e.Revision <= r.entry.Revision {
 		return
 	}
@@ -263,8 +263,8 @@
 	c.dropForeign()
 }
 
-func (c *Cell) tickReign() {
-	r := c.reign
+func (c *Cell) tickCoordination() {
+	r := c.coordination
 	_, ok := c.authority()
 	if r.had && !ok && !r.resigned {
 		c.emit(seamevent.CellStopped, seamevent.Fields{"cell": r.entry.Record.ID, "epoch": r.entry.Record.Epoch, "reason": "no authority"})
@@ -285,7 +285,7 @@
 
 // forgetGone forgets members that are gone once all others know it.
 func (c *Cell) forgetGone() {
-	r := c.reign
+	r := c.coordination
 	known := r.table.version
 	for _, m := range r.infos {
 		known = min(known, m.version)
@@ -295,7 +295,7 @@
 
 // beat asks the backup for its promise.
 func (c *Cell) beat() {
-	r := c.reign
+	r := c.coordination
 	b := r.entry.Record.Backup
 	if b.Zero() || r.sole || r.resigned || !r.beaten.Zero() && c.now.Mono-r.beaten.Mono < c.cfg.Heartbeat {
 		return
@@ -311,7 +311,7 @@
 }
 
 func (c *Cell) onPromise(x *seamcellwire.Message, p *seamcellwire.Promise) {
-	r := c.reign
+	r := c.coordination
 	if r == nil || x.GetCell() != r.entry.Record.ID {
 		return
 	}
@@ -329,7 +329,7 @@
 
 // appoint names a backup if there is none that answers.
 func (c *Cell) appoint() {
-	r := c.reign
+	r := c.coordination
 	if r.resigned || !c.mayCall(r.entry.Key) {
 		return
 	}
@@ -357,19 +357,19 @@
 }
 
 // improvable reports whether best stands in another failure domain than the coordinator and the backup does not.
-func (r *reign) improvable(best, self seampeer.Peer) bool {
+func (r *coordination) improvable(best, self seampeer.Peer) bool {
 	b := r.entry.Record.Backup
 	return !best.Zero() && b.Domain == self.Domain && best.Domain != self.Domain
 }
 
 func (c *Cell) memberDraining(x *info) bool {
-	e := c.reign.table.roster[x.id]
+	e := c.coordination.table.roster[x.id]
 	return e.draining || x.leaving || x.cell != ""
 }
 
 // chooseBackup returns the best live member to be the backup, or a zero peer.
 func (c *Cell) chooseBackup(current seampeer.Peer, exclude bool) seampeer.Peer {
-	r := c.reign
+	r := c.coordination
 	var best seampeer.Peer
 	rank := -1
 	for _, id := range sortedKeys(r.infos) {
@@ -403,14 +403,14 @@
 
 // changeBackup writes the next epoch with another backup, or with none.
 func (c *Cell) changeBackup(b seampeer.Peer) {
-	r := c.reign
+	r := c.coordination
 	n := c.published()
 	n.Epoch++
 	n.Backup = b
 	r.gate = &gate{first: c.now}
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
 		r.gate = nil
-		if o != OK || c.reign != r {
+		if o != OK || c.coordination != r {
 			return
 		}
 		r.entry = e
@@ -431,7 +431,7 @@
 
 // published returns the record with its slow fields brought up to date.
 func (c *Cell) published() Record {
-	r := c.reign
+	r := c.coordination
 	n := r.entry.Record
 	n.Beat++
 	n.Horizon = c.cfg.Horizon.Milliseconds()
@@ -443,7 +443,7 @@
 
 // sizeAndOffers returns the number of members and the services of their targets.
 func (c *Cell) sizeAndOffers() (int, []string) {
-	r := c.reign
+	r := c.coordination
 	offers := map[string]bool{}
 	size := 0
 	for _, id := range sortedKeys(r.infos) {
@@ -464,7 +464,7 @@
 
 // keepalive renews the horizon, and publishes the size and the services of the cell.
 func (c *Cell) keepalive() {
-	r := c.reign
+	r := c.coordination
 	if r.resigned || !c.mayCall(r.entry.Key) {
 		return
 	}
@@ -480,9 +480,9 @@
 
 // write writes a record that names the same coordinator and backup, and calls done if it took effect.
 func (c *Cell) write(n Record, p seamstore.Priority, done func()) {
-	r := c.reign
+	r := c.coordination
 	c.swap(r.entry.Revision, n, p, func(o Outcome, e Entry, first seamclock.Instant) {
-		if o != OK || c.reign != r {
+		if o != OK || c.coordination != r {
 			return
 		}
 		r.entry = e
--- /dev/null
+++ b/internal/own/seamcell/division.go
@@ -0,0 +1,91 @@
+package seamcell
+
+import (
+	"sort"
+
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// divideServices writes the first division of the slots of services that have none.
+func (c *Cell) divideServices() {
+	r := c.coordination
+	if r.ranges.wanted == nil {
+		r.ranges.wanted = map[string]seamclock.Instant{}
+	}
+	_, offers := c.sizeAndOffers()
+	for _, name := range offers {
+		s, ok := c.services[name]
+		key := SlotsPrefix + name
+		if _, divided := c.directory.get(key); !ok || divided || !c.directory.loaded {
+			delete(r.ranges.wanted, name)
+			continue
+		}
+		since, waiting := r.ranges.wanted[name]
+		if !waiting {
+			r.ranges.wanted[name] = c.now
+			continue
+		}
+		if seamclock.Least(c.now, since) >= divideDelay && c.mayCall(key) {
+			c.swap(0, Record{Service: name, Gifts: c.division(s)}, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
+		}
+	}
+}
+
+// division returns the gifts that hand a service's slots to the cells that can serve them.
+func (c *Cell) division(s ServiceState) []Gift {
+	homes := s.Homes
+	if len(homes) == 0 {
+		homes = []string{c.self.Region}
+	}
+	var gifts []Gift
+	for i, region := range homes {
+		band := seamslot.Range{Service: s.Name, From: bound(s.Slots, i, len(homes)), To: bound(s.Slots, i+1, len(homes))}
+		cells := c.cellsOf(region, s.Name)
+		for k, cell := range cells {
+			x := band
+			x.From = band.From + bound(band.Len(), k, len(cells))
+			x.To = band.From + bound(band.Len(), k+1, len(cells))
+			if x.Len() > 0 {
+				gifts = append(gifts, Gift{Range: x, Giver: SlotsPrefix + s.Name, Cell: cell})
+			}
+		}
+	}
+	return gifts
+}
+
+// bound returns the lower bound of part i of n equal parts of total.
+func bound(total uint32, i, n int) uint32 {
+	return uint32(uint64(total) * uint64(i) / uint64(n))
+}
+
+// cellsOf returns the cells of a region that offer the service, or the own cell if there is none.
+func (c *Cell) cellsOf(region, service string) []string {
+	var cells []string
+	for _, e := range c.directory.sorted() {
+		if c.alive(e) && e.Record.Region == region && contains(e.Record.Offers, service) {
+			cells = append(cells, e.Record.ID)
+		}
+	}
+	own := c.coordination.entry.Record.ID
+	if region == c.self.Region && !contains(cells, own) || len(cells) == 0 {
+		cells = append(cells, own)
+		sort.Strings(cells)
+	}
+	return cells
+}
+
+// alive reports whether the entry is a cell with a coordinator.
+func (c *Cell) alive(e Entry) bool {
+	return !e.Deleted && e.Record.ID != "" && !e.Record.Coordinator.Zero() && !c.horizonOver(e)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -24,7 +24,7 @@
 func (c *Cell) tickJoining() {
 	j := &c.joining
 	if c.draining {
-		c.drained = c.farewell == nil
+		c.drained = c.resignation == nil
 		return
 	}
 	if j.since.Zero() {
@@ -123,7 +123,7 @@
 			return
 		}
 		c.emit(seamevent.CellFounded, seamevent.Fields{"cell": r.ID})
-		c.startReign(e, first, seampeer.Peer{}, false)
+		c.startCoordination(e, first, seampeer.Peer{}, false)
 	})
 }
 
@@ -222,7 +222,7 @@
 	c.looked = c.now
 	for _, e := range c.directory.sorted() {
 		r := e.Record
-		if e.Deleted || r.ID == "" || !c.mayCall(e.Key) || c.reign != nil && c.reign.entry.Key == e.Key {
+		if e.Deleted || r.ID == "" || !c.mayCall(e.Key) || c.coordination != nil && c.coordination.entry.Key == e.Key {
 			continue
 		}
 		own := c.member != nil && c.member.joined && c.member.cell == r.ID
@@ -234,7 +234,7 @@
 		case own && (c.attested(r) || c.abandoned(e, 0)), idle && len(r.Ranges) > 0 && c.abandoned(e, 2*c.cfg.Promise), idle && c.restarted(r):
 			c.seize(e)
 			return
-		case c.reign == nil || !c.reign.settled || !c.abandoned(e, c.cfg.Orphan):
+		case c.coordination == nil || !c.coordination.settled || !c.abandoned(e, c.cfg.Orphan):
 		case len(r.Ranges) > 0 || c.giverTo(r) != "":
 			c.absorb(e)
 		case len(r.Taken) > 0:
@@ -259,14 +259,14 @@
 		if o != OK {
 			return
 		}
-		if c.reign != nil || c.member != nil && c.member.joined && c.member.cell != r.ID {
+		if c.coordination != nil || c.member != nil && c.member.joined && c.member.cell != r.ID {
 			c.abandon(e)
 			return
 		}
 		c.watch = nil
-		c.startReign(e, first, before, false)
-		c.reign.collect = c.now.Add(c.cfg.Promise)
-		c.reign.patient = true
+		c.startCoordination(e, first, before, false)
+		c.coordination.collect = c.now.Add(c.cfg.Promise)
+		c.coordination.patient = true
 	})
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	c.read(giver, seamstore.Takeover, func(o Outcome, g Entry, _ seamclock.Instant) {
-		if o == OK && c.reign != nil && c.mayCall(e.Key) {
+		if o == OK && c.coordination != nil && c.mayCall(e.Key) {
 			c.writeAbsorbed(e, giftsTo(g.Record, e.Record.ID))
 		}
 	})
@@ -315,7 +315,7 @@
 	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
 	r.Gifts = append([]Gift(nil), r.Gifts...)
 	for _, x := range ranges {
-		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.reign.entry.Record.ID, Epoch: r.Epoch})
+		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.coordination.entry.Record.ID, Epoch: r.Epoch})
 	}
 	r.Ranges = nil
 	c.swap(e.Revision, r, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
--- a/internal/own/seamcell/merge.go
+++ b/internal/own/seamcell/merge.go
@@ -13,7 +13,7 @@
 
 // considerMerge closes a cell with few members if another of the region has room for them.
 func (c *Cell) considerMerge() {
-	r := c.reign
+	r := c.coordination
 	own := r.entry.Record
 	size, _ := c.sizeAndOffers()
 	if r.ranges.closing || c.draining || size >= c.cfg.Min || size != own.Size || seamclock.Most(c.now, r.begun) < 2*c.cfg.Settle {
@@ -34,7 +34,7 @@
 
 // considerMembers moves a member to a cell of the region that has too few, if none has room for its members.
 func (c *Cell) considerMembers() {
-	r := c.reign
+	r := c.coordination
 	own := r.entry.Record
 	size, _ := c.sizeAndOffers()
 	if r.ranges.closing || size <= c.cfg.Min+1 || size != own.Size || seamclock.Most(c.now, r.ranges.settled) < c.cfg.Settle {
@@ -65,7 +65,7 @@
 
 // spare returns a member that is neither coordinator nor backup, from the failure domain with the most members.
 func (c *Cell) spare() *info {
-	r := c.reign
+	r := c.coordination
 	domains := map[string]int{}
 	for _, m := range r.infos {
 		domains[m.peer.Domain]++
@@ -88,7 +88,7 @@
 
 // movedAway sends a member that owns nothing to its new cell, and reports whether it did.
 func (c *Cell) movedAway(m *info, n *seamcellwire.Renew) bool {
-	r := c.reign
+	r := c.coordination
 	e, ok := c.directory.get(CellPrefix + m.cell)
 	if !ok || !c.alive(e) {
 		m.cell = ""
@@ -105,7 +105,7 @@
 
 // closeCell ends a cell that has given everything away.
 func (c *Cell) closeCell() {
-	r := c.reign
+	r := c.coordination
 	if !r.ranges.closing || r.ranges.out != nil {
 		return
 	}
@@ -130,7 +130,7 @@
 
 // reconsiderClosing stays open if nobody takes the ranges.
 func (c *Cell) reconsiderClosing() {
-	r := c.reign
+	r := c.coordination
 	if c.draining {
 		return
 	}
@@ -140,9 +140,9 @@
 	}
 }
 
-// vacate writes a record without coordinator and ends the reign.
+// vacate writes a record without coordinator and ends the coordination.
 func (c *Cell) vacate() {
-	r := c.reign
+	r := c.coordination
 	n := r.entry.Record
 	n.Epoch++
 	n.Coordinator, n.Backup = seampeer.Peer{}, seampeer.Peer{}
@@ -151,7 +151,7 @@
 	r.resigned = true
 	c.stopServing()
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, _ seamclock.Instant) {
-		if c.reign != r {
+		if c.coordination != r {
 			return
 		}
 		if o != OK {
@@ -159,14 +159,14 @@
 			return
 		}
 		c.emit(seamevent.CellStopped, seamevent.Fields{"cell": n.ID, "epoch": n.Epoch, "reason": "given up"})
-		c.reign = nil
+		c.coordination = nil
 		c.left()
 	})
 }
 
-// retire ends the reign of a node that stops.
+// retire ends the coordination of a node that stops.
 func (c *Cell) retire() {
-	r := c.reign
+	r := c.coordination
 	if !c.draining || c.ownsAny() && len(r.infos) > 1 || !c.mayCall(r.entry.Key) {
 		return
 	}
@@ -189,7 +189,7 @@
 
 // takers reports whether another cell could take one of the ranges.
 func (c *Cell) takers() bool {
-	for _, x := range c.reign.entry.Record.Ranges {
+	for _, x := range c.coordination.entry.Record.Ranges {
 		if to, _ := c.recipient(x); to != "" {
 			return true
 		}
@@ -197,8 +197,8 @@
 	return false
 }
 
-// farewell is the resignation of a coordinator until the backup has taken it.
-type farewell struct {
+// resignation is the resignation of a coordinator until the backup has taken it.
+type resignation struct {
 	term    uint64
 	to      seampeer.Peer
 	message *seamcellwire.Resign
@@ -206,10 +206,10 @@
 	sent    seamclock.Instant
 }
 
-// resign hands the reign to the backup without the store. It is for good: this node will not
+// resign hands the coordination to the backup without the store. It is for good: this node will not
 // grant again in the epoch.
 func (c *Cell) resign() {
-	r := c.reign
+	r := c.coordination
 	b := r.find(r.entry.Record.Backup)
 	if b == nil || r.sole || r.gate != nil || r.ranges.out != nil || b.version < r.table.version ||
 		seamclock.Most(c.now, r.promised) > c.silence() || r.moving() > 0 || r.lastPromise == 0 {
@@ -224,22 +224,22 @@
 	}
 	left := min(r.horizon.Mono-c.now.Mono, r.horizon.Wall-c.now.Wall)
 	r.resigned = true
-	c.farewell = &farewell{term: r.term, to: b.peer, cell: r.entry.Record.ID, message: &seamcellwire.Resign{
+	c.resignation = &resignation{term: r.term, to: b.peer, cell: r.entry.Record.ID, message: &seamcellwire.Resign{
 		Epoch: r.entry.Record.Epoch, Sequence: r.lastPromise, Left: uint64(max(left, 0) / time.Millisecond),
 		Revision: r.entry.Revision, Record: data,
 	}}
-	c.reign = nil
+	c.coordination = nil
 	c.stopServing()
 	c.member.coordinator = b.peer
 	c.member.backup = seampeer.Peer{}
-	c.tickFarewell()
+	c.tickResignation()
 }
 
-// tickFarewell repeats the resignation until the successor has begun its reign.
-func (c *Cell) tickFarewell() {
-	f := c.farewell
+// tickResignation repeats the resignation until the successor has begun its coordination.
+func (c *Cell) tickResignation() {
+	f := c.resignation
 	if c.member == nil || c.member.table.term > f.term {
-		c.farewell = nil
+		c.resignation = nil
 		return
 	}
 	if !f.sent.Zero() && c.now.Mono-f.sent.Mono < c.cfg.Heartbeat {
@@ -251,7 +251,7 @@
 
 // onBackupResigned notes that the backup will never take over in the present epoch.
 func (c *Cell) onBackupResigned(from seampeer.Peer, x *seamcellwire.Message, s *seamcellwire.Resign) {
-	r := c.reign
+	r := c.coordination
 	if r == nil || x.GetCell() != r.entry.Record.ID || s.GetEpoch() != r.entry.Record.Epoch || !r.entry.Record.Backup.Same(from) {
 		return
 	}
--- a/internal/own/seamcell/plan.go
+++ b/internal/own/seamcell/plan.go
@@ -10,7 +10,7 @@
 
 // plan moves slots away from members that stop, and those that the Placer names.
 func (c *Cell) plan() {
-	r := c.reign
+	r := c.coordination
 	moving := r.moving()
 	moving = c.evacuate(moving)
 	if moving >= c.cfg.Moves || !c.mayPlan() {
@@ -29,14 +29,14 @@
 
 // mayPlan reports whether the loads are known and the last plan is old enough.
 func (c *Cell) mayPlan() bool {
-	r := c.reign
+	r := c.coordination
 	if !r.measured.Zero() && seamclock.Least(c.now, r.measured) < 0 {
 		return false
 	}
 	return r.planned.Zero() || c.now.Mono-r.planned.Mono >= c.cfg.Plan
 }
 
-func (r *reign) moving() int {
+func (r *coordination) moving() int {
 	n := 0
 	for _, e := range r.table.slots {
 		if e.state == stateReleasing {
@@ -48,7 +48,7 @@
 
 // evacuate moves slots off members that drain, or whose target has ended.
 func (c *Cell) evacuate(moving int) int {
-	r := c.reign
+	r := c.coordination
 	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
 		m := r.infos[e.owner]
@@ -70,9 +70,9 @@
 
 // rests reports whether the slot stays where it is because its hand-over failed lately.
 func (c *Cell) rests(id seamslot.ID) bool {
-	failed, ok := c.reign.kept[id]
+	failed, ok := c.coordination.kept[id]
 	if ok && seamclock.Least(c.now, failed) >= c.cfg.Settle {
-		delete(c.reign.kept, id)
+		delete(c.coordination.kept, id)
 		return false
 	}
 	return ok
@@ -80,13 +80,13 @@
 
 // mustGive reports whether the member is to give its slots of the service away.
 func (c *Cell) mustGive(m *info, service string) bool {
-	t := c.reign.table.roster[m.id].target
+	t := c.coordination.table.roster[m.id].target
 	return c.memberDraining(m) || t.Leaving || t.Service != service
 }
 
 // successor returns the member to which a slot is moved, a synced standby by preference.
 func (c *Cell) successor(id seamslot.ID, e *slotEntry) *info {
-	r := c.reign
+	r := c.coordination
 	if m := r.infos[e.standby]; m != nil && e.synced && c.usable(m, id.Service) {
 		return m
 	}
@@ -102,12 +102,12 @@
 func (c *Cell) startMove(e *slotEntry, to uint32) {
 	e.next = to
 	e.state = stateReleasing
-	c.reign.table.changeSlot(e)
+	c.coordination.table.changeSlot(e)
 }
 
 // move begins a move that the Placer asks for, and reports whether it could.
 func (c *Cell) move(m Move) bool {
-	r := c.reign
+	r := c.coordination
 	e := r.table.slots[m.Slot]
 	if e == nil || e.owner == 0 || e.state != stateOwned || r.ranges.keeps(m.Slot) || c.rests(m.Slot) {
 		return false
@@ -121,7 +121,7 @@
 }
 
 func (c *Cell) placeView(moving int) PlaceView {
-	r := c.reign
+	r := c.coordination
 	v := PlaceView{Moving: moving}
 	for _, id := range sortedKeys(r.infos) {
 		m := r.infos[id]
--- /dev/null
+++ b/internal/own/seamcell/refusal.go
@@ -0,0 +1,74 @@
+package seamcell
+
+import (
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/own/seamcellwire"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamslot"
+)
+
+func (c *Cell) onRefuse(x *seamcellwire.Message, f *seamcellwire.Refuse) {
+	m := c.member
+	if m == nil || (x.GetCell() != m.cell && m.cell != "") || c.coordination != nil {
+		return
+	}
+	if _, ok := m.sent[f.GetSequence()]; !ok {
+		return
+	}
+	from := seampeer.Peer{Name: x.GetName(), Incarnation: x.GetIncarnation()}
+	switch f.GetCause() {
+	case seamcellwire.Refuse_ELSEWHERE:
+		c.redirected(from, x, f)
+	case seamcellwire.Refuse_FULL:
+		if !m.joined {
+			c.joinFailed(c.cfg.Settle)
+		}
+	case seamcellwire.Refuse_UNKNOWN:
+		if m.joined && from.Same(m.coordinator) {
+			c.readmit()
+		}
+	case seamcellwire.Refuse_MOVE:
+		if m.joined && from.Same(m.coordinator) {
+			c.leave()
+			c.attempt(f.GetCell(), peerOf(f.GetCoordinator()), seampeer.Peer{})
+		}
+	case seamcellwire.Refuse_LEFT:
+		if m.leaveNotices > 0 && from.Same(m.coordinator) {
+			c.left()
+		}
+	}
+}
+
+// redirected asks the coordinator that another member has named.
+func (c *Cell) redirected(from seampeer.Peer, x *seamcellwire.Message, f *seamcellwire.Refuse) {
+	m := c.member
+	p := peerOf(f.GetCoordinator())
+	if p.Zero() || p.Same(from) || p.Same(c.self) || p.Same(m.coordinator) {
+		return
+	}
+	if m.joined && x.GetTerm() < m.table.term {
+		return
+	}
+	if m.cell == "" {
+		c.attempt(x.GetCell(), p, seampeer.Peer{})
+		return
+	}
+	m.coordinator = p
+	m.unanswered = 0
+}
+
+// readmit asks for admission anew, with an empty table. The lease is over by then.
+func (c *Cell) readmit() {
+	m := c.member
+	c.stopServing()
+	m.joined = false
+	m.unanswered = 0
+	m.table = newTable(m.table.term)
+	m.old = nil
+	m.id = 0
+	m.pending = nil
+	m.known = 0
+	m.released = map[seamslot.ID]uint64{}
+	m.sent = map[uint64]seamclock.Instant{}
+	c.renew()
+}
--- a/internal/own/seamcell/store.go
+++ b/internal/own/seamcell/store.go
@@ -91,7 +91,7 @@
 	if e.Record.ID == "" && !e.Deleted {
 		return
 	}
-	if c.reign != nil && e.Key == c.reign.entry.Key {
+	if c.coordination != nil && e.Key == c.coordination.entry.Key {
 		c.adoptRecord(e)
 		return
 	}
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -109,7 +109,7 @@
 	v.Lease, _ = c.Lease(now)
 	v.Members = c.memberViews()
 	v.Slots = c.slotViews()
-	if r := c.reign; r != nil {
+	if r := c.coordination; r != nil {
 		v.Epoch = r.entry.Record.Epoch
 		v.Backup = r.entry.Record.Backup
 		v.Authority, _ = c.authority()
@@ -121,7 +121,7 @@
 
 func (c *Cell) role() Role {
 	switch {
-	case c.reign != nil:
+	case c.coordination != nil:
 		return RoleCoordinator
 	case !c.member.joined:
 		return RoleJoining
@@ -134,7 +134,7 @@
 
 // confirmed returns the lowest revision of the rules among the members that can be served by.
 func (c *Cell) confirmed() int64 {
-	r := c.reign
+	r := c.coordination
 	lowest := c.applied
 	for _, m := range r.infos {
 		lowest = min(lowest, m.applied)
@@ -160,8 +160,8 @@
 			v.InFlight = c.target.InFlight
 			v.Applied = c.applied
 		}
-		if c.reign != nil && c.reign.infos[id] != nil {
-			v.Applied = c.reign.infos[id].applied
+		if c.coordination != nil && c.coordination.infos[id] != nil {
+			v.Applied = c.coordination.infos[id].applied
 		}
 		i++
 		views = append(views, v)
@@ -183,8 +183,8 @@
 			Epoch: e.token, Moving: e.owner == 0 || e.state != stateOwned,
 			Next: t.peer(e.next),
 		}
-		if c.reign != nil {
-			v.Rate = c.reign.loads[id].Rate
+		if c.coordination != nil {
+			v.Rate = c.coordination.loads[id].Rate
 		}
 		views = append(views, v)
 	}
--- a/internal/own/seamcell/watch.go
+++ b/internal/own/seamcell/watch.go
@@ -62,8 +62,8 @@
 
 func (c *Cell) onBeat(x *seamcellwire.Message, b *seamcellwire.Beat) {
 	p := peerOf(b.GetPeer())
-	if c.reign != nil && x.GetCell() == c.reign.entry.Record.ID {
-		if x.GetTerm() < c.reign.term && !c.reign.resigned {
+	if c.coordination != nil && x.GetCell() == c.coordination.entry.Record.ID {
+		if x.GetTerm() < c.coordination.term && !c.coordination.resigned {
 			c.sendLead(p, 0)
 		}
 		return
@@ -138,7 +138,7 @@
 	c.swap(e.Revision, r, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
 		if o == OK {
 			c.watch = nil
-			c.startReign(e, first, w.coordinator, false)
+			c.startCoordination(e, first, w.coordinator, false)
 		}
 	})
 }
@@ -196,7 +196,7 @@
 		return
 	}
 	w := c.watch
-	if c.reign != nil && c.reign.entry.Record.ID == x.GetCell() {
+	if c.coordination != nil && c.coordination.entry.Record.ID == x.GetCell() {
 		c.leadTo(from)
 		return
 	}
@@ -216,6 +216,6 @@
 	}
 	c.learn(e)
 	c.watch = nil
-	c.startReign(e, promised, from, true)
-	c.reign.horizon = promised.Add(time.Duration(s.GetLeft()) * time.Millisecond)
+	c.startCoordination(e, promised, from, true)
+	c.coordination.horizon = promised.Add(time.Duration(s.GetLeft()) * time.Millisecond)
 }
