Records of ownership under one prefix: one watch and one list instead of two

Change: cells and divisions of services stand under own/; two waiting watches a coordinator are left (records, rules).

--- a/cmd/cardamomseam/demo.go
+++ b/cmd/cardamomseam/demo.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -28,6 +30,8 @@
 
 func runDemo(ctx context.Context, c *cli.Command) error {
 	defer seamlog.Silence()()
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
 	_, err := seamdemo.Run(ctx, seamdemo.Config{For: c.Duration("for"), Seed: c.Uint64("seed"), Out: os.Stdout})
 	return err
 }
--- a/internal/own/seamcell/record.go
+++ b/internal/own/seamcell/record.go
@@ -11,10 +11,12 @@
 
 // Prefixes of the keys under which records stand in the store.
 const (
+	// Prefix precedes all records, so that one watch sees them.
+	Prefix = "own/"
 	// CellPrefix precedes the id of a cell.
-	CellPrefix = "cell/"
+	CellPrefix = Prefix + "cell/"
 	// SlotsPrefix precedes the name of a keyed service.
-	SlotsPrefix = "slots/"
+	SlotsPrefix = Prefix + "slots/"
 )
 
 // Record is the value of one key of the store: a cell, or the first division of a service's slots.
--- a/internal/own/seamkeeper/rosters.go
+++ b/internal/own/seamkeeper/rosters.go
@@ -281,7 +281,7 @@
 		entry.Deleted = e.GetDeleted()
 		entries = append(entries, entry)
 	}
-	k.learn(entries)
+	k.takeRecords(entries)
 	return nil
 }
 
--- a/internal/own/seamkeeper/store.go
+++ b/internal/own/seamkeeper/store.go
@@ -125,28 +125,23 @@
 		k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Seeds(now, k.seeds()) })
 		return
 	}
-	k.learn(entries)
+	k.takeRecords(entries)
 }
 
 func (k *Keeper) listRecords(ctx context.Context) ([]seamcell.Entry, int64, error) {
-	var all []seamcell.Entry
-	var revision int64
-	for _, prefix := range []string{seamcell.CellPrefix, seamcell.SlotsPrefix} {
-		entries, r, err := k.parts.Store.List(ctx, seamstore.Configuration, prefix)
-		if err != nil {
-			return nil, 0, err
-		}
-		if revision == 0 {
-			revision = r
-		}
-		for _, e := range entries {
-			all = append(all, decode(e))
-		}
+	entries, revision, err := k.parts.Store.List(ctx, seamstore.Configuration, seamcell.Prefix)
+	if err != nil {
+		return nil, 0, err
+	}
+	records := make([]seamcell.Entry, 0, len(entries))
+	for _, e := range entries {
+		records = append(records, decode(e))
 	}
-	return all, revision, nil
+	return records, revision, nil
 }
 
-func (k *Keeper) learn(entries []seamcell.Entry) {
+// takeRecords gives records to the state machine.
+func (k *Keeper) takeRecords(entries []seamcell.Entry) {
 	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Directory(now, entries) })
 }
 
@@ -171,8 +166,8 @@
 	for ctx.Err() == nil {
 		entries, revision, err := k.listRecords(ctx)
 		if err == nil {
-			k.learn(entries)
-			_ = k.watchFrom(ctx, revision)
+			k.takeRecords(entries)
+			_ = k.parts.Store.Watch(ctx, seamcell.Prefix, revision, k.changed) // it is started again
 		}
 		select {
 		case <-ctx.Done():
@@ -181,21 +176,6 @@
 	}
 }
 
-func (k *Keeper) watchFrom(ctx context.Context, revision int64) error {
-	var watches []error
-	done := make(chan error, 2)
-	inner, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, prefix := range []string{seamcell.CellPrefix, seamcell.SlotsPrefix} {
-		go func() { done <- k.parts.Store.Watch(inner, prefix, revision, k.changed) }()
-	}
-	for range 2 {
-		watches = append(watches, <-done)
-		cancel()
-	}
-	return errors.Join(watches...)
-}
-
 func (k *Keeper) changed(changes []seamstore.Change) {
 	entries := make([]seamcell.Entry, 0, len(changes))
 	for _, c := range changes {
@@ -205,5 +185,5 @@
 		}
 		entries = append(entries, entry)
 	}
-	k.learn(entries)
+	k.takeRecords(entries)
 }
