A stopping node waits for a connection accepted at the last moment

Cause: one GET of 28,000 over nine stops ended with EOF on a new connection; the HTTP library's shutdown returns if a connection was accepted but is not yet tracked, and the process then ends. Ruled out: idle connections (the client tries those again by itself). Change: a second shutdown after 50 ms, which waits for such a request.

--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -20,6 +20,8 @@
 	headTime = 5 * time.Second
 	// idleTime is the time after which an idle connection of a caller is closed.
 	idleTime = 2 * time.Minute
+	// lastAccept is the time in which an accepted connection becomes known to the HTTP library.
+	lastAccept = 50 * time.Millisecond
 	// headerSlack is what the HTTP library accepts beyond the limit of headers,
 	// so that a request just beyond it gets a typed answer.
 	headerSlack = 32 << 10
@@ -124,8 +126,13 @@
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.leaving.Store(true)
 	pause(ctx, grace)
-	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
+	// A connection that was accepted while the listener closed may not be known to the
+	// first shutdown yet; the second one waits for its request.
+	for range 2 {
+		if err := s.http.Shutdown(ctx); err != nil {
+			return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
+		}
+		pause(ctx, lastAccept)
 	}
 	return nil
 }
