A drained node goes once no node asks it any more

Cause: a drain run lost one booking of 28,000: its session ended at the moment at which the node went (reason lost, outcome unknown).

--- a/internal/node/seamnode/drain.go
+++ b/internal/node/seamnode/drain.go
@@ -9,6 +9,9 @@
 	"cardamomseam/internal/observe/seamevent"
 )
 
+// quietLimit bounds the wait for the last requests of nodes that do not know yet that this one leaves.
+const quietLimit = 2 * time.Second
+
 // Ordered is closed when an operator ordered this node to drain.
 func (n *Node) Ordered() <-chan struct{} { return n.ordered }
 
@@ -35,6 +38,9 @@
 			return n.cut(err, "callers' requests are in flight")
 		}
 	}
+	quiet, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
+	n.egress.Quiet(quiet)
 	n.sink.Emit(time.Now(), seamevent.NodeDrained, seamevent.Fields{"took": time.Since(started).String()})
 	return nil
 }
