--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -118,6 +118,8 @@
 	rosters  *rosters
 	orders   *orders
 	fetching [2]atomic.Bool
+	// leaving says that a planned stop has begun.
+	leaving atomic.Bool
 	// lonely wakes the reading of the directory.
 	lonely chan struct{}
 }
@@ -233,6 +235,7 @@
 // Drain begins the planned stop. It returns when the node holds nothing more,
 // or when ctx ends.
 func (k *Keeper) Drain(ctx context.Context) error {
+	k.leaving.Store(true)
 	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Drain(now) })
 	ticker := time.NewTicker(k.cfg.Tick)
 	defer ticker.Stop()
