--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -118,8 +118,6 @@
 	rosters  *rosters
 	orders   *orders
 	fetching [2]atomic.Bool
-	// leaving says that a planned stop has begun.
-	leaving atomic.Bool
 	// lonely wakes the reading of the directory.
 	lonely chan struct{}
 }
@@ -235,7 +233,6 @@
 // Drain begins the planned stop. It returns when the node holds nothing more,
 // or when ctx ends.
 func (k *Keeper) Drain(ctx context.Context) error {
-	k.leaving.Store(true)
 	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Drain(now) })
 	ticker := time.NewTicker(k.cfg.Tick)
 	defer ticker.Stop()
--- a/internal/own/seamkeeper/locate.go
+++ b/internal/own/seamkeeper/locate.go
@@ -44,7 +44,7 @@
 func (k *Keeper) Owner(service string, slot uint32) (seampeer.Peer, bool) {
 	id := slotID{Service: service, Index: slot}
 	snap := k.snapshot.Load()
-	if s, ok := snap.slots[id]; ok && !s.Owner.Zero() && !k.gaveAway(id, s.Owner) {
+	if s, ok := snap.slots[id]; ok && !s.Owner.Zero() {
 		return s.Owner, true
 	}
 	if p, ok := k.hints.find(id); ok {
@@ -54,16 +54,6 @@
 	return p, !p.Zero()
 }
 
-// gaveAway reports whether the table still names this node, which is leaving, as the owner of
-// a slot that it has handed over. A leaving node may get no further changes of the table.
-func (k *Keeper) gaveAway(id slotID, owner seampeer.Peer) bool {
-	if !k.leaving.Load() || !owner.Same(k.self) {
-		return false
-	}
-	h, _ := k.holdings.find(id)
-	return h == nil || h.closing.Load()
-}
-
 // Learn remembers the owner of a slot; a peer without an address forgets it.
 func (k *Keeper) Learn(service string, slot uint32, owner seampeer.Peer) {
 	k.hints.learn(slotID{Service: service, Index: slot}, owner)
--- a/internal/own/seamkeeper/owners.go
+++ b/internal/own/seamkeeper/owners.go
@@ -153,7 +153,7 @@
 // arriving reports whether the slot is about to be granted to this node.
 func (k *Keeper) arriving(id slotID) bool {
 	s, ok := k.snapshot.Load().slots[id]
-	if !ok || k.leaving.Load() {
+	if !ok {
 		return false
 	}
 	return s.Owner.Same(k.self) && !s.Moving || s.Next.Same(k.self)
@@ -180,7 +180,7 @@
 	case ok && !s.Owner.Zero() && !s.Owner.Same(k.self):
 		e.Owner = s.Owner.Address
 		e.Moving = s.Moving
-	case ok && !k.leaving.Load():
+	case ok:
 		e.Moving = true
 	default:
 		e.Owner = k.knownElsewhere(id).Address
