Demonstration: the hot key is hot enough to pay for moves

Change: the hot key draws half of the keyed requests, the rule weighs the balance; waits are bounded by 30 s.

--- a/internal/prove/seamdemo/steps.go
+++ b/internal/prove/seamdemo/steps.go
@@ -14,7 +14,7 @@
 
 const (
 	// patience bounds each wait of a step.
-	patience = 15 * time.Second
+	patience = 30 * time.Second
 	// look is the time between looks at the fleet.
 	look = 10 * time.Millisecond
 	// slots is the number of slots of the keyed service.
@@ -32,6 +32,7 @@
 selectors:
   - name: all
 limits: {deadline: 3000, retries: 3}
+place: {imbalance: 4, churn: 0.25, unavailable: 0.25}
 `
 
 const bookerRule = `service: booker
--- a/internal/prove/seamdemo/traffic.go
+++ b/internal/prove/seamdemo/traffic.go
@@ -23,7 +23,7 @@
 	// calendarShare is the share of requests for the keyed service.
 	calendarShare = 0.6
 	// hotPart is the share of requests for the hot key while it is hot.
-	hotPart = 0.3
+	hotPart = 0.5
 	// requestDeadline is the time that callers allow for a request.
 	requestDeadline = 3 * time.Second
 )
