--- a/internal/prove/seamfleet/serving.go
+++ b/internal/prove/seamfleet/serving.go
@@ -109,30 +109,38 @@
 	c, stop := seamcaller.NewClient(func(seamcaller.Request) []string { return f.Ingresses() })
 	defer stop()
 	present = map[seamcheck.Key][]string{}
+	missing = bookedKeys(records)
+	for {
+		missing = readKeys(ctx, c, missing, present)
+		if len(missing) == 0 || !pause(ctx, readyPoll) {
+			return present, missing
+		}
+	}
+}
+
+// bookedKeys returns the keys that callers booked, each once.
+func bookedKeys(records []seamcaller.Record) []seamcheck.Key {
+	var list []seamcheck.Key
 	seen := map[seamcheck.Key]bool{}
 	for _, x := range records {
 		k := seamcheck.Key{Service: x.Service, Name: x.Key}
-		if x.Kind != seamcaller.Book || x.Key == "" || seen[k] {
-			continue
-		}
-		seen[k] = true
-		if ids, ok := readKey(ctx, c, k); ok {
-			present[k] = ids
-		} else {
-			missing = append(missing, k)
+		if x.Kind == seamcaller.Book && x.Key != "" && !seen[k] {
+			seen[k] = true
+			list = append(list, k)
 		}
 	}
-	return present, missing
+	return list
 }
 
-func readKey(ctx context.Context, c *seamcaller.Client, k seamcheck.Key) ([]string, bool) {
-	for {
+// readKeys reads each key once, adds what it found and returns the keys that were not served.
+func readKeys(ctx context.Context, c *seamcaller.Client, keys []seamcheck.Key, found map[seamcheck.Key][]string) (missing []seamcheck.Key) {
+	for _, k := range keys {
 		x := c.Send(ctx, seamcaller.Request{ID: uuid.NewString(), Kind: seamcaller.Read, Service: k.Service, Key: k.Name})
 		if x.Outcome == seamcaller.Done && x.Status == 200 {
-			return x.IDs, true
-		}
-		if !pause(ctx, readyPoll) {
-			return nil, false
+			found[k] = x.IDs
+			continue
 		}
+		missing = append(missing, k)
 	}
+	return missing
 }
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -239,7 +239,7 @@
 	records := s.Records.All()
 	began := time.Now()
 	present, missing := s.Fleet.ReadBack(ctx, records, readBackLimit)
-	s.Say("read %d keys back in %s", len(present), time.Since(began).Round(time.Millisecond))
+	s.Say("read %d keys back in %s, not served: %v", len(present), time.Since(began).Round(time.Millisecond), missing)
 	evidence, err := s.Fleet.Evidence(records)
 	if err != nil {
 		return err
