--- a/internal/node/seamnode/rules.go
+++ b/internal/node/seamnode/rules.go
@@ -13,7 +13,6 @@
 	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamsession"
-	"cardamomseam/internal/rule/seambook"
 	"cardamomseam/internal/rule/seamrule"
 	"cardamomseam/internal/rule/seamset"
 )
@@ -42,20 +41,8 @@
 
 // Read reads the store's rules.
 func (r *ruleSource) Read(ctx context.Context) error {
-	entries, _, err := r.store.List(ctx, seamstore.Configuration, seambook.KeyPrefix)
-	if err != nil {
-		return errors.Wrap(err, "read rules")
-	}
-	versions := make([]seamrule.Version, 0, len(entries))
-	for _, e := range entries {
-		v, err := seambook.Version(e)
-		if err != nil {
-			return errors.Wrap(err, "read rules")
-		}
-		versions = append(versions, v)
-	}
-	_, err = r.set.ApplyVersions(time.Now(), versions)
-	return errors.Wrap(err, "apply rules")
+	_, err := r.set.Read(ctx, r.store)
+	return errors.Wrap(err, "read rules")
 }
 
 // Labels returns the labels by which selectors choose the instance.
--- a/internal/rule/seamset/watch.go
+++ b/internal/rule/seamset/watch.go
@@ -33,13 +33,20 @@
 	}
 }
 
-// follow lists the rules and watches for changes until one fails; it reports whether it could list.
-func (s *Set) follow(ctx context.Context, store seamstore.Store) bool {
+// Read lists the store's rules once, puts them in force and returns the store's revision.
+// Errors are those of the store, or that of a document that cannot be read or compiled.
+func (s *Set) Read(ctx context.Context, store seamstore.Store) (int64, error) {
 	entries, revision, err := store.List(ctx, seamstore.Configuration, seambook.KeyPrefix)
 	if err != nil {
-		return false
+		return 0, err
 	}
-	if s.take(entries) != nil {
+	return revision, s.take(entries)
+}
+
+// follow lists the rules and watches for changes until one fails; it reports whether it could list.
+func (s *Set) follow(ctx context.Context, store seamstore.Store) bool {
+	revision, err := s.Read(ctx, store)
+	if err != nil {
 		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
