--- a/internal/rule/seambook/book.go
+++ b/internal/rule/seambook/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,6 +10,7 @@
 
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seamdiff"
 	"cardamomseam/internal/rule/seamrule"
 )
@@ -207,7 +207,7 @@
 // whether the call may be made again.
 func awaitBudget(ctx context.Context, err error) bool {
 	var budget *seamstore.BudgetError
-	return errors.As(err, &budget) && pause(ctx, max(budget.After, firstWait)) == nil
+	return errors.As(err, &budget) && seamwait.Jittered(ctx, max(budget.After, firstWait)) == nil
 }
 
 // replaces reports whether a change that expects the revision replaces the version in
@@ -270,7 +270,7 @@
 			b.refused.Inc()
 			return Recorded{}, unavailable(service, err)
 		}
-		if pause(ctx, wait) != nil {
+		if seamwait.Jittered(ctx, wait) != nil {
 			b.refused.Inc()
 			return Recorded{}, &UnknownError{Service: service, Writer: made.Writer, Cause: err}
 		}
@@ -313,15 +313,3 @@
 	e.Difference = seamdiff.Unified("recorded", e.Theirs, "yours", e.Yours)
 	return e
 }
-
-// pause waits for about d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/rule/seamset/watch.go
+++ b/internal/rule/seamset/watch.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seambook"
 	"cardamomseam/internal/rule/seamrule"
 )
@@ -26,7 +26,7 @@
 		if listed {
 			wait = firstWait
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := seamwait.Jittered(ctx, wait); err != nil {
 			return err
 		}
 		wait = min(2*wait, longestWait)
@@ -83,15 +83,3 @@
 	_, err := s.ApplyVersions(time.Now(), versions)
 	return err
 }
-
-// pause waits for about d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
