A body that no node asked for stays readable for the next attempt

When a node refused a streamed request, the ingress waited 1 ms for its body sender and then set a read deadline in the past on the caller's connection, although the sender never reads a body that was not asked for. A sender that was scheduled late left the next attempt without a body. Ruled out: the draining node (it refuses before it admits). Change: a body that was not asked for is waited for only, and a body whose reading was ended is not sent again.

--- a/internal/route/seamingress/body.go
+++ b/internal/route/seamingress/body.go
@@ -94,7 +94,7 @@
 
 // again reports whether the body can be sent from its start.
 func (b *requestBody) again() bool {
-	return b.whole || b.count.Load() == 0
+	return b.whole || b.count.Load() == 0 && b.failure.Load() == nil
 }
 
 // reader returns the body from its start. failed is called if the caller does
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -161,8 +161,13 @@
 	return end, err
 }
 
-// endBody waits until nothing of the body is sent any more.
+// endBody waits until nothing of the body is sent any more. A body that the node did not ask
+// for is left unread, so that another attempt can send it.
 func (x *exchange) endBody(conn net.Conn, sent <-chan struct{}) {
+	if x.admitted != nil {
+		<-sent
+		return
+	}
 	if x.body.count.Load() > 0 {
 		conn.Close()
 	}
