Tests that a slow machine broke: each cause mended

Found by running every test binary several times beside other work (GOMAXPROCS=2, load 30 to 38). - Ledger: an attempt could start after its own deadline, when its record no longer outlasts a duplicate (TestRandomSteps, 'started twice, at 6.1s and 7s'). The egress never asks so late; the ledger now refuses by itself.

--- a/internal/platform/seamstore/client_test.go
+++ b/internal/platform/seamstore/client_test.go
@@ -38,6 +38,19 @@
 	return ctx
 }
 
+// released waits until the store has seen that the callers of all held calls are gone: a call
+// that is still held when the outage ends takes effect.
+func released(t *testing.T, s *seamstandstore.Server) {
+	t.Helper()
+	ctx := limited(t, 5*time.Second)
+	for s.Counts().Held > 0 {
+		if ctx.Err() != nil {
+			t.Fatal("the store still holds calls")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestSwapComparesRevisions(t *testing.T) {
 	_, c := start(t, seamstore.Config{})
 	ctx := limited(t, 5*time.Second)
@@ -116,6 +129,7 @@
 			if errors.As(err, &unknown) != test.unknown || errors.As(err, &unavailable) == test.unknown {
 				t.Errorf("swap returned %T %v", err, err)
 			}
+			released(t, s)
 			if err := s.SetFaults(seamstandstore.Faults{}); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/route/seamegress/gate.go
+++ b/internal/route/seamegress/gate.go
@@ -74,7 +74,7 @@
 		return ""
 	case g.started:
 		return seamoutcome.Duplicate
-	case !g.ledger.Start(g.id, g.attempt):
+	case !g.ledger.Start(now, g.id, g.attempt):
 		return seamoutcome.Voided
 	}
 	return ""
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -71,7 +71,7 @@
 		end := x.attempt(ctx, to)
 		wait, again := x.next(end, to, budget)
 		if !again || !pause(ctx, wait) {
-			return x.honest(end)
+			return x.honest(cause(end, last))
 		}
 		x.remember(end)
 		last = &end
@@ -98,6 +98,15 @@
 	return end
 }
 
+// cause returns the refusal for which the request was repeated if the last attempt only
+// came too late.
+func cause(end seamoutcome.End, last *seamoutcome.End) seamoutcome.End {
+	if end.Reason == seamoutcome.Expired && last != nil && last.Outcome == seamoutcome.Refused {
+		return *last
+	}
+	return end
+}
+
 // exhausted is the end of a request for which no node is left to try.
 func (x *exchange) exhausted(last *seamoutcome.End) seamoutcome.End {
 	switch {
--- a/internal/route/seamledger/ledger.go
+++ b/internal/route/seamledger/ledger.go
@@ -66,6 +66,8 @@
 
 type run struct {
 	attempt uint64
+	// deadline is the end of the attempt's right to start.
+	deadline seamclock.Instant
 	// second is the bucket that forgets the run.
 	second  int64
 	started bool
@@ -105,19 +107,20 @@
 		return Full
 	}
 	second := dueSecond(now, left)
-	l.runs[id] = run{attempt: attempt, second: second}
+	l.runs[id] = run{attempt: attempt, deadline: now.Add(left), second: second}
 	b := l.bucket(second)
 	b.runs = append(b.runs, id)
 	return Admitted
 }
 
 // Start reports whether the attempt may run now. Once it returned true the
-// attempt counts as run, and Start returns false for it.
-func (l *Ledger) Start(id ID, attempt uint64) bool {
+// attempt counts as run, and Start returns false for it. After its deadline no
+// attempt starts, since its record would not outlast a duplicate.
+func (l *Ledger) Start(now seamclock.Instant, id ID, attempt uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, ok := l.runs[id]
-	if !ok || r.attempt != attempt || r.started {
+	if !ok || r.attempt != attempt || r.started || seamclock.Past(now, r.deadline) {
 		return false
 	}
 	r.started = true
--- a/internal/route/seamledger/ledger_test.go
+++ b/internal/route/seamledger/ledger_test.go
@@ -21,7 +21,7 @@
 	if v := l.Begin(at(0), visit, 1, time.Second); v != seamledger.Admitted {
 		t.Fatalf("first attempt: verdict %d", v)
 	}
-	if !l.Start(visit, 1) {
+	if !l.Start(at(0), visit, 1) {
 		t.Fatal("first attempt was not started")
 	}
 	if v := l.Begin(at(time.Second+seamledger.Slack-time.Millisecond), visit, 2, time.Second); v != seamledger.Duplicate {
@@ -37,12 +37,23 @@
 	l.Begin(at(0), visit, 1, time.Second)
 	l.Withdraw(visit, 1)
 	l.Begin(at(4*time.Second), visit, 2, time.Minute)
-	l.Start(visit, 2)
+	l.Start(at(4*time.Second), visit, 2)
 	if v := l.Begin(at(10*time.Second), visit, 3, time.Second); v != seamledger.Duplicate {
 		t.Errorf("verdict %d after the first attempt's record was due", v)
 	}
 }
 
+func TestExpiredAttemptIsNotStarted(t *testing.T) {
+	l := seamledger.New(0)
+	l.Begin(at(0), visit, 1, time.Second)
+	if l.Start(at(time.Second), visit, 1) {
+		t.Error("started at its deadline")
+	}
+	if s := l.Void(at(time.Second), visit, 1, 0); s != seamledger.Voided {
+		t.Errorf("state %s of an attempt that expired", s)
+	}
+}
+
 func TestVoid(t *testing.T) {
 	const left = time.Second
 	for _, tt := range []struct {
@@ -55,11 +66,11 @@
 	}{
 		{"before arrival", func(*seamledger.Ledger) {}, left, seamledger.Voided, true, false},
 		{"while waiting", func(l *seamledger.Ledger) { l.Begin(at(0), visit, 1, left) }, left, seamledger.Voided, false, false},
-		{"after start", func(l *seamledger.Ledger) { l.Begin(at(0), visit, 1, left); l.Start(visit, 1) }, left, seamledger.Ran, false, false},
-		{"after another attempt ran", func(l *seamledger.Ledger) { l.Begin(at(0), visit, 2, left); l.Start(visit, 2) }, left, seamledger.Ran, true, false},
+		{"after start", func(l *seamledger.Ledger) { l.Begin(at(0), visit, 1, left); l.Start(at(0), visit, 1) }, left, seamledger.Ran, false, false},
+		{"after another attempt ran", func(l *seamledger.Ledger) { l.Begin(at(0), visit, 2, left); l.Start(at(4*time.Second), visit, 2) }, left, seamledger.Ran, true, false},
 		{"after a start without bytes", func(l *seamledger.Ledger) {
 			l.Begin(at(0), visit, 1, left)
-			l.Start(visit, 1)
+			l.Start(at(0), visit, 1)
 			l.Revert(visit, 1)
 		}, left, seamledger.Voided, false, false},
 		{"too late", func(*seamledger.Ledger) {}, -seamledger.Slack - time.Second, seamledger.Unknown, true, true},
@@ -73,7 +84,7 @@
 			if tt.arrives {
 				l.Begin(at(0), visit, 1, left)
 			}
-			if got := l.Start(visit, 1); got != tt.starts {
+			if got := l.Start(at(0), visit, 1); got != tt.starts {
 				t.Errorf("start after the void: %t, want %t", got, tt.starts)
 			}
 		})
@@ -114,7 +125,7 @@
 				}
 				arrived[attempt] = true
 			case 1:
-				if l.Start(id, attempt) {
+				if l.Start(at(now), id, attempt) {
 					if last, ok := started[id]; ok && now-last < seamledger.Slack {
 						t.Fatalf("request %v started twice, at %v and %v", id, last, now)
 					}
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -277,10 +277,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	followed := make(chan struct{})
+	parts.Events.Emit(time.Now(), seamevent.StoreDown, nil)
+	following, followed := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(followed)
-		_ = seamclient.Client{Address: address.String()}.Events(context.Background(), "", true, nil)
+		_ = seamclient.Client{Address: address.String()}.Events(context.Background(), "", true, func(seamevent.Event) error {
+			close(following)
+			return nil
+		})
 	}()
 	response, err := http.Get("http://" + address.String() + "/metrics")
 	if err != nil {
@@ -293,6 +297,11 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
+	select {
+	case <-following:
+	case <-ctx.Done():
+		t.Fatal("the follower got no event")
+	}
 	if err := stop(ctx); err != nil {
 		t.Fatalf("stop with a follower: %v", err)
 	}
--- a/internal/stand/seamstandstore/counts.go
+++ b/internal/stand/seamstandstore/counts.go
@@ -19,6 +19,8 @@
 	Calls map[string]int64 `json:"calls"`
 	// Keys is the number of writes of each key.
 	Keys map[string]int64 `json:"keys"`
+	// Held is the number of calls that wait for the end of an outage.
+	Held int64 `json:"held"`
 	// Revision is the present revision of the store.
 	Revision int64 `json:"revision"`
 }
@@ -27,6 +29,7 @@
 	mu    sync.Mutex
 	calls map[string]int64
 	keys  map[string]int64
+	held  int64
 }
 
 func newCounter() *counter {
@@ -39,6 +42,18 @@
 	c.calls[kind]++
 }
 
+// hold counts a call that waits for the end of an outage, until the returned function is called.
+func (c *counter) hold() (release func()) {
+	c.addHeld(1)
+	return func() { c.addHeld(-1) }
+}
+
+func (c *counter) addHeld(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held += n
+}
+
 func (c *counter) write(key string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -48,7 +63,7 @@
 func (c *counter) snapshot() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Counts{Calls: map[string]int64{}, Keys: map[string]int64{}}
+	s := Counts{Calls: map[string]int64{}, Keys: map[string]int64{}, Held: c.held}
 	for k, n := range c.calls {
 		s.Calls[k] = n
 	}
--- a/internal/stand/seamstandstore/handler.go
+++ b/internal/stand/seamstandstore/handler.go
@@ -68,11 +68,13 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.counter.call(kind)
 		faults := s.Faults()
+		q := Q(new(T))
+		// Only a request that was read to its end ends with its caller.
+		err := decode(w, r, q)
 		if !s.pass(r, faults) {
 			drop()
 		}
-		q := Q(new(T))
-		if err := decode(w, r, q); err != nil {
+		if err != nil {
 			fail(w, err)
 			return
 		}
@@ -100,6 +102,7 @@
 }
 
 func (s *Server) waitHealthy(r *http.Request) bool {
+	defer s.counter.hold()()
 	tick := time.NewTicker(hangPoll)
 	defer tick.Stop()
 	for s.Faults().Outage == OutageHang {
--- a/internal/stand/seamstandstore/server.go
+++ b/internal/stand/seamstandstore/server.go
@@ -36,7 +36,8 @@
 
 	mu     sync.Mutex
 	faults Faults
-	api    *http.Server
+	// stop closes the listener and the connections of the API; nil during OutageRefuse.
+	stop func()
 }
 
 // expirePeriod is the time between looks at the leases.
@@ -101,7 +102,7 @@
 	}
 	s.mu.Lock()
 	s.faults = f
-	open := s.api != nil
+	open := s.stop != nil
 	s.mu.Unlock()
 	switch {
 	case f.Outage == OutageRefuse:
@@ -120,7 +121,11 @@
 	api := newServer(s.handler())
 	s.mu.Lock()
 	s.address = l.Addr().String()
-	s.api = api
+	// A server that does not serve yet would leave the listener open.
+	s.stop = func() {
+		_ = l.Close()
+		_ = api.Close()
+	}
 	s.mu.Unlock()
 	go func() { _ = api.Serve(l) }()
 	return nil
@@ -128,11 +133,11 @@
 
 func (s *Server) shut() {
 	s.mu.Lock()
-	api := s.api
-	s.api = nil
+	stop := s.stop
+	s.stop = nil
 	s.mu.Unlock()
-	if api != nil {
-		_ = api.Close()
+	if stop != nil {
+		stop()
 	}
 }
 
