One wait that a context ends

Six packages had their own copy, with small differences (a timer that was left running, a context that had ended counted as lasting in two). seamwait.For serves all; Jittered builds on it.

--- a/internal/own/seamkeeper/orders.go
+++ b/internal/own/seamkeeper/orders.go
@@ -18,6 +18,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -243,7 +244,7 @@
 		if err == nil {
 			return true
 		}
-		if !pause(ctx, orderRetry) || !o.keeper.holdings.has(a.Slot, h) {
+		if !seamwait.For(ctx, orderRetry) || !o.keeper.holdings.has(a.Slot, h) {
 			o.failedHandover(a, err)
 			return false
 		}
@@ -262,16 +263,6 @@
 	})
 }
 
-// pause waits and reports whether ctx has not ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 func (o *orders) call(ctx context.Context, method, address, path string, body any) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
--- a/internal/platform/seamwait/wait.go
+++ b/internal/platform/seamwait/wait.go
@@ -1,4 +1,4 @@
-// Package seamwait waits between the attempts of a repeated call.
+// Package seamwait waits for a time, or for the end of a context.
 package seamwait
 
 import (
@@ -7,15 +7,23 @@
 	"time"
 )
 
-// Jittered waits for a random time between d/2 and 3d/2, so that callers that failed
-// together do not return together. The error is that of ctx if it ended before.
-func Jittered(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d))
+// For waits for d and reports whether ctx still lasts.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-ctx.Done():
-		return ctx.Err()
 	case <-t.C:
-		return nil
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
 	}
 }
+
+// Jittered waits for a random time between d/2 and 3d/2, so that callers that failed
+// together do not return together, and reports whether ctx still lasts.
+func Jittered(ctx context.Context, d time.Duration) bool {
+	return For(ctx, d/2+rand.N(d))
+}
--- a/internal/prove/seamfleet/admin.go
+++ b/internal/prove/seamfleet/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seamapi"
 	"cardamomseam/internal/rule/seamrule"
 )
@@ -88,7 +89,7 @@
 			}
 			last = err
 		}
-		if !pause(ctx, readyPoll) {
+		if !seamwait.For(ctx, readyPoll) {
 			return errors.Wrapf(last, "rule of %s", d.Service)
 		}
 	}
@@ -104,7 +105,7 @@
 			if err == nil {
 				break
 			}
-			if !pause(ctx, readyPoll) {
+			if !seamwait.For(ctx, readyPoll) {
 				return errors.Wrapf(err, "%s is not served after %s", d.Service, readyLimit)
 			}
 		}
@@ -133,16 +134,6 @@
 	return nil, nil, errors.Wrap(last, "no node tells its cells")
 }
 
-// pause waits and reports whether ctx still lasts.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // KeyName returns the n-th key at home in a region.
 func KeyName(region string, n int) string {
 	return fmt.Sprintf("%s-%04d", region, n)
--- a/internal/prove/seamfleet/event.go
+++ b/internal/prove/seamfleet/event.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 // Events collects the event streams of nodes.
@@ -38,7 +39,7 @@
 	go func() {
 		for {
 			e.read("http://" + x.Admin + "/v1/events?follow=true")
-			if !pause(e.ctx, retryPause) {
+			if !seamwait.For(e.ctx, retryPause) {
 				return
 			}
 		}
--- a/internal/prove/seamfleet/serving.go
+++ b/internal/prove/seamfleet/serving.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/prove/seamcheck"
 	"cardamomseam/internal/rule/seamrule"
@@ -112,7 +113,7 @@
 	missing = bookedKeys(records)
 	for {
 		missing = readKeys(ctx, c, missing, present)
-		if len(missing) == 0 || !pause(ctx, readyPoll) {
+		if len(missing) == 0 || !seamwait.For(ctx, readyPoll) {
 			return present, missing
 		}
 	}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamroutewire"
@@ -70,7 +71,7 @@
 		}
 		end := x.attempt(ctx, to)
 		wait, again := x.next(end, to, budget)
-		if !again || !pause(ctx, wait) {
+		if !again || !seamwait.For(ctx, wait) {
 			return x.honest(cause(end, last))
 		}
 		x.remember(end)
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamoutcome"
 )
 
@@ -49,7 +50,7 @@
 		return false
 	}
 	wait, again := x.awaitOwner(*last, seampeer.Peer{})
-	return again && pause(ctx, wait)
+	return again && seamwait.For(ctx, wait)
 }
 
 // ownerChanging reports whether the refusal may be due to a change of owner.
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamledger"
@@ -308,7 +309,7 @@
 			x.ingress.stats.voided(state)
 			return state == seamledger.Voided
 		}
-		if !pause(ctx, seamretry.Wait(n)) || ctx.Err() != nil {
+		if !seamwait.For(ctx, seamretry.Wait(n)) || ctx.Err() != nil {
 			x.ingress.stats.voided(seamledger.Unknown)
 			return false
 		}
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -1,7 +1,6 @@
 package seamingress
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -110,18 +109,3 @@
 func (x *exchange) hasTime(wait time.Duration) bool {
 	return time.Until(x.deadline) > wait+leastLeft
 }
-
-// pause waits and reports whether the caller is still there.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -13,6 +13,8 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/core/trace"
 	"github.com/zeromicro/go-zero/rest"
+
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -125,14 +127,14 @@
 // error says that requests were in flight when ctx ended; they are cut then.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.leaving.Store(true)
-	pause(ctx, grace)
+	seamwait.For(ctx, grace)
 	// A connection that was accepted while the listener closed may not be known to the
 	// first shutdown yet; the second one waits for its request.
 	for range 2 {
 		if err := s.http.Shutdown(ctx); err != nil {
 			return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
 		}
-		pause(ctx, lastAccept)
+		seamwait.For(ctx, lastAccept)
 	}
 	return nil
 }
--- a/internal/rule/seambook/book.go
+++ b/internal/rule/seambook/book.go
@@ -207,7 +207,7 @@
 // whether the call may be made again.
 func awaitBudget(ctx context.Context, err error) bool {
 	var budget *seamstore.BudgetError
-	return errors.As(err, &budget) && seamwait.Jittered(ctx, max(budget.After, firstWait)) == nil
+	return errors.As(err, &budget) && seamwait.Jittered(ctx, max(budget.After, firstWait))
 }
 
 // replaces reports whether a change that expects the revision replaces the version in
@@ -270,7 +270,7 @@
 			b.refused.Inc()
 			return Recorded{}, unavailable(service, err)
 		}
-		if seamwait.Jittered(ctx, wait) != nil {
+		if !seamwait.Jittered(ctx, wait) {
 			b.refused.Inc()
 			return Recorded{}, &UnknownError{Service: service, Writer: made.Writer, Cause: err}
 		}
--- a/internal/rule/seamclient/client.go
+++ b/internal/rule/seamclient/client.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seamapi"
 	"cardamomseam/internal/rule/seamconfirm"
 )
@@ -213,7 +214,7 @@
 	}
 	for attempt := 1; ; attempt++ {
 		recorded, err := c.attempt(ctx, r)
-		if attempt == changeAttempts || !unknown(err) || pause(ctx, changeWait) != nil {
+		if attempt == changeAttempts || !unknown(err) || !seamwait.For(ctx, changeWait) {
 			return recorded, err
 		}
 	}
@@ -234,15 +235,6 @@
 	return errors.As(err, &unreachable) || errors.As(err, &p) && p.Code == seamapi.CodeUnknown
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 func (c Client) call(ctx context.Context, r request, into any) error {
 	response, err := c.do(ctx, r)
 	if err != nil {
--- a/internal/rule/seamset/watch.go
+++ b/internal/rule/seamset/watch.go
@@ -26,8 +26,8 @@
 		if listed {
 			wait = firstWait
 		}
-		if err := seamwait.Jittered(ctx, wait); err != nil {
-			return err
+		if !seamwait.Jittered(ctx, wait) {
+			return ctx.Err()
 		}
 		wait = min(2*wait, longestWait)
 	}
--- a/internal/stand/seamstandstore/handler.go
+++ b/internal/stand/seamstandstore/handler.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	wire "cardamomseam/internal/platform/seamstorewire"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -98,7 +99,7 @@
 	case OutageHang:
 		return s.waitHealthy(r)
 	}
-	return sleep(r, f.delay())
+	return seamwait.For(r.Context(), f.delay())
 }
 
 func (s *Server) waitHealthy(r *http.Request) bool {
@@ -118,18 +119,6 @@
 // hangPoll is the time between looks at whether a hang is over.
 const hangPoll = 20 * time.Millisecond
 
-func sleep(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // drop closes the connection without an answer.
 func drop() {
 	panic(http.ErrAbortHandler)
--- a/internal/stand/seamstandtarget/handler.go
+++ b/internal/stand/seamstandtarget/handler.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamheader"
 )
 
@@ -149,7 +150,7 @@
 	if !t.can(seamtarget.CanCancel) && !t.can(seamtarget.CanDeadline) {
 		ctx = context.WithoutCancel(ctx)
 	}
-	return sleep(ctx, j.took)
+	return seamwait.For(ctx, j.took)
 }
 
 func (t *Target) book(w http.ResponseWriter, r *http.Request, j job) {
--- a/internal/stand/seamstandtarget/work.go
+++ b/internal/stand/seamstandtarget/work.go
@@ -1,7 +1,6 @@
 package seamstandtarget
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -160,18 +159,3 @@
 		w.open--
 	}
 }
-
-// sleep waits for d and reports whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
