--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -105,6 +105,7 @@
 type node struct {
 	peer      seampeer.Peer
 	pool      *seamsession.Pool
+	closePool func()
 	egress    *seamegress.Egress
 	ingress   *seamingress.Ingress
 	owners    *fakeOwners
@@ -120,6 +121,12 @@
 }
 
 func newNode(t testing.TB, name string, handler http.HandlerFunc) *node {
+	t.Helper()
+	return newNodeWith(t, name, handler, seamsession.Config{})
+}
+
+// newNodeWith returns a node whose sessions have the settings.
+func newNodeWith(t testing.TB, name string, handler http.HandlerFunc, sessions seamsession.Config) *node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -144,11 +151,13 @@
 		}
 	}
 	set, events := metrics.NewSet(), seamevent.NewStream(name)
-	pool, closePool, err := seamsession.New(seamsession.Config{Listener: l}, peer, set, events)
+	sessions.Listener = l
+	pool, closePool, err := seamsession.New(sessions, peer, set, events)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(closePool)
+	n.closePool = sync.OnceFunc(closePool)
+	t.Cleanup(n.closePool)
 	n.pool = pool
 	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewKeys(16, time.Minute), set, events)
 	t.Cleanup(closeEgress)
