--- a/internal/member/seamdatagram/endpoint.go
+++ b/internal/member/seamdatagram/endpoint.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -65,10 +66,11 @@
 
 // Endpoint is the UDP socket of a node.
 type Endpoint struct {
-	self  seampeer.Peer
-	conn  *net.UDPConn
-	known *book
-	meter meter
+	self      seampeer.Peer
+	conn      *net.UDPConn
+	known     *book
+	preambles *preambles
+	meter     meter
 
 	mu       sync.RWMutex
 	handlers map[Kind]Handler
@@ -87,11 +89,12 @@
 	}
 	_ = conn.SetReadBuffer(readBuffer) // a smaller buffer only loses more datagrams
 	e := &Endpoint{
-		self:     self,
-		conn:     conn,
-		known:    newBook(),
-		meter:    newMeter(set),
-		handlers: map[Kind]Handler{},
+		self:      self,
+		conn:      conn,
+		known:     newBook(),
+		preambles: newPreambles(),
+		meter:     newMeter(set),
+		handlers:  map[Kind]Handler{},
 	}
 	var reader sync.WaitGroup
 	reader.Go(e.read)
@@ -126,9 +129,28 @@
 	return e.write(k, address, e.known.mustIntroduce(to.Address), payload)
 }
 
+// SendAfter sends preamble and payload as one payload of an anonymous kind. A preamble that the
+// node has been sent before is not sent again, only its tag.
+func (e *Endpoint) SendAfter(k Kind, to seampeer.Peer, preamble, payload []byte) error {
+	if size := len(preamble) + len(payload); size > MaxPayload {
+		return &TooLargeError{Size: size}
+	}
+	address, err := e.known.resolve(to.Address)
+	if err != nil {
+		return errors.Wrapf(err, "address of %s", to)
+	}
+	tag := tagOf(preamble)
+	if e.preambles.mustHold(to.Address, tag, preamble) {
+		return e.writeFrame(k, address, append(appendPreamble(nil, k, preamble), payload...))
+	}
+	return e.writeFrame(k, address, append(appendTag(nil, k, tag), payload...))
+}
+
 func (e *Endpoint) write(k Kind, to *net.UDPAddr, introduce bool, payload []byte) error {
-	frame := appendHeader(nil, k, e.self, introduce)
-	frame = append(frame, payload...)
+	return e.writeFrame(k, to, append(appendHeader(nil, k, e.self, introduce), payload...))
+}
+
+func (e *Endpoint) writeFrame(k Kind, to *net.UDPAddr, frame []byte) error {
 	if _, err := e.conn.WriteToUDP(frame, to); err != nil {
 		return errors.Wrap(err, "send datagram")
 	}
@@ -162,6 +184,12 @@
 	}
 	if h.kind == kindWho {
 		e.known.forgetIntroduction(h.from.Address)
+		e.preambles.forget(h.from.Address)
+		return
+	}
+	payload, ok := e.whole(source, h, payload)
+	if !ok {
+		_ = e.write(kindWho, source, true, nil)
 		return
 	}
 	from, ok := e.known.peer(h.from.Name, h.from.Incarnation)
@@ -175,6 +203,20 @@
 	}
 }
 
+// whole returns the payload behind its preamble, and whether the preamble is known.
+func (e *Endpoint) whole(source *net.UDPAddr, h header, payload []byte) ([]byte, bool) {
+	preamble, ok := h.preamble, true
+	switch {
+	case h.tagged:
+		preamble, ok = e.preambles.find(source.AddrPort(), h.tag)
+	case len(preamble) > 0:
+		e.preambles.learn(source.AddrPort(), preamble)
+	default:
+		return payload, true
+	}
+	return slices.Concat(preamble, payload), ok
+}
+
 func (e *Endpoint) handler(k Kind) Handler {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
--- a/internal/member/seamdatagram/endpoint_test.go
+++ b/internal/member/seamdatagram/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -132,10 +133,95 @@
 	}
 }
 
+// openCell opens an endpoint that takes datagrams of cells.
+func openCell(t *testing.T, name, listen string, incarnation uint64) (*seamdatagram.Endpoint, seampeer.Peer, chan arrival, *metrics.Set, func()) {
+	t.Helper()
+	if listen == "" {
+		listen = freeAddress(t)
+	}
+	set := metrics.NewSet()
+	self := seampeer.Peer{Name: name, Incarnation: incarnation, Address: listen}
+	e, cleanup, err := seamdatagram.New(listen, self, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals := make(chan arrival, 16)
+	e.Register(seamdatagram.Cell, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
+		arrivals <- arrival{From: from, Payload: string(payload)}
+	}))
+	return e, self, arrivals, set, cleanup
+}
+
+func TestPreambleIsSentOnlyAtFirst(t *testing.T) {
+	const rounds = 10
+	a, _, _, set, closeA := openCell(t, "a", "", 7)
+	defer closeA()
+	_, b, arrivals, _, closeB := openCell(t, "b", "", 8)
+	defer closeB()
+	preambles := []string{strings.Repeat("x", 100), strings.Repeat("y", 100)}
+	for range rounds {
+		for _, p := range preambles {
+			if err := a.SendAfter(seamdatagram.Cell, b, []byte(p), []byte("renew")); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(arrival{Payload: p + "renew"}, receive(t, arrivals)); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+	}
+	sent := set.GetOrCreateCounter(`cardamomseam_datagram_bytes_total{kind="cell",way="sent"}`).Get()
+	if limit := uint64(rounds * len(preambles) * 75); sent > limit {
+		t.Errorf("%d bytes were sent, want at most %d", sent, limit)
+	}
+}
+
+func TestRestartedReceiverAsksForPreamble(t *testing.T) {
+	a, _, _, _, closeA := openCell(t, "a", "", 7)
+	defer closeA()
+	_, b, arrivals, _, closeB := openCell(t, "b", "", 8)
+	send := func() {
+		if err := a.SendAfter(seamdatagram.Cell, b, []byte("preamble "), []byte("renew")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 5 {
+		send()
+		receive(t, arrivals)
+	}
+	closeB()
+	_, b, arrivals, _, closeB = openCell(t, "b", b.Address, 9)
+	defer closeB()
+	deadline := time.After(patience)
+	for {
+		send()
+		select {
+		case got := <-arrivals:
+			if diff := cmp.Diff(arrival{Payload: "preamble renew"}, got); diff != "" {
+				t.Fatal(diff)
+			}
+			return
+		case <-time.After(10 * time.Millisecond):
+		case <-deadline:
+			t.Fatal("the restarted receiver never learned the preamble")
+		}
+	}
+}
+
+func TestMalformedPreambleIsRefused(t *testing.T) {
+	for _, frame := range [][]byte{{0x41}, {0x41, 5, 'x'}, {0x41, 0xff}, {0x21}, {0x21, 1, 2, 3}, {0x61, 0, 0, 0, 0, 0}} {
+		var malformed *seamdatagram.MalformedError
+		if err := seamdatagram.ParseForTest(frame); !errors.As(err, &malformed) {
+			t.Errorf("%x: got %v", frame, err)
+		}
+	}
+}
+
 func FuzzParseHeader(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte{0x81, 0xff, 0xff, 0xff})
 	f.Add([]byte{0x01, 0x05, 0x01, 'a', 'x'})
+	f.Add([]byte{0x41, 0x02, 'a', 'b', 'x'})
+	f.Add([]byte{0x21, 0x01, 0x02, 0x03, 0x04, 'x'})
 	f.Fuzz(func(t *testing.T, frame []byte) {
 		var malformed *seamdatagram.MalformedError
 		if err := seamdatagram.ParseForTest(frame); err != nil && !errors.As(err, &malformed) {
--- a/internal/member/seamdatagram/header.go
+++ b/internal/member/seamdatagram/header.go
@@ -26,6 +26,11 @@
 	kind       Kind
 	introduced bool
 	from       seampeer.Peer
+	// preamble is set if the datagram holds one.
+	preamble []byte
+	// tag names a preamble if tagged is set.
+	tag    uint32
+	tagged bool
 }
 
 func appendHeader(b []byte, k Kind, from seampeer.Peer, introduce bool) []byte {
@@ -57,8 +62,8 @@
 		return header{}, nil, &MalformedError{Field: "kind"}
 	}
 	h := header{kind: Kind(frame[0] &^ introducedBit), introduced: frame[0]&introducedBit != 0}
-	if anonymous[h.kind] {
-		return h, frame[1:], nil
+	if anonymous[h.kind&^(preambleBit|tagBit)] {
+		return parseAnonymous(h, frame[1:])
 	}
 	incarnation, n := binary.Uvarint(frame[1:])
 	if n <= 0 {
@@ -79,6 +84,32 @@
 	return h, rest, nil
 }
 
+// parseAnonymous parses what precedes the payload of a kind that names its sender itself.
+func parseAnonymous(h header, rest []byte) (header, []byte, error) {
+	flags := h.kind & (preambleBit | tagBit)
+	h.kind &^= flags
+	switch flags {
+	case 0:
+		return h, rest, nil
+	case preambleBit:
+		size, n := binary.Uvarint(rest)
+		if n <= 0 || size > uint64(len(rest)-n) {
+			return header{}, nil, &MalformedError{Field: "preamble"}
+		}
+		end := n + int(size)
+		h.preamble = rest[n:end]
+		return h, rest[end:], nil
+	case tagBit:
+		if len(rest) < tagBytes {
+			return header{}, nil, &MalformedError{Field: "tag"}
+		}
+		h.tag, h.tagged = binary.BigEndian.Uint32(rest), true
+		return h, rest[tagBytes:], nil
+	default:
+		return header{}, nil, &MalformedError{Field: "kind"}
+	}
+}
+
 func parseText(b []byte) (text string, rest []byte, ok bool) {
 	size, n := binary.Uvarint(b)
 	if n <= 0 || size > uint64(len(b)-n) {
--- /dev/null
+++ b/internal/member/seamdatagram/preamble.go
@@ -0,0 +1,122 @@
+package seamdatagram
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/fnv"
+	"net/netip"
+	"sync"
+)
+
+// A preamble is the part of a payload that stays the same between two nodes. The first datagrams
+// hold it whole, later ones name it by its tag. Its receiver keeps it by tag and source address,
+// and asks for an introduction if it does not know it.
+const (
+	// preambleBit marks a kind byte whose header holds a preamble.
+	preambleBit = 0x40
+	// tagBit marks a kind byte whose header holds the tag of a preamble.
+	tagBit = 0x20
+	// tagBytes is the size of a tag.
+	tagBytes = 4
+)
+
+// tagOf returns the tag of a preamble.
+func tagOf(preamble []byte) uint32 {
+	h := fnv.New32a()
+	h.Write(preamble)
+	return h.Sum32()
+}
+
+// sentKey identifies a preamble that was sent to an address.
+type sentKey struct {
+	address string
+	tag     uint32
+}
+
+// sentPreamble is a preamble and the number of datagrams that held it whole.
+type sentPreamble struct {
+	preamble []byte
+	times    int
+}
+
+// heardKey identifies a preamble that came from an address.
+type heardKey struct {
+	source netip.AddrPort
+	tag    uint32
+}
+
+// preambles remembers those that others know and those of others.
+type preambles struct {
+	mu    sync.Mutex
+	sent  map[sentKey]*sentPreamble
+	heard map[heardKey][]byte
+}
+
+func newPreambles() *preambles {
+	return &preambles{sent: map[sentKey]*sentPreamble{}, heard: map[heardKey][]byte{}}
+}
+
+// mustHold reports whether the next datagram to the address must hold the preamble whole.
+func (p *preambles) mustHold(address string, tag uint32, preamble []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := sentKey{address, tag}
+	s := p.sent[key]
+	if s == nil {
+		if len(p.sent) >= bookLimit {
+			clear(p.sent)
+		}
+		s = &sentPreamble{preamble: bytes.Clone(preamble)}
+		p.sent[key] = s
+	}
+	if !bytes.Equal(s.preamble, preamble) {
+		return true // another preamble has the same tag
+	}
+	if s.times >= introductions {
+		return false
+	}
+	s.times++
+	return true
+}
+
+// forget has preambles sent whole again to the address.
+func (p *preambles) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.sent {
+		if key.address == address {
+			delete(p.sent, key)
+		}
+	}
+}
+
+func (p *preambles) learn(source netip.AddrPort, preamble []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := heardKey{source, tagOf(preamble)}
+	if known, ok := p.heard[key]; ok && bytes.Equal(known, preamble) {
+		return
+	}
+	if len(p.heard) >= bookLimit {
+		clear(p.heard)
+	}
+	p.heard[key] = bytes.Clone(preamble)
+}
+
+func (p *preambles) find(source netip.AddrPort, tag uint32) ([]byte, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	preamble, ok := p.heard[heardKey{source, tag}]
+	return preamble, ok
+}
+
+func appendPreamble(b []byte, k Kind, preamble []byte) []byte {
+	b = append(b, byte(k)|preambleBit)
+	b = binary.AppendUvarint(b, uint64(len(preamble)))
+	return append(b, preamble...)
+}
+
+func appendTag(b []byte, k Kind, tag uint32) []byte {
+	b = append(b, byte(k)|tagBit)
+	return binary.BigEndian.AppendUint32(b, tag)
+}
--- a/internal/node/seamnode/adapters.go
+++ b/internal/node/seamnode/adapters.go
@@ -26,6 +26,16 @@
 	return s.endpoint.Send(s.kind, to, payload)
 }
 
+// cellSender sends the datagrams of cells.
+type cellSender struct {
+	endpoint *seamdatagram.Endpoint
+}
+
+// Send sends the payload to the node, behind the preamble.
+func (s cellSender) Send(to seampeer.Peer, preamble, payload []byte) error {
+	return s.endpoint.SendAfter(seamdatagram.Cell, to, preamble, payload)
+}
+
 // streams opens streams about cells.
 type streams struct {
 	sessions *seamsession.Pool
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -172,7 +172,7 @@
 	source := n.ruleSource()
 	keeper, stop, err := seamkeeper.New(keeperConfig(n.settings), n.self, seamkeeper.Parts{
 		Store:     n.store,
-		Datagrams: sender{endpoint: n.datagrams, kind: seamdatagram.Cell},
+		Datagrams: cellSender{endpoint: n.datagrams},
 		Streams:   streams{sessions: n.sessions},
 		Rules:     source,
 		Placer:    seamplacer.New(n.settings.Place, n.rules),
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -325,12 +325,17 @@
 	if current {
 		life = c.life(m)
 	}
-	a := c.header(m)
+	a := &seamcellwire.Answer{}
+	if c.mustTell(m, n, current) {
+		a = c.header(m)
+	}
 	a.Sequence = n.GetSequence()
 	a.Life = uint32(life / time.Millisecond)
 	if a.Life > 0 {
 		m.until = later(m.until, c.now.Add(life))
-		a.Need = r.table.need(m.id)
+		if need := r.table.need(m.id); need > m.version {
+			a.Need = need
+		}
 	}
 	a.Loads = r.inflights()
 	if !m.reported {
@@ -387,6 +392,34 @@
 	}
 }
 
+// answerHeader is what the header of an answer says.
+type answerHeader struct {
+	announced        uint32
+	rules, directory int64
+	epoch, backup    uint32
+}
+
+const (
+	// tellLimit is the number of answers that hold an unchanged header.
+	tellLimit = 4
+	// tellEach is the number of renewals after which an unchanged header is sent again.
+	tellEach = 8
+)
+
+// mustTell reports whether the answer to the renewal has a header: while it is new, while answers
+// are missed, while the member lags, and from time to time.
+func (c *Cell) mustTell(m *info, n *seamcellwire.Renew, current bool) bool {
+	h := answerHeader{
+		announced: m.announced, rules: c.applied, directory: c.directory.revision,
+		epoch: c.coordination.entry.Record.Epoch, backup: c.backupNumber(),
+	}
+	if h != m.told || !current || !m.reported || n.GetMissed() > 0 || n.GetPeer() != nil || n.GetTarget() != nil {
+		m.told, m.tellings = h, 0
+	}
+	m.tellings++
+	return m.tellings <= tellLimit || n.GetRules() < c.applied || n.GetSequence()%tellEach == 0
+}
+
 // backupNumber returns the number of the backup, or 0 if there is none that watches.
 func (c *Cell) backupNumber() uint32 {
 	if c.coordination.sole {
@@ -395,11 +428,18 @@
 	return c.coordination.table.number(c.coordination.entry.Record.Backup)
 }
 
-// inflights returns the requests in flight at the members, in order of their numbers.
+// inflights returns the requests in flight at the members, in order of their numbers; nothing if
+// there are none.
 func (r *coordination) inflights() []uint32 {
 	loads := make([]uint32, 0, len(r.infos))
+	total := uint32(0)
 	for _, id := range sortedKeys(r.infos) {
-		loads = append(loads, uint32(max(r.infos[id].inflight, 0)))
+		n := uint32(max(r.infos[id].inflight, 0))
+		loads = append(loads, n)
+		total += n
+	}
+	if total == 0 {
+		return nil
 	}
 	return loads
 }
@@ -484,8 +524,12 @@
 	if m == nil {
 		return
 	}
+	service := ""
 	for _, s := range l.GetSlots() {
-		id := seamslot.ID{Service: s.GetService(), Index: s.GetIndex()}
+		if s.GetService() != "" {
+			service = s.GetService()
+		}
+		id := seamslot.ID{Service: service, Index: s.GetIndex()}
 		if e := r.table.slots[id]; e != nil && e.owner == m.id {
 			r.loads[id] = SlotLoad{Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest())}
 		}
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -106,6 +106,9 @@
 	parts     map[uint32]bool
 	reported  bool
 	leaving   bool
+	// told is the header of the latest answer that had one, tellings how often it was sent.
+	told     answerHeader
+	tellings int
 	// cell is the cell that the member is to move to, or empty.
 	cell string
 }
@@ -304,10 +307,11 @@
 	r.sequence++
 	r.beats[r.sequence] = beat{sent: c.now, epoch: r.entry.Record.Epoch, counts: r.gate == nil}
 	delete(r.beats, r.sequence-promisesKept)
-	c.send(b, &seamcellwire.Message{Cell: r.entry.Record.ID, Term: r.term, Body: &seamcellwire.Message_Beat{Beat: &seamcellwire.Beat{
-		Sequence: r.sequence, Epoch: r.entry.Record.Epoch, Revision: r.entry.Revision,
-		Peer: peerWire(c.self), Backup: b.Incarnation,
-	}}})
+	x := &seamcellwire.Beat{Sequence: r.sequence, Epoch: r.entry.Record.Epoch, Revision: r.entry.Revision, Backup: b.Incarnation}
+	if r.lastPromise == 0 || r.sequence-r.lastPromise > patience {
+		x.Peer = peerWire(c.self)
+	}
+	c.send(b, &seamcellwire.Message{Cell: r.entry.Record.ID, Term: r.term, Body: &seamcellwire.Message_Beat{Beat: x}})
 }
 
 func (c *Cell) onPromise(x *seamcellwire.Message, p *seamcellwire.Promise) {
--- a/internal/own/seamcell/lease.go
+++ b/internal/own/seamcell/lease.go
@@ -96,9 +96,7 @@
 	}
 	m.answered = c.now
 	m.unanswered = 0
-	if len(a.GetLoads()) > 0 {
-		m.loads = a.GetLoads()
-	}
+	m.loads = a.GetLoads()
 	if a.GetLife() > 0 {
 		life := time.Duration(a.GetLife()) * time.Millisecond
 		m.pending = append(m.pending, pendingLease{until: sent.Add(life), need: a.GetNeed()})
--- a/internal/own/seamcell/renewal.go
+++ b/internal/own/seamcell/renewal.go
@@ -96,12 +96,17 @@
 	c.member.loaded = c.now
 	l := &seamcellwire.Load{}
 	size := 0
+	service := ""
 	for _, s := range c.target.Loads {
-		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
-		n := proto.Size(w) + 2
+		w := &seamcellwire.SlotLoad{Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
+		n := proto.Size(w) + len(s.Slot.Service) + 4
 		if size+n > c.payload() {
 			c.sendLoads(l)
-			l, size = &seamcellwire.Load{}, 0
+			l, size, service = &seamcellwire.Load{}, 0, ""
+		}
+		if s.Slot.Service != service {
+			service = s.Slot.Service
+			w.Service = service
 		}
 		l.Slots = append(l.Slots, w)
 		size += n
--- a/internal/own/seamcell/watch.go
+++ b/internal/own/seamcell/watch.go
@@ -61,14 +61,14 @@
 }
 
 func (c *Cell) onBeat(x *seamcellwire.Message, b *seamcellwire.Beat) {
-	p := peerOf(b.GetPeer())
+	p := c.beating(x, b)
 	if c.coordination != nil && x.GetCell() == c.coordination.entry.Record.ID {
 		if x.GetTerm() < c.coordination.term && !c.coordination.resigned {
 			c.sendLead(p, 0)
 		}
 		return
 	}
-	if b.GetBackup() != c.self.Incarnation || c.member == nil || x.GetCell() != c.member.cell || !c.member.joined {
+	if p.Address == "" || b.GetBackup() != c.self.Incarnation || c.member == nil || x.GetCell() != c.member.cell || !c.member.joined {
 		return
 	}
 	if !c.watches(p, b) {
@@ -89,6 +89,18 @@
 	})
 }
 
+// beating returns the coordinator that sent a beat. It names itself whole until it is answered.
+func (c *Cell) beating(x *seamcellwire.Message, b *seamcellwire.Beat) seampeer.Peer {
+	if b.GetPeer() != nil {
+		return peerOf(b.GetPeer())
+	}
+	from := seampeer.Peer{Name: x.GetName(), Incarnation: x.GetIncarnation()}
+	if c.watch != nil && c.watch.coordinator.Same(from) {
+		return c.watch.coordinator
+	}
+	return c.sender(x, nil)
+}
+
 // watches reports whether this node is the backup that the beat asks for.
 func (c *Cell) watches(p seampeer.Peer, b *seamcellwire.Beat) bool {
 	w := c.watch
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -52,9 +52,10 @@
 	}
 }
 
-// Datagrams sends a datagram to a node.
+// Datagrams sends a datagram to a node: the preamble, which may be left out if the node knows it
+// from before, and the payload.
 type Datagrams interface {
-	Send(to seampeer.Peer, payload []byte) error
+	Send(to seampeer.Peer, preamble, payload []byte) error
 }
 
 // Streams opens a stream to a node on which records and rosters are asked for.
--- a/internal/own/seamkeeper/perform.go
+++ b/internal/own/seamkeeper/perform.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamcellwire"
 	"cardamomseam/internal/own/seamclock"
 )
 
@@ -34,12 +33,12 @@
 }
 
 func (k *Keeper) send(a seamcell.Send) {
-	payload, err := proto.Marshal(a.Message)
+	preamble, payload, err := seamcellwire.Split(a.Message)
 	if err != nil {
 		k.invariant("unsendable message", err)
 		return
 	}
-	if err := k.parts.Datagrams.Send(a.To, payload); err != nil {
+	if err := k.parts.Datagrams.Send(a.To, preamble, payload); err != nil {
 		k.parts.Metrics.GetOrCreateCounter(`cardamomseam_cell_unsent_total`).Inc()
 	}
 }
