Keeper: the index of ranges is made when records changed

Ruled out: a diff of the records themselves; the state machine already counts their changes for Stamp.

--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -18,6 +18,8 @@
 	records []seamcell.Entry
 	// ranges are the ranges of all cells by service.
 	ranges map[string][]cellRange
+	// changes is the number of changes of records that records and ranges contain.
+	changes uint64
 }
 
 // cellRange is a range of slots and the coordinator of the cell that owns it.
@@ -33,17 +35,19 @@
 	s := &snapshot{
 		view:    view,
 		slots:   make(map[slotID]seamcell.SlotView, len(view.Slots)),
-		records: k.cell.Records(),
-		ranges:  map[string][]cellRange{},
+		changes: k.cell.Stamp().Records,
 	}
 	for _, x := range view.Slots {
 		s.slots[x.Slot] = x
 	}
-	for _, e := range s.records {
-		s.addRanges(e)
+	before := k.snapshot.Load()
+	if before != nil && before.changes == s.changes {
+		s.records, s.ranges = before.records, before.ranges
+	} else {
+		s.setRecords(k.cell.Records())
 	}
 	s.changed = time.Unix(0, int64(now.Wall))
-	if before := k.snapshot.Load(); before != nil {
+	if before != nil {
 		if sameCell(before.view, view) {
 			s.changed = before.changed
 		}
@@ -88,6 +92,15 @@
 	return k.snapshot.Load().changed
 }
 
+// setRecords takes the records and makes the index of their ranges.
+func (s *snapshot) setRecords(records []seamcell.Entry) {
+	s.records = records
+	s.ranges = map[string][]cellRange{}
+	for _, e := range records {
+		s.addRanges(e)
+	}
+}
+
 func (s *snapshot) addRanges(e seamcell.Entry) {
 	if e.Deleted || e.Record.ID == "" {
 		return
