--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -14,6 +14,7 @@
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/observe/seamtrace"
 	"cardamomseam/internal/platform/seamhttp"
+	"cardamomseam/internal/platform/seammemory"
 )
 
 func nodeCommand() *cli.Command {
@@ -45,6 +46,9 @@
 		return err
 	}
 	defer stop()
+	keeping, stopKeeping := context.WithCancel(ctx)
+	defer stopKeeping()
+	go seammemory.Keep(keeping, seammemory.Interval)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	select {
