One waiting watch a coordinator instead of two

Cause: a coordinator watched records of ownership (own/) and rules (rule/) each by itself: 1,000 waiting watches at 5,000 nodes against 2,000 reads a second, if a waiting watch counts as a read.

Change: both stand under one prefix (seam/), and seamstore.Joint serves all watches under it by one watch of the store. A reader that comes later restarts it from the earliest revision that a reader needs; each reader gets what it has not had, in order and without gaps; a compacted revision ends the watch for all, who list again as before. The number of opened watches at the start of a coordinator stays two, then it is one a minute instead of two.

Ruled out: one range from own/ to rule/ without new names, for keys of others may stand between.

--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return errors.Wrap(err, "store")
 	}
-	n.store = seamstore.Observe(store, n.sink)
+	n.store = seamstore.Observe(seamstore.Join(store), n.sink)
 	c.add(stop)
 	return nil
 }
--- a/internal/own/seamcell/pitfall_test.go
+++ b/internal/own/seamcell/pitfall_test.go
@@ -178,7 +178,7 @@
 	w.startIn("n1", "erie-1")
 	x := w.nodes[len(w.nodes)-1]
 	w.run(2500 * time.Millisecond)
-	e := w.store.entries["own/cell/erie-1"]
+	e := w.store.entries["seam/own/cell/erie-1"]
 	w.must(t, e.Record.Backup.Same(x.peer) || e.Record.Coordinator.Same(x.peer), "the record names %s as backup", e.Record.Backup)
 	x.act(func(now seamclock.Instant) []seamcell.Action { return x.cell.Directory(now, []seamcell.Entry{e}) })
 	w.filter = func(_, to string, m *seamcellwire.Message) time.Duration {
@@ -203,7 +203,7 @@
 	cell := seamcell.New(modelConfig(), self, nil)
 	now := seamclock.Instant{Mono: time.Second, Wall: time.Hour}
 	cell.Target(now, seamcell.TargetState{Service: service, Name: "r", Address: "10.1.0.2:1", Slots: 1})
-	cell.Directory(now, []seamcell.Entry{{Key: "own/cell/erie-1", Revision: 1, Record: seamcell.Record{
+	cell.Directory(now, []seamcell.Entry{{Key: "seam/own/cell/erie-1", Revision: 1, Record: seamcell.Record{
 		ID: "erie-1", Region: "erie", Epoch: 1, Coordinator: leader, Horizon: 60_000,
 	}}})
 	sequence := uint64(0)
--- a/internal/own/seamcell/record.go
+++ b/internal/own/seamcell/record.go
@@ -7,12 +7,13 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/platform/seamstore"
 )
 
 // Prefixes of the keys under which records stand in the store.
 const (
 	// Prefix precedes all records, so that one watch sees them.
-	Prefix = "own/"
+	Prefix = seamstore.Root + "own/"
 	// CellPrefix precedes the id of a cell.
 	CellPrefix = Prefix + "cell/"
 	// SlotsPrefix precedes the name of a keyed service.
--- a/internal/rule/seambook/record.go
+++ b/internal/rule/seambook/record.go
@@ -16,7 +16,7 @@
 
 const (
 	// KeyPrefix begins the store's keys of documents; the name of the service follows.
-	KeyPrefix = "rule/"
+	KeyPrefix = seamstore.Root + "rule/"
 	// recordLimit is the longest value written to the store, in bytes.
 	recordLimit = 1_000_000
 	// textLimit is the number of earlier versions whose text is kept.
--- a/internal/rule/seamset/spread_test.go
+++ b/internal/rule/seamset/spread_test.go
@@ -135,7 +135,7 @@
 		}
 		store.SetDown(false)
 	}
-	if err := store.Delete(t.Context(), 0, "rule/calendar", set.Revision()); err != nil {
+	if err := store.Delete(t.Context(), 0, "seam/rule/calendar", set.Revision()); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(20 * time.Millisecond)
