Status and orders reach every cell from any node

Cause: an order to drain was looked up in the addressed node's own cell only (404 "ask a node of its cell"), the nodes and owner counts of status were those of that cell only, and its datagram survey carried neither members nor a reason why a cell was missing. An attestation with wrong names, or of a cell that does not exist, was answered with 200 and had no effect, though the documentation said that it is refused.

Change: one question, CellAsk, on the existing streams about cells. A drain finds its node by the same question limited to the name, reads the records from the store once if no cell has it, and goes to the node itself. Errors are typed: UnknownNodeError, UnaskedError, UndeliveredError; each says what to do. A repeated order changes nothing. attest did work from any node, since it is written to the store; it is now refused for unknown cells, wrong names, and if one of the two processes answers.

Nothing is kept on nodes and nothing is sent unless an operator asks.

--- a/internal/node/seamnode/adapters.go
+++ b/internal/node/seamnode/adapters.go
@@ -9,7 +9,6 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamkeeper"
-	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamsession"
 	"cardamomseam/internal/rule/seamconfirm"
@@ -39,7 +38,6 @@
 // cells tells about cells what confirmations need.
 type cells struct {
 	keeper *seamkeeper.Keeper
-	store  *seamstore.Observed
 }
 
 // Cells returns the live cells of the directory.
@@ -57,14 +55,10 @@
 // Own returns what the node's own cell has confirmed, and whether the node coordinates it.
 func (c cells) Own() (seamconfirm.CellState, bool) {
 	v := c.keeper.View()
-	owned, _ := ownersOf(v)
 	state := seamconfirm.CellState{
 		Cell:      v.Cell,
 		Epoch:     uint64(v.Epoch),
 		Confirmed: v.Confirmed,
-		Owned:     owned,
-		Reachable: c.store.Health().Reachable,
-		Changed:   c.keeper.Changed(),
 	}
 	return state, v.Role == seamcell.RoleCoordinator
 }
--- a/internal/node/seamnode/admin.go
+++ b/internal/node/seamnode/admin.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"time"
 
-	"cardamomseam/internal/member/seampeer"
-	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/rule/seamadmin"
@@ -74,22 +70,19 @@
 	return instances
 }
 
-// Status returns what this node knows: all cells, and the nodes of its own cell.
-func (n *Node) Status(context.Context) seamapi.StatusReport {
-	view := n.keeper.View()
+// Status asks every cell and returns what it told.
+func (n *Node) Status(ctx context.Context) seamapi.StatusReport {
 	report := seamapi.StatusReport{
 		Node:     n.self.Name,
 		Revision: n.rules.Revision(),
 		Store:    storeStatus(n.store.Health()),
 	}
-	for _, e := range n.keeper.Records() {
-		if !e.Deleted && e.Record.ID != "" && !e.Record.Coordinator.Zero() {
-			report.Cells = append(report.Cells, cellStatus(e.Record, view))
+	for _, r := range n.keeper.Survey(ctx) {
+		report.Cells = append(report.Cells, cellStatus(r))
+		for _, m := range r.Members {
+			report.Nodes = append(report.Nodes, n.nodeStatus(m, r.Record.ID))
 		}
 	}
-	for _, m := range view.Members {
-		report.Nodes = append(report.Nodes, n.nodeStatus(m, view))
-	}
 	return report
 }
 
@@ -112,56 +105,60 @@
 	return seamapi.StoreStatus{Reachable: h.Reachable, Since: h.Since}
 }
 
-func cellStatus(r seamcell.Record, view seamcell.View) seamapi.CellStatus {
+func cellStatus(r seamkeeper.CellReport) seamapi.CellStatus {
 	s := seamapi.CellStatus{
-		Cell:        r.ID,
-		Region:      r.Region,
-		Epoch:       uint64(r.Epoch),
-		Coordinator: r.Coordinator.Name,
-		Backup:      r.Backup.Name,
+		Cell:        r.Record.ID,
+		Region:      r.Record.Region,
+		Answered:    r.Answered,
+		Epoch:       uint64(r.Record.Epoch),
+		Coordinator: r.Record.Coordinator.Name,
+		Backup:      r.Record.Backup.Name,
+	}
+	if r.Fault != nil {
+		s.Fault = r.Fault.Error()
 	}
-	for _, x := range r.Ranges {
+	for _, x := range r.Record.Ranges {
 		s.Slots += int(x.Len())
 	}
-	if r.ID == view.Cell {
-		s.Owned, s.Owners = ownersOf(view)
+	if r.Answered == "" {
+		return s
 	}
+	s.Revision, s.Epoch = r.Confirmed, uint64(r.Epoch)
+	s.Coordinator, s.Backup = r.Coordinator, r.Backup
+	s.Slots, s.Owned, s.Owners = r.Slots, r.Owned, ownersIn(r.Members)
+	s.Changed, s.Reachable = r.Changed, r.Reachable
 	return s
 }
 
-func ownersOf(view seamcell.View) (owned int, owners map[string]int) {
-	owners = map[string]int{}
-	for _, s := range view.Slots {
-		if !s.Owner.Zero() {
-			owned++
-			owners[s.Owner.Name]++
+func ownersIn(members []seamkeeper.MemberReport) map[string]int {
+	owners := map[string]int{}
+	for _, m := range members {
+		if m.Owned > 0 {
+			owners[m.Peer.Name] = m.Owned
 		}
 	}
-	return owned, owners
+	return owners
 }
 
-func (n *Node) nodeStatus(m seamcell.MemberView, view seamcell.View) seamapi.NodeStatus {
+func (n *Node) nodeStatus(m seamkeeper.MemberReport, cell string) seamapi.NodeStatus {
 	s := seamapi.NodeStatus{
 		Node:     m.Peer.Name,
 		Region:   m.Peer.Region,
 		Domain:   m.Peer.Domain,
-		Cell:     view.Cell,
-		Service:  m.Target.Service,
+		Cell:     cell,
+		Service:  m.Service,
 		Revision: m.Applied,
 		Load:     m.InFlight,
-		Slots:    m.Target.Slots,
+		Slots:    m.Slots,
+		Owned:    m.Owned,
 		State:    "serving",
 	}
 	if m.Draining {
 		s.State = "draining"
 	}
-	for _, x := range view.Slots {
-		if x.Owner.Same(m.Peer) {
-			s.Owned++
-		}
-	}
 	if m.Peer.Same(n.self) {
-		s.Queue = n.egress.Load().Queued
+		queued := n.egress.Load().Queued
+		s.Queue = &queued
 		s.Revision = n.rules.Revision()
 	}
 	return s
@@ -172,45 +169,29 @@
 	node *Node
 }
 
-// UnknownNodeError says that no node of that name is known here.
-type UnknownNodeError struct {
-	Node string
-}
-
-// Error names the node.
-func (e *UnknownNodeError) Error() string {
-	return fmt.Sprintf("node %s is not in the cell of this node; ask a node of its cell", e.Node)
-}
-
-// Status is the HTTP status for the operator.
-func (e *UnknownNodeError) Status() int { return http.StatusNotFound }
-
-// Drain orders this node, or a node of its cell, to drain.
-func (o orders) Drain(ctx context.Context, name string) error {
+// Drain orders this node, or a node of any cell, to drain.
+func (o orders) Drain(ctx context.Context, name string, allowed func(service string) error) error {
 	if name == o.node.self.Name {
+		target, _ := o.node.targets.Current()
+		if err := allowed(target.Service); err != nil {
+			return err
+		}
 		o.node.order()
 		return nil
 	}
-	to, ok := o.member(name)
-	if !ok {
-		return &UnknownNodeError{Node: name}
+	found, missing := o.node.keeper.Locate(ctx, name)
+	if err := allowed(found.Service); err != nil {
+		return err
 	}
-	return o.node.keeper.OrderDrain(ctx, to)
-}
-
-func (o orders) member(name string) (seampeer.Peer, bool) {
-	for _, m := range o.node.keeper.View().Members {
-		if m.Peer.Name == name {
-			return m.Peer, true
-		}
+	if missing != nil {
+		return missing
 	}
-	return seampeer.Peer{}, false
+	return o.node.keeper.OrderDrain(ctx, found.Peer)
 }
 
-// Attest tells this node that the instances are lost for good.
-func (o orders) Attest(_ context.Context, cell string, instances []string) error {
-	o.node.keeper.Attest(cell, instances)
-	return nil
+// Attest takes the operator's word that the instances are lost for good.
+func (o orders) Attest(ctx context.Context, cell string, instances []string) error {
+	return o.node.keeper.Attest(ctx, cell, instances)
 }
 
 var _ seamkeeper.Orders = (*Node)(nil)
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -177,6 +177,7 @@
 		Rules:     source,
 		Placer:    seamplacer.New(n.settings.Place, n.rules),
 		Orders:    n,
+		Reachable: func() bool { return n.store.Health().Reachable },
 		Sink:      n.sink,
 		Metrics:   n.set,
 		Clock:     n.clock,
@@ -217,7 +218,7 @@
 
 func (n *Node) startRules(c *cleanups, _ Options) error {
 	n.book = seambook.New(n.store, n.rules, n.sink, n.set)
-	n.confirmer = seamconfirm.New(cells{keeper: n.keeper, store: n.store}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
+	n.confirmer = seamconfirm.New(cells{keeper: n.keeper}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
 	n.datagrams.Register(seamdatagram.Confirm, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
 		n.confirmer.Receive(time.Now(), from, payload)
 	}))
--- a/internal/own/seamkeeper/fleet_test.go
+++ b/internal/own/seamkeeper/fleet_test.go
@@ -293,6 +293,7 @@
 		Streams:   port{f.net, n.peer.Address},
 		Rules:     rules{},
 		Orders:    n.drains,
+		Reachable: func() bool { return true },
 		Sink:      n.events,
 		Metrics:   n.set,
 		Clock:     f.clock,
--- a/internal/own/seamkeeper/keeper.go
+++ b/internal/own/seamkeeper/keeper.go
@@ -86,6 +86,8 @@
 	Rules     Rules
 	Placer    seamcell.Placer
 	Orders    Orders
+	// Reachable reports whether this node reaches the store.
+	Reachable func() bool
 	Sink      seamevent.Sink
 	Metrics   *metrics.Set
 	Clock     *seamclock.Clock
@@ -225,11 +227,6 @@
 	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Applied(now, revision) })
 }
 
-// Attest takes an operator's word that the named instances have ended for good.
-func (k *Keeper) Attest(cell string, lost []string) {
-	k.step(func(c *seamcell.Cell, now seamclock.Instant) []seamcell.Action { return c.Attest(now, cell, lost) })
-}
-
 // Drain begins the planned stop. It returns when the node holds nothing more,
 // or when ctx ends.
 func (k *Keeper) Drain(ctx context.Context) error {
--- a/internal/own/seamkeeper/rosters.go
+++ b/internal/own/seamkeeper/rosters.go
@@ -142,13 +142,7 @@
 }
 
 func (k *Keeper) candidateOf(m *seamrosterwire.Member) Candidate {
-	peer := seampeer.Peer{
-		Name:        m.GetName(),
-		Incarnation: m.GetIncarnation(),
-		Address:     m.GetAddress(),
-		Region:      m.GetRegion(),
-		Domain:      m.GetDomain(),
-	}
+	peer := peerOf(m)
 	return Candidate{
 		Peer:     peer,
 		Labels:   k.parts.Rules.Labels(m.GetService(), peer, m.GetLabels()),
@@ -202,6 +196,9 @@
 	if d := question.GetDrain(); d != nil {
 		return k.drainAnswer(d)
 	}
+	if c := question.GetCell(); c != nil {
+		return k.cellAnswer(c.GetOnly())
+	}
 	return k.rosterAnswer()
 }
 
@@ -213,19 +210,6 @@
 	return &seamrosterwire.DrainAnswer{Taken: taken}
 }
 
-// OrderDrain passes an order to drain on to another node.
-func (k *Keeper) OrderDrain(ctx context.Context, to seampeer.Peer) error {
-	question := &seamrosterwire.Ask{Drain: &seamrosterwire.DrainAsk{Incarnation: to.Incarnation}}
-	answer := &seamrosterwire.DrainAnswer{}
-	if err := k.ask(ctx, to, question, answer); err != nil {
-		return err
-	}
-	if !answer.GetTaken() {
-		return errors.Newf("node %s is another run by now", to.Name)
-	}
-	return nil
-}
-
 func (k *Keeper) rosterAnswer() *seamrosterwire.RosterAnswer {
 	view := k.View()
 	answer := &seamrosterwire.RosterAnswer{Cell: view.Cell}
@@ -233,22 +217,36 @@
 		if m.Target.Service == "" {
 			continue
 		}
-		answer.Members = append(answer.Members, &seamrosterwire.Member{
-			Name:        m.Peer.Name,
-			Incarnation: m.Peer.Incarnation,
-			Address:     m.Peer.Address,
-			Region:      m.Peer.Region,
-			Domain:      m.Peer.Domain,
-			Service:     m.Target.Service,
-			Labels:      m.Target.Labels,
-			Slots:       int32(m.Target.Slots),
-			Inflight:    int32(m.InFlight),
-			Draining:    m.Draining || m.Target.Leaving,
-		})
+		answer.Members = append(answer.Members, memberOf(m))
 	}
 	return answer
 }
 
+func memberOf(m seamcell.MemberView) *seamrosterwire.Member {
+	return &seamrosterwire.Member{
+		Name:        m.Peer.Name,
+		Incarnation: m.Peer.Incarnation,
+		Address:     m.Peer.Address,
+		Region:      m.Peer.Region,
+		Domain:      m.Peer.Domain,
+		Service:     m.Target.Service,
+		Labels:      m.Target.Labels,
+		Slots:       int32(m.Target.Slots),
+		Inflight:    int32(m.InFlight),
+		Draining:    m.Draining || m.Target.Leaving,
+	}
+}
+
+func peerOf(m *seamrosterwire.Member) seampeer.Peer {
+	return seampeer.Peer{
+		Name:        m.GetName(),
+		Incarnation: m.GetIncarnation(),
+		Address:     m.GetAddress(),
+		Region:      m.GetRegion(),
+		Domain:      m.GetDomain(),
+	}
+}
+
 func (k *Keeper) directoryAnswer(since int64) *seamrosterwire.DirectoryAnswer {
 	answer := &seamrosterwire.DirectoryAnswer{}
 	for _, e := range k.snapshot.Load().records {
--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -83,11 +83,6 @@
 	return true
 }
 
-// Changed returns the time of the last change of the cell's epoch, members or owners.
-func (k *Keeper) Changed() time.Time {
-	return k.snapshot.Load().changed
-}
-
 func (s *snapshot) addRanges(e seamcell.Entry) {
 	if e.Deleted || e.Record.ID == "" {
 		return
--- a/internal/rule/seamadmin/problem.go
+++ b/internal/rule/seamadmin/problem.go
@@ -70,6 +70,9 @@
 	translate(func(e *requestError) seamapi.Problem {
 		return seamapi.Problem{Status: http.StatusBadRequest, Code: seamapi.CodeInvalid, Next: "Correct the request; docs/api.md describes it."}
 	}),
+	translate(func(e nextError) seamapi.Problem {
+		return seamapi.Problem{Status: e.Status(), Code: codeOf(e.Status()), Next: e.Next()}
+	}),
 	translate(func(e statusError) seamapi.Problem {
 		return seamapi.Problem{Status: e.Status(), Code: codeOf(e.Status())}
 	}),
@@ -81,6 +84,12 @@
 	Status() int
 }
 
+// nextError is a statusError that says what to do.
+type nextError interface {
+	statusError
+	Next() string
+}
+
 // translate makes a translation from a function on one type of error.
 func translate[E error](f func(E) seamapi.Problem) func(error) *seamapi.Problem {
 	return func(err error) *seamapi.Problem {
--- a/internal/rule/seamadmin/server.go
+++ b/internal/rule/seamadmin/server.go
@@ -55,8 +55,9 @@
 	Instances(service string) []seamrule.Instance
 }
 
-// Status tells what this node knows.
+// Status tells about the deployment.
 type Status interface {
+	// Status asks every cell and returns what it told.
 	Status(ctx context.Context) seamapi.StatusReport
 }
 
@@ -67,10 +68,12 @@
 }
 
 // Orders carries out the operators' orders.
-// An error with a Status method chooses the HTTP status of the answer.
+// An error with the methods Status and Next chooses the HTTP status of the answer and what to do next.
 type Orders interface {
-	// Drain makes the node take no new work, hand its slots over and finish what is in flight.
-	Drain(ctx context.Context, node string) error
+	// Drain makes a node of any cell take no new work, hand its slots over and finish what is in
+	// flight. It first asks allowed, with the service of the node's target, or with none if the
+	// node is not known or has no target. A repeated order changes nothing.
+	Drain(ctx context.Context, node string, allowed func(service string) error) error
 	// Attest takes the operator's word that the instances are lost for good, so that the cell
 	// need not wait for their promises to end.
 	Attest(ctx context.Context, cell string, instances []string) error
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -148,6 +148,7 @@
 		{"write without role", func() error { _, err := red.Delete(ctx, "tally", seamclient.Edit{}); return err }, 403, seamapi.CodeForbidden},
 		{"drain of a foreign node", func() error { _, err := blue.Drain(ctx, "n2"); return err }, 403, seamapi.CodeForbidden},
 		{"drain of an unknown node", func() error { _, err := blue.Drain(ctx, "n7"); return err }, 403, seamapi.CodeForbidden},
+		{"drain of an unknown node by a team of all services", func() error { _, err := red.Drain(ctx, "n7"); return err }, 404, seamapi.CodeMissing},
 		{"attestation by a team of one service", func() error { _, err := blue.Attest(ctx, "erie-1", []string{"n1"}); return err }, 403, seamapi.CodeForbidden},
 		{"attestation of nothing", func() error { _, err := red.Attest(ctx, "erie-1", nil); return err }, 400, seamapi.CodeInvalid},
 	}
@@ -174,7 +175,7 @@
 	if err != nil {
 		t.Error(err)
 	}
-	if diff := cmp.Diff(map[any]int{200.0: 3, 403.0: 4, 400.0: 1}, audited); diff != "" {
+	if diff := cmp.Diff(map[any]int{200.0: 3, 403.0: 4, 404.0: 1, 400.0: 1}, audited); diff != "" {
 		t.Errorf("audit events by status (-want +got):\n%s", diff)
 	}
 }
--- a/internal/rule/seamadmin/status.go
+++ b/internal/rule/seamadmin/status.go
@@ -7,39 +7,15 @@
 	"time"
 
 	"cardamomseam/internal/rule/seamapi"
-	"cardamomseam/internal/rule/seamconfirm"
 	"cardamomseam/internal/rule/seamteam"
 )
 
 // longestWait bounds the wait of GET /v1/revision.
 const longestWait = 30 * time.Second
 
-// surveyTime bounds the wait for the states of other cells.
-const surveyTime = 500 * time.Millisecond
-
-// status answers with what this node knows and what the other cells answer in time.
+// status answers with what every cell tells.
 func (s *Server) status(ctx context.Context, _ call) (any, error) {
-	survey, cancel := context.WithTimeout(ctx, surveyTime)
-	defer cancel()
-	states := s.Confirmer.Survey(survey, s.Set.Revision())
-	report := s.Status.Status(ctx)
-	for i := range report.Cells {
-		if state, ok := states[report.Cells[i].Cell]; ok {
-			fill(&report.Cells[i], state)
-		}
-	}
-	return report, nil
-}
-
-// fill adds what the cell's coordinator answered.
-func fill(c *seamapi.CellStatus, s seamconfirm.CellState) {
-	c.Revision = max(c.Revision, s.Confirmed)
-	c.Epoch = max(c.Epoch, s.Epoch)
-	c.Owned = max(c.Owned, s.Owned)
-	c.Reachable = c.Reachable || s.Reachable
-	if s.Changed.After(c.Changed) {
-		c.Changed = s.Changed
-	}
+	return s.Status.Status(ctx), nil
 }
 
 // revision tells which cells have confirmed a revision. It waits until one more than
@@ -90,31 +66,22 @@
 	return time.ParseDuration(text)
 }
 
-// drain orders a node to drain. The team must touch the node's service.
+// drain orders a node to drain. Teams of all services may drain any node, others
+// those whose service they touch.
 func (s *Server) drain(ctx context.Context, c call) (any, error) {
 	node := c.variable("node")
-	if err := s.mayDrain(ctx, c, node); err != nil {
-		return nil, err
+	allowed := func(service string) error {
+		if c.team.Touches(seamteam.AllServices) || service != "" && c.team.Touches(service) {
+			return nil
+		}
+		return &seamteam.ForbiddenError{Team: c.team.Name, Role: seamteam.Operate, Service: "of node " + node}
 	}
-	if err := s.Orders.Drain(ctx, node); err != nil {
+	if err := s.Orders.Drain(ctx, node, allowed); err != nil {
 		return nil, err
 	}
 	return seamapi.Ordered{Order: "drain", Subject: node}, nil
 }
 
-// mayDrain lets teams of all services drain any node, others those whose service they touch.
-func (s *Server) mayDrain(ctx context.Context, c call, node string) error {
-	if c.team.Touches(seamteam.AllServices) {
-		return nil
-	}
-	for _, n := range s.Status.Status(ctx).Nodes {
-		if n.Node == node && n.Service != "" && c.team.Touches(n.Service) {
-			return nil
-		}
-	}
-	return &seamteam.ForbiddenError{Team: c.team.Name, Role: seamteam.Operate, Service: "of node " + node}
-}
-
 // attest takes the operator's word for a loss. It concerns all services of the cell.
 func (s *Server) attest(ctx context.Context, c call) (any, error) {
 	if !c.team.Touches(seamteam.AllServices) {
--- a/internal/rule/seamadmintest/node.go
+++ b/internal/rule/seamadmintest/node.go
@@ -14,6 +14,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/rule/seamadmin"
 	"cardamomseam/internal/rule/seamapi"
 	"cardamomseam/internal/rule/seambook"
@@ -142,11 +143,19 @@
 		Store:    seamapi.StoreStatus{Reachable: true, Since: at},
 		Cells: []seamapi.CellStatus{{
 			Cell: "erie-1", Region: "erie", Revision: n.Set.Revision(), Epoch: 4, Coordinator: "n1", Backup: "n2",
-			Slots: 12, Owned: 12, Owners: map[string]int{"n2": 5, "n1": 7}, Changed: at, Reachable: true,
+			Slots: 12, Owned: 12, Owners: map[string]int{"n2": 5, "n1": 7}, Changed: at, Reachable: true, Answered: "n1",
+		}, {
+			Cell: "michigan-1", Region: "michigan", Epoch: 2, Coordinator: "n5", Backup: "n6", Slots: 12,
+			Fault: "n5 (10.0.0.5:7301) does not answer: connection refused",
+		}, {
+			Cell: "superior-1", Region: "superior", Epoch: 3, Coordinator: "n3", Backup: "n4",
+			Slots: 6, Owned: 6, Owners: map[string]int{"n3": 6}, Changed: at, Answered: "n4",
+			Fault: "n3 (10.0.0.3:7301) does not answer: i/o timeout",
 		}},
 		Nodes: []seamapi.NodeStatus{
-			{Node: "n1", Region: "erie", Domain: "erie-a", Cell: "erie-1", Service: "tally", Load: 3, Slots: 12, Owned: 7, State: "serving"},
-			{Node: "n2", Region: "superior", Domain: "superior-a", Cell: "erie-1", Service: "booker", Slots: 12, Owned: 5, State: "draining"},
+			{Node: "n1", Region: "erie", Domain: "erie-a", Cell: "erie-1", Service: "tally", Revision: n.Set.Revision(), Load: 3, Slots: 12, Queue: new(int), Owned: 7, State: "serving"},
+			{Node: "n2", Region: "superior", Domain: "superior-a", Cell: "erie-1", Service: "booker", Revision: n.Set.Revision(), Slots: 12, Owned: 5, State: "draining"},
+			{Node: "n3", Region: "superior", Domain: "superior-b", Cell: "superior-1", Service: "booker", Slots: 12, Owned: 6, State: "serving"},
 		},
 	}
 }
@@ -161,7 +170,19 @@
 }
 
 // Drain implements seamadmin.Orders.
-func (n *Node) Drain(_ context.Context, node string) error {
+func (n *Node) Drain(ctx context.Context, node string, allowed func(service string) error) error {
+	service := ""
+	for _, s := range n.Status(ctx).Nodes {
+		if s.Node == node {
+			service = s.Service
+		}
+	}
+	if err := allowed(service); err != nil {
+		return err
+	}
+	if service == "" {
+		return &seamkeeper.UnknownNodeError{Node: node, Cells: 2}
+	}
 	n.order("drain " + node)
 	return nil
 }
--- a/internal/rule/seamapi/status.go
+++ b/internal/rule/seamapi/status.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// StatusReport is the answer to GET /v1/status: what the answering node knows.
+// StatusReport is the answer to GET /v1/status: what all cells told the answering node just now.
 type StatusReport struct {
 	// Node is the name of the answering node.
 	Node string `json:"node"`
@@ -10,7 +10,8 @@
 	Revision int64        `json:"revision"`
 	Store    StoreStatus  `json:"store"`
 	Cells    []CellStatus `json:"cells"`
-	Nodes    []NodeStatus `json:"nodes"`
+	// Nodes are the members of the cells that answered.
+	Nodes []NodeStatus `json:"nodes"`
 }
 
 // StoreStatus tells whether the answering node reaches the store.
@@ -24,7 +25,12 @@
 type CellStatus struct {
 	Cell   string `json:"cell"`
 	Region string `json:"region"`
-	// Revision is the revision of the rules that the cell has confirmed, as far as is known.
+	// Answered is the node that told about the cell. If it is empty no node did: epoch, coordinator,
+	// backup and slots are then those of the cell's record, and the rest is not known.
+	Answered string `json:"answered"`
+	// Fault says why the cell's coordinator did not answer; empty if it did.
+	Fault string `json:"fault,omitempty"`
+	// Revision is the revision of the rules that the cell has confirmed, 0 if its coordinator did not answer.
 	Revision    int64  `json:"revision"`
 	Epoch       uint64 `json:"epoch"`
 	Coordinator string `json:"coordinator"`
@@ -36,26 +42,27 @@
 	Owners map[string]int `json:"owners,omitempty"`
 	// Changed is the time of the last change of the cell.
 	Changed time.Time `json:"changed"`
-	// Reachable says that the cell's coordinator reaches the store, as far as is known.
+	// Reachable says that the node that answered reaches the store.
 	Reachable bool `json:"reachable"`
 }
 
 // NodeStatus tells about one node.
 type NodeStatus struct {
-	Node     string `json:"node"`
-	Region   string `json:"region"`
-	Domain   string `json:"domain"`
-	Cell     string `json:"cell"`
-	Service  string `json:"service"`
-	Revision int64  `json:"revision"`
+	Node    string `json:"node"`
+	Region  string `json:"region"`
+	Domain  string `json:"domain"`
+	Cell    string `json:"cell"`
+	Service string `json:"service"`
+	// Revision is that of the rules in force at the node, 0 if its cell's coordinator did not answer.
+	Revision int64 `json:"revision"`
 	// Load is the number of requests in flight at the node's target, Slots the number it runs at once.
 	Load  int `json:"load"`
 	Slots int `json:"slots"`
-	// Queue is the number of requests that wait for the target.
-	Queue int `json:"queue"`
+	// Queue is the number of requests that wait for the target; only the answering node tells its own.
+	Queue *int `json:"queue,omitempty"`
 	// Owned is the number of slots of keys that the node owns.
 	Owned int `json:"owned"`
-	// State is serving, draining, drained or lost.
+	// State is serving or draining. A node that has drained, or was lost, is in no cell any more.
 	State string `json:"state"`
 }
 
--- a/internal/rule/seamcommand/command_test.go
+++ b/internal/rule/seamcommand/command_test.go
@@ -115,6 +115,7 @@
 func TestExitCodes(t *testing.T) {
 	token, hash := seamteam.NewToken()
 	n := seamadmintest.New(t, seamteam.Team{Name: "blue", Hash: hash, Roles: []seamteam.Role{seamteam.Write}, Services: []string{"tally"}})
+	open := seamadmintest.New(t)
 	tests := []struct {
 		name string
 		args []string
@@ -130,6 +131,7 @@
 		{"no token", []string{"get", "--address", n.Address}, seamcommand.CodeRefused},
 		{"foreign service", []string{"get", "--address", n.Address, "--token", token, "booker"}, seamcommand.CodeRefused},
 		{"missing service", []string{"get", "--address", n.Address, "--token", token, "tally"}, seamcommand.CodeMissing},
+		{"drain of an unknown node", []string{"drain", "--address", open.Address, "n7"}, seamcommand.CodeMissing},
 		{"no node", []string{"get", "--address", "127.0.0.1:1"}, seamcommand.CodeUnavailable},
 	}
 	for _, tt := range tests {
--- a/internal/rule/seamcommand/status.go
+++ b/internal/rule/seamcommand/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -157,17 +158,53 @@
 	o.printf("node %s, rules at revision %d, store %s since %s\n\n", s.Node, s.Revision, store, s.Store.Since.Format(time.RFC3339))
 	cells := table{head: []string{"CELL", "REGION", "REVISION", "EPOCH", "COORDINATOR", "BACKUP", "OWNED", "OWNERS", "CHANGED", "STORE"}}
 	for _, c := range s.Cells {
-		cells.add(c.Cell, c.Region, c.Revision, c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%d/%d", c.Owned, c.Slots), owners(c.Owners), c.Changed.Format(time.RFC3339), reachable(c.Reachable))
+		if c.Answered == "" {
+			cells.add(c.Cell, c.Region, unknown, c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%s/%d", unknown, c.Slots), unknown, unknown, cell{"no answer", red})
+			continue
+		}
+		cells.add(c.Cell, c.Region, known(c.Revision), c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%d/%d", c.Owned, c.Slots), owners(c.Owners), c.Changed.Format(time.RFC3339), reachable(c.Reachable))
 	}
 	cells.write(o)
+	showFaults(o, s.Cells)
 	o.printf("\n")
 	nodes := table{head: []string{"NODE", "REGION", "DOMAIN", "CELL", "SERVICE", "REVISION", "LOAD", "QUEUE", "OWNED", "STATE"}}
 	for _, n := range s.Nodes {
-		nodes.add(n.Node, n.Region, n.Domain, n.Cell, n.Service, n.Revision, fmt.Sprintf("%d/%d", n.Load, n.Slots), n.Queue, n.Owned, n.State)
+		nodes.add(n.Node, n.Region, n.Domain, n.Cell, n.Service, known(n.Revision), fmt.Sprintf("%d/%d", n.Load, n.Slots), queue(n.Queue), n.Owned, n.State)
 	}
 	nodes.write(o)
 }
 
+// unknown stands for what nobody told.
+const unknown = "?"
+
+// known returns the revision, which is 0 if nobody told it.
+func known(revision int64) string {
+	if revision == 0 {
+		return unknown
+	}
+	return strconv.FormatInt(revision, 10)
+}
+
+func queue(length *int) string {
+	if length == nil {
+		return unknown
+	}
+	return strconv.Itoa(*length)
+}
+
+// showFaults names the cells whose coordinators did not answer, and says why.
+func showFaults(o output, cells []seamapi.CellStatus) {
+	for _, c := range cells {
+		switch {
+		case c.Fault == "":
+		case c.Answered == "":
+			o.printf("%s cell %s could not be asked: %s\n", o.paint(red, "unknown:"), c.Cell, c.Fault)
+		default:
+			o.printf("%s %s answers for cell %s: %s\n", o.paint(yellow, "partly:"), c.Answered, c.Cell, c.Fault)
+		}
+	}
+}
+
 func owners(counts map[string]int) string {
 	parts := make([]string, 0, len(counts))
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
--- a/internal/rule/seamconfirm/confirmer.go
+++ b/internal/rule/seamconfirm/confirmer.go
@@ -47,12 +47,6 @@
 	Epoch uint64
 	// Confirmed is the highest revision that every serving member has in force.
 	Confirmed int64
-	// Owned is the number of slots of the cell with an owner.
-	Owned int
-	// Reachable says that the coordinator reaches the store.
-	Reachable bool
-	// Changed is the time of the last change of the cell.
-	Changed time.Time
 }
 
 // Cells tells about the cells.
@@ -115,10 +109,6 @@
 	mu sync.Mutex
 	// heard holds the state heard of each cell, with the highest epoch and revision.
 	heard map[string]CellState
-	// surveys are the times of the last answer of each cell.
-	surveys map[string]time.Time
-	// surveyed is the time of the last survey.
-	surveyed time.Time
 	// question is the highest revision asked about; its revision is 0 if none is open.
 	question question
 	// opened holds when each revision that is not accepted yet was first asked about.
@@ -156,7 +146,6 @@
 		answered: m.NewCounter(`cardamomseam_confirm_answers_total`),
 		delay:    m.NewHistogram(`cardamomseam_confirm_seconds`),
 		heard:    map[string]CellState{},
-		surveys:  map[string]time.Time{},
 		opened:   map[int64]time.Time{},
 		changed:  make(chan struct{}),
 	}
@@ -322,9 +311,6 @@
 		Cell:      own.Cell,
 		Epoch:     own.Epoch,
 		Confirmed: own.Confirmed,
-		Owned:     uint32(own.Owned),
-		Reachable: own.Reachable,
-		Changed:   own.Changed.UnixMilli(),
 	}})
 }
 
@@ -335,12 +321,7 @@
 		Cell:      a.GetCell(),
 		Epoch:     a.GetEpoch(),
 		Confirmed: a.GetConfirmed(),
-		Owned:     int(a.GetOwned()),
-		Reachable: a.GetReachable(),
-		Changed:   time.UnixMilli(a.GetChanged()),
 	})
-	c.surveys[a.GetCell()] = now
-	c.wake()
 	c.close(now)
 }
 
--- a/internal/rule/seamconfirm/confirmer_test.go
+++ b/internal/rule/seamconfirm/confirmer_test.go
@@ -49,7 +49,7 @@
 }
 
 func (n *node) Own() (seamconfirm.CellState, bool) {
-	return seamconfirm.CellState{Cell: "cell-" + n.peer.Name, Epoch: 3, Confirmed: n.confirmed, Owned: 12}, true
+	return seamconfirm.CellState{Cell: "cell-" + n.peer.Name, Epoch: 3, Confirmed: n.confirmed}, true
 }
 
 func (n *node) Send(to seampeer.Peer, payload []byte) error {
@@ -172,27 +172,6 @@
 	}
 }
 
-func TestSurvey(t *testing.T) {
-	m := newMesh(3, never)
-	m.nodes["n1"].confirmed = 4
-	asking := m.nodes["n0"]
-	asking.confirmed = 6
-	ended, cancel := context.WithCancel(t.Context())
-	cancel()
-	if states := asking.confirmer.Survey(ended, 6); len(states) != 1 {
-		t.Fatalf("before any answer: %+v", states)
-	}
-	m.deliver(time.Now())
-	sent := m.sent
-	states := asking.confirmer.Survey(t.Context(), 6)
-	if m.sent != sent {
-		t.Error("a second survey asked again at once")
-	}
-	if len(states) != 3 || states["cell-n0"].Confirmed != 6 || states["cell-n1"].Confirmed != 4 || states["cell-n2"].Owned != 12 {
-		t.Fatalf("states %+v", states)
-	}
-}
-
 func TestWaitEndsWithEachFurtherCell(t *testing.T) {
 	m := newMesh(2, never)
 	m.nodes["n1"].confirmed = 5
