Commands say what a newcomer needs, with the documented exit codes

Seen by running every command against a demonstration and without a node: - An unknown command ended with 3 (conflict) and "No help topic", by the parser's own exit; a missing flag of node, check without a file and faulty settings with 1. All end with 2 now, as documented, and name the help to read. Tests. - The help named neither the exit codes nor where to begin; drain, attest, set and status did not say what happens; defaults stood as -1 and 0. - status showed ? as the revision of a cell whose coordinator had answered, as long as a new member had no rules: ? now only if nobody told. - label of an instance that nobody knows was taken without a word: it warns with the documented kind "unknown".

--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -16,6 +16,12 @@
 	root := &cli.Command{
 		Name:  "cardamomseam",
 		Usage: "route requests to the servers that own their keys",
+		Description: "Try demo first. A node is run by node; what operators do is done by the other commands, through the administration API of any node.\n\n" +
+			seamcommand.ExitCodes,
+		Action:       seamcommand.UnknownCommand,
+		OnUsageError: seamcommand.OnUsage,
+		// The error is shown below, with the exit code that the documentation names.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: append([]*cli.Command{
 			nodeCommand(),
 			checkCommand(),
--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -14,6 +14,7 @@
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/observe/seamtrace"
 	"cardamomseam/internal/platform/seamhttp"
+	"cardamomseam/internal/rule/seamcommand"
 )
 
 func nodeCommand() *cli.Command {
@@ -23,14 +24,15 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "YAML `FILE` of settings"},
 		},
-		Action: runNode,
+		OnUsageError: seamcommand.OnUsage,
+		Action:       runNode,
 	}
 }
 
 func runNode(ctx context.Context, c *cli.Command) error {
 	settings, err := seamsetting.Load(c.String("settings"))
 	if err != nil {
-		return err
+		return seamcommand.Usage(err)
 	}
 	seamhttp.OwnSignals()
 	ring, stopTracing := seamtrace.New(seamtrace.Config{
@@ -59,16 +61,17 @@
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
-		Name:      "check",
-		Usage:     "tell whether files of settings are right, without starting anything",
-		ArgsUsage: "FILE...",
-		Action:    runCheck,
+		Name:         "check",
+		Usage:        "tell whether files of settings are right, without starting anything",
+		ArgsUsage:    "FILE...",
+		OnUsageError: seamcommand.OnUsage,
+		Action:       runCheck,
 	}
 }
 
 func runCheck(_ context.Context, c *cli.Command) error {
 	if c.Args().Len() == 0 {
-		return errors.New("name at least one file of settings")
+		return seamcommand.Usage(errors.New("name at least one file of settings"))
 	}
 	var faults []error
 	for _, file := range c.Args().Slice() {
@@ -78,5 +81,5 @@
 		}
 		fmt.Printf("%s: ok\n", file)
 	}
-	return errors.Join(faults...)
+	return seamcommand.Usage(errors.Join(faults...))
 }
--- a/internal/prove/seamdemo/steps.go
+++ b/internal/prove/seamdemo/steps.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	s.say("three cells formed; %d slots of calendar have an owner in their home region", s.owned())
+	s.say("look around meanwhile: cardamomseam status --address %s", s.fleet.live()[0].settings.Admin.Listen)
 	s.traffic = startTraffic(ctx, s.fleet, s.cfg.Seed)
 	return s.await(ctx, "first requests", func() bool { return len(s.traffic.records.All()) > rate/4 })
 }
--- /dev/null
+++ b/internal/rule/seamadmin/export_test.go
@@ -0,0 +1,10 @@
+package seamadmin
+
+// Routes returns the method and the path of each route.
+func Routes() []string {
+	var list []string
+	for _, r := range (&Server{}).routes() {
+		list = append(list, r.Method+" "+r.Path)
+	}
+	return list
+}
--- a/internal/rule/seamadmin/rules.go
+++ b/internal/rule/seamadmin/rules.go
@@ -106,14 +106,16 @@
 	if err := decodeBody(c, &labels); err != nil {
 		return nil, err
 	}
-	return s.label(ctx, c, labels.Labels)
+	recorded, err := s.label(ctx, c, labels.Labels)
+	recorded.Warnings = seamrule.LabelWarnings(c.variable("instance"), s.Targets.Instances(c.variable("service")))
+	return recorded, err
 }
 
 func (s *Server) removeLabels(ctx context.Context, c call) (any, error) {
 	return s.label(ctx, c, nil)
 }
 
-func (s *Server) label(ctx context.Context, c call, labels map[string]string) (any, error) {
+func (s *Server) label(ctx context.Context, c call, labels map[string]string) (seamapi.Recorded, error) {
 	return s.change(ctx, c, func(ctx context.Context, stamp seambook.Stamp) (seambook.Recorded, error) {
 		return s.Book.Label(ctx, stamp, c.variable("service"), c.variable("instance"), labels)
 	})
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -59,17 +59,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if len(labelled.Warnings) > 0 {
+		t.Errorf("warnings %+v", labelled.Warnings)
+	}
 	n.Await(t, labelled.Revision)
 	if got := n.Set.Labels("tally", seamrule.Instance{Name: "n2"})["tier"]; got != "cold" {
 		t.Errorf("label %q", got)
 	}
-	if _, err := c.Delete(t.Context(), "tally", seamclient.Edit{Expect: revision(labelled.Revision)}); err != nil {
+	stray, err := c.Label(t.Context(), "tally", "n7", map[string]string{"tier": "cold"}, seamclient.Edit{})
+	if err != nil || len(stray.Warnings) != 1 || stray.Warnings[0].Kind != seamrule.WarnUnknown {
+		t.Errorf("labels of an unknown instance: %+v, %v", stray, err)
+	}
+	if _, err := c.Delete(t.Context(), "tally", seamclient.Edit{Expect: revision(stray.Revision)}); err != nil {
 		t.Fatal(err)
 	}
 	_, err = c.Get(t.Context(), "tally")
 	isProblem(t, err, http.StatusNotFound, seamapi.CodeMissing)
 	h, err := c.History(t.Context(), "tally")
-	if err != nil || len(h.Changes) != 3 || h.Changes[0].Action != "delete" || h.Changes[2].Revision != first.Revision {
+	if err != nil || len(h.Changes) != 4 || h.Changes[0].Action != "delete" || h.Changes[3].Revision != first.Revision {
 		t.Fatalf("history %+v, %v", h, err)
 	}
 }
--- a/internal/rule/seamadmin/status.go
+++ b/internal/rule/seamadmin/status.go
@@ -1,6 +1,7 @@
 package seamadmin
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -74,7 +75,7 @@
 		if c.team.Touches(seamteam.AllServices) || service != "" && c.team.Touches(service) {
 			return nil
 		}
-		return &seamteam.ForbiddenError{Team: c.team.Name, Role: seamteam.Operate, Service: "of node " + node}
+		return &seamteam.ForbiddenError{Team: c.team.Name, Role: seamteam.Operate, Service: cmp.Or(service, seamteam.AllServices)}
 	}
 	if err := s.Orders.Drain(ctx, node, allowed); err != nil {
 		return nil, err
--- a/internal/rule/seamcommand/command.go
+++ b/internal/rule/seamcommand/command.go
@@ -51,11 +51,11 @@
 // command completes a command with the shared flags and its action.
 func command(c *cli.Command, a action) *cli.Command {
 	c.Flags = append(c.Flags,
-		&cli.StringFlag{Name: flagAddress, Aliases: []string{"a"}, Value: seamadmin.DefaultAddress, Sources: cli.EnvVars("CARDAMOMSEAM_ADDRESS"), Usage: "`IP:PORT` of a node's administration API"},
-		&cli.StringFlag{Name: flagToken, Sources: cli.EnvVars("CARDAMOMSEAM_TOKEN"), Usage: "token of your team"},
+		&cli.StringFlag{Name: flagAddress, Aliases: []string{"a"}, Value: seamadmin.DefaultAddress, Sources: cli.EnvVars("CARDAMOMSEAM_ADDRESS"), Usage: "`IP:PORT` of the administration API of any node"},
+		&cli.StringFlag{Name: flagToken, Sources: cli.EnvVars("CARDAMOMSEAM_TOKEN"), Usage: "`TOKEN` of your team, if the nodes have teams"},
 		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: formTable, Usage: "`FORM` of output, table or json"},
 	)
-	c.OnUsageError = onUsage
+	c.OnUsageError = OnUsage
 	c.Action = func(ctx context.Context, c *cli.Command) error {
 		// The log of the HTTP library would mix with the output.
 		logx.Disable()
@@ -75,10 +75,10 @@
 // changing adds the flags of commands that change a document.
 func changing(c *cli.Command, a action) *cli.Command {
 	c.Flags = append(c.Flags,
-		&cli.Int64Flag{Name: flagExpect, Aliases: []string{"e"}, Value: -1, Usage: "change only the version with this `REVISION`, 0 if there must be none"},
+		&cli.Int64Flag{Name: flagExpect, Aliases: []string{"e"}, Value: -1, DefaultText: "any", Usage: "change only the version with this `REVISION`, 0 if there must be none"},
 		&cli.StringFlag{Name: flagWriter, Usage: "`ID` of a change to repeat; it is never recorded twice"},
 		&cli.BoolFlag{Name: flagWait, Aliases: []string{"w"}, Usage: "report cell by cell until the change is accepted"},
-		&cli.DurationFlag{Name: flagLimit, Value: defaultLimit, Usage: "longest `TIME` to wait"},
+		&cli.DurationFlag{Name: flagLimit, Value: defaultLimit, Usage: "longest `TIME` of --wait; exit code 7 if the change is not accepted by then"},
 	)
 	return command(c, a)
 }
@@ -96,7 +96,7 @@
 func (r run) arguments(names ...string) ([]string, error) {
 	given := r.Args().Slice()
 	if len(given) < len(names) {
-		return nil, usage("%s needs %s\nSee %s --help.", r.Name, strings.Join(names, " and "), r.Name)
+		return nil, usage("%s needs %s\nSee %s --help.", r.Name, strings.Join(names, " and "), r.FullName())
 	}
 	return given, nil
 }
@@ -105,7 +105,7 @@
 func (r run) only(names ...string) ([]string, error) {
 	given, err := r.arguments(names...)
 	if err == nil && len(given) > len(names) {
-		return nil, usage("%s has arguments too many: %s\nFlags stand before arguments.", r.Name, strings.Join(given[len(names):], " "))
+		return nil, usage("%s has arguments too many: %s\nSee %s --help.", r.Name, strings.Join(given[len(names):], " "), r.FullName())
 	}
 	return given, err
 }
--- a/internal/rule/seamcommand/command_test.go
+++ b/internal/rule/seamcommand/command_test.go
@@ -28,6 +28,7 @@
 	root := &cli.Command{
 		Name:           "cardamomseam",
 		Commands:       seamcommand.Commands(),
+		Action:         seamcommand.UnknownCommand,
 		Writer:         &out,
 		ErrWriter:      &out,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -121,6 +122,8 @@
 		args []string
 		code int
 	}{
+		{"unknown command", []string{"colour"}, seamcommand.CodeUsage},
+		{"help for an unknown command", []string{"help", "colour"}, seamcommand.CodeUsage},
 		{"unknown flag", []string{"get", "--colour"}, seamcommand.CodeUsage},
 		{"unknown form", []string{"get", "--output", "xml"}, seamcommand.CodeUsage},
 		{"missing argument", []string{"delete"}, seamcommand.CodeUsage},
--- a/internal/rule/seamcommand/exit.go
+++ b/internal/rule/seamcommand/exit.go
@@ -48,9 +48,14 @@
 	if err == nil {
 		return 0
 	}
-	var e cli.ExitCoder
+	var e *ExitError
 	if errors.As(err, &e) {
-		return e.ExitCode()
+		return e.Code
+	}
+	// The parser of the command line has codes of its own.
+	var parser cli.ExitCoder
+	if errors.As(err, &parser) {
+		return CodeUsage
 	}
 	return CodeFailure
 }
@@ -89,12 +94,39 @@
 	return &ExitError{Code: CodeFailure, Err: err}
 }
 
+// Usage gives an error about the command line, or about a file that it names, its exit code.
+func Usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &ExitError{Code: CodeUsage, Err: err}
+}
+
+// UnknownCommand refuses a command line that names no command. Without any word it shows the help.
+func UnknownCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return cli.ShowRootCommandHelp(c)
+	}
+	return usage("there is no command %q\nSee %s --help.", c.Args().First(), c.FullName())
+}
+
+// ExitCodes describes the exit codes for the help.
+const ExitCodes = `Exit codes:
+   0  done
+   1  failure of another kind
+   2  the command line, a document or a file of settings is wrong
+   3  conflict: another change was recorded first, or the cell's state speaks against an attestation
+   4  what was named does not exist
+   5  token missing or wrong, or the team may not do this
+   6  node, cell or store not reachable, or the outcome is unknown
+   7  recorded, but not accepted in time`
+
 // usage makes an error about the command line.
 func usage(format string, args ...any) error {
 	return &ExitError{Code: CodeUsage, Err: errors.Newf(format, args...)}
 }
 
-// onUsage gives errors of the parser of the command line their exit code.
-func onUsage(_ context.Context, _ *cli.Command, err error, _ bool) error {
-	return usage("%v\nSee --help.", err)
+// OnUsage gives errors of the parser of the command line their exit code.
+func OnUsage(_ context.Context, c *cli.Command, err error, _ bool) error {
+	return usage("%v\nSee %s --help.", err, c.FullName())
 }
--- a/internal/rule/seamcommand/rules.go
+++ b/internal/rule/seamcommand/rules.go
@@ -116,7 +116,9 @@
 		Name:      "set",
 		Usage:     "record a document",
 		ArgsUsage: " ",
-		Flags:     []cli.Flag{&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Required: true, Usage: "`FILE` with the document as YAML or JSON, - for standard input"}},
+		Description: "A recorded change cannot be lost. It is accepted, that is in force everywhere, once every cell has confirmed it: --wait waits for that. " +
+			"Without --expect it replaces whatever is there.",
+		Flags: []cli.Flag{&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Required: true, Usage: "`FILE` with the document as YAML or JSON, - for standard input"}},
 	}, func(ctx context.Context, r run) error {
 		if _, err := r.only(); err != nil {
 			return err
@@ -176,9 +178,6 @@
 	if p.Conflict != nil {
 		r.out.difference(p.Conflict.Difference)
 	}
-	for _, f := range p.Faults {
-		r.out.printf("%s\n", f)
-	}
 }
 
 func (r run) warn(warnings []seamrule.Warning) {
@@ -255,15 +254,26 @@
 		if err != nil {
 			return err
 		}
-		text := seamdiff.Unified("recorded", recorded.Text, "file", string(seamrule.Format(d)))
+		text := seamdiff.Unified(recordedName(recorded.Revision), recorded.Text, "file", string(seamrule.Format(d)))
 		if r.out.json {
 			return r.out.value(difference{Service: d.Service, Revision: recorded.Revision, Difference: text})
 		}
+		if text == "" {
+			r.out.printf("no difference from revision %d\n", recorded.Revision)
+		}
 		r.out.difference(text)
 		return nil
 	})
 }
 
+// recordedName names what was recorded in a difference.
+func recordedName(revision int64) string {
+	if revision == 0 {
+		return "not recorded"
+	}
+	return fmt.Sprintf("recorded, revision %d", revision)
+}
+
 // difference is the output of diff as JSON.
 type difference struct {
 	Service string `json:"service"`
--- a/internal/rule/seamcommand/status.go
+++ b/internal/rule/seamcommand/status.go
@@ -25,9 +25,11 @@
 func statusCommand() *cli.Command {
 	return command(&cli.Command{
 		Name:      "status",
-		Usage:     "show cells, nodes and the store, or who has confirmed a revision",
+		Usage:     "show all cells, their nodes and the store, or who has confirmed a revision",
 		ArgsUsage: " ",
-		Flags:     []cli.Flag{&cli.Int64Flag{Name: "revision", Aliases: []string{"r"}, Usage: "show which cells have confirmed this `REVISION`"}},
+		Description: "The node asks every cell. ? stands for what nobody told; a line below the cells says which did not answer, and why. " +
+			"With --revision the exit code is 7 while a cell is missing.",
+		Flags: []cli.Flag{&cli.Int64Flag{Name: "revision", Aliases: []string{"r"}, DefaultText: "none", Usage: "show which cells have confirmed this `REVISION`"}},
 	}, func(ctx context.Context, r run) error {
 		if _, err := r.only(); err != nil {
 			return err
@@ -162,14 +164,18 @@
 			cells.add(c.Cell, c.Region, unknown, c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%s/%d", unknown, c.Slots), unknown, unknown, cell{"no answer", red})
 			continue
 		}
-		cells.add(c.Cell, c.Region, known(c.Revision), c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%d/%d", c.Owned, c.Slots), owners(c.Owners), c.Changed.Format(time.RFC3339), reachable(c.Reachable))
+		cells.add(c.Cell, c.Region, told(c.Revision, c), c.Epoch, c.Coordinator, c.Backup, fmt.Sprintf("%d/%d", c.Owned, c.Slots), owners(c.Owners), c.Changed.Format(time.RFC3339), reachable(c.Reachable))
 	}
 	cells.write(o)
 	showFaults(o, s.Cells)
 	o.printf("\n")
 	nodes := table{head: []string{"NODE", "REGION", "DOMAIN", "CELL", "SERVICE", "REVISION", "LOAD", "QUEUE", "OWNED", "STATE"}}
+	cellOf := map[string]seamapi.CellStatus{}
+	for _, c := range s.Cells {
+		cellOf[c.Cell] = c
+	}
 	for _, n := range s.Nodes {
-		nodes.add(n.Node, n.Region, n.Domain, n.Cell, n.Service, known(n.Revision), fmt.Sprintf("%d/%d", n.Load, n.Slots), queue(n.Queue), n.Owned, n.State)
+		nodes.add(n.Node, n.Region, n.Domain, n.Cell, n.Service, told(n.Revision, cellOf[n.Cell]), fmt.Sprintf("%d/%d", n.Load, n.Slots), queue(n.Queue), n.Owned, n.State)
 	}
 	nodes.write(o)
 }
@@ -177,9 +183,9 @@
 // unknown stands for what nobody told.
 const unknown = "?"
 
-// known returns the revision, which is 0 if nobody told it.
-func known(revision int64) string {
-	if revision == 0 {
+// told returns the revision, which only the cell's coordinator tells.
+func told(revision int64, c seamapi.CellStatus) string {
+	if revision == 0 && c.Fault != "" {
 		return unknown
 	}
 	return strconv.FormatInt(revision, 10)
@@ -252,8 +258,10 @@
 func drainCommand() *cli.Command {
 	return command(&cli.Command{
 		Name:      "drain",
-		Usage:     "make a node take no new work, hand over its slots and finish what is in flight",
+		Usage:     "make a node take no new work, hand over its slots, finish what is in flight and stop",
 		ArgsUsage: "NODE",
+		Description: "NODE may be in any cell; --address names any node. The command ends when the order has arrived; status shows " +
+			"the node as draining, and no longer once it has stopped. A repeated order changes nothing.",
 	}, func(ctx context.Context, r run) error {
 		args, err := r.only("NODE")
 		if err != nil {
@@ -266,10 +274,11 @@
 
 func attestCommand() *cli.Command {
 	return command(&cli.Command{
-		Name:        "attest",
-		Usage:       "attest that instances of a cell are lost for good",
-		ArgsUsage:   "CELL INSTANCE ...",
-		Description: "The cell then need not wait for their promises to end. If an instance still runs, two servers may own one key: make sure that it is stopped.",
+		Name:      "attest",
+		Usage:     "attest that the coordinator and the backup of a cell are lost for good",
+		ArgsUsage: "CELL INSTANCE ...",
+		Description: "Name both, as status shows them; --address names any node. The cell then need not wait for their promises to end. " +
+			"If one of them still runs, two servers may own one key: make sure that both processes have ended. It is refused if one answers.",
 	}, func(ctx context.Context, r run) error {
 		args, err := r.arguments("CELL", "INSTANCE")
 		if err != nil {
--- a/internal/rule/seamrule/fields.go
+++ b/internal/rule/seamrule/fields.go
@@ -32,7 +32,11 @@
 // Error lists the faults, one a line.
 func (e FieldErrors) Error() string {
 	lines := make([]string, 0, len(e)+1)
-	lines = append(lines, fmt.Sprintf("document has %d faults", len(e)))
+	if len(e) == 1 {
+		lines = append(lines, "document has 1 fault")
+	} else {
+		lines = append(lines, fmt.Sprintf("document has %d faults", len(e)))
+	}
 	for _, f := range e {
 		lines = append(lines, "  "+f.String())
 	}
--- a/internal/rule/seamrule/trial.go
+++ b/internal/rule/seamrule/trial.go
@@ -88,6 +88,9 @@
 			continue
 		}
 		text := fmt.Sprintf("selector %q matches nothing: no known instance has %q", s.Name, s.Targets)
+		if s.Targets == "" {
+			text = fmt.Sprintf("selector %q matches nothing: no target of the service is known", s.Name)
+		}
 		warnings = append(warnings, Warning{Selector: s.Name, Kind: WarnNothing, Text: text})
 	}
 	if !chosen {
@@ -97,9 +100,15 @@
 		warnings = append(warnings, Warning{Kind: WarnUncovered, Text: "no selector matches every request; requests that match none get status 404"})
 	}
 	for _, name := range sortedKeys(d.Labels) {
-		if !slices.ContainsFunc(instances, func(i Instance) bool { return i.Name == name }) {
-			warnings = append(warnings, Warning{Kind: WarnUnknown, Text: fmt.Sprintf("labels are set for %q, which is no known instance", name)})
-		}
+		warnings = append(warnings, LabelWarnings(name, instances)...)
 	}
 	return warnings
 }
+
+// LabelWarnings returns the likely mistake of labels for an instance, given those known now.
+func LabelWarnings(instance string, instances []Instance) []Warning {
+	if slices.ContainsFunc(instances, func(i Instance) bool { return i.Name == instance }) {
+		return nil
+	}
+	return []Warning{{Kind: WarnUnknown, Text: fmt.Sprintf("labels are set for %q, which is no known instance", instance)}}
+}
