--- a/internal/own/seamkeeper/snapshot.go
+++ b/internal/own/seamkeeper/snapshot.go
@@ -87,11 +87,6 @@
 	return true
 }
 
-// Changed returns the time of the last change of the cell's epoch, members or owners.
-func (k *Keeper) Changed() time.Time {
-	return k.snapshot.Load().changed
-}
-
 // setRecords takes the records and makes the index of their ranges.
 func (s *snapshot) setRecords(records []seamcell.Entry) {
 	s.records = records
--- a/internal/rule/seamadmin/server_test.go
+++ b/internal/rule/seamadmin/server_test.go
@@ -59,17 +59,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if len(labelled.Warnings) > 0 {
+		t.Errorf("warnings %+v", labelled.Warnings)
+	}
 	n.Await(t, labelled.Revision)
 	if got := n.Set.Labels("tally", seamrule.Instance{Name: "n2"})["tier"]; got != "cold" {
 		t.Errorf("label %q", got)
 	}
-	if _, err := c.Delete(t.Context(), "tally", seamclient.Edit{Expect: revision(labelled.Revision)}); err != nil {
+	stray, err := c.Label(t.Context(), "tally", "n7", map[string]string{"tier": "cold"}, seamclient.Edit{})
+	if err != nil || len(stray.Warnings) != 1 || stray.Warnings[0].Kind != seamrule.WarnUnknown {
+		t.Errorf("labels of an unknown instance: %+v, %v", stray, err)
+	}
+	if _, err := c.Delete(t.Context(), "tally", seamclient.Edit{Expect: revision(stray.Revision)}); err != nil {
 		t.Fatal(err)
 	}
 	_, err = c.Get(t.Context(), "tally")
 	isProblem(t, err, http.StatusNotFound, seamapi.CodeMissing)
 	h, err := c.History(t.Context(), "tally")
-	if err != nil || len(h.Changes) != 3 || h.Changes[0].Action != "delete" || h.Changes[2].Revision != first.Revision {
+	if err != nil || len(h.Changes) != 4 || h.Changes[0].Action != "delete" || h.Changes[3].Revision != first.Revision {
 		t.Fatalf("history %+v, %v", h, err)
 	}
 }
@@ -148,6 +155,7 @@
 		{"write without role", func() error { _, err := red.Delete(ctx, "tally", seamclient.Edit{}); return err }, 403, seamapi.CodeForbidden},
 		{"drain of a foreign node", func() error { _, err := blue.Drain(ctx, "n2"); return err }, 403, seamapi.CodeForbidden},
 		{"drain of an unknown node", func() error { _, err := blue.Drain(ctx, "n7"); return err }, 403, seamapi.CodeForbidden},
+		{"drain of an unknown node by a team of all services", func() error { _, err := red.Drain(ctx, "n7"); return err }, 404, seamapi.CodeMissing},
 		{"attestation by a team of one service", func() error { _, err := blue.Attest(ctx, "erie-1", []string{"n1"}); return err }, 403, seamapi.CodeForbidden},
 		{"attestation of nothing", func() error { _, err := red.Attest(ctx, "erie-1", nil); return err }, 400, seamapi.CodeInvalid},
 	}
@@ -174,7 +182,7 @@
 	if err != nil {
 		t.Error(err)
 	}
-	if diff := cmp.Diff(map[any]int{200.0: 3, 403.0: 4, 400.0: 1}, audited); diff != "" {
+	if diff := cmp.Diff(map[any]int{200.0: 3, 403.0: 4, 404.0: 1, 400.0: 1}, audited); diff != "" {
 		t.Errorf("audit events by status (-want +got):\n%s", diff)
 	}
 }
--- a/internal/rule/seamcommand/command_test.go
+++ b/internal/rule/seamcommand/command_test.go
@@ -28,6 +28,7 @@
 	root := &cli.Command{
 		Name:           "cardamomseam",
 		Commands:       seamcommand.Commands(),
+		Action:         seamcommand.UnknownCommand,
 		Writer:         &out,
 		ErrWriter:      &out,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -115,11 +116,14 @@
 func TestExitCodes(t *testing.T) {
 	token, hash := seamteam.NewToken()
 	n := seamadmintest.New(t, seamteam.Team{Name: "blue", Hash: hash, Roles: []seamteam.Role{seamteam.Write}, Services: []string{"tally"}})
+	open := seamadmintest.New(t)
 	tests := []struct {
 		name string
 		args []string
 		code int
 	}{
+		{"unknown command", []string{"colour"}, seamcommand.CodeUsage},
+		{"help for an unknown command", []string{"help", "colour"}, seamcommand.CodeUsage},
 		{"unknown flag", []string{"get", "--colour"}, seamcommand.CodeUsage},
 		{"unknown form", []string{"get", "--output", "xml"}, seamcommand.CodeUsage},
 		{"missing argument", []string{"delete"}, seamcommand.CodeUsage},
@@ -130,6 +134,7 @@
 		{"no token", []string{"get", "--address", n.Address}, seamcommand.CodeRefused},
 		{"foreign service", []string{"get", "--address", n.Address, "--token", token, "booker"}, seamcommand.CodeRefused},
 		{"missing service", []string{"get", "--address", n.Address, "--token", token, "tally"}, seamcommand.CodeMissing},
+		{"drain of an unknown node", []string{"drain", "--address", open.Address, "n7"}, seamcommand.CodeMissing},
 		{"no node", []string{"get", "--address", "127.0.0.1:1"}, seamcommand.CodeUnavailable},
 	}
 	for _, tt := range tests {
