The record names the successor of a coordinator that has stopped

Cause: the backup that takes a resignation goes on under the record of the one that resigned. Its first change of backup wrote a new epoch, but left the name of the stopped coordinator in it. Change: the change of backup names the writer; an acting coordinator compares the roles of a foreign write with those of its own record.

--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -247,6 +247,30 @@
 	}
 }
 
+// TestLossAfterPlannedStop checks that the record names the successor of a coordinator that has
+// stopped: the next loss is taken over, and a write of another cell ends no coordination.
+func TestLossAfterPlannedStop(t *testing.T) {
+	for seed := range int64(5) {
+		w := settled(t, 6, seed)
+		drain(t, w, w.coordinator())
+		w.run(2 * time.Second)
+		c := w.coordinator()
+		w.must(t, w.store.entries["own/cell/erie-1"].Record.Coordinator.Same(c.peer), "the record does not name %s", c.peer)
+		w.rewrite("own/cell/erie-1")
+		w.run(time.Second)
+		w.must(t, w.coordinator() == c, "a write of another cell ended the coordination")
+		c.crash()
+		d := w.restored(servedAgain + time.Second)
+		w.must(t, d <= servedAgain, "%d of %d slots held after %v (seed %d)", w.held(), slotNumber, d, seed)
+	}
+}
+
+// rewrite writes the record again as another cell does that changes neither roles nor ranges.
+func (w *world) rewrite(key string) {
+	e := w.store.entries[key]
+	w.apply(key, e.Revision, seamcell.Entry{Key: key, Record: e.Record})
+}
+
 func TestSteadyStateCostsNoWrites(t *testing.T) {
 	w := settled(t, 10, 3)
 	w.run(10 * time.Second)
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -243,7 +243,8 @@
 	if e.Revision <= r.entry.Revision {
 		return
 	}
-	if e.Deleted || !e.Record.Coordinator.Same(c.self) {
+	// The record of an acting coordinator still names the one that has resigned.
+	if e.Deleted || !e.Record.Coordinator.Same(r.entry.Record.Coordinator) {
 		c.stepDown()
 		if e.Deleted {
 			c.leave()
@@ -406,7 +407,7 @@
 	r := c.coordination
 	n := c.published()
 	n.Epoch++
-	n.Backup = b
+	n.Coordinator, n.Backup = c.self, b
 	r.gate = &gate{first: c.now}
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
 		r.gate = nil
