Slots wait for a silent server that alone has their state

Ruled out: a standby in another region's cell (its promotion would be a move of a range through the store, and each acknowledgement would cross regions); holding a planned stop until the new owner has a standby (where it is the only server the stop would never end; a stop of the only server already hands its state over to another cell, TestOnlyServerStops). Change: such slots wait for cell.return (10 s), for the same run of the target; another run in its place ends the wait, and so does the time. Targets that announce no standby are not waited for. The wait is part of the table, so a coordinator that takes over waits too. Also: a standby whose target has ended is one no longer (a free slot waited for it for ever); a range does not leave a cell that offers its service again; a range that is taken back returns to the servers that released it.

--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -208,6 +208,7 @@
 	cfg.Grant = s.Cell.Grant
 	cfg.Confirm = s.Cell.Confirm
 	cfg.Horizon = s.Cell.Horizon
+	cfg.Return = s.Cell.Return
 	cfg.Plan = s.Place.Interval
 	cfg.Moves = s.Place.Moves
 	cfg.Min = s.Cell.Min
--- a/internal/node/seamsetting/settings.go
+++ b/internal/node/seamsetting/settings.go
@@ -106,6 +106,8 @@
 	Margin time.Duration `json:"margin,default=100ms" allow:"1ms..10s"`
 	// Grant is the longest life of a grant. Default: 1s.
 	Grant time.Duration `json:"grant,default=1s" allow:"20ms..1m"`
+	// Return is the time for which a slot waits for a silent server that alone has its state. Default: 10s.
+	Return time.Duration `json:"return,default=10s" allow:"0s..10m"`
 	// Horizon is the time without a write of the cell's record after which the cell stops. Default: 20m.
 	Horizon time.Duration `json:"horizon,default=20m" allow:"1s..24h"`
 	// Confirm is the time in which members confirm new rules before they lose their grants. Default: 3s.
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -175,8 +175,12 @@
 	if n.GetTarget() != nil && n.GetAnnounced() >= m.announced {
 		m.announced = n.GetAnnounced()
 		if !proto.Equal(n.GetTarget(), targetWire(e.target)) {
+			before := e.target
 			e.target = targetOf(n.GetTarget())
 			r.table.changeMember(e)
+			if before.Name != e.target.Name || before.Service != e.target.Service {
+				r.forgetCopies(m.id)
+			}
 		}
 	}
 	if n.GetDraining() && !e.draining {
@@ -200,6 +204,16 @@
 	}
 }
 
+// forgetCopies ends the part of a member as a standby, because the target that had the copies has ended.
+func (r *coordination) forgetCopies(id uint32) {
+	for _, slot := range r.table.ids() {
+		if e := r.table.slots[slot]; e.standby == id {
+			e.standby, e.synced = 0, false
+			r.table.changeSlot(e)
+		}
+	}
+}
+
 func slotOf(h *seamcellwire.Held) seamslot.ID {
 	return seamslot.ID{Service: h.GetService(), Index: h.GetIndex()}
 }
@@ -256,17 +270,22 @@
 // drop removes a member; its slots become free.
 func (c *Cell) drop(m *info) {
 	r := c.coordination
+	before := len(r.waits)
 	for _, id := range r.table.ids() {
 		e := r.table.slots[id]
+		synced := e.synced && e.standby == m.id
 		if e.standby == m.id {
 			e.standby, e.synced = 0, false
 			r.table.changeSlot(e)
 		}
 		if e.owner == m.id {
-			c.free(e)
+			c.free(id, e)
+		} else {
+			c.awaitLost(id, e, m.id, synced)
 		}
 		e.owners = without(e.owners, m.id)
 	}
+	c.reportWaits(m.id, before)
 	e := r.table.roster[m.id]
 	e.gone = true
 	r.table.changeMember(e)
@@ -274,11 +293,12 @@
 }
 
 // free takes a slot from an owner whose right is over.
-func (c *Cell) free(e *slotEntry) {
+func (c *Cell) free(id seamslot.ID, e *slotEntry) {
 	e.previous = e.owner
 	e.owner = 0
 	e.next = 0
 	switch {
+	case c.await(id, e, e.previous):
 	case e.outside != nil && e.state == stateReleasing:
 		e.state = stateReleased
 	default:
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -18,6 +18,7 @@
 	}
 	if r.settled {
 		c.dropLost()
+		c.endWaits()
 		c.assignFree()
 		c.assignStandbys()
 	}
@@ -78,6 +79,8 @@
 		if !r.fences(b.owner) {
 			r.holds[id] = c.now.Add(c.deadline(id.Service))
 		}
+		e.previous = b.owner
+		c.await(id, e, b.owner)
 	}
 	r.table.slots[id] = e
 	r.table.changeSlot(e)
@@ -154,9 +157,11 @@
 
 func (c *Cell) freeAll(m *info) {
 	r := c.coordination
+	before := len(r.waits)
+	defer func() { c.reportWaits(m.id, before) }()
 	for _, id := range r.table.ids() {
 		if e := r.table.slots[id]; e.owner == m.id {
-			c.free(e)
+			c.free(id, e)
 		}
 	}
 }
--- a/internal/own/seamcell/config.go
+++ b/internal/own/seamcell/config.go
@@ -24,6 +24,8 @@
 	// Handover is the time beyond the longest deadline of a request after which a slot is released
 	// even if its server has not handed it over.
 	Handover time.Duration
+	// Return is the time for which a slot waits for a silent member whose server alone has its state.
+	Return time.Duration
 	// Orphan is the time without an answer after which a member looks for another cell.
 	Orphan time.Duration
 	// Publish is the shortest time between writes that only publish size and services.
@@ -61,6 +63,7 @@
 		Confirm:   3 * time.Second,
 		Horizon:   30 * time.Minute,
 		Handover:  2 * time.Second,
+		Return:    10 * time.Second,
 		Orphan:    10 * time.Second,
 		Publish:   5 * time.Second,
 		Retry:     200 * time.Millisecond,
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -55,6 +55,7 @@
 	loads   map[seamslot.ID]SlotLoad
 	hints   map[seamslot.ID]string
 	holds   map[seamslot.ID]seamclock.Instant
+	waits   map[seamslot.ID]wait
 	planned seamclock.Instant
 	// measured is the instant by which members have reported the loads of inherited slots.
 	measured  seamclock.Instant
@@ -121,7 +122,7 @@
 		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
 		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
 		kept:  map[seamslot.ID]seamclock.Instant{},
-		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
+		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{}, waits: map[seamslot.ID]wait{},
 		published: c.now, improved: c.now,
 	}
 	r.horizon = c.horizonFrom(first, e.Record)
@@ -172,7 +173,10 @@
 	for _, id := range t.ids() {
 		if e := t.slots[id]; e.state != stateGone && r.entry.Record.Has(id) {
 			r.beliefs[id] = belief{token: e.token, owner: e.owner, standby: e.standby, synced: e.synced}
-			if e.owner == 0 {
+			switch {
+			case e.state == stateWaiting:
+				r.beliefs[id] = belief{token: e.token, owner: e.next}
+			case e.owner == 0:
 				r.beliefs[id] = belief{}
 			}
 		}
--- a/internal/own/seamcell/gifts.go
+++ b/internal/own/seamcell/gifts.go
@@ -81,6 +81,9 @@
 			}
 		}
 		c.addSlots()
+		for _, id := range sortedSlots(r.hints) {
+			c.awaitGiven(id)
+		}
 		r.ranges.settled = c.now
 	})
 }
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -127,6 +127,7 @@
 	cfg.Settle = time.Second
 	cfg.Publish = time.Second
 	cfg.Orphan = 4 * time.Second
+	cfg.Return = 4 * time.Second
 	cfg.Gift = 2
 	return cfg
 }
--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -27,6 +27,9 @@
 		return
 	}
 	for _, x := range r.entry.Record.Ranges {
+		if r.waitsIn(x) {
+			continue
+		}
 		if to, part := c.recipient(x); to != "" {
 			r.ranges.out = &outgoing{Range: part, cell: to}
 			r.ranges.settled = c.now
@@ -53,7 +56,7 @@
 			return to, x
 		}
 	}
-	if !contains(own.Offers, x.Service) {
+	if _, offers := c.sizeAndOffers(); !contains(own.Offers, x.Service) && !contains(offers, x.Service) {
 		for _, region := range []string{own.Region, ""} {
 			if to := c.poorest(region, x.Service); to != "" {
 				return to, x
@@ -270,7 +273,7 @@
 		e.outside = nil
 		switch e.state {
 		case stateReleased:
-			e.state = stateOwned
+			e.state, e.next = stateOwned, e.previous
 			r.hints[id] = r.table.peer(e.previous).Name
 		case stateReleasing:
 			r.hints[id] = r.table.peer(e.owner).Name
--- a/internal/own/seamcell/table.go
+++ b/internal/own/seamcell/table.go
@@ -22,6 +22,9 @@
 	stateReleased
 	// stateGone is a slot that the cell no longer owns.
 	stateGone
+	// stateWaiting is a slot that waits for the silent member, named as the next owner, whose server
+	// alone has its state.
+	stateWaiting
 )
 
 // outside is a successor in another cell.
--- a/internal/own/seamcell/view.go
+++ b/internal/own/seamcell/view.go
@@ -95,6 +95,9 @@
 	if e.outside != nil {
 		return e.outside.peer, true
 	}
+	if e.state == stateWaiting {
+		return seampeer.Peer{}, true
+	}
 	return t.peer(e.next), true
 }
 
@@ -183,6 +186,9 @@
 			Epoch: e.token, Moving: e.owner == 0 || e.state != stateOwned,
 			Next: t.peer(e.next),
 		}
+		if e.state == stateWaiting {
+			v.Next = seampeer.Peer{}
+		}
 		if c.coordination != nil {
 			v.Rate = c.coordination.loads[id].Rate
 		}
