--- a/internal/member/seamtarget/announcement.go
+++ b/internal/member/seamtarget/announcement.go
@@ -24,6 +24,16 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Synced lists the slots whose standby is up to date.
 	Synced []SyncedSlot `json:"synced,omitempty"`
+	// Kept lists the slots that the target served last, as far as it knows, and has not handed over. A node
+	// that has restarted beside the target learns from it whose state is here.
+	Kept []KeptSlot `json:"kept,omitempty"`
+}
+
+// KeptSlot is a slot whose state the target has.
+type KeptSlot struct {
+	Slot uint32 `json:"slot"`
+	// Epoch is that of the order under which the target served it last.
+	Epoch uint64 `json:"epoch"`
 }
 
 // SyncedSlot is a slot whose standby has a complete copy.
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -14,7 +14,7 @@
 
 func (c *Cell) onRenew(x *seamcellwire.Message, n *seamcellwire.Renew) {
 	if n.GetPeer() != nil {
-		c.noteArrival(peerOf(n.GetPeer()))
+		c.noteArrival(peerOf(n.GetPeer()), x.GetCell())
 	}
 	r := c.coordination
 	if r == nil || r.resigned || x.GetCell() != "" && x.GetCell() != r.entry.Record.ID {
@@ -46,14 +46,18 @@
 }
 
 // noteArrival remembers the latest incarnation of a node.
-func (c *Cell) noteArrival(p seampeer.Peer) {
+func (c *Cell) noteArrival(p seampeer.Peer, cell string) {
 	if a, ok := c.arrivals[p.Name]; ok && a.peer.Incarnation >= p.Incarnation {
+		if a.peer.Same(p) {
+			a.cell = cell
+			c.arrivals[p.Name] = a
+		}
 		return
 	}
 	if len(c.arrivals) >= arrivalLimit {
 		c.arrivals = map[string]arrival{}
 	}
-	c.arrivals[p.Name] = arrival{peer: p, since: c.now}
+	c.arrivals[p.Name] = arrival{peer: p, since: c.now, cell: cell}
 }
 
 // arrivalLimit is the number of arrivals that are remembered.
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -1,6 +1,8 @@
 package seamcell
 
 import (
+	"time"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
@@ -29,6 +31,7 @@
 func (c *Cell) settle() {
 	r := c.coordination
 	if !c.collected() && seamclock.Least(c.now, r.collect) < 0 {
+		c.remind()
 		return
 	}
 	r.settled = true
@@ -44,6 +47,23 @@
 	r.beliefs = nil
 }
 
+// reminder is the time between two requests for the same report, one of which may be lost.
+func (c *Cell) reminder() time.Duration { return c.cfg.Collect / 2 }
+
+// remind asks the members again that have not reported.
+func (c *Cell) remind() {
+	r := c.coordination
+	if c.now.Mono-r.reminded.Mono < c.reminder() {
+		return
+	}
+	r.reminded = c.now
+	for _, id := range sortedKeys(r.infos) {
+		if m := r.infos[id]; !m.reported {
+			c.sendLead(m.peer, id)
+		}
+	}
+}
+
 // collected reports whether all members that may have served have reported.
 func (c *Cell) collected() bool {
 	if c.coordination.patient {
@@ -80,7 +100,9 @@
 			r.holds[id] = c.now.Add(c.deadline(id.Service))
 		}
 		e.previous = b.owner
-		c.await(id, e, b.owner)
+		if !r.patient { // or else the cell has waited already, or its members have ended
+			c.await(id, e, b.owner)
+		}
 	}
 	r.table.slots[id] = e
 	r.table.changeSlot(e)
--- a/internal/own/seamcell/cell.go
+++ b/internal/own/seamcell/cell.go
@@ -47,6 +47,8 @@
 type arrival struct {
 	peer  seampeer.Peer
 	since seamclock.Instant
+	// cell is the one that it asked for last.
+	cell string
 }
 
 // New returns the state machine of a node that belongs to no cell yet.
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -119,7 +119,7 @@
 			b, c := w.backup(), w.coordinator()
 			w.lose(w.index(b), 200*time.Millisecond)
 			w.lose(w.index(c), 200*time.Millisecond)
-		}, 8 * time.Second},
+		}, servedAgain},
 		{"coordinator and backup, until the horizon", func(_ *testing.T, w *world) {
 			b, c := w.backup(), w.coordinator()
 			b.crash()
@@ -129,7 +129,7 @@
 			for i := range w.nodes {
 				w.lose(i, 200*time.Millisecond)
 			}
-		}, 12 * time.Second},
+		}, servedAgain},
 	}
 	for _, x := range losses {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -42,6 +42,8 @@
 	// settled says that the reports of an earlier term have been collected.
 	settled bool
 	collect seamclock.Instant
+	// reminded is when members were asked for their reports last.
+	reminded seamclock.Instant
 	// patient says that members may exist that are not in the roster yet.
 	patient bool
 	beliefs map[seamslot.ID]belief
@@ -145,6 +147,7 @@
 	c.member.coordinator = c.self
 	c.member.epoch = e.Record.Epoch
 	c.emit(seamevent.CellEpoch, seamevent.Fields{"cell": e.Record.ID, "epoch": e.Record.Epoch, "coordinator": c.self.Name, "backup": e.Record.Backup.Name})
+	r.reminded = c.now
 	for _, id := range sortedKeys(r.infos) {
 		c.sendLead(r.infos[id].peer, id)
 	}
@@ -185,7 +188,7 @@
 		r.measured = c.now.Add(measureReports * c.cfg.Report)
 	}
 	if r.find(c.self) == nil {
-		c.admit(c.self, TargetState{})
+		c.admit(c.self, TargetState{}).reported = false
 	}
 }
 
--- a/internal/own/seamcell/input.go
+++ b/internal/own/seamcell/input.go
@@ -53,6 +53,8 @@
 	Leaving bool
 	// Synced lists the slots whose standby is up to date.
 	Synced []SyncedSlot
+	// Kept lists the slots that the target served last, and has not handed over.
+	Kept []KeptSlot
 	// InFlight is the number of requests in flight.
 	InFlight int
 	// Loads are the rates of the slots, in requests per second.
@@ -66,6 +68,13 @@
 	Standby string
 }
 
+// KeptSlot is a slot whose state a target has.
+type KeptSlot struct {
+	Slot seamslot.ID
+	// Epoch is the fencing token under which the target served it last.
+	Epoch uint64
+}
+
 // SlotLoad is the load of one slot.
 type SlotLoad struct {
 	Slot seamslot.ID
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -206,17 +206,18 @@
 	if p.Name == c.self.Name {
 		started := c.joining.since
 		return p.Address == c.self.Address && c.self.Incarnation > p.Incarnation &&
-			!started.Zero() && seamclock.Least(c.now, started) >= c.cfg.Promise+c.cfg.Margin
+			!started.Zero() && seamclock.Least(c.now, started) >= c.cfg.Promise
 	}
 	a, ok := c.arrivals[p.Name]
 	return ok && a.peer.Address == p.Address && a.peer.Incarnation > p.Incarnation &&
-		seamclock.Least(c.now, a.since) >= c.cfg.Promise+c.cfg.Margin
+		seamclock.Least(c.now, a.since) >= c.cfg.Promise
 }
 
 // tickAbandoned takes over cells that nobody can lead any more. Their own members come first, for
 // their servers have the state of the slots; then nodes without a cell; then other cells.
 func (c *Cell) tickAbandoned() {
-	if c.draining || c.drained || !c.directory.loaded || c.now.Mono-c.looked.Mono < c.cfg.Heartbeat/2 {
+	idle := c.member == nil || !c.member.joined
+	if c.draining || c.drained || !c.directory.loaded || !idle && c.now.Mono-c.looked.Mono < c.cfg.Heartbeat/2 {
 		return
 	}
 	c.looked = c.now
@@ -226,7 +227,6 @@
 			continue
 		}
 		own := c.member != nil && c.member.joined && c.member.cell == r.ID
-		idle := c.member == nil || !c.member.joined
 		switch {
 		case c.attested(r) && !own:
 			c.abandon(e)
@@ -249,6 +249,7 @@
 func (c *Cell) seize(e Entry) {
 	r := e.Record
 	before := r.Coordinator
+	restarted := c.restarted(r)
 	r.Epoch++
 	r.Coordinator = c.self
 	r.Backup = seampeer.Peer{}
@@ -267,9 +268,28 @@
 		c.startCoordination(e, first, before, false)
 		c.coordination.collect = c.now.Add(c.cfg.Promise)
 		c.coordination.patient = true
+		if restarted {
+			c.coordination.collect = c.now.Add(c.cfg.Heartbeat + c.cfg.Margin)
+			c.gather()
+		}
 	})
 }
 
+// gather asks the nodes for their reports that have asked this one for admission to its cell before
+// it led it. Each asks in every heartbeat, so that those that live are known by the time of a restart.
+func (c *Cell) gather() {
+	r := c.coordination
+	for _, name := range sortedKeys(c.arrivals) {
+		a := c.arrivals[name]
+		if a.cell != r.entry.Record.ID || a.peer.Name == c.self.Name || r.find(a.peer) != nil {
+			continue
+		}
+		m := c.admit(a.peer, TargetState{})
+		m.reported = false
+		c.sendLead(m.peer, m.id)
+	}
+}
+
 // absorb turns the ranges of an abandoned cell, and gifts to it that it has not taken, into gifts to
 // the own cell. It takes those gifts in the name of the abandoned cell, in the same write.
 func (c *Cell) absorb(e Entry) {
--- a/internal/own/seamcell/lease.go
+++ b/internal/own/seamcell/lease.go
@@ -53,7 +53,7 @@
 	c.takeLease(a)
 	c.useLeases()
 	c.fetchNewer(a)
-	if a.GetReport() && !m.reported {
+	if a.GetReport() && (m.reported.Zero() || c.now.Mono-m.reported.Mono >= c.reminder()) {
 		c.sendReport()
 		c.renew()
 		return
@@ -83,7 +83,7 @@
 	m.table = newTable(term)
 	m.id = 0
 	m.pending = nil
-	m.reported = false
+	m.reported = seamclock.Instant{}
 	m.known = 0
 	m.unanswered = 0
 }
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -39,13 +39,14 @@
 	lapsed    bool
 	pending   []pendingLease
 
-	sequence     uint64
-	sent         map[uint64]seamclock.Instant
-	renewed      seamclock.Instant
-	answered     seamclock.Instant
-	unanswered   int
-	known        uint32
-	reported     bool
+	sequence   uint64
+	sent       map[uint64]seamclock.Instant
+	renewed    seamclock.Instant
+	answered   seamclock.Instant
+	unanswered int
+	known      uint32
+	// reported is when the report to the coordinator of the term was sent last.
+	reported     seamclock.Instant
 	loaded       seamclock.Instant
 	fetched      seamclock.Instant
 	leaveNotices int
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -46,6 +46,8 @@
 	highest         map[seamslot.ID]uint64
 	holder          map[seamslot.ID]string
 	broken          string
+	// outlive says that targets run on beside a node that has ended and started again.
+	outlive bool
 	// filter, if set, says how much later a datagram arrives, or that it is lost if negative.
 	filter  func(from, to string, m *seamcellwire.Message) time.Duration
 	trace   func(string, ...any)
@@ -116,6 +118,8 @@
 	setBack bool
 	synced  map[seamslot.ID]string
 	target  seamcell.TargetState
+	// kept are the tokens under which the node's target served slots last; it outlives the node.
+	kept map[seamslot.ID]uint64
 	// hang says that the target never finishes a hand-over.
 	hang bool
 	told map[seamslot.ID]uint64
@@ -181,7 +185,7 @@
 func (w *world) startNode(i int, name, region, domain string) {
 	n := &node{
 		w: w, alive: true, started: w.now, rate: 1 + (w.rnd.Float64()-0.5)/500,
-		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{},
+		offset: time.Duration(w.rnd.Int63n(int64(time.Hour))), synced: map[seamslot.ID]string{}, told: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{},
 		peer: seampeer.Peer{
 			Name: name, Incarnation: uint64(w.count+1) + 1_795_000_000_000_000_000, Address: "10.0.0." + name[1:] + ":1",
 			Region: region, Domain: domain,
@@ -192,6 +196,9 @@
 		Slots: 12, Standby: i%3 != 2, Fence: true,
 	}
 	n.name = n.peer.String()
+	if w.outlive && i < len(w.nodes) {
+		w.keepTarget(n, w.nodes[i])
+	}
 	n.cell = seamcell.New(w.cfg, n.peer, w)
 	if i < len(w.nodes) {
 		w.nodes[i] = n
@@ -207,6 +214,16 @@
 	w.after(time.Duration(w.rnd.Int63n(int64(tick))), n.tick)
 }
 
+// keepTarget puts the new run of a node beside the target of the earlier one.
+func (w *world) keepTarget(n, before *node) {
+	n.target = before.target
+	n.target.Kept = nil
+	for id, token := range before.kept {
+		n.kept[id] = token
+		n.target.Kept = append(n.target.Kept, seamcell.KeptSlot{Slot: id, Epoch: token})
+	}
+}
+
 func (n *node) clock() seamclock.Instant {
 	elapsed := time.Duration(float64(n.w.now-n.started) * n.rate)
 	stopped := n.stopped
@@ -287,6 +304,7 @@
 		n.read(a)
 	case seamcell.Serve:
 		n.told[a.Slot] = a.Epoch
+		n.kept[a.Slot] = a.Epoch
 		n.synced[a.Slot] = ""
 		if a.Target != "" {
 			w.after(20*time.Millisecond, func() { n.synced[a.Slot] = a.Target })
@@ -299,6 +317,7 @@
 					if n.keeps {
 						return n.cell.Kept(now, a.Slot)
 					}
+					delete(n.kept, a.Slot)
 					return n.cell.Released(now, a.Slot)
 				})
 			})
--- a/internal/own/seamcell/renewal.go
+++ b/internal/own/seamcell/renewal.go
@@ -1,6 +1,8 @@
 package seamcell
 
 import (
+	"maps"
+
 	"google.golang.org/protobuf/proto"
 
 	"cardamomseam/internal/member/seampeer"
@@ -47,12 +49,16 @@
 		Inflight: uint32(max(c.target.InFlight, 0)), Draining: c.draining, Announced: c.announced,
 		Leaving: m.leaveNotices > 0, Missed: uint32(m.unanswered),
 	}
-	if !m.joined {
+	introduce := !m.joined || c.forsaken()
+	if introduce {
 		x.Peer = peerWire(c.self)
 	}
-	if m.known != c.announced || !m.joined {
+	if m.known != c.announced || introduce {
 		x.Target = targetWire(c.target)
 	}
+	if m.joined && introduce {
+		return x
+	}
 	for _, id := range sortedSlots(m.released) {
 		if m.leaseTerm == m.table.term && len(x.Released) < listLimit {
 			h := held(id, m.released[id])
@@ -64,6 +70,14 @@
 	return x
 }
 
+// forsaken reports whether the coordinator has been silent for so long that the lease is over. The node then
+// introduces itself, for another process may stand in the coordinator's place.
+func (c *Cell) forsaken() bool {
+	m := c.member
+	_, live := c.Lease(c.now)
+	return !live && m.unanswered > patience
+}
+
 func held(id seamslot.ID, token uint64) *seamcellwire.Held {
 	return &seamcellwire.Held{Service: id.Service, Index: id.Index, Token: token}
 }
@@ -131,17 +145,28 @@
 	return max(c.cfg.Datagram-envelope, envelope)
 }
 
+// pastWithKept returns the tokens under which slots were served last by this run of the node, or by the own
+// target beside an earlier run.
+func (c *Cell) pastWithKept() map[seamslot.ID]uint64 {
+	past := maps.Clone(c.member.past)
+	for _, k := range c.target.Kept {
+		past[k.Slot] = max(past[k.Slot], k.Epoch)
+	}
+	return past
+}
+
 // sendReport tells a new coordinator which slots the own target served last.
 func (c *Cell) sendReport() {
 	m := c.member
-	m.reported = true
+	m.reported = c.now
 	live := !m.lease.Zero() && !seamclock.Past(c.now, m.lease)
-	ids := sortedSlots(m.past)
+	past := c.pastWithKept()
+	ids := sortedSlots(past)
 	parts := max(1, (len(ids)+reportLimit-1)/reportLimit)
 	for i := range parts {
 		r := &seamcellwire.Report{Part: uint32(i), Parts: uint32(parts)}
 		for _, id := range ids[i*reportLimit : min(len(ids), (i+1)*reportLimit)] {
-			h := held(id, m.past[id])
+			h := held(id, past[id])
 			h.Live = live
 			r.Held = append(r.Held, h)
 		}
--- a/internal/own/seamcell/waiting.go
+++ b/internal/own/seamcell/waiting.go
@@ -31,10 +31,10 @@
 }
 
 // await makes a slot without an owner wait for one of the members, and reports whether it has to. It need
-// not if a standby is up to date, if no member can hold state, or if the cell was silent for its horizon.
+// not if a standby is up to date, or if no member can hold state.
 func (c *Cell) await(id seamslot.ID, e *slotEntry, members ...uint32) bool {
 	r := c.coordination
-	if e.synced && r.infos[e.standby] != nil || c.cfg.Return <= 0 || r.patient {
+	if e.synced && r.infos[e.standby] != nil || c.cfg.Return <= 0 {
 		return false
 	}
 	w := wait{until: c.now.Add(c.cfg.Return)}
--- a/internal/own/seamcell/waiting_test.go
+++ b/internal/own/seamcell/waiting_test.go
@@ -1,6 +1,7 @@
 package seamcell_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +169,40 @@
 		w.must(t, w.emitted[seamevent.SlotWaiting] == 0, "slots waited for a server that had handed them over")
 	}
 }
+
+// TestRestartFindsTheState checks that slots return to the targets that run on beside restarted nodes, and
+// stay with members that were not restarted, also when datagrams are lost.
+func TestRestartFindsTheState(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		whole bool
+		loss  float64
+	}{{"coordinator and backup", false, 0}, {"coordinator and backup, one datagram in ten lost", false, 0.1}, {"whole cell", true, 0}} {
+		t.Run(x.name, func(t *testing.T) {
+			for seed := range int64(10) {
+				w := settled(t, 6, seed)
+				w.outlive, w.loss = true, x.loss
+				had := map[seamslot.ID]string{}
+				for _, n := range w.nodes {
+					for id, held := range heldBy(n) {
+						if held {
+							had[id] = n.peer.Name
+						}
+					}
+				}
+				b, c := w.backup(), w.coordinator()
+				for i, n := range w.nodes {
+					if x.whole || n == b || n == c {
+						w.lose(i, 200*time.Millisecond)
+					}
+				}
+				w.run(time.Second)
+				w.untilHeld(5 * time.Second)
+				w.must(t, w.held() == slotNumber, "%d slots held (seed %d)", w.held(), seed)
+				for id, name := range had {
+					w.must(t, strings.HasPrefix(w.holder[id], name+"#"), "%s went from %s to %s (seed %d)", id, name, w.holder[id], seed)
+				}
+			}
+		})
+	}
+}
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -44,9 +44,19 @@
 		Cold:        a.Cold,
 		Leaving:     a.Leaving,
 		Synced:      synced(a),
+		Kept:        kept(a),
 	}
 }
 
+// kept returns the slots that the target served last.
+func kept(a seamtarget.Announcement) []seamcell.KeptSlot {
+	slots := make([]seamcell.KeptSlot, 0, len(a.Kept))
+	for _, x := range a.Kept {
+		slots = append(slots, seamcell.KeptSlot{Slot: slotID{Service: a.Service, Index: x.Slot}, Epoch: x.Epoch})
+	}
+	return slots
+}
+
 // synced returns what the target has copied, and to whom.
 func synced(a seamtarget.Announcement) []seamcell.SyncedSlot {
 	slots := make([]seamcell.SyncedSlot, 0, len(a.Synced))
--- a/internal/stand/seamstandtarget/grants.go
+++ b/internal/stand/seamstandtarget/grants.go
@@ -19,6 +19,8 @@
 	// seen is the highest epoch known of each slot, last that with which the target held it last.
 	seen map[uint32]uint64
 	last map[uint32]uint64
+	// handed is the epoch under which a slot was handed over.
+	handed map[uint32]uint64
 }
 
 type slotGrant struct {
@@ -32,7 +34,7 @@
 }
 
 func newGrants() *grants {
-	return &grants{held: map[uint32]*slotGrant{}, seen: map[uint32]uint64{}, last: map[uint32]uint64{}}
+	return &grants{held: map[uint32]*slotGrant{}, seen: map[uint32]uint64{}, last: map[uint32]uint64{}, handed: map[uint32]uint64{}}
 }
 
 // StaleError says that orders are older than others that arrived before.
@@ -142,6 +144,27 @@
 	return list
 }
 
+// hand notes that a slot was handed over.
+func (g *grants) hand(slot uint32, epoch uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.handed[slot] = epoch
+}
+
+// kept returns the slots that the target held last and has not handed over.
+func (g *grants) kept() []seamtarget.KeptSlot {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []seamtarget.KeptSlot
+	for slot, epoch := range g.last {
+		if g.seen[slot] == epoch && g.handed[slot] != epoch {
+			list = append(list, seamtarget.KeptSlot{Slot: slot, Epoch: epoch})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Slot < list[j].Slot })
+	return list
+}
+
 // standbys returns the standby of each slot held.
 func (g *grants) standbys() map[uint32]standbyOrder {
 	g.mu.Lock()
--- a/internal/stand/seamstandtarget/handler.go
+++ b/internal/stand/seamstandtarget/handler.go
@@ -273,6 +273,8 @@
 	err := t.copies.send(ctx, h.Successor, s)
 	if err != nil {
 		x.Kind = KindUnhanded
+	} else {
+		t.grants.hand(h.Slot, h.Epoch)
 	}
 	t.ledger.add(x)
 	return errors.Wrap(err, "state of the slot")
--- a/internal/stand/seamstandtarget/target.go
+++ b/internal/stand/seamstandtarget/target.go
@@ -179,6 +179,7 @@
 		Cold:        t.cfg.Cold && now.Sub(t.started) < ColdTime,
 		Leaving:     b.Leaving,
 		Synced:      t.copies.synced(),
+		Kept:        t.grants.kept(),
 	}
 }
 
