A new coordinator knows for how long members have had their slots

Cause: a new coordinator took all slots for just moved, so nothing was balanced for the dwell time (20 s) after each change of coordinator. Change: reports say for how long the member has had each slot (whole seconds). Reports have at most 24 slots, so that they stay within a datagram with longer names of services.

--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -493,6 +493,7 @@
 				b = belief{standby: b.standby, synced: b.synced && h.GetToken() == b.token}
 			}
 			b.token, b.owner, b.reported = h.GetToken(), m.id, true
+			b.age = time.Duration(h.GetAge()) * time.Second
 			r.beliefs[id] = b
 		}
 	}
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -93,7 +93,7 @@
 		}
 		e.owner = b.owner
 		e.owners = []uint32{b.owner}
-		r.since[id] = c.now
+		r.since[id] = c.now.Add(-b.age)
 	case b.owner != 0:
 		r.hints[id] = r.table.peer(b.owner).Name
 		if !r.fences(b.owner) {
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -86,6 +86,22 @@
 	w.must(t, w.unmeasured == 0, "plans saw %d slots without their load", w.unmeasured)
 }
 
+// TestHeldTimeSurvivesTheCoordinator checks that slots that have stayed where they were for long, and not
+// others, look so to a new coordinator.
+func TestHeldTimeSurvivesTheCoordinator(t *testing.T) {
+	w := settled(t, 5, 5)
+	w.run(10 * time.Second)
+	lost := w.coordinator()
+	had := heldBy(lost)
+	lost.crash()
+	w.run(7 * time.Second)
+	for _, s := range w.placed.Slots {
+		w.must(t, !had[s.Slot] || s.Held < 7*time.Second, "slot %v moved lately and looks held for %v", s.Slot, s.Held)
+		w.must(t, had[s.Slot] || s.Held > 12*time.Second, "slot %v has stayed and looks held for %v", s.Slot, s.Held)
+	}
+	w.must(t, len(w.placed.Slots) == slotNumber, "plan saw %d slots", len(w.placed.Slots))
+}
+
 func TestLossIsServedAgain(t *testing.T) {
 	losses := []struct {
 		name  string
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -86,6 +86,8 @@
 	owner   uint32
 	standby uint32
 	synced  bool
+	// age is the time for which the owner has had the slot.
+	age time.Duration
 	// reported says that the owner itself has reported the slot.
 	reported bool
 }
--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -10,7 +10,7 @@
 	// listLimit is the largest number of slots in one list of a renewal.
 	listLimit = 32
 	// reportLimit is the largest number of slots in one report.
-	reportLimit = 40
+	reportLimit = 24
 	// joinAttempts is the number of renewals after which a request for admission has failed.
 	joinAttempts = 3
 	// patience is the number of unanswered renewals after which the backup is asked too.
@@ -59,7 +59,9 @@
 	// kept are the tokens of released slots whose state could not be handed over.
 	kept map[seamslot.ID]uint64
 	// past are the tokens under which slots were served last.
-	past  map[seamslot.ID]uint64
+	past map[seamslot.ID]uint64
+	// had is since when the slots of past were served here.
+	had   map[seamslot.ID]seamclock.Instant
 	loads []uint32
 }
 
@@ -68,6 +70,7 @@
 		cell: cell, coordinator: coordinator, backup: backup, table: newTable(0), answered: now,
 		sent: map[uint64]seamclock.Instant{}, serving: map[seamslot.ID]*serving{},
 		released: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
+		had: map[seamslot.ID]seamclock.Instant{},
 	}
 }
 
--- a/internal/own/seamcell/renewal.go
+++ b/internal/own/seamcell/renewal.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -168,6 +169,9 @@
 		for _, id := range ids[i*reportLimit : min(len(ids), (i+1)*reportLimit)] {
 			h := held(id, past[id])
 			h.Live = live
+			if since := m.had[id]; !since.Zero() {
+				h.Age = uint32(seamclock.Least(c.now, since) / time.Second)
+			}
 			r.Held = append(r.Held, h)
 		}
 		c.send(m.coordinator, &seamcellwire.Message{Cell: m.cell, Term: m.table.term, Body: &seamcellwire.Message_Report{Report: r}})
--- a/internal/own/seamcell/serving.go
+++ b/internal/own/seamcell/serving.go
@@ -41,6 +41,7 @@
 	}
 	m := c.member
 	m.past = map[seamslot.ID]uint64{}
+	m.had = map[seamslot.ID]seamclock.Instant{}
 	for _, id := range sortedSlots(m.serving) {
 		token := m.serving[id].token
 		c.do(StopServing{Slot: id, Epoch: token})
@@ -160,6 +161,7 @@
 		e := m.table.slots[id]
 		if e != nil && (e.state == stateGone || e.owner != 0 && e.owner != m.id && e.token > m.past[id]) {
 			delete(m.past, id)
+			delete(m.had, id)
 		}
 	}
 }
@@ -188,6 +190,9 @@
 	}
 	m.serving[id] = &serving{token: e.token, standby: standby, target: target}
 	m.past[id] = e.token
+	if m.had[id].Zero() {
+		m.had[id] = c.now
+	}
 	c.do(Serve{Slot: id, Epoch: e.token, Standby: standby, Target: target})
 }
 
