--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -1,6 +1,8 @@
 package seamcell
 
 import (
+	"time"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamclock"
@@ -18,6 +20,7 @@
 	}
 	if r.settled {
 		c.dropLost()
+		c.endWaits()
 		c.assignFree()
 		c.assignStandbys()
 	}
@@ -28,6 +31,7 @@
 func (c *Cell) settle() {
 	r := c.coordination
 	if !c.collected() && seamclock.Least(c.now, r.collect) < 0 {
+		c.remind()
 		return
 	}
 	r.settled = true
@@ -43,6 +47,23 @@
 	r.beliefs = nil
 }
 
+// reminder is the time between two requests for the same report, one of which may be lost.
+func (c *Cell) reminder() time.Duration { return c.cfg.Collect / 2 }
+
+// remind asks the members again that have not reported.
+func (c *Cell) remind() {
+	r := c.coordination
+	if c.now.Mono-r.reminded.Mono < c.reminder() {
+		return
+	}
+	r.reminded = c.now
+	for _, id := range sortedKeys(r.infos) {
+		if m := r.infos[id]; !m.reported {
+			c.sendLead(m.peer, id)
+		}
+	}
+}
+
 // collected reports whether all members that may have served have reported.
 func (c *Cell) collected() bool {
 	if c.coordination.patient {
@@ -72,12 +93,16 @@
 		}
 		e.owner = b.owner
 		e.owners = []uint32{b.owner}
-		r.since[id] = c.now
+		r.since[id] = c.now.Add(-b.age)
 	case b.owner != 0:
 		r.hints[id] = r.table.peer(b.owner).Name
 		if !r.fences(b.owner) {
 			r.holds[id] = c.now.Add(c.deadline(id.Service))
 		}
+		e.previous = b.owner
+		if !r.patient { // or else the cell has waited already, or its members have ended
+			c.await(id, e, b.owner)
+		}
 	}
 	r.table.slots[id] = e
 	r.table.changeSlot(e)
@@ -154,9 +179,11 @@
 
 func (c *Cell) freeAll(m *info) {
 	r := c.coordination
+	before := len(r.waits)
+	defer func() { c.reportWaits(m.id, before) }()
 	for _, id := range r.table.ids() {
 		if e := r.table.slots[id]; e.owner == m.id {
-			c.free(e)
+			c.free(id, e)
 		}
 	}
 }
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -86,6 +86,22 @@
 	w.must(t, w.unmeasured == 0, "plans saw %d slots without their load", w.unmeasured)
 }
 
+// TestHeldTimeSurvivesTheCoordinator checks that slots that have stayed where they were for long, and not
+// others, look so to a new coordinator.
+func TestHeldTimeSurvivesTheCoordinator(t *testing.T) {
+	w := settled(t, 5, 5)
+	w.run(10 * time.Second)
+	lost := w.coordinator()
+	had := heldBy(lost)
+	lost.crash()
+	w.run(7 * time.Second)
+	for _, s := range w.placed.Slots {
+		w.must(t, !had[s.Slot] || s.Held < 7*time.Second, "slot %v moved lately and looks held for %v", s.Slot, s.Held)
+		w.must(t, had[s.Slot] || s.Held > 12*time.Second, "slot %v has stayed and looks held for %v", s.Slot, s.Held)
+	}
+	w.must(t, len(w.placed.Slots) == slotNumber, "plan saw %d slots", len(w.placed.Slots))
+}
+
 func TestLossIsServedAgain(t *testing.T) {
 	losses := []struct {
 		name  string
@@ -119,7 +135,7 @@
 			b, c := w.backup(), w.coordinator()
 			w.lose(w.index(b), 200*time.Millisecond)
 			w.lose(w.index(c), 200*time.Millisecond)
-		}, 8 * time.Second},
+		}, servedAgain},
 		{"coordinator and backup, until the horizon", func(_ *testing.T, w *world) {
 			b, c := w.backup(), w.coordinator()
 			b.crash()
@@ -129,7 +145,7 @@
 			for i := range w.nodes {
 				w.lose(i, 200*time.Millisecond)
 			}
-		}, 12 * time.Second},
+		}, servedAgain},
 	}
 	for _, x := range losses {
 		t.Run(x.name, func(t *testing.T) {
@@ -247,6 +263,30 @@
 	}
 }
 
+// TestLossAfterPlannedStop checks that the record names the successor of a coordinator that has
+// stopped: the next loss is taken over, and a write of another cell ends no coordination.
+func TestLossAfterPlannedStop(t *testing.T) {
+	for seed := range int64(5) {
+		w := settled(t, 6, seed)
+		drain(t, w, w.coordinator())
+		w.run(2 * time.Second)
+		c := w.coordinator()
+		w.must(t, w.store.entries["own/cell/erie-1"].Record.Coordinator.Same(c.peer), "the record does not name %s", c.peer)
+		w.rewrite("own/cell/erie-1")
+		w.run(time.Second)
+		w.must(t, w.coordinator() == c, "a write of another cell ended the coordination")
+		c.crash()
+		d := w.restored(servedAgain + time.Second)
+		w.must(t, d <= servedAgain, "%d of %d slots held after %v (seed %d)", w.held(), slotNumber, d, seed)
+	}
+}
+
+// rewrite writes the record again as another cell does that changes neither roles nor ranges.
+func (w *world) rewrite(key string) {
+	e := w.store.entries[key]
+	w.apply(key, e.Revision, seamcell.Entry{Key: key, Record: e.Record})
+}
+
 func TestSteadyStateCostsNoWrites(t *testing.T) {
 	const members = 12
 	w := settled(t, members, 3)
--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -42,6 +42,8 @@
 	// settled says that the reports of an earlier term have been collected.
 	settled bool
 	collect seamclock.Instant
+	// reminded is when members were asked for their reports last.
+	reminded seamclock.Instant
 	// patient says that members may exist that are not in the roster yet.
 	patient bool
 	beliefs map[seamslot.ID]belief
@@ -55,6 +57,7 @@
 	loads   map[seamslot.ID]SlotLoad
 	hints   map[seamslot.ID]string
 	holds   map[seamslot.ID]seamclock.Instant
+	waits   map[seamslot.ID]wait
 	planned seamclock.Instant
 	// measured is the instant by which members have reported the loads of inherited slots.
 	measured  seamclock.Instant
@@ -83,6 +86,8 @@
 	owner   uint32
 	standby uint32
 	synced  bool
+	// age is the time for which the owner has had the slot.
+	age time.Duration
 	// reported says that the owner itself has reported the slot.
 	reported bool
 }
@@ -124,7 +129,7 @@
 		promised: first, written: first, sole: acting, beats: map[uint64]beat{}, begun: c.now,
 		beliefs: map[seamslot.ID]belief{}, since: map[seamslot.ID]seamclock.Instant{},
 		kept:  map[seamslot.ID]seamclock.Instant{},
-		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{},
+		loads: map[seamslot.ID]SlotLoad{}, hints: map[seamslot.ID]string{}, holds: map[seamslot.ID]seamclock.Instant{}, waits: map[seamslot.ID]wait{},
 		published: c.now, improved: c.now,
 	}
 	r.horizon = c.horizonFrom(first, e.Record)
@@ -147,6 +152,7 @@
 	c.member.coordinator = c.self
 	c.member.epoch = e.Record.Epoch
 	c.emit(seamevent.CellEpoch, seamevent.Fields{"cell": e.Record.ID, "epoch": e.Record.Epoch, "coordinator": c.self.Name, "backup": e.Record.Backup.Name})
+	r.reminded = c.now
 	for _, id := range sortedKeys(r.infos) {
 		c.sendLead(r.infos[id].peer, id)
 	}
@@ -175,7 +181,10 @@
 	for _, id := range t.ids() {
 		if e := t.slots[id]; e.state != stateGone && r.entry.Record.Has(id) {
 			r.beliefs[id] = belief{token: e.token, owner: e.owner, standby: e.standby, synced: e.synced}
-			if e.owner == 0 {
+			switch {
+			case e.state == stateWaiting:
+				r.beliefs[id] = belief{token: e.token, owner: e.next}
+			case e.owner == 0:
 				r.beliefs[id] = belief{}
 			}
 		}
@@ -184,7 +193,7 @@
 		r.measured = c.now.Add(measureReports * c.cfg.Report)
 	}
 	if r.find(c.self) == nil {
-		c.admit(c.self, TargetState{})
+		c.admit(c.self, TargetState{}).reported = false
 	}
 }
 
@@ -246,7 +255,8 @@
 	if e.Revision <= r.entry.Revision {
 		return
 	}
-	if e.Deleted || !e.Record.Coordinator.Same(c.self) {
+	// The record of an acting coordinator still names the one that has resigned.
+	if e.Deleted || !e.Record.Coordinator.Same(r.entry.Record.Coordinator) {
 		c.stepDown()
 		if e.Deleted {
 			c.leave()
@@ -410,7 +420,7 @@
 	r := c.coordination
 	n := c.published()
 	n.Epoch++
-	n.Backup = b
+	n.Coordinator, n.Backup = c.self, b
 	r.gate = &gate{first: c.now}
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
 		r.gate = nil
