The successor of a coordinator that resigned writes itself into the record

Cause: after a planned stop of a coordinator, changeBackup wrote the next epoch with the record's old Coordinator, which had resigned. Other cells find the owners of the cell's slots by the record, so for a key whose learned owner had just left they asked the leaving node, and then named it to each other, until the record was written again for another reason (a changed size, seconds later). The refusals with reason 'owner' came from ingresses of other cells (a trail of attempts in the log of ingresses showed it: leaving=false, 185 attempts in 2 s at the leaving node and its ingress' own node), not from the stopping node's own ingress.

Ruled out: the table of the stopping node's ingress; a lost event of the store's watch (two cells were stale in the same way, until the record's next revision).

Change: changeBackup names this node.

--- a/internal/own/seamcell/coordination.go
+++ b/internal/own/seamcell/coordination.go
@@ -341,6 +341,8 @@
 	case current.Zero() && best.Zero():
 		return
 	case current.Zero(), r.sole && !best.Zero(), silent, known == nil:
+	case r.acting && seamclock.Most(c.now, r.begun) > c.silence():
+		// No member can be the backup; others find this node by the record all the same.
 	case c.memberDraining(known) && !best.Zero() && !best.Same(current):
 	case r.improvable(best, c.self) && seamclock.Most(c.now, r.improved) > c.cfg.Settle:
 	default:
@@ -406,6 +408,8 @@
 	r := c.coordination
 	n := c.published()
 	n.Epoch++
+	// After a resignation the record still names the one that resigned.
+	n.Coordinator = c.self
 	n.Backup = b
 	r.gate = &gate{first: c.now}
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(o Outcome, e Entry, first seamclock.Instant) {
