A node that stops ends its sessions by agreement instead of after a quiet time

Cause: sessions were closed with the process. A peer that wrote a request at that moment lost it: the node was gone when it was asked to void the attempt, so the caller was told 'unknown' (lost).

Change: Pool.Leave takes no new session, opens a stream of a new kind on each one, on which the peer lets go of the session and its spare streams, and waits until the streams ended. From then on opening fails at the peer before anything is sent, and its ingress goes elsewhere.

Egress.Quiet and its test are reverted: waiting for 300 ms without a refused request did not close the gap, and took 2 s when other nodes went on asking (stops of 5 s).

The event node.drained tells the parts of the time.

--- a/internal/node/seamnode/drain.go
+++ b/internal/node/seamnode/drain.go
@@ -9,8 +9,8 @@
 	"cardamomseam/internal/observe/seamevent"
 )
 
-// quietLimit bounds the wait for the last requests of nodes that do not know yet that this one leaves.
-const quietLimit = 2 * time.Second
+// leaveLimit bounds the wait until other nodes have stopped using their sessions with this one.
+const leaveLimit = 2 * time.Second
 
 // Ordered is closed when an operator ordered this node to drain.
 func (n *Node) Ordered() <-chan struct{} { return n.ordered }
@@ -30,6 +30,7 @@
 	if err := n.keeper.Drain(ctx); err != nil {
 		return n.cut(err, "slots are not handed over")
 	}
+	handed := time.Now()
 	if err := n.egress.Drain(ctx); err != nil {
 		return n.cut(err, "requests are in flight at the target")
 	}
@@ -38,10 +39,15 @@
 			return n.cut(err, "callers' requests are in flight")
 		}
 	}
-	quiet, cancel := context.WithTimeout(ctx, quietLimit)
+	served := time.Now()
+	leaving, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
-	n.egress.Quiet(quiet)
-	n.sink.Emit(time.Now(), seamevent.NodeDrained, seamevent.Fields{"took": time.Since(started).String()})
+	n.sessions.Leave(leaving)
+	n.sink.Emit(time.Now(), seamevent.NodeDrained, seamevent.Fields{
+		"took":    time.Since(started).String(),
+		"slots":   handed.Sub(started).String(),
+		"callers": served.Sub(handed).String(),
+	})
 	return nil
 }
 
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -14,7 +14,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining || e.leaving && !keyed {
-		e.refused = time.Now()
 		return false
 	}
 	e.inFlight++
@@ -69,40 +68,6 @@
 	}
 }
 
-const (
-	// QuietTime is the time without a request after which a drained node may go.
-	QuietTime = 300 * time.Millisecond
-	// quietLook is the time between looks for such a time.
-	quietLook = 20 * time.Millisecond
-)
-
-// Quiet waits until no request has come for a while, or ctx ends. Nodes that send one to a
-// drained node learn from the refusal to ask another; one that was sent at the moment of
-// the end would be lost with its session.
-func (e *Egress) Quiet(ctx context.Context) {
-	tick := time.NewTicker(quietLook)
-	defer tick.Stop()
-	started := time.Now()
-	for now := started; !e.QuietAt(now, started); {
-		select {
-		case <-ctx.Done():
-			return
-		case now = <-tick.C:
-		}
-	}
-}
-
-// QuietAt reports whether a leaving node has refused no request for QuietTime before now,
-// counted from since at the earliest.
-func (e *Egress) QuietAt(now, since time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.refused.After(since) {
-		since = e.refused
-	}
-	return now.Sub(since) >= QuietTime
-}
-
 // mayLinger reports whether a target that is leaving may still run the request:
 // for a while, it serves the slots that were not handed over yet.
 func (e *Egress) mayLinger(head *seamroutewire.RequestHead, a seamtarget.Announcement, now time.Time) bool {
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -93,8 +93,6 @@
 	// leaving refuses requests without a key, and draining all.
 	leaving, draining bool
 	inFlight          int
-	// refused is the time of the last request that was refused because the node leaves.
-	refused time.Time
 	// leaver is the run of the target that is leaving, since a time.
 	leaver string
 	since  time.Time
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -356,22 +356,3 @@
 	}
 	expect(t, <-first, seamoutcome.Done, "")
 }
-
-func TestLeavingNodeIsQuietAfterItsLastRefusal(t *testing.T) {
-	e, _ := newEgress(t, time.Minute, nil, nil)
-	if err := e.Drain(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	since := time.Now()
-	time.Sleep(time.Millisecond)
-	if end := run(e, head(1)); end.Reason != seamoutcome.Draining {
-		t.Fatalf("reason %q", end.Reason)
-	}
-	if e.QuietAt(since.Add(seamegress.QuietTime), since) {
-		t.Fatal("quiet although a request was refused since")
-	}
-	if !e.QuietAt(time.Now().Add(seamegress.QuietTime), since) {
-		t.Fatal("not quiet long after the last refusal")
-	}
-	e.Quiet(t.Context())
-}
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -22,6 +22,8 @@
 	Cells   Kind = 4
 	// relay streams are passed on to another peer.
 	relay Kind = 5
+	// farewell streams say that the peer leaves.
+	farewell Kind = 6
 )
 
 // Handler serves streams of one kind. The stream is closed when ServeStream returns.
@@ -71,6 +73,10 @@
 	defaultAnswer    = 2 * time.Second
 	// lingerTime is the time between the announcement that a session ends and its end.
 	lingerTime = time.Second
+	// farewellTime bounds the wait for a peer to take note that this node leaves.
+	farewellTime = 500 * time.Millisecond
+	// leaveLook is the time between looks whether the streams of a leaving node ended.
+	leaveLook = 5 * time.Millisecond
 	// backoffFirst and backoffLast bound the wait after a failed dial.
 	backoffFirst = 50 * time.Millisecond
 	backoffLast  = 2 * time.Second
--- a/internal/route/seamsession/dial.go
+++ b/internal/route/seamsession/dial.go
@@ -64,6 +64,9 @@
 }
 
 func (p *Pool) dial(to seampeer.Peer) (*session, error) {
+	if p.hasLeft() {
+		return nil, &UnreachableError{To: to, Cause: errors.New("this node leaves")}
+	}
 	if err := p.reserve(); err != nil {
 		return nil, err
 	}
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -28,11 +28,14 @@
 	mu       sync.Mutex
 	handlers map[Kind]Handler
 	sessions map[*session]struct{}
+	listener net.Listener
 	// routes holds the session that takes new streams to an address.
 	routes   map[string]*session
 	failures map[string]failure
 	// pending counts the connections that are being introduced.
 	pending int
+	// left says that the node leaves: there are no new sessions.
+	left bool
 }
 
 // New listens for sessions of other nodes and returns the pool and a function
@@ -54,11 +57,13 @@
 		ctx:      ctx,
 		handlers: map[Kind]Handler{},
 		sessions: map[*session]struct{}{},
+		listener: l,
 		routes:   map[string]*session{},
 		failures: map[string]failure{},
 	}
 	p.stats = newStats(set, self, func() float64 { return float64(p.Len()) })
 	p.handlers[relay] = relayHandler{p}
+	p.handlers[farewell] = farewellHandler{p}
 	var wg sync.WaitGroup
 	wg.Go(func() { p.listen(l) })
 	wg.Go(func() { p.sweep(ctx) })
@@ -110,6 +115,9 @@
 // add starts to serve a session, reachable under the address.
 func (p *Pool) add(s *session, address string) {
 	p.mu.Lock()
+	if p.left {
+		go s.sayFarewell(p.ctx)
+	}
 	p.sessions[s] = struct{}{}
 	delete(p.failures, address)
 	if old := p.routes[address]; old == nil || !old.usable() || old.peer.Incarnation <= s.peer.Incarnation {
@@ -165,7 +173,7 @@
 	}
 	c.SetDeadline(time.Now().Add(p.cfg.Dial))
 	theirs, err := readHello(c)
-	if err != nil {
+	if err != nil || p.hasLeft() {
 		c.Close()
 		return
 	}
