A stopping node closes its listener when no connection is on its way

Cause of the EOFs at the ingress of a stopping node (all on new connections, 1 to 3 ms after they were dialled): net/http drops a request that it has read once its shutdown began (conn.serve looks at shuttingDown after readRequest), and closing the listener resets connections that the kernel had established and nobody had accepted. The second shutdown after 50 ms could mend neither, and is reverted.

Change: before the shutdown a socket filter drops SYN segments to the listener, so that what was begun is accepted and answered; the shutdown follows 50 ms without a new connection or request, at the latest after 1 s.

TestDrainAnswersEachNewConnection fails without the wait, and without the filter, and passes with both.

--- /dev/null
+++ b/internal/route/seamingress/door_test.go
@@ -0,0 +1,55 @@
+package seamingress_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// bookOnce sends one request on a connection of its own, and reports whether there was a connection
+// and whether the answer came whole.
+func bookOnce(address string) (connected, answered bool) {
+	c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+	if err != nil {
+		return false, false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintf(c, "POST /book HTTP/1.1\r\nHost: booker\r\nContent-Length: 3\r\n\r\nabc")
+	answer, _ := io.ReadAll(c)
+	return true, strings.HasPrefix(string(answer), "HTTP/1.1 200") && strings.HasSuffix(string(answer), "whole")
+}
+
+// TestDrainAnswersEachNewConnection checks that a caller that got a connection to a leaving node
+// gets an answer on it, however late it came.
+func TestDrainAnswersEachNewConnection(t *testing.T) {
+	const rounds, callers = 10, 16
+	for round := range rounds {
+		front, _ := pair(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })
+		address := front.server.Address()
+		var calling sync.WaitGroup
+		for range callers {
+			calling.Go(func() {
+				for {
+					connected, answered := bookOnce(address)
+					if !connected {
+						return
+					}
+					if !answered {
+						t.Errorf("round %d: a caller with a connection got no whole answer", round)
+						return
+					}
+				}
+			})
+		}
+		if err := front.server.Drain(t.Context(), 20*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		calling.Wait()
+	}
+}
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -20,8 +20,6 @@
 	headTime = 5 * time.Second
 	// idleTime is the time after which an idle connection of a caller is closed.
 	idleTime = 2 * time.Minute
-	// lastAccept is the time in which an accepted connection becomes known to the HTTP library.
-	lastAccept = 50 * time.Millisecond
 	// headerSlack is what the HTTP library accepts beyond the limit of headers,
 	// so that a request just beyond it gets a typed answer.
 	headerSlack = 32 << 10
@@ -31,6 +29,7 @@
 type Server struct {
 	ingress *Ingress
 	http    *http.Server
+	door    door
 	address net.Addr
 	stopped chan error
 }
@@ -104,10 +103,12 @@
 		h.ReadHeaderTimeout = headTime
 		h.ReadTimeout, h.WriteTimeout = 0, 0
 		h.IdleTimeout = idleTime
+		h.ConnState = s.door.note
 		h.MaxHeaderBytes = s.ingress.cfg.Headers + headerSlack
 		h.BaseContext = func(l net.Listener) context.Context {
 			if !once.Swap(true) {
 				s.http = h
+				s.door.listener = l
 				listening <- l.Addr()
 			}
 			return context.Background()
@@ -121,18 +122,14 @@
 }
 
 // Drain goes on to serve for the grace time, asking callers to close their
-// connections, and then closes each connection when its request ended. The
+// connections, takes no new connection then, and closes each one when its request ended. The
 // error says that requests were in flight when ctx ended; they are cut then.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.leaving.Store(true)
 	pause(ctx, grace)
-	// A connection that was accepted while the listener closed may not be known to the
-	// first shutdown yet; the second one waits for its request.
-	for range 2 {
-		if err := s.http.Shutdown(ctx); err != nil {
-			return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
-		}
-		pause(ctx, lastAccept)
+	s.door.shut(ctx)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
 	}
 	return nil
 }
