--- a/internal/route/seamsession/leave.go
+++ b/internal/route/seamsession/leave.go
@@ -65,7 +65,7 @@
 func (s *session) sayFarewell(ctx context.Context) {
 	s.leaving.Store(true)
 	s.closeSpare(time.Now())
-	c, err := s.mux.OpenStream()
+	c, err := s.mux.Open()
 	if err != nil {
 		return
 	}
