The door waits for connections that have not brought their request, and for stalls

The wait of 50 ms counted time, which also passes while the process or a caller stands still.

Change: looks are counted instead, the queue of the listener must be empty (TCP_INFO), and a connection younger than 0.5 s may still bring its first request.

TestDrainAwaitsTheFirstRequest fails without the last and passes with it.

--- a/internal/route/seamingress/door.go
+++ b/internal/route/seamingress/door.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -12,13 +13,15 @@
 )
 
 const (
-	// doorQuiet is the time without a connection or request after which none is on its way:
-	// the round trip to a caller, and the time until the request is read.
-	doorQuiet = 50 * time.Millisecond
-	// doorLimit bounds the wait for such a time.
-	doorLimit = time.Second
-	// doorLook is the time between looks for it.
+	// doorLook is the time between looks whether something is on its way.
 	doorLook = 5 * time.Millisecond
+	// doorLooks is the number of looks in a row that must find nothing: together longer than the
+	// round trip to a caller. They are counted, because time also passes while the process stands still.
+	doorLooks = 10
+	// doorLimit bounds all looks together.
+	doorLimit = time.Second
+	// freshTime is the time in which a new connection is expected to bring its first request.
+	freshTime = 500 * time.Millisecond
 	// flagsOffset is the place of the flags in a TCP header.
 	flagsOffset = 13
 	// synFlag is the flag of the first segment of a connection.
@@ -32,14 +35,28 @@
 // accepted. So the shutdown waits until neither can be under way.
 type door struct {
 	listener net.Listener
-	// used is the time of the last new connection or request, in nanoseconds since the Unix epoch.
-	used atomic.Int64
+	// requests counts new connections and requests.
+	requests atomic.Int64
+
+	mu sync.Mutex
+	// fresh are the connections that brought no request yet, since they were accepted.
+	fresh map[net.Conn]time.Time
 }
 
 // note takes a change of a connection's state.
-func (d *door) note(_ net.Conn, state http.ConnState) {
+func (d *door) note(c net.Conn, state http.ConnState) {
 	if state == http.StateNew || state == http.StateActive {
-		d.used.Store(time.Now().UnixNano())
+		d.requests.Add(1)
+	}
+	switch state {
+	case http.StateNew:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.fresh[c] = time.Now()
+	case http.StateActive, http.StateClosed, http.StateHijacked:
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.fresh, c)
 	}
 }
 
@@ -48,26 +65,34 @@
 func (d *door) shut(ctx context.Context) {
 	// Without the filter, connections that begin at the end of the wait may be reset.
 	_ = dropHandshakes(d.listener)
-	began := time.Now()
-	for now := began; now.Sub(began) < doorLimit && !d.quiet(now, began); now = time.Now() {
+	limit := time.Now().Add(doorLimit)
+	seen := d.requests.Load()
+	for still := 0; still < doorLooks && time.Now().Before(limit); still++ {
 		if !pause(ctx, doorLook) {
 			return
 		}
+		now := d.requests.Load()
+		if now != seen || d.awaits(time.Now()) || pending(d.listener) > 0 {
+			still = -1
+		}
+		seen = now
 	}
 }
 
-// quiet reports whether nothing has come for a while, counted from since at the earliest.
-func (d *door) quiet(now, since time.Time) bool {
-	if used := time.Unix(0, d.used.Load()); used.After(since) {
-		since = used
+// awaits reports whether a connection is about to bring its first request.
+func (d *door) awaits(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, since := range d.fresh {
+		if now.Sub(since) < freshTime {
+			return true
+		}
 	}
-	return now.Sub(since) >= doorQuiet
+	return false
 }
 
-// dropHandshakes has the kernel drop the first segment of each new connection to the listener, while
-// handshakes under way are completed. A caller whose segment was dropped sends it again
-// after a second, and finds the port closed.
-func dropHandshakes(l net.Listener) error {
+// control runs f on the listener's socket.
+func control(l net.Listener, f func(fd int) error) error {
 	c, ok := l.(syscall.Conn)
 	if !ok {
 		return syscall.EOPNOTSUPP
@@ -76,6 +101,30 @@
 	if err != nil {
 		return err
 	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = f(int(fd)) })
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// pending returns the number of established connections that nobody has accepted; 0 if that is not known.
+func pending(l net.Listener) (n uint32) {
+	_ = control(l, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			n = info.Unacked // of a listener, the length of its queue
+		}
+		return err
+	})
+	return n
+}
+
+// dropHandshakes has the kernel drop the first segment of each new connection to the listener, while
+// handshakes under way are completed. A caller whose segment was dropped sends it again
+// after a second, and finds the port closed.
+func dropHandshakes(l net.Listener) error {
 	filter := []unix.SockFilter{
 		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
 		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: synFlag, Jf: 1},
@@ -83,12 +132,7 @@
 		{Code: unix.BPF_RET | unix.BPF_K, K: wholeSegment},
 	}
 	program := &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
+	return control(l, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
 	})
-	if err != nil {
-		return err
-	}
-	return failed
 }
--- a/internal/route/seamingress/door_test.go
+++ b/internal/route/seamingress/door_test.go
@@ -53,3 +53,25 @@
 		calling.Wait()
 	}
 }
+
+// TestDrainAwaitsTheFirstRequest checks that a caller that got a connection right before
+// the end may still bring its request.
+func TestDrainAwaitsTheFirstRequest(t *testing.T) {
+	front, _ := pair(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })
+	c, err := net.Dial("tcp", front.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	drained := make(chan error, 1)
+	go func() { drained <- front.server.Drain(t.Context(), 0) }()
+	time.Sleep(150 * time.Millisecond)
+	fmt.Fprintf(c, "POST /book HTTP/1.1\r\nHost: booker\r\nContent-Length: 3\r\n\r\nabc")
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if answer, err := io.ReadAll(c); !strings.HasSuffix(string(answer), "whole") {
+		t.Errorf("got %q, %v", answer, err)
+	}
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "preparing the HTTP server")
 	}
-	s := &Server{ingress: i, stopped: make(chan error, 1)}
+	s := &Server{ingress: i, stopped: make(chan error, 1), door: door{fresh: map[net.Conn]time.Time{}}}
 	listening := make(chan net.Addr, 1)
 	go s.start(server, listening)
 	select {
