An order looks again for a node if the records changed while it asked

Cause: Locate compared the records after reading them again with those known just before the reading; a record that the watch brought between the first questions and that moment counted as known, and the order was refused ('none of the 1 cells has a node'). Attest had the same gap. Change: the comparison is with what was known before the first question. The tests' cells are at rest before an order's questions are counted: a record that still changes makes a node ask twice.

--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -272,7 +272,7 @@
 		w.run(2 * time.Second)
 		c := w.coordinator()
 		w.must(t, w.store.entries[seamcell.CellPrefix+"erie-1"].Record.Coordinator.Same(c.peer), "the record does not name %s", c.peer)
-		w.rewrite(seamcell.CellPrefix+"erie-1")
+		w.rewrite(seamcell.CellPrefix + "erie-1")
 		w.run(time.Second)
 		w.must(t, w.coordinator() == c, "a write of another cell ended the coordination")
 		c.crash()
--- a/internal/own/seamkeeper/command.go
+++ b/internal/own/seamkeeper/command.go
@@ -19,11 +19,12 @@
 			return MemberReport{Peer: m.Peer, Service: m.Target.Service}, nil
 		}
 	}
+	known := k.liveCells()
 	found, cells, err := k.locate(ctx, name)
 	if err != nil || found != nil {
 		return valueOf(found), err
 	}
-	if k.reread(ctx) {
+	if k.reread(ctx, known) {
 		found, cells, err = k.locate(ctx, name)
 	}
 	if err == nil && found == nil {
@@ -58,17 +59,16 @@
 }
 
 // reread reads the records from the store once and reports whether they tell of other cells
-// or coordinators than those known.
-func (k *Keeper) reread(ctx context.Context) bool {
+// or epochs than those known before.
+func (k *Keeper) reread(ctx context.Context, known []seamcell.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, k.cfg.Call)
 	defer cancel()
-	before := k.liveCells()
 	entries, _, err := k.listRecords(ctx)
 	if err != nil {
 		return false
 	}
 	k.takeRecords(entries)
-	return !slices.EqualFunc(before, k.liveCells(), func(a, b seamcell.Record) bool {
+	return !slices.EqualFunc(known, k.liveCells(), func(a, b seamcell.Record) bool {
 		return a.ID == b.ID && a.Epoch == b.Epoch
 	})
 }
@@ -94,8 +94,9 @@
 // backup of the cell, have ended for good. Any node takes it: what follows is written to the store.
 // Errors are *UnknownCellError, *PartiesError and *AliveError.
 func (k *Keeper) Attest(ctx context.Context, cell string, lost []string) error {
+	known := k.liveCells()
 	r, err := k.parties(cell, lost)
-	if err != nil && k.reread(ctx) {
+	if err != nil && k.reread(ctx, known) {
 		r, err = k.parties(cell, lost)
 	}
 	if err != nil {
--- a/internal/own/seamkeeper/survey_test.go
+++ b/internal/own/seamkeeper/survey_test.go
@@ -67,11 +67,22 @@
 	f.add()
 	f.awaitServed(f.nodes)
 	f.await("the cells are known", func() bool {
-		return len(f.nodes[0].keeper.Survey(t.Context())) == 2 && len(f.nodes[1].keeper.Survey(t.Context())) == 2
+		return knowsBothCells(t, f.nodes[0]) && knowsBothCells(t, f.nodes[1])
 	})
 	return f, c
 }
 
+// knowsBothCells reports whether the node knows the two cells, and its own as it stays: a
+// record that still changes makes a node ask twice.
+func knowsBothCells(t *testing.T, n *node) bool {
+	reports := n.keeper.Survey(t.Context())
+	if len(reports) != 2 {
+		return false
+	}
+	near := reports[0]
+	return near.Backup != "" && near.Record.Backup.Name == near.Backup && near.Record.Epoch == near.Epoch
+}
+
 // record writes a record to the store.
 func (f *fleet) record(r seamcell.Record) {
 	f.t.Helper()
