A range on its way out stays while one of its slots waits for its holder

Whatever chose the range: a slot that waits blocks the others, which have been released. TestSilentHolder, TestLostHolder, TestOnlyServer, TestCells, TestRestart green.

--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -150,6 +150,10 @@
 func (c *Cell) tickOutgoing() {
 	r := c.coordination
 	o := r.ranges.out
+	if r.waitsIn(o.Range) {
+		c.abortOutgoing()
+		return
+	}
 	e, ok := c.directory.get(CellPrefix + o.cell)
 	if !o.releasing {
 		if !ok || !c.alive(e) || o.offers >= offerPatience {
@@ -261,6 +265,16 @@
 	})
 }
 
+// abortOutgoing keeps the range that was on its way out.
+func (c *Cell) abortOutgoing() {
+	r := c.coordination
+	if o := r.ranges.out; o.releasing {
+		c.takeBack(o)
+	}
+	r.ranges.out = nil
+	r.ranges.settled = c.now
+}
+
 // takeBack gives a range that could not leave to its last owners.
 func (c *Cell) takeBack(o *outgoing) {
 	r := c.coordination
--- a/internal/own/seamcell/waiting.go
+++ b/internal/own/seamcell/waiting.go
@@ -50,8 +50,7 @@
 	e.state, e.outside = stateWaiting, nil
 	r.waits[id] = w
 	if o := r.ranges.out; o != nil && o.Has(id) {
-		c.takeBack(o)
-		r.ranges.settled = c.now
+		c.abortOutgoing()
 	}
 	return true
 }
