--- a/internal/own/seamcell/config.go
+++ b/internal/own/seamcell/config.go
@@ -40,8 +40,8 @@
 	Settle time.Duration
 	// Moves is the largest number of slots that move at a time in one cell.
 	Moves int
-	// Gift is the smallest number of slots that moves to another cell for balance.
-	Gift int
+	// Transfer is the smallest number of slots that moves to another cell for balance.
+	Transfer int
 	// Min is the number of members below which a cell merges into another.
 	Min int
 	// Max is the largest number of members.
@@ -71,7 +71,7 @@
 		Plan:      500 * time.Millisecond,
 		Settle:    5 * time.Second,
 		Moves:     8,
-		Gift:      8,
+		Transfer:  8,
 		Min:       4,
 		Max:       12,
 		Datagram:  1200,
--- a/internal/own/seamcell/division.go
+++ b/internal/own/seamcell/division.go
@@ -28,18 +28,18 @@
 			continue
 		}
 		if seamclock.Least(c.now, since) >= divideDelay && c.mayCall(key) {
-			c.swap(0, Record{Service: name, Gifts: c.division(s)}, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
+			c.swap(0, Record{Service: name, Transfers: c.division(s)}, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
 		}
 	}
 }
 
-// division returns the gifts that hand a service's slots to the cells that can serve them.
-func (c *Cell) division(s ServiceState) []Gift {
+// division returns the transfers that hand a service's slots to the cells that can serve them.
+func (c *Cell) division(s ServiceState) []Transfer {
 	homes := s.Homes
 	if len(homes) == 0 {
 		homes = []string{c.self.Region}
 	}
-	var gifts []Gift
+	var transfers []Transfer
 	for i, region := range homes {
 		band := seamslot.Range{Service: s.Name, From: bound(s.Slots, i, len(homes)), To: bound(s.Slots, i+1, len(homes))}
 		cells := c.cellsOf(region, s.Name)
@@ -48,11 +48,11 @@
 			x.From = band.From + bound(band.Len(), k, len(cells))
 			x.To = band.From + bound(band.Len(), k+1, len(cells))
 			if x.Len() > 0 {
-				gifts = append(gifts, Gift{Range: x, Giver: SlotsPrefix + s.Name, Cell: cell})
+				transfers = append(transfers, Transfer{Range: x, Source: SlotsPrefix + s.Name, Cell: cell})
 			}
 		}
 	}
-	return gifts
+	return transfers
 }
 
 // bound returns the lower bound of part i of n equal parts of total.
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -235,11 +235,11 @@
 			c.seize(e)
 			return
 		case c.coordination == nil || !c.coordination.settled || !c.abandoned(e, c.cfg.Orphan):
-		case len(r.Ranges) > 0 || c.giverTo(r) != "":
+		case len(r.Ranges) > 0 || c.sourceTo(r) != "":
 			c.absorb(e)
 		case len(r.Taken) > 0:
 			c.dropFrom(e)
-		case len(r.Gifts) == 0:
+		case len(r.Transfers) == 0:
 			c.delete(e.Key, e.Revision)
 		}
 	}
@@ -290,28 +290,28 @@
 	}
 }
 
-// absorb turns the ranges of an abandoned cell, and gifts to it that it has not taken, into gifts to
-// the own cell. It takes those gifts in the name of the abandoned cell, in the same write.
+// absorb turns the ranges of an abandoned cell, and transfers to it that it has not taken, into transfers to
+// the own cell. It takes those transfers in the name of the abandoned cell, in the same write.
 func (c *Cell) absorb(e Entry) {
-	giver := c.giverTo(e.Record)
-	if giver == "" {
+	source := c.sourceTo(e.Record)
+	if source == "" {
 		c.writeAbsorbed(e, nil)
 		return
 	}
-	if !c.mayCall(giver) {
+	if !c.mayCall(source) {
 		return
 	}
-	c.read(giver, seamstore.Takeover, func(o Outcome, g Entry, _ seamclock.Instant) {
+	c.read(source, seamstore.Takeover, func(o Outcome, g Entry, _ seamclock.Instant) {
 		if o == OK && c.coordination != nil && c.mayCall(e.Key) {
-			c.writeAbsorbed(e, giftsTo(g.Record, e.Record.ID))
+			c.writeAbsorbed(e, transfersTo(g.Record, e.Record.ID))
 		}
 	})
 }
 
-// giverTo returns the key of a record with a gift that the cell has not taken, or an empty string.
-func (c *Cell) giverTo(r Record) string {
+// sourceTo returns the key of a record with a transfer that the cell has not taken, or an empty string.
+func (c *Cell) sourceTo(r Record) string {
 	for _, e := range c.directory.sorted() {
-		for _, g := range giftsTo(e.Record, r.ID) {
+		for _, g := range transfersTo(e.Record, r.ID) {
 			if !e.Deleted && !took(r, g) {
 				return e.Key
 			}
@@ -320,11 +320,11 @@
 	return ""
 }
 
-func (c *Cell) writeAbsorbed(e Entry, gifts []Gift) {
+func (c *Cell) writeAbsorbed(e Entry, transfers []Transfer) {
 	r := e.Record
 	ranges := append([]seamslot.Range(nil), r.Ranges...)
-	r.Taken = append([]Gift(nil), r.Taken...)
-	for _, g := range gifts {
+	r.Taken = append([]Transfer(nil), r.Taken...)
+	for _, g := range transfers {
 		if !took(r, g) {
 			r.Taken = append(r.Taken, g)
 			ranges = append(ranges, g.Range)
@@ -333,9 +333,9 @@
 	}
 	r.Epoch++
 	r.Coordinator, r.Backup = seampeer.Peer{}, seampeer.Peer{}
-	r.Gifts = append([]Gift(nil), r.Gifts...)
+	r.Transfers = append([]Transfer(nil), r.Transfers...)
 	for _, x := range ranges {
-		r.Gifts = append(r.Gifts, Gift{Range: x, Giver: e.Key, Cell: c.coordination.entry.Record.ID, Epoch: r.Epoch})
+		r.Transfers = append(r.Transfers, Transfer{Range: x, Source: e.Key, Cell: c.coordination.entry.Record.ID, Epoch: r.Epoch})
 	}
 	r.Ranges = nil
 	c.swap(e.Revision, r, seamstore.Takeover, func(Outcome, Entry, seamclock.Instant) {})
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -132,7 +132,7 @@
 	cfg.Publish = time.Second
 	cfg.Orphan = 4 * time.Second
 	cfg.Return = 4 * time.Second
-	cfg.Gift = 2
+	cfg.Transfer = 2
 	return cfg
 }
 
@@ -440,7 +440,7 @@
 	w.store.revision++
 	e.Revision = w.store.revision
 	w.store.entries[key] = e
-	w.trace("%v store %s rev %d epoch %d coordinator %s backup %s ranges %v gifts %v taken %v", w.now, key, e.Revision, e.Record.Epoch, e.Record.Coordinator, e.Record.Backup, e.Record.Ranges, e.Record.Gifts, e.Record.Taken)
+	w.trace("%v store %s rev %d epoch %d coordinator %s backup %s ranges %v transfers %v taken %v", w.now, key, e.Revision, e.Record.Epoch, e.Record.Coordinator, e.Record.Backup, e.Record.Ranges, e.Record.Transfers, e.Record.Taken)
 	for _, n := range w.nodes {
 		role := n.cell.View(n.clock()).Role
 		if w.store.deaf[n.peer.Name] {
--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -79,7 +79,7 @@
 		return "", x
 	}
 	n := (mine*e.Record.Size - theirs*own.Size) / (own.Size + e.Record.Size)
-	if n < c.cfg.Gift {
+	if n < c.cfg.Transfer {
 		return "", x
 	}
 	if uint32(n) < x.Len() {
@@ -241,13 +241,13 @@
 	return all
 }
 
-// give writes the range out of the own record, as a gift.
+// give writes the range out of the own record, as a transfer.
 func (c *Cell) give(o *outgoing) {
 	r := c.coordination
 	n := c.published()
 	n.Ranges = cut(n.Ranges, o.Range)
-	n.Gifts = append(append([]Gift(nil), n.Gifts...), Gift{
-		Range: o.Range, Giver: r.entry.Key, Cell: o.cell, Epoch: n.Epoch, Owner: o.successor.peer.Name,
+	n.Transfers = append(append([]Transfer(nil), n.Transfers...), Transfer{
+		Range: o.Range, Source: r.entry.Key, Cell: o.cell, Epoch: n.Epoch, Owner: o.successor.peer.Name,
 	})
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(got Outcome, e Entry, first seamclock.Instant) {
 		if c.coordination != r {
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -40,13 +40,13 @@
 		return
 	}
 	c.divideServices()
-	c.takeGifts()
+	c.takeTransfers()
 	c.dropTaken()
 	if r.ranges.out != nil {
 		c.tickOutgoing()
 		return
 	}
-	if len(r.entry.Record.Taken) > 0 || len(r.entry.Record.Gifts) > 0 {
+	if len(r.entry.Record.Taken) > 0 || len(r.entry.Record.Transfers) > 0 {
 		return
 	}
 	c.considerMerge()
--- a/internal/own/seamcell/record.go
+++ b/internal/own/seamcell/record.go
@@ -34,10 +34,10 @@
 	Backup seampeer.Peer `json:"backup,omitzero"`
 	// Ranges are the slots that the cell owns.
 	Ranges []seamslot.Range `json:"ranges,omitempty"`
-	// Gifts are ranges that have left and were not yet seen in their new cell.
-	Gifts []Gift `json:"gifts,omitempty"`
-	// Taken are gifts that were taken and are still to be dropped by their giver.
-	Taken []Gift `json:"taken,omitempty"`
+	// Transfers are ranges that have left and were not yet seen in their new cell.
+	Transfers []Transfer `json:"transfers,omitempty"`
+	// Taken are transfers that were taken and are still to be dropped by their source.
+	Taken []Transfer `json:"taken,omitempty"`
 	// Horizon is the time after the write for which the record binds others, in milliseconds.
 	Horizon int64 `json:"horizon,omitempty"`
 	// Beat counts the slow renewals.
@@ -50,14 +50,14 @@
 	Token string `json:"token"`
 }
 
-// Gift is a range on its way to another cell.
-type Gift struct {
+// Transfer is a range on its way to another cell.
+type Transfer struct {
 	seamslot.Range
-	// Giver is the key of the record that gives.
-	Giver string `json:"giver"`
+	// Source is the key of the record that gives.
+	Source string `json:"source"`
 	// Cell is the id of the cell that is to take the range.
 	Cell string `json:"cell"`
-	// Epoch is that of the giver; the taker's epoch becomes higher.
+	// Epoch is that of the source; the taker's epoch becomes higher.
 	Epoch uint32 `json:"epoch"`
 	// Owner is the name of the instance that has the state of the slots, or empty.
 	Owner string `json:"owner,omitempty"`
