--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -79,7 +79,7 @@
 		return "", x
 	}
 	n := (mine*e.Record.Size - theirs*own.Size) / (own.Size + e.Record.Size)
-	if n < c.cfg.Gift {
+	if n < c.cfg.Transfer {
 		return "", x
 	}
 	if uint32(n) < x.Len() {
@@ -150,6 +150,10 @@
 func (c *Cell) tickOutgoing() {
 	r := c.coordination
 	o := r.ranges.out
+	if r.waitsIn(o.Range) {
+		c.abortOutgoing()
+		return
+	}
 	e, ok := c.directory.get(CellPrefix + o.cell)
 	if !o.releasing {
 		if !ok || !c.alive(e) || o.offers >= offerPatience {
@@ -237,13 +241,13 @@
 	return all
 }
 
-// give writes the range out of the own record, as a gift.
+// give writes the range out of the own record, as a transfer.
 func (c *Cell) give(o *outgoing) {
 	r := c.coordination
 	n := c.published()
 	n.Ranges = cut(n.Ranges, o.Range)
-	n.Gifts = append(append([]Gift(nil), n.Gifts...), Gift{
-		Range: o.Range, Giver: r.entry.Key, Cell: o.cell, Epoch: n.Epoch, Owner: o.successor.peer.Name,
+	n.Transfers = append(append([]Transfer(nil), n.Transfers...), Transfer{
+		Range: o.Range, Source: r.entry.Key, Cell: o.cell, Epoch: n.Epoch, Owner: o.successor.peer.Name,
 	})
 	c.swap(r.entry.Revision, n, seamstore.Takeover, func(got Outcome, e Entry, first seamclock.Instant) {
 		if c.coordination != r {
@@ -261,6 +265,16 @@
 	})
 }
 
+// abortOutgoing keeps the range that was on its way out.
+func (c *Cell) abortOutgoing() {
+	r := c.coordination
+	if o := r.ranges.out; o.releasing {
+		c.takeBack(o)
+	}
+	r.ranges.out = nil
+	r.ranges.settled = c.now
+}
+
 // takeBack gives a range that could not leave to its last owners.
 func (c *Cell) takeBack(o *outgoing) {
 	r := c.coordination
