Ranges without homes move to the region that their callers call from

Cause: only the homes of a rule decided in which region a range is owned; a service without homes stayed in the region that divided it first, and every request from elsewhere crossed (24 ms of the 16 ms target). Ruled out: exceptions for keys (1.6 GB a node) or slots (records beyond one datagram, 262,000 writes), and whole cells (all or nothing); arithmetic in docs/design/0002. Homes win; at most 8 ranges a record; joined again when they meet. Deliberate breaks (a range given before all had released it; a taker's epoch that does not rise) are caught. Conclusion: a range follows its callers if they agree; a service whose slots are called from all regions still needs homes.

--- a/internal/node/seamnode/adapters.go
+++ b/internal/node/seamnode/adapters.go
@@ -8,6 +8,7 @@
 	"cardamomseam/internal/member/seamdatagram"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seampick"
@@ -97,8 +98,17 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			n.keeper.Report(seamkeeper.Load{InFlight: n.egress.InFlight(), Hottest: n.keys.Hottest(n.clock.Now())}, now.Sub(last))
+			n.keeper.Report(n.load(n.clock.Now()), now.Sub(last))
 			last = now
 		}
 	}
 }
+
+// load returns the present load of the target.
+func (n *Node) load(now seamclock.Instant) seamkeeper.Load {
+	return seamkeeper.Load{
+		InFlight: n.egress.InFlight(),
+		Hottest:  n.keys.Hottest(now),
+		Callers:  n.keys.Callers.Foremost(now, n.self.Region, callerLeast),
+	}
+}
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -58,7 +58,7 @@
 	targets   *seamannounce.Registry
 	keeper    *seamkeeper.Keeper
 	egress    *seamegress.Egress
-	keys      *seamsketch.Keys
+	keys      *seamsketch.Usage
 	ingress   *seamingress.Ingress
 	rules     *seamset.Set
 	book      *seambook.Book
@@ -76,6 +76,10 @@
 	keyLimit = 256
 	// keyWindow is the time constant with which the counts decay.
 	keyWindow = 10 * time.Second
+	// callerWindow is the time constant with which the counts of regions decay.
+	callerWindow = 30 * time.Second
+	// callerLeast is the part of a slot's requests from another region from which it is reported.
+	callerLeast = 0.5
 )
 
 // New starts a node. The clean-up function stops it at once; a planned stop
@@ -95,7 +99,7 @@
 		set:     metrics.NewSet(),
 		stream:  seamevent.NewStream(s.Name),
 		ring:    o.Ring,
-		keys:    seamsketch.NewKeys(keyLimit, keyWindow),
+		keys:    seamsketch.NewUsage(keyLimit, keyWindow, callerWindow),
 		ordered: make(chan struct{}),
 	}
 	c := &cleanups{}
--- /dev/null
+++ b/internal/node/seamplacer/region.go
@@ -0,0 +1,36 @@
+package seamplacer
+
+import (
+	"cardamomseam/internal/own/seamcell"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamplace"
+	"cardamomseam/internal/own/seamslot"
+)
+
+// PlanRange returns the part of a range that gains most in the region of its callers, if any does.
+func (p *Placer) PlanRange(now seamclock.Instant, v seamcell.RangeView) (seamcell.RangeMove, bool) {
+	view := seamplace.RangeView{
+		Region:  v.Region,
+		Regions: v.Regions,
+		Members: v.Members,
+		Total:   v.Total,
+		Config:  p.config(v.Service),
+	}
+	for _, s := range v.Slots {
+		view.Slots = append(view.Slots, calledSlot(now, v.Service, s))
+	}
+	part, ok := seamplace.PlanRange(now, view)
+	return seamcell.RangeMove{From: part.From, To: part.To, Region: part.Region}, ok
+}
+
+func calledSlot(now seamclock.Instant, service string, s seamcell.RangeSlot) seamplace.Slot {
+	x := seamplace.Slot{
+		ID:    seamslot.ID{Service: service, Index: s.Index},
+		Rate:  s.Rate,
+		Moved: now.Add(-s.Held),
+	}
+	if s.Caller != "" {
+		x.Callers = map[string]float64{s.Caller: s.Share}
+	}
+	return x
+}
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -18,6 +18,7 @@
 	SlotReleased     = "slot.released"
 	SlotMoved        = "slot.moved"
 	SlotLapsed       = "slot.lapsed"
+	RangeMoved       = "range.moved"
 	HandoverFailed   = "handover.failed"
 	RuleRecorded     = "rule.recorded"
 	RuleApplied      = "rule.applied"
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -487,7 +487,10 @@
 	for _, s := range l.GetSlots() {
 		id := seamslot.ID{Service: s.GetService(), Index: s.GetIndex()}
 		if e := r.table.slots[id]; e != nil && e.owner == m.id {
-			r.loads[id] = SlotLoad{Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest())}
+			r.loads[id] = SlotLoad{
+				Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest()),
+				Caller: s.GetCaller(), Share: float64(s.GetShare()) / shareUnit,
+			}
 		}
 	}
 }
--- a/internal/own/seamcell/assign.go
+++ b/internal/own/seamcell/assign.go
@@ -120,6 +120,7 @@
 		r.table.changeSlot(e)
 		delete(r.since, id)
 		delete(r.loads, id)
+		delete(r.ranges.entered, id)
 	}
 }
 
--- a/internal/own/seamcell/gifts.go
+++ b/internal/own/seamcell/gifts.go
@@ -73,9 +73,10 @@
 		n.Epoch = max(n.Epoch, g.Epoch)
 	}
 	n.Epoch++
-	sortRanges(n.Ranges)
+	n.Ranges = c.joined(n.Ranges)
 	c.write(n, seamstore.Takeover, func() {
 		for _, g := range gifts {
+			c.enter(g.Range)
 			for i := g.From; i < g.To; i++ {
 				r.hints[seamslot.ID{Service: g.Service, Index: i}] = g.Owner
 			}
--- a/internal/own/seamcell/input.go
+++ b/internal/own/seamcell/input.go
@@ -73,6 +73,10 @@
 	Rate float64
 	// Hottest is the rate of the slot's most used key, in requests per second; 0 if it is low.
 	Hottest float64
+	// Caller is the other region from which most requests come, or empty.
+	Caller string
+	// Share is the least part of the requests that come from there.
+	Share float64
 }
 
 // ServiceState is a keyed service as the rules describe it.
--- a/internal/own/seamcell/model_test.go
+++ b/internal/own/seamcell/model_test.go
@@ -51,6 +51,10 @@
 	trace   func(string, ...any)
 	bytes   map[string]int
 	emitted map[string]int
+	// roaming says that the service has no homes, and that parts of ranges follow their callers.
+	roaming bool
+	// callers returns the part of a range that moves to its callers; nil moves none.
+	callers func(v seamcell.RangeView) (seamcell.RangeMove, bool)
 }
 
 type event struct {
@@ -137,16 +141,25 @@
 
 // newWorldOf returns a world whose nodes stand in the regions in turn, in two failure domains each.
 func newWorldOf(t testing.TB, seed int64, n int, cfg seamcell.Config, regions []string) *world {
-	w := &world{
+	w := emptyWorld(t, seed, cfg, regions)
+	w.populate(n)
+	return w
+}
+
+// populate starts n nodes.
+func (w *world) populate(n int) {
+	for i := range n {
+		w.start(i, fmt.Sprintf("n%d", i))
+	}
+}
+
+func emptyWorld(t testing.TB, seed int64, cfg seamcell.Config, regions []string) *world {
+	return &world{
 		t: t, rnd: rand.New(rand.NewSource(seed)), cfg: cfg, regions: regions, delay: 4 * time.Millisecond,
 		blocked: map[[2]string]bool{}, highest: map[seamslot.ID]uint64{}, holder: map[seamslot.ID]string{},
 		store: fakeStore{entries: map[string]seamcell.Entry{}, deaf: map[string]bool{}, silent: map[string]bool{}, slow: map[string]time.Duration{}}, trace: func(string, ...any) {},
 		bytes: map[string]int{}, emitted: map[string]int{},
 	}
-	for i := range n {
-		w.start(i, fmt.Sprintf("n%d", i))
-	}
-	return w
 }
 
 // Plan implements seamcell.Placer and keeps what the coordinator shows it.
@@ -161,6 +174,22 @@
 	return seamcell.EvenPlacer{}.Plan(now, v)
 }
 
+// PlanRange implements seamcell.RangePlacer.
+func (w *world) PlanRange(_ seamclock.Instant, v seamcell.RangeView) (seamcell.RangeMove, bool) {
+	if w.callers == nil {
+		return seamcell.RangeMove{}, false
+	}
+	return w.callers(v)
+}
+
+// homes returns the homes in the rules of the service.
+func (w *world) homes() []string {
+	if w.roaming {
+		return nil
+	}
+	return w.regions
+}
+
 func (w *world) after(d time.Duration, f func()) {
 	w.count++
 	heap.Push(&w.events, event{at: w.now + d, n: w.count, run: f})
@@ -198,7 +227,7 @@
 		w.nodes = append(w.nodes, n)
 	}
 	n.act(func(now seamclock.Instant) []seamcell.Action {
-		a := n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Homes: w.regions, Deadline: 300 * time.Millisecond})
+		a := n.cell.Service(now, seamcell.ServiceState{Name: service, Slots: slotNumber, Homes: w.homes(), Deadline: 300 * time.Millisecond})
 		a = append(a, n.cell.Applied(now, 1)...)
 		return append(a, n.cell.Target(now, n.target)...)
 	})
--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -15,6 +15,8 @@
 	offered   seamclock.Instant
 	successor *outside
 	releasing bool
+	// callers says that it moves to the region of its callers.
+	callers bool
 }
 
 // startOutgoing chooses a range to give away, and a cell to give it to.
@@ -251,6 +253,7 @@
 			r.entry, r.written = e, first
 			r.ranges.out = nil
 			r.ranges.settled = c.now
+			c.gave(o)
 			c.dropForeign()
 		case Unavailable:
 			c.takeBack(o)
--- a/internal/own/seamcell/placer.go
+++ b/internal/own/seamcell/placer.go
@@ -12,6 +12,12 @@
 	Plan(now seamclock.Instant, view PlaceView) []Move
 }
 
+// RangePlacer is a Placer that also brings ranges to the regions of their callers.
+type RangePlacer interface {
+	// PlanRange returns the part of the range that is to move, if there is one.
+	PlanRange(now seamclock.Instant, view RangeView) (RangeMove, bool)
+}
+
 // PlaceView is what a Placer sees of a cell.
 type PlaceView struct {
 	// Members can take slots and are in order of their names.
--- a/internal/own/seamcell/ranges.go
+++ b/internal/own/seamcell/ranges.go
@@ -26,6 +26,10 @@
 	out     *outgoing
 	settled seamclock.Instant
 	wanted  map[string]seamclock.Instant
+	// weighed is when ranges were last weighed against the regions of their callers.
+	weighed seamclock.Instant
+	// entered are the times at which this coordinator took slots into the cell.
+	entered map[seamslot.ID]seamclock.Instant
 }
 
 // keeps reports whether the slot is part of a range on its way out.
@@ -52,5 +56,6 @@
 	c.considerMerge()
 	c.considerMembers()
 	c.startOutgoing()
+	c.followCallers()
 	c.closeCell()
 }
--- a/internal/own/seamcell/renewal.go
+++ b/internal/own/seamcell/renewal.go
@@ -98,6 +98,7 @@
 	size := 0
 	for _, s := range c.target.Loads {
 		w := &seamcellwire.SlotLoad{Service: s.Slot.Service, Index: s.Slot.Index, Rate: rateWire(s.Rate), Hottest: rateWire(s.Hottest)}
+		w.Caller, w.Share = s.Caller, uint32(s.Share*shareUnit)
 		n := proto.Size(w) + 2
 		if size+n > c.payload() {
 			c.sendLoads(l)
@@ -119,6 +120,9 @@
 // rateUnit is the number of units of a rate on the wire in one request per second.
 const rateUnit = 1000
 
+// shareUnit is the number of units of a share on the wire in the whole.
+const shareUnit = 100
+
 func rateWire(rate float64) uint64 { return uint64(max(rate, 0) * rateUnit) }
 
 func rateOf(wire uint64) float64 { return float64(wire) / rateUnit }
--- a/internal/own/seamcell/schedule_test.go
+++ b/internal/own/seamcell/schedule_test.go
@@ -57,6 +57,8 @@
 	// Max is the largest number of members of a cell, Regions the number of regions.
 	Max     int
 	Regions int
+	// Roaming says that the service has no homes, and that random parts of ranges change regions.
+	Roaming bool
 	// Delay is the longest delay of a datagram, in milliseconds.
 	Delay int
 	Steps []step
@@ -202,7 +204,11 @@
 	cfg := modelConfig()
 	cfg.Max = s.Max
 	cfg.Min = min(cfg.Min, 1+s.Max/2)
-	w := newWorldOf(t, s.Seed, s.Nodes, cfg, []string{"erie", "michigan"}[:s.Regions])
+	w := emptyWorld(t, s.Seed, cfg, []string{"erie", "michigan"}[:s.Regions])
+	if s.Roaming {
+		w.roaming, w.callers = true, w.roam
+	}
+	w.populate(s.Nodes)
 	if trace != nil {
 		w.trace = trace
 	}
--- a/internal/own/seamkeeper/target.go
+++ b/internal/own/seamkeeper/target.go
@@ -7,6 +7,7 @@
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/own/seamslot"
 )
 
@@ -63,6 +64,8 @@
 	InFlight int
 	// Hottest holds the rates of the most used keys by slot, in requests per second.
 	Hottest map[seamslot.ID]float64
+	// Callers holds the other regions from which most requests come, by slot.
+	Callers map[seamslot.ID]seamsketch.Caller
 }
 
 // Report tells the state machine the load of the own target. interval is the
@@ -71,6 +74,8 @@
 	loads := k.holdings.loads(interval)
 	for i := range loads {
 		loads[i].Hottest = load.Hottest[loads[i].Slot]
+		caller := load.Callers[loads[i].Slot]
+		loads[i].Caller, loads[i].Share = caller.Region, caller.Share
 	}
 	k.mu.Lock()
 	k.target.InFlight = load.InFlight
--- a/internal/own/seamplace/view.go
+++ b/internal/own/seamplace/view.go
@@ -75,6 +75,8 @@
 	Handover time.Duration
 	// Promotion is the same for a move to the slot's standby, which has the state.
 	Promotion time.Duration
+	// Transfer is the same for a move to another cell.
+	Transfer time.Duration
 }
 
 // ProductBase is the Base with which nodes plan: the noise of rates averaged over 10 s then
@@ -91,6 +93,7 @@
 		Dwell:       20 * time.Second,
 		Handover:    200 * time.Millisecond,
 		Promotion:   50 * time.Millisecond,
+		Transfer:    500 * time.Millisecond,
 	}
 }
 
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -146,6 +146,8 @@
 	Book, Echo float64
 	// Keys is the number of keys of each region.
 	Keys int
+	// Regions are those of the keys; nil means all.
+	Regions []string
 	// Size is the largest answer of an echo, in bytes.
 	Size int
 	// Deadline is that of each request; 0 leaves it to the rules.
@@ -165,7 +167,10 @@
 	if !s.Fleet.Has(Plain) {
 		m.Echo = 0
 	}
-	regions := s.Fleet.Regions()
+	regions := m.Regions
+	if len(regions) == 0 {
+		regions = s.Fleet.Regions()
+	}
 	return func(n int) seamcaller.Request {
 		q := seamcaller.Request{
 			ID: fmt.Sprintf("s%d-%d-%d", s.seed, load, n), Kind: seamcaller.Read, Service: Keyed,
--- a/internal/prove/seamtraffic/load.go
+++ b/internal/prove/seamtraffic/load.go
@@ -19,6 +19,7 @@
 	{Name: "drain", Usage: "stop and start every node as planned under load", Run: drain},
 	{Name: "surge", Usage: "offer twice the capacity; goodput, queue time and imbalance", Run: surge},
 	{Name: "crossed", Usage: "delay, reorder and cut connections between nodes; check every answer", Run: crossed},
+	{Name: "callers", Usage: "call keys from another region than their owners'; latency before and after the owners move", Run: callers},
 }
 
 const (
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -104,7 +104,7 @@
 		return
 	}
 	slot := seamslot.ID{Service: c.head.GetService(), Index: c.head.GetSlot()}
-	c.egress.keys.Count(c.egress.clock.Now(), slot, string(c.head.GetKey()))
+	c.egress.keys.Count(c.egress.clock.Now(), slot, string(c.head.GetKey()), c.head.GetRegion())
 }
 
 // place is one of the target's slots.
--- a/internal/route/seamegress/client_test.go
+++ b/internal/route/seamegress/client_test.go
@@ -65,7 +65,7 @@
 	go s.serve(l)
 	clock := seamclock.NewClock()
 	target := announcing{Service: "booker", Name: "t", Address: l.Addr().String(), Slots: 4, Connections: 4}
-	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, time.Minute}, target, clock, seamsketch.NewKeys(16, time.Minute), metrics.NewSet(), seamevent.NewStream("back"))
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, time.Minute}, target, clock, seamsketch.NewUsage(16, time.Minute, time.Minute), metrics.NewSet(), seamevent.NewStream("back"))
 	t.Cleanup(closeEgress)
 	return e, s
 }
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -44,8 +44,8 @@
 
 // Keys counts the use of keys.
 type Keys interface {
-	// Count counts one request for the key. It is called for each request.
-	Count(now seamclock.Instant, slot seamslot.ID, key string)
+	// Count counts one request for the key from a region. It is called for each request.
+	Count(now seamclock.Instant, slot seamslot.ID, key, region string)
 }
 
 // Clock reads the clocks of the machine.
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -83,7 +83,7 @@
 // egressOf returns an egress before the target.
 func egressOf(t *testing.T, owners seamegress.Owners, clock *seamclock.Clock, target *httptest.Server, can []string) *seamegress.Egress {
 	t.Helper()
-	return countingEgress(t, owners, clock, target, can, seamsketch.NewKeys(16, time.Minute))
+	return countingEgress(t, owners, clock, target, can, seamsketch.NewUsage(16, time.Minute, time.Minute))
 }
 
 func countingEgress(t *testing.T, owners seamegress.Owners, clock *seamclock.Clock, target *httptest.Server, can []string, keys seamegress.Keys) *seamegress.Egress {
@@ -131,7 +131,7 @@
 func TestKeysOfAdmittedRequestsAreCounted(t *testing.T) {
 	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	t.Cleanup(target.Close)
-	keys := seamsketch.NewKeys(16, time.Minute)
+	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
 	clock := seamclock.NewClock()
 	e := countingEgress(t, granting{clock, time.Minute}, clock, target, nil, keys)
 	keyed := func(attempt uint64, key string, left int64) *seamroutewire.RequestHead {
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -150,7 +150,7 @@
 	}
 	t.Cleanup(closePool)
 	n.pool = pool
-	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewKeys(16, time.Minute), set, events)
+	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewUsage(16, time.Minute, time.Minute), set, events)
 	t.Cleanup(closeEgress)
 	n.egress = egress
 	pool.Register(seamsession.Request, egress)
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -59,7 +59,7 @@
 		choice:   choice,
 		deadline: now.Add(left),
 		answer:   newResponder(w, i.cfg.Slow),
-		head:     headOf(r, service, choice),
+		head:     headOf(r, service, choice, i.self.Region),
 		named:    r.Header.Get(seamheader.Request),
 	}
 	body, refused := i.readBody(w, r, x.deadline)
@@ -132,7 +132,7 @@
 	return min(left, time.Duration(n)*time.Millisecond), nil
 }
 
-func headOf(r *http.Request, service string, choice seamrule.Choice) *seamroutewire.RequestHead {
+func headOf(r *http.Request, service string, choice seamrule.Choice, region string) *seamroutewire.RequestHead {
 	head := &seamroutewire.RequestHead{
 		Service:    service,
 		Method:     r.Method,
@@ -148,6 +148,9 @@
 		Revision:   choice.Revision,
 		Request:    r.Header.Get(seamheader.Request),
 	}
+	if choice.Keyed {
+		head.Region = region
+	}
 	if head.Request != "" {
 		head.Id = seamcall.NamedID(service, head.Request)
 		return head
