--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -19,6 +19,7 @@
 	SlotMoved        = "slot.moved"
 	SlotLapsed       = "slot.lapsed"
 	SlotWaiting      = "slot.waiting"
+	RangeMoved       = "range.moved"
 	HandoverFailed   = "handover.failed"
 	RuleRecorded     = "rule.recorded"
 	RuleApplied      = "rule.applied"
--- a/internal/own/seamcell/admit.go
+++ b/internal/own/seamcell/admit.go
@@ -556,7 +556,10 @@
 		}
 		id := seamslot.ID{Service: service, Index: s.GetIndex()}
 		if e := r.table.slots[id]; e != nil && e.owner == m.id {
-			r.loads[id] = SlotLoad{Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest())}
+			r.loads[id] = SlotLoad{
+				Slot: id, Rate: rateOf(s.GetRate()), Hottest: rateOf(s.GetHottest()),
+				Caller: s.GetCaller(), Share: float64(s.GetShare()) / shareUnit,
+			}
 		}
 	}
 }
--- a/internal/own/seamcell/transfers.go
+++ b/internal/own/seamcell/transfers.go
@@ -73,9 +73,10 @@
 		n.Epoch = max(n.Epoch, t.Epoch)
 	}
 	n.Epoch++
-	sortRanges(n.Ranges)
+	n.Ranges = c.joined(n.Ranges)
 	c.write(n, seamstore.Takeover, func() {
 		for _, t := range transfers {
+			c.enter(t.Range)
 			for i := t.From; i < t.To; i++ {
 				r.hints[seamslot.ID{Service: t.Service, Index: i}] = t.Owner
 			}
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -159,7 +159,7 @@
 	n.closePool = sync.OnceFunc(closePool)
 	t.Cleanup(n.closePool)
 	n.pool = pool
-	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewKeys(16, time.Minute), set, events)
+	egress, closeEgress := seamegress.New(seamegress.Config{}, peer, n.owners, n.target, n.owners.clock, seamsketch.NewUsage(16, time.Minute, time.Minute), set, events)
 	t.Cleanup(closeEgress)
 	n.egress = egress
 	pool.Register(seamsession.Request, egress)
