Slots of a silent target are released when its lease is over

Cause: a node whose target did not announce itself any more released the target's slots at once. Change: such slots are released when the lease that ran at that moment is over by the slower clock; until then nobody is granted them.

--- a/internal/own/seamcell/member.go
+++ b/internal/own/seamcell/member.go
@@ -54,6 +54,8 @@
 	done seamclock.Instant
 
 	serving map[seamslot.ID]*serving
+	// ending are the slots that an earlier target may still serve.
+	ending map[seamslot.ID]ending
 	// released are the tokens of slots handed over and not yet seen to have changed.
 	released map[seamslot.ID]uint64
 	// kept are the tokens of released slots whose state could not be handed over.
@@ -69,7 +71,7 @@
 	return &member{
 		cell: cell, coordinator: coordinator, backup: backup, table: newTable(0), answered: now,
 		sent: map[uint64]seamclock.Instant{}, serving: map[seamslot.ID]*serving{},
-		released: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
+		ending: map[seamslot.ID]ending{}, released: map[seamslot.ID]uint64{}, kept: map[seamslot.ID]uint64{}, past: map[seamslot.ID]uint64{},
 		had: map[seamslot.ID]seamclock.Instant{},
 	}
 }
@@ -89,6 +91,7 @@
 		return
 	}
 	c.releaseOverdue()
+	c.releaseEnded()
 	if c.now.Mono-m.renewed.Mono >= c.cfg.Heartbeat || m.renewed.Zero() {
 		c.leaveWhenDone()
 		if c.member == m {
--- a/internal/own/seamcell/pitfall_test.go
+++ b/internal/own/seamcell/pitfall_test.go
@@ -276,3 +276,26 @@
 	d := w.untilHeld(servedAgain)
 	w.must(t, w.held() == slotNumber, "%d slots held after %v", w.held(), left+deadline+d)
 }
+
+// TestSilentTargetMayServeUntilItsLeaseEnds checks that the slots of a target that does not announce itself
+// any more go to no other server while it may still believe that it owns them.
+func TestSilentTargetMayServeUntilItsLeaseEnds(t *testing.T) {
+	for seed := range int64(5) {
+		w := settled(t, 4, seed)
+		n := w.member(t)
+		had := heldBy(n)
+		until, _ := n.cell.Lease(n.clock())
+		n.target = seamcell.TargetState{}
+		n.announce()
+		for seamclock.Least(n.clock(), until) < 0 {
+			for _, x := range w.nodes {
+				for id, held := range heldBy(x) {
+					w.must(t, !held || !had[id], "%s holds %s before the lease of the silent target ends", x.peer, id)
+				}
+			}
+			w.run(5 * time.Millisecond)
+		}
+		d := w.untilHeld(servedAgain)
+		w.must(t, w.held() == slotNumber, "%d of %d slots held %v after the lease", w.held(), slotNumber, d)
+	}
+}
--- a/internal/own/seamcell/serving.go
+++ b/internal/own/seamcell/serving.go
@@ -29,7 +29,8 @@
 	m.lease = seamclock.Instant{}
 }
 
-// setTarget takes the state of the own target. Slots of a target that has ended are released.
+// setTarget takes the state of the own target. Slots of a target that has ended or is silent
+// are given up.
 func (c *Cell) setTarget(t TargetState) {
 	before := c.target
 	c.target = t
@@ -45,7 +46,7 @@
 	for _, id := range sortedSlots(m.serving) {
 		token := m.serving[id].token
 		c.do(StopServing{Slot: id, Epoch: token})
-		m.released[id] = token
+		m.ending[id] = ending{token: token, until: m.lease}
 	}
 	m.serving = map[seamslot.ID]*serving{}
 	if m.joined {
@@ -53,6 +54,31 @@
 	}
 }
 
+// ending is a slot of a target that does not answer any more. A target that is only silent
+// serves it until the end of the lease that it was told last.
+type ending struct {
+	token uint64
+	until seamclock.Instant
+}
+
+// releaseEnded releases the slots that no earlier target can serve any more.
+func (c *Cell) releaseEnded() {
+	m := c.member
+	over := false
+	for _, id := range sortedSlots(m.ending) {
+		e := m.ending[id]
+		if seamclock.Least(c.now, e.until) < 0 {
+			continue
+		}
+		delete(m.ending, id)
+		m.released[id] = e.token
+		over = true
+	}
+	if over && m.joined {
+		c.renew()
+	}
+}
+
 // releaseKept releases a slot whose state could not be handed over. The member gets it
 // back under a new token, so that acknowledged state is not left behind.
 func (c *Cell) releaseKept(id seamslot.ID) {
@@ -128,9 +154,11 @@
 		return
 	}
 	for _, id := range t.ids() {
-		if e := t.slots[id]; e.owner == number && number != 0 && m.released[id] != e.token {
-			c.serve(t, id, e)
+		e := t.slots[id]
+		if e.owner != number || number == 0 || m.released[id] == e.token || m.ending[id].token == e.token {
+			continue
 		}
+		c.serve(t, id, e)
 	}
 }
 
