--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -50,7 +50,7 @@
 	defer stop()
 	keeping, stopKeeping := context.WithCancel(ctx)
 	defer stopKeeping()
-	go seammemory.Keep(keeping, seammemory.Interval)
+	go seammemory.ReturnOnce(keeping, seammemory.StartTime)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	select {
--- a/internal/own/seamcell/callers_test.go
+++ b/internal/own/seamcell/callers_test.go
@@ -79,6 +79,7 @@
 
 // TestLossWhileRangeFollows loses a party of the transfer at many moments of it.
 func TestLossWhileRangeFollows(t *testing.T) {
+	t.Parallel()
 	const moments = 20
 	for _, loser := range []string{"giver", "taker", "store"} {
 		for i := range moments {
--- a/internal/own/seamcell/cell_test.go
+++ b/internal/own/seamcell/cell_test.go
@@ -103,6 +103,7 @@
 }
 
 func TestLossIsServedAgain(t *testing.T) {
+	t.Parallel()
 	losses := []struct {
 		name  string
 		lose  func(t *testing.T, w *world)
@@ -241,6 +242,7 @@
 }
 
 func TestPlannedStop(t *testing.T) {
+	t.Parallel()
 	for _, down := range []bool{false, true} {
 		for _, role := range []seamcell.Role{seamcell.RoleMember, seamcell.RoleBackup, seamcell.RoleCoordinator} {
 			t.Run(fmt.Sprintf("%s store down %t", role, down), func(t *testing.T) {
@@ -319,6 +321,7 @@
 }
 
 func TestStandbyIsPromoted(t *testing.T) {
+	t.Parallel()
 	for _, role := range []seamcell.Role{seamcell.RoleMember, seamcell.RoleBackup, seamcell.RoleCoordinator} {
 		t.Run(string(role), func(t *testing.T) {
 			promoted := 0
--- a/internal/own/seamcell/pitfall_test.go
+++ b/internal/own/seamcell/pitfall_test.go
@@ -15,6 +15,7 @@
 // TestPitfalls causes, one by one, the situations in which two nodes could come to hold a slot.
 // The world checks at each event that they do not.
 func TestPitfalls(t *testing.T) {
+	t.Parallel()
 	pitfalls := []struct {
 		name  string
 		nodes int
--- a/internal/own/seamcell/resign_test.go
+++ b/internal/own/seamcell/resign_test.go
@@ -11,6 +11,7 @@
 // TestRecordNamesTheSuccessor checks that other cells learn of the coordinator that followed a
 // planned stop: they find the owners of its slots by the record.
 func TestRecordNamesTheSuccessor(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{2, 3, 6} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			for seed := range int64(5) {
--- a/internal/own/seamcell/schedule_test.go
+++ b/internal/own/seamcell/schedule_test.go
@@ -249,6 +249,7 @@
 
 // TestAnySchedule lets rapid search for, and shrink, a schedule that breaks an invariant.
 func TestAnySchedule(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		s := anySchedule.Draw(r, "schedule")
 		if broken := play(t, s, nil); broken != "" {
--- a/internal/own/seamcell/waiting_test.go
+++ b/internal/own/seamcell/waiting_test.go
@@ -59,6 +59,7 @@
 // TestSilentHolderKeepsItsSlots checks that the slots of the only server with their state go to no other
 // server while its node is cut off for less than Config.Return, also if the coordinator changes meanwhile.
 func TestSilentHolderKeepsItsSlots(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name string
 		role seamcell.Role
@@ -127,6 +128,7 @@
 // lost for good: no longer than Config.Return beyond what a server takes that cannot hold state, and not that
 // long if its instance starts again.
 func TestLostHolderIsReplaced(t *testing.T) {
+	t.Parallel()
 	const move = 6 * time.Second // to another cell: publishing, settling, the move and the grants
 	cfg := seamcell.DefaultConfig()
 	for _, x := range []struct {
@@ -173,6 +175,7 @@
 // TestRestartFindsTheState checks that slots return to the targets that run on beside restarted nodes, and
 // stay with members that were not restarted, also when datagrams are lost.
 func TestRestartFindsTheState(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		name  string
 		whole bool
