A slot whose lease lapsed before a planned move goes back to its owner with its state

In the change of term after the loss of a backup or coordinator the lease of a member lapses for a moment. Ruled out: the wait for silent targets (lost with and without it). Change: a slot that was served here last and is not served now is released as kept: it comes back under a new token and is handed over from there.

--- a/internal/own/seamcell/serving.go
+++ b/internal/own/seamcell/serving.go
@@ -235,6 +235,10 @@
 	m := c.member
 	if s == nil {
 		m.released[id] = e.token
+		if m.past[id] != 0 {
+			// The lease had lapsed, so that nothing was handed over: the target has the state.
+			m.kept[id] = e.token
+		}
 		return
 	}
 	if s.releasing {
