Read-through: lists and waits by the pieces that exist

Three searches of lists (contains, took, hasTransfer) are slices.Contains; the question whether a record has transfers that a cell has not taken stood twice and is one function. The waits of a leaving node's sessions, of the watch of records and of the experiments' scenes use seamwait. The return of memory ends with the node's own context, and a second look at an ended context went.

--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -48,11 +48,9 @@
 		return err
 	}
 	defer stop()
-	keeping, stopKeeping := context.WithCancel(ctx)
-	defer stopKeeping()
-	go seammemory.ReturnOnce(keeping, seammemory.StartTime)
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	go seammemory.ReturnOnce(ctx, seammemory.StartTime)
 	select {
 	case <-ctx.Done():
 	case <-node.Ordered():
--- a/internal/own/seamcell/division.go
+++ b/internal/own/seamcell/division.go
@@ -1,6 +1,7 @@
 package seamcell
 
 import (
+	"slices"
 	"sort"
 
 	"cardamomseam/internal/own/seamclock"
@@ -64,12 +65,12 @@
 func (c *Cell) cellsOf(region, service string) []string {
 	var cells []string
 	for _, e := range c.directory.sorted() {
-		if c.alive(e) && e.Record.Region == region && contains(e.Record.Offers, service) {
+		if c.alive(e) && e.Record.Region == region && slices.Contains(e.Record.Offers, service) {
 			cells = append(cells, e.Record.ID)
 		}
 	}
 	own := c.coordination.entry.Record.ID
-	if region == c.self.Region && !contains(cells, own) || len(cells) == 0 {
+	if region == c.self.Region && !slices.Contains(cells, own) || len(cells) == 0 {
 		cells = append(cells, own)
 		sort.Strings(cells)
 	}
@@ -80,12 +81,3 @@
 func (c *Cell) alive(e Entry) bool {
 	return !e.Deleted && e.Record.ID != "" && !e.Record.Coordinator.Zero() && !c.horizonOver(e)
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/own/seamcell/join.go
+++ b/internal/own/seamcell/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -311,10 +312,8 @@
 // sourceTo returns the key of a record with a transfer that the cell has not taken, or an empty string.
 func (c *Cell) sourceTo(r Record) string {
 	for _, e := range c.directory.sorted() {
-		for _, g := range transfersTo(e.Record, r.ID) {
-			if !e.Deleted && !took(r, g) {
-				return e.Key
-			}
+		if !e.Deleted && untaken(r, e.Record) {
+			return e.Key
 		}
 	}
 	return ""
@@ -324,11 +323,11 @@
 	r := e.Record
 	ranges := append([]seamslot.Range(nil), r.Ranges...)
 	r.Taken = append([]Transfer(nil), r.Taken...)
-	for _, g := range transfers {
-		if !took(r, g) {
-			r.Taken = append(r.Taken, g)
-			ranges = append(ranges, g.Range)
-			r.Epoch = max(r.Epoch, g.Epoch)
+	for _, t := range transfers {
+		if !slices.Contains(r.Taken, t) {
+			r.Taken = append(r.Taken, t)
+			ranges = append(ranges, t.Range)
+			r.Epoch = max(r.Epoch, t.Epoch)
 		}
 	}
 	r.Epoch++
--- a/internal/own/seamcell/outgoing.go
+++ b/internal/own/seamcell/outgoing.go
@@ -1,6 +1,8 @@
 package seamcell
 
 import (
+	"slices"
+
 	"cardamomseam/internal/own/seamcellwire"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamslot"
@@ -58,7 +60,7 @@
 			return to, x
 		}
 	}
-	if _, offers := c.sizeAndOffers(); !contains(own.Offers, x.Service) && !contains(offers, x.Service) {
+	if _, offers := c.sizeAndOffers(); !slices.Contains(own.Offers, x.Service) && !slices.Contains(offers, x.Service) {
 		for _, region := range []string{own.Region, ""} {
 			if to := c.poorest(region, x.Service); to != "" {
 				return to, x
@@ -124,7 +126,7 @@
 	for _, e := range c.directory.sorted() {
 		o := e.Record
 		if !c.alive(e) || o.ID == c.coordination.entry.Record.ID || region != "" && o.Region != region ||
-			o.Size < smallestTaker || o.Backup.Zero() || !contains(o.Offers, service) {
+			o.Size < smallestTaker || o.Backup.Zero() || !slices.Contains(o.Offers, service) {
 			continue
 		}
 		if best.ID == "" || slotsOf(o, service)*best.Size < slotsOf(best, service)*o.Size {
--- a/internal/own/seamcell/transfers.go
+++ b/internal/own/seamcell/transfers.go
@@ -1,6 +1,7 @@
 package seamcell
 
 import (
+	"slices"
 	"sort"
 
 	"cardamomseam/internal/own/seamclock"
@@ -27,11 +28,11 @@
 		return
 	}
 	for _, e := range c.directory.sorted() {
-		if e.Deleted || !c.mayCall(e.Key) || !c.untaken(e.Record) {
+		if e.Deleted || !c.mayCall(e.Key) || !untaken(r.entry.Record, e.Record) {
 			continue
 		}
 		c.read(e.Key, seamstore.Takeover, func(o Outcome, e Entry, _ seamclock.Instant) {
-			if o == OK && c.coordination == r && c.mayCall(r.entry.Key) && c.untaken(e.Record) {
+			if o == OK && c.coordination == r && c.mayCall(r.entry.Key) && untaken(r.entry.Record, e.Record) {
 				c.take(transfersTo(e.Record, r.entry.Record.ID))
 			}
 		})
@@ -39,24 +40,11 @@
 	}
 }
 
-// untaken reports whether the record has transfers to this cell that its own record does not show as taken.
-func (c *Cell) untaken(e Record) bool {
-	r := c.coordination.entry.Record
-	for _, t := range transfersTo(e, r.ID) {
-		if !took(r, t) {
-			return true
-		}
-	}
-	return false
-}
-
-func took(r Record, t Transfer) bool {
-	for _, x := range r.Taken {
-		if x == t {
-			return true
-		}
-	}
-	return false
+// untaken reports whether the source has transfers to the cell that the cell's record does not show as taken.
+func untaken(cell, source Record) bool {
+	return slices.ContainsFunc(transfersTo(source, cell.ID), func(t Transfer) bool {
+		return !slices.Contains(cell.Taken, t)
+	})
 }
 
 func (c *Cell) take(transfers []Transfer) {
@@ -65,7 +53,7 @@
 	n.Ranges = append([]seamslot.Range(nil), n.Ranges...)
 	n.Taken = append([]Transfer(nil), n.Taken...)
 	for _, t := range transfers {
-		if took(n, t) {
+		if slices.Contains(n.Taken, t) {
 			continue
 		}
 		n.Ranges = append(n.Ranges, t.Range)
@@ -131,14 +119,14 @@
 		if !c.mayCall(t.Source) {
 			continue
 		}
-		if e, ok := c.directory.get(t.Source); ok && hasTransfer(e.Record, t) {
+		if e, ok := c.directory.get(t.Source); ok && slices.Contains(e.Record.Transfers, t) {
 			n := e.Record
 			n.Transfers = withoutTransfer(n.Transfers, t)
 			c.swap(e.Revision, n, seamstore.Configuration, func(Outcome, Entry, seamclock.Instant) {})
 			return
 		}
 		c.read(t.Source, seamstore.Configuration, func(o Outcome, e Entry, _ seamclock.Instant) {
-			if o == OK && !hasTransfer(e.Record, t) {
+			if o == OK && !slices.Contains(e.Record.Transfers, t) {
 				dropped(t)
 			}
 		})
@@ -146,15 +134,6 @@
 	}
 }
 
-func hasTransfer(r Record, t Transfer) bool {
-	for _, x := range r.Transfers {
-		if x == t {
-			return true
-		}
-	}
-	return false
-}
-
 func withoutTransfer(transfers []Transfer, t Transfer) []Transfer {
 	var rest []Transfer
 	for _, x := range transfers {
--- a/internal/own/seamkeeper/store.go
+++ b/internal/own/seamkeeper/store.go
@@ -10,6 +10,7 @@
 	"cardamomseam/internal/own/seamcell"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -169,10 +170,7 @@
 			k.takeRecords(entries)
 			_ = k.parts.Store.Watch(ctx, seamcell.Prefix, revision, k.changed) // it is started again
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchPause/2 + rand.N(watchPause)):
-		}
+		seamwait.Jittered(ctx, watchPause)
 	}
 }
 
--- a/internal/prove/seamscene/scene.go
+++ b/internal/prove/seamscene/scene.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/prove/seamcaller"
 	"cardamomseam/internal/prove/seamcheck"
 	"cardamomseam/internal/prove/seamexperiment"
@@ -220,14 +221,7 @@
 
 // Wait waits and reports whether ctx still lasts.
 func Wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return seamwait.For(ctx, d)
 }
 
 const (
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -309,7 +309,7 @@
 			x.ingress.stats.voided(state)
 			return state == seamledger.Voided
 		}
-		if !seamwait.For(ctx, seamretry.Wait(n)) || ctx.Err() != nil {
+		if !seamwait.For(ctx, seamretry.Wait(n)) {
 			x.ingress.stats.voided(seamledger.Unknown)
 			return false
 		}
--- a/internal/route/seamsession/leave.go
+++ b/internal/route/seamsession/leave.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 // Leave ends all sessions of a node that stops, without losing what peers are sending: it
@@ -23,14 +24,7 @@
 		told.Go(func() { s.sayFarewell(ctx) })
 	}
 	told.Wait()
-	tick := time.NewTicker(leaveLook)
-	defer tick.Stop()
-	for p.serving() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for p.serving() && seamwait.For(ctx, leaveLook) {
 	}
 }
 
