--- a/internal/member/seamroll/member.go
+++ b/internal/member/seamroll/member.go
@@ -17,6 +17,8 @@
 	// ID identifies the target, and Born one life of it, in milliseconds since the Unix epoch.
 	ID   string
 	Born int64
+	// Address is the ip:port at which the target takes requests.
+	Address string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 	// Connections is the number of connections that the target accepts; 0 means no bound is known.
@@ -31,7 +33,7 @@
 
 // Holder returns the life of the target as a holder of keys.
 func (t Target) Holder() seamtable.Holder {
-	return seamtable.Holder{Target: t.ID, Born: t.Born}
+	return seamtable.Holder{Target: t.ID, Born: t.Born, Address: t.Address}
 }
 
 // Member is one node with its target.
@@ -69,6 +71,7 @@
 			Service:     m.Target.Service,
 			Id:          m.Target.ID,
 			Born:        m.Target.Born,
+			Address:     m.Target.Address,
 			Slots:       int32(m.Target.Slots),
 			Connections: int32(m.Target.Connections),
 			Leaving:     m.Target.Leaving,
@@ -114,6 +117,7 @@
 			Service:     t.GetService(),
 			ID:          t.GetId(),
 			Born:        t.GetBorn(),
+			Address:     t.GetAddress(),
 			Slots:       int(t.GetSlots()),
 			Connections: int(t.GetConnections()),
 			Leaving:     t.GetLeaving(),
--- a/internal/member/seamroll/roll.go
+++ b/internal/member/seamroll/roll.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/platform/seamstore"
@@ -128,13 +129,13 @@
 	r.publish(now)
 }
 
-// Sweep removes the members whose entries are gone for longer than the grace time. It is
-// not called while the store is away.
-func (r *Roll) Sweep(now time.Time) {
+// Sweep removes the members whose entries are gone for longer than the grace time, unless they are
+// known to live. It is not called while the store is away.
+func (r *Roll) Sweep(now time.Time, lives func(seampeer.Peer) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, m := range r.members {
-		if !m.lapsed.IsZero() && now.Sub(m.lapsed) >= Grace {
+		if !m.lapsed.IsZero() && now.Sub(m.lapsed) >= Grace && !lives(m.Peer) {
 			r.remove(now, name)
 		}
 	}
--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -22,6 +22,8 @@
 	Observe func(call string, err error)
 	// Called is told of the time that each call took.
 	Called func(call string, took time.Duration, err error)
+	// Wait returns the time after which a watch without changes is opened anew.
+	Wait func() time.Duration
 }
 
 // Targets takes what the target beside the node says of itself.
@@ -37,8 +39,8 @@
 type Adapter struct {
 	// Store returns a client of the store and a function that closes it.
 	Store func(StoreConfig) (seamstore.Shared, func())
-	// RulesPrefix precedes the keys under which operators write the routes.
-	RulesPrefix string
+	// RulesKey is the key under which operators write the routes.
+	RulesKey string
 	// DecodeRoutes reads the routes as an operator wrote them.
 	DecodeRoutes func(value []byte) (seamroutes.Document, error)
 	// Callers translates the requests of callers and the answers to them.
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -56,7 +56,6 @@
 	registry *seamoffice.Registry
 	mirror   *seammirror.Mirror
 	book     *seamroutes.Book
-	rules    *seammirror.Mirror
 	raw      atomic.Pointer[rawRules]
 	targets  *seamannounce.Registry
 	runner   *seamhold.Runner
@@ -149,11 +148,13 @@
 	// sessionLimit is the number of sessions that a node keeps.
 	sessionLimit = 512
 	// sessionSilence is the time without a sign of the peer's machine after which a session is given up.
-	sessionSilence = 700 * time.Millisecond
+	sessionSilence = 1500 * time.Millisecond
+	// sessionAnswer is the time without an answer to a probe after which a session is given up.
+	sessionAnswer = time.Second
 )
 
 func sessionConfig(s seamsetting.Router) seamsession.Config {
-	return seamsession.Config{Address: s.Listen, Max: sessionLimit, Silence: sessionSilence}
+	return seamsession.Config{Address: s.Listen, Max: sessionLimit, Silence: sessionSilence, Answer: sessionAnswer, Lazy: true}
 }
 
 // background runs f until the returned function is called, which waits for its end.
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -57,8 +57,7 @@
 		if !s.Keyed || n.offices[s.Name] != nil || n.leaving.Load() {
 			continue
 		}
-		holds := func() bool { return n.entry.Member().Target.Service == s.Name }
-		office := seamoffice.New(s.Name, n.self, n.store, n.registry, n.clock, holds, n.sink)
+		office := seamoffice.New(s.Name, n.self, n.store, n.registry, n.clock, knownPeers{n}, n.sink)
 		n.offices[s.Name] = office
 		opened = append(opened, office)
 	}
@@ -71,6 +70,22 @@
 	return n.offices[service]
 }
 
+// knownPeers tells what the node knows of itself and of other nodes.
+type knownPeers struct {
+	node *Node
+}
+
+// Holds reports whether the target beside this node serves the service.
+func (k knownPeers) Holds(service string) bool {
+	return k.node.entry.Member().Target.Service == service
+}
+
+// Restarted reports whether a later run of the node is known.
+func (k knownPeers) Restarted(name string, incarnation uint64) bool {
+	m, ok := k.node.roll.View().Members[name]
+	return ok && m.Peer.Incarnation > incarnation
+}
+
 // beatLink opens streams to assigners.
 type beatLink struct {
 	node *Node
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -27,6 +27,7 @@
 	n.targets = seamannounce.NewRegistry(announceLife, n.sink, besideWatcher{n})
 	egress, stop := seamegress.New(seamegress.Config{
 		Dial:    dialTime,
+		Prompt:  true,
 		Dialect: n.adapter.Dialect,
 		Closed:  func(a seamtarget.Announcement) { n.targets.Down(time.Now(), a.Name, a.Born) },
 		Linger:  n.settings.Stop.Linger,
@@ -92,8 +93,11 @@
 	if !ok {
 		return seampeer.Peer{}, false
 	}
-	m, ok := d.node.roll.View().Holder(r.Holder)
-	return m.Peer, ok
+	peer, ok := t.Node(r)
+	if m, known := d.node.roll.View().Holder(r.Holder); known && m.Peer.Incarnation > peer.Incarnation {
+		return m.Peer, true
+	}
+	return peer, ok
 }
 
 // Learn does nothing: owners are learned from the table.
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamroll"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamoffice"
@@ -21,6 +23,12 @@
 	// storeFresh is the time since the last call that reached the store within which it is
 	// taken to be there.
 	storeFresh = 4 * time.Second
+	// peerFresh is the time since the last bytes of a node within which it is known to live.
+	peerFresh = 2 * time.Second
+	// watchEach is the time between two looks of all nodes of a failure domain together.
+	watchEach = 800 * time.Millisecond
+	// watchLongest is the longest time for which a watch stays open without changes.
+	watchLongest = 25 * time.Second
 )
 
 // storeHealth tells whether the store can be reached.
@@ -54,15 +62,15 @@
 }
 
 func (n *Node) startStore(c *cleanups, _ Options) error {
-	store, stop := n.adapter.Store(StoreConfig{Addresses: n.settings.Store, Observe: n.observeStore, Called: n.countCall})
+	store, stop := n.adapter.Store(StoreConfig{Addresses: n.settings.Store, Observe: n.observeStore, Called: n.countCall, Wait: n.watchWait})
 	n.store = store
 	c.add(stop)
 	n.roll = seamroll.New(n.self.Name, n.sink)
 	n.registry = seamoffice.NewRegistry(n.sink)
 	n.book = seamroutes.NewBook(n.sink)
 	n.entry = seamroll.NewEntry(store, seamroll.Member{Peer: n.self}, n.sink)
-	n.mirror = seammirror.New(store, seamstore.Root, stateReader{n}, n.sink)
-	n.rules = seammirror.New(store, n.adapter.RulesPrefix, rulesReader{n}, n.sink)
+	// One watch of all keys costs less than one for the routes and one for the rest.
+	n.mirror = seammirror.New(store, "", stateReader{n}, n.sink)
 	return nil
 }
 
@@ -89,7 +97,6 @@
 
 // startFollowing follows the store.
 func (n *Node) startFollowing(c *cleanups, _ Options) error {
-	c.add(background(n.rules.Run))
 	c.add(background(n.mirror.Run))
 	c.add(background(n.entry.Run))
 	c.add(background(n.sweep))
@@ -109,33 +116,53 @@
 		case now := <-ticker.C:
 			since, ok := n.health.steady(now)
 			if ok && now.Sub(since) >= seamroll.Grace {
-				n.roll.Sweep(now)
+				n.roll.Sweep(now, func(p seampeer.Peer) bool { return now.Sub(n.sessions.Heard(p)) < peerFresh })
 			}
 		}
 	}
 }
 
-// stateReader takes the keys of the router itself.
+// watchWait returns the time after which a watch is opened anew. A watch may stay silent although
+// keys change; the nodes of a failure domain, which hear of each other's revisions, together look
+// about once in watchEach.
+func (n *Node) watchWait() time.Duration {
+	near := 0
+	for _, m := range n.roll.View().Members {
+		if m.Peer.Domain == n.self.Domain {
+			near++
+		}
+	}
+	wait := min(time.Duration(max(near, 1))*watchEach, watchLongest)
+	return wait*3/4 + rand.N(wait/2)
+}
+
+// stateReader takes the keys of the store.
 type stateReader struct {
 	node *Node
 }
 
 // Put takes a key that was written.
 func (s stateReader) Put(now time.Time, e seamstore.Entry) {
-	if strings.HasPrefix(e.Key, seamroll.Prefix) {
+	switch {
+	case e.Key == s.node.adapter.RulesKey:
+		s.node.applyRules(now, e.Value, fmt.Sprintf("store revision %d", e.Revision))
+	case strings.HasPrefix(e.Key, seamroll.Prefix):
 		s.node.roll.Put(now, e)
-		return
+	default:
+		s.node.registry.Put(now, e)
 	}
-	s.node.registry.Put(now, e)
 }
 
 // Delete takes a key that was removed.
 func (s stateReader) Delete(now time.Time, key string, lately bool) {
-	if strings.HasPrefix(key, seamroll.Prefix) {
+	switch {
+	case key == s.node.adapter.RulesKey:
+		s.node.sink.Emit(now, seamevent.RoutesRefused, seamevent.Fields{"key": key, "error": "the key was removed; the routes stay in force"})
+	case strings.HasPrefix(key, seamroll.Prefix):
 		s.node.roll.Delete(now, key, lately)
-		return
+	default:
+		s.node.registry.Delete(now, key, lately)
 	}
-	s.node.registry.Delete(now, key, lately)
 }
 
 // Fresh takes note that all keys were read.
@@ -149,24 +176,6 @@
 	revision int64
 }
 
-// rulesReader takes the routes that operators write.
-type rulesReader struct {
-	node *Node
-}
-
-// Put takes routes that were written.
-func (r rulesReader) Put(now time.Time, e seamstore.Entry) {
-	r.node.applyRules(now, e.Value, fmt.Sprintf("store revision %d", e.Revision))
-}
-
-// Delete leaves the routes in force.
-func (r rulesReader) Delete(now time.Time, key string, _ bool) {
-	r.node.sink.Emit(now, seamevent.RoutesRefused, seamevent.Fields{"key": key, "error": "the key was removed; the routes stay in force"})
-}
-
-// Fresh does nothing.
-func (r rulesReader) Fresh(time.Time) {}
-
 // applyRules puts routes into force, as far as they are valid and newer.
 func (n *Node) applyRules(now time.Time, value []byte, from string) {
 	d, err := n.adapter.DecodeRoutes(value)
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -58,7 +58,7 @@
 // not show them.
 func (n *Node) refresh(ctx context.Context, at seampeer.Peer) {
 	before := n.book.Revision()
-	n.rules.Refresh()
+	n.mirror.Refresh()
 	seamwait.For(ctx, refreshTime)
 	if n.book.Revision() == before {
 		n.ask(ctx, at)
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -64,6 +64,7 @@
 			Service:     a.Service,
 			ID:          a.Name,
 			Born:        a.Born,
+			Address:     a.Address,
 			Slots:       a.Slots,
 			Connections: a.Connections,
 			Leaving:     a.Leaving,
--- a/internal/observe/seamlog/log.go
+++ b/internal/observe/seamlog/log.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+	"golang.org/x/time/rate"
 
 	"cardamomseam/internal/observe/seamevent"
 )
@@ -49,7 +50,6 @@
 	seamevent.CellStopped:     log.WarnLevel,
 	seamevent.SlotLapsed:      log.WarnLevel,
 	seamevent.StoreDown:       log.WarnLevel,
-	seamevent.RequestRefused:  log.DebugLevel,
 	seamevent.RequestUnknown:  log.WarnLevel,
 	seamevent.InvariantBroken: log.ErrorLevel,
 }
@@ -62,6 +62,7 @@
 	node    string
 	next    seamevent.Sink
 	metrics *metrics.Set
+	budgets map[string]*rate.Limiter
 }
 
 // New starts a log in front of next. The clean-up function writes what is queued, within
@@ -81,6 +82,7 @@
 		node:    c.Node,
 		next:    next,
 		metrics: m,
+		budgets: newBudgets(),
 	}
 	return l, stop, nil
 }
@@ -96,8 +98,12 @@
 // Emit logs an event at its level and hands it on.
 func (l *Log) Emit(now time.Time, name string, fields seamevent.Fields) {
 	l.metrics.GetOrCreateCounter(fmt.Sprintf("cardamomseam_events_total{name=%q}", name)).Inc()
-	l.write(now, name, fields)
-	l.next.Emit(now, name, fields)
+	if l.allowed(now, name) {
+		l.write(now, name, fields)
+	}
+	if name != seamevent.RequestDone {
+		l.next.Emit(now, name, fields)
+	}
 }
 
 func (l *Log) write(now time.Time, name string, fields seamevent.Fields) {
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamtable"
 )
@@ -74,8 +75,8 @@
 	// Epoch is the highest epoch that the node has accepted.
 	Epoch  uint64
 	Holder seamtable.Holder
-	// Instance is the name of the node.
-	Instance string
+	// Node is the node that reports.
+	Node seampeer.Peer
 	// Revision is that of the list of ranges that the node has.
 	Revision int64
 	State    State
@@ -98,9 +99,8 @@
 
 // holder is what the assigner knows of one holder in its epoch.
 type holder struct {
-	instance string
-	state    State
-	load     seamtable.Load
+	state State
+	load  seamtable.Load
 	// right is the end of the holder's right, by what was promised to it.
 	right seamclock.Instant
 	// attached says that the node has accepted the present epoch.
@@ -141,6 +141,10 @@
 	balanced seamclock.Instant
 	// plans counts the moves that were planned.
 	plans int
+	// predecessor is the assigner that may still promise by what it knew; zero if none can.
+	predecessor seamtable.Assigner
+	// foreign is the latest end of a promise of the predecessor.
+	foreign seamclock.Instant
 	// lost holds the last known load of keys whose holders are gone.
 	lost []seamtable.Chunk
 }
@@ -153,9 +157,9 @@
 	Moves int
 }
 
-// New begins an epoch with the table found in the store. The epoch is above
+// New begins an epoch of the assigner self with the table found in the store. The epoch is above
 // that of the table.
-func New(cfg Config, now seamclock.Instant, epoch uint64, found seamtable.Table, revision int64) *Assigner {
+func New(cfg Config, now seamclock.Instant, self seamtable.Assigner, epoch uint64, found seamtable.Table, revision int64) *Assigner {
 	a := &Assigner{
 		cfg:      cfg,
 		epoch:    epoch,
@@ -167,10 +171,29 @@
 		holders:  map[seamtable.Holder]*holder{},
 		balanced: now,
 	}
-	a.next.Epoch = epoch
+	a.next.Epoch, a.next.Assigner = epoch, self
+	a.predecessor = found.Assigner
+	a.foreign = now.Add(a.bound(cfg.Alone + cfg.Promise))
+	if found.Assigner == (seamtable.Assigner{}) || found.Assigner == self {
+		a.Succeed(now)
+	}
 	return a
 }
 
+// Predecessor returns the assigner of the epoch before, as long as it may still promise.
+func (a *Assigner) Predecessor() (seamtable.Assigner, bool) {
+	return a.predecessor, a.predecessor != (seamtable.Assigner{})
+}
+
+// Succeed takes note that the predecessor promises nothing any more: it gave the office up, or its
+// process has ended.
+func (a *Assigner) Succeed(now seamclock.Instant) {
+	a.predecessor = seamtable.Assigner{}
+	if end := now.Add(a.bound(a.cfg.Promise)); seamclock.Least(a.foreign, end) > 0 {
+		a.foreign = end
+	}
+}
+
 // Epoch returns the epoch of the assigner.
 func (a *Assigner) Epoch() uint64 { return a.epoch }
 
@@ -181,13 +204,15 @@
 // the store, nothing is promised.
 func (a *Assigner) Beat(now seamclock.Instant, b Beat) Reply {
 	h := a.holder(now, b)
-	h.instance, h.state = b.Instance, b.State
+	h.state = b.State
+	a.seat(b.Holder, b.Node)
 	if b.Load.Slots > 0 {
 		h.load = b.Load
 	}
 	if b.Epoch == a.epoch {
 		h.attached = true
 	}
+	a.bury(b.Holder)
 	for _, r := range b.Released {
 		a.released(now, b.Holder, r)
 	}
@@ -229,6 +254,13 @@
 	return Reply{Epoch: a.epoch, Revision: a.revision, Changed: true, Ranges: a.promised(h), Release: a.releases(h)}, true
 }
 
+// Final returns the table in the store as an assigner leaves it that promises nothing any more.
+func (a *Assigner) Final() seamtable.Table {
+	t := a.durable.Clone()
+	t.Assigner = seamtable.Assigner{}
+	return t
+}
+
 // Version changes whenever a holder has news.
 func (a *Assigner) Version() Version {
 	return Version{Revision: a.revision, Moves: a.plans}
@@ -309,6 +341,29 @@
 	return known != nil && known.state == Ready
 }
 
+// seat notes the node beside a holder.
+func (a *Assigner) seat(h seamtable.Holder, at seampeer.Peer) {
+	if a.next.Nodes == nil {
+		a.next.Nodes = map[seamtable.Holder]seampeer.Peer{}
+	}
+	if a.next.Nodes[h] == at {
+		return
+	}
+	a.next.Nodes[h] = at
+	if len(a.next.Of(h)) > 0 {
+		a.changed = true
+	}
+}
+
+// bury takes all keys from the former lives at the address of a holder.
+func (a *Assigner) bury(h seamtable.Holder) {
+	for _, o := range a.owners() {
+		if h.Succeeds(o) {
+			a.drop(o)
+		}
+	}
+}
+
 // drop takes all keys from a holder whose right is over.
 func (a *Assigner) drop(h seamtable.Holder) {
 	if known := a.holders[h]; known != nil {
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -33,6 +33,7 @@
 	for h, known := range a.holders {
 		if seamclock.Least(now, known.right) >= 0 && len(a.next.Of(h)) == 0 {
 			delete(a.holders, h)
+			delete(a.next.Nodes, h)
 		}
 	}
 }
@@ -51,16 +52,15 @@
 // rightOf returns the latest time at which the holder may use its keys.
 func (a *Assigner) rightOf(h seamtable.Holder) seamclock.Instant {
 	known := a.holders[h]
-	foreign := a.began.Add(a.bound(a.cfg.Alone + a.cfg.Promise))
 	switch {
 	case known == nil:
-		return foreign
+		return a.foreign
 	case known.attached:
 		return known.right
-	case seamclock.Least(known.right, foreign) > 0:
+	case seamclock.Least(known.right, a.foreign) > 0:
 		return known.right
 	default:
-		return foreign
+		return a.foreign
 	}
 }
 
--- a/internal/own/seamassign/wire.go
+++ b/internal/own/seamassign/wire.go
@@ -14,7 +14,6 @@
 		Number:   number,
 		Epoch:    b.Epoch,
 		Holder:   seamtable.WireHolder(b.Holder),
-		Instance: b.Instance,
 		Revision: b.Revision,
 		State:    string(b.State),
 	}
@@ -32,7 +31,6 @@
 	b := Beat{
 		Epoch:    w.GetEpoch(),
 		Holder:   seamtable.HolderOf(w.GetHolder()),
-		Instance: w.GetInstance(),
 		Revision: w.GetRevision(),
 		State:    State(w.GetState()),
 		Load:     seamtable.LoadOf(w.GetLoad()),
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -75,8 +75,10 @@
 	// open are the grants that have no answer.
 	open    []openGrant
 	counter uint64
-	leaving bool
-	dead    bool
+	// inherited is the latest end of what the target may hold by grants of an earlier run of the node.
+	inherited seamclock.Instant
+	leaving   bool
+	dead      bool
 }
 
 // openGrant is a grant that was sent and has no answer, so that it may be applied late.
@@ -87,9 +89,12 @@
 	end seamclock.Instant
 }
 
-// New returns a holder without keys.
-func New(cfg Config, target seamtable.Holder) *Holder {
-	return &Holder{cfg: cfg, target: target}
+// New returns a holder without keys. An earlier run of the node, which ended before started, may have
+// given the target grants that this one knows nothing of.
+func New(cfg Config, target seamtable.Holder, started seamclock.Instant) *Holder {
+	h := &Holder{cfg: cfg, target: target}
+	h.inherited = h.safely(started.Add(cfg.Hold))
+	return h
 }
 
 // Target returns the life of the target.
--- a/internal/own/seamhold/order.go
+++ b/internal/own/seamhold/order.go
@@ -69,7 +69,7 @@
 // some of the keys.
 func (h *Holder) mayReach(now seamclock.Instant, s seamtable.Span) bool {
 	kept := h.open[:0]
-	found := false
+	found := seamclock.Least(now, h.inherited) < 0
 	for _, g := range h.open {
 		if seamclock.Least(now, g.end) >= 0 {
 			continue
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -107,6 +107,7 @@
 	former  []*ended
 	closed  int
 	changed chan struct{}
+	started seamclock.Instant
 	// onDead is called when the target's process is found to have ended.
 	onDead func(seamtable.Holder)
 }
@@ -130,6 +131,7 @@
 		beat:    make(chan struct{}, 1),
 		due:     make(chan struct{}, 1),
 		changed: make(chan struct{}),
+		started: clock.Now(),
 		onDead:  onDead,
 	}
 }
@@ -149,7 +151,7 @@
 	}
 	r.life, r.holder, r.closed = l, nil, 0
 	if !l.Holder.Zero() {
-		r.holder = New(r.cfg, l.Holder)
+		r.holder = New(r.cfg, l.Holder, r.started)
 	}
 	r.signal()
 }
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -55,6 +55,14 @@
 	Now() seamclock.Instant
 }
 
+// Peers tells what the node knows of itself and of other nodes.
+type Peers interface {
+	// Holds reports whether the target beside this node serves the service.
+	Holds(service string) bool
+	// Restarted reports whether a later run of the node is known.
+	Restarted(name string, incarnation uint64) bool
+}
+
 // Office runs the candidacy of this node for the assigner of one service, and
 // the assigner while the node holds the office. It is safe for concurrent use.
 type Office struct {
@@ -65,8 +73,7 @@
 	clock    Clock
 	sink     seamevent.Sink
 	cfg      seamassign.Config
-	// holds reports whether the target beside this node serves the service.
-	holds func() bool
+	peers    Peers
 	// leaving is closed when the node stops.
 	leaving chan struct{}
 	once    sync.Once
@@ -83,7 +90,7 @@
 }
 
 // New returns the office of a service at this node.
-func New(service string, self seampeer.Peer, store Store, registry *Registry, clock Clock, holds func() bool, sink seamevent.Sink) *Office {
+func New(service string, self seampeer.Peer, store Store, registry *Registry, clock Clock, peers Peers, sink seamevent.Sink) *Office {
 	return &Office{
 		service:  service,
 		self:     self,
@@ -92,7 +99,7 @@
 		clock:    clock,
 		sink:     sink,
 		cfg:      seamassign.DefaultConfig(),
-		holds:    holds,
+		peers:    peers,
 		leaving:  make(chan struct{}),
 		streams:  map[*beatStream]bool{},
 		wake:     make(chan struct{}, 1),
@@ -165,7 +172,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(o.self.Name + "\x00" + o.service)) // a hash takes every byte
 	d := time.Duration(h.Sum32()%ranks) * rankStep
-	if o.holds() {
+	if o.peers.Holds(o.service) {
 		d += holderDelay
 	}
 	return d
@@ -198,11 +205,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lease, o.renewed = lease, sent
-	o.assigner = seamassign.New(o.cfg, o.clock.Now(), epoch, table.Table, table.Revision)
+	o.assigner = seamassign.New(o.cfg, o.clock.Now(), o.identity(), epoch, table.Table, table.Revision)
 	o.sink.Emit(time.Now(), seamevent.OfficeTaken, seamevent.Fields{"service": o.service, "epoch": epoch, "revision": table.Revision})
 	return nil
 }
 
+// identity returns this run of the node as an assigner.
+func (o *Office) identity() seamtable.Assigner {
+	return seamtable.Assigner{Name: o.self.Name, Incarnation: o.self.Incarnation}
+}
+
 func (o *Office) end(l seamstore.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -242,17 +254,36 @@
 // resign gives the office up.
 func (o *Office) resign() {
 	o.mu.Lock()
-	epoch := o.assigner.Epoch()
+	authorized := o.authorizedLocked()
+	last := o.assigner.Final()
+	revision := o.assigner.Version().Revision
 	o.assigner = nil
 	lease := o.lease
 	o.lease = 0
 	o.mu.Unlock()
-	o.sink.Emit(time.Now(), seamevent.OfficeLost, seamevent.Fields{"service": o.service, "epoch": epoch})
+	o.sink.Emit(time.Now(), seamevent.OfficeLost, seamevent.Fields{"service": o.service, "epoch": last.Epoch})
+	if authorized {
+		o.writeFinal(last, revision)
+	}
 	if lease != 0 {
 		o.end(lease)
 	}
 }
 
+// writeFinal writes that this node promises nothing any more, so that its successor need not wait.
+func (o *Office) writeFinal(last seamtable.Table, revision int64) {
+	value, err := seamtable.Encode(last)
+	if err != nil {
+		o.failed("resign", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := o.store.Swap(ctx, seamstore.Takeover, TablePrefix+o.service, revision, value); err != nil {
+		o.failed("resign", err)
+	}
+}
+
 // deposedError says that another node is the assigner.
 type deposedError struct {
 	By Record
--- a/internal/own/seamoffice/record.go
+++ b/internal/own/seamoffice/record.go
@@ -34,25 +34,12 @@
 
 // Wire returns the record in wire form.
 func (r Record) Wire() *wire.Office {
-	return &wire.Office{
-		Epoch:       r.Epoch,
-		Name:        r.Peer.Name,
-		Incarnation: r.Peer.Incarnation,
-		Address:     r.Peer.Address,
-		Region:      r.Peer.Region,
-		Domain:      r.Peer.Domain,
-	}
+	return &wire.Office{Epoch: r.Epoch, Node: seamtable.WireNode(r.Peer)}
 }
 
 // RecordOf returns the record of a wire form, which may be nil.
 func RecordOf(w *wire.Office) Record {
-	return Record{Epoch: w.GetEpoch(), Peer: seampeer.Peer{
-		Name:        w.GetName(),
-		Incarnation: w.GetIncarnation(),
-		Address:     w.GetAddress(),
-		Region:      w.GetRegion(),
-		Domain:      w.GetDomain(),
-	}}
+	return Record{Epoch: w.GetEpoch(), Peer: seamtable.NodeOf(w.GetNode())}
 }
 
 // Versioned is a table with its revision in the store.
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -52,6 +52,9 @@
 		o.mu.Unlock()
 		return nil
 	}
+	if p, ok := o.assigner.Predecessor(); ok && o.peers.Restarted(p.Name, p.Incarnation) {
+		o.assigner.Succeed(now)
+	}
 	o.assigner.Tick(now)
 	table, revision, ok := o.assigner.Wanted()
 	o.mu.Unlock()
@@ -239,7 +242,7 @@
 		return r
 	}
 	beat := seamassign.BeatOf(w)
-	beat.Instance = from.Name
+	beat.Node = from
 	if beat.Epoch > o.assigner.Epoch() {
 		// Another node became the assigner since.
 		return &wire.Reply{Number: w.GetNumber()}
--- a/internal/own/seamtable/plan.go
+++ b/internal/own/seamtable/plan.go
@@ -180,9 +180,9 @@
 // a large part of the requests: it cuts such keys out of their range and spreads
 // them over the targets with free slots. A target that is not busy keeps its keys.
 func Balance(candidates []Candidate, limit int) []Move {
-	work := make([]*bench, 0, len(candidates))
+	work := make([]*side, 0, len(candidates))
 	for _, c := range candidates {
-		work = append(work, &bench{Candidate: c, use: c.use(), chunks: slices.Clone(c.Load.Chunks)})
+		work = append(work, &side{Candidate: c, used: c.use(), chunks: slices.Clone(c.Load.Chunks)})
 	}
 	var moves []Move
 	for len(moves) < limit {
@@ -195,36 +195,69 @@
 	return moves
 }
 
-// bench is a candidate with the moves planned so far.
-type bench struct {
+// side is a candidate with the moves planned so far.
+type side struct {
 	Candidate
-	use    float64
+	used   float64
 	chunks []Chunk
 }
 
-func bestMove(work []*bench) (Move, bool) {
+// bestMove takes keys from the busiest candidate to the least busy one.
+func bestMove(work []*side) (Move, bool) {
 	if len(work) < 2 {
 		return Move{}, false
 	}
-	from := slices.MaxFunc(work, func(a, b *bench) int { return cmp.Compare(a.use, b.use) })
-	to := slices.MinFunc(work, func(a, b *bench) int { return cmp.Compare(a.use, b.use) })
-	difference := from.use - to.use
-	if from.use < calm || difference < gap {
+	from := slices.MaxFunc(work, func(a, b *side) int { return cmp.Compare(a.used, b.used) })
+	to := slices.MinFunc(work, func(a, b *side) int { return cmp.Compare(a.used, b.used) })
+	if from.used < calm || from.used-to.used < gap {
 		return Move{}, false
 	}
-	best, bestLeft := -1, difference*(1-leastGain)
-	for i, c := range from.chunks {
-		left := max(from.use-c.Rate*from.cost(), to.use+c.Rate*to.cost()) - to.use
-		if left < bestLeft {
-			best, bestLeft = i, left
-		}
-	}
-	if best < 0 {
+	r, ok := bestRun(from, to)
+	if !ok {
 		return Move{}, false
 	}
-	c := from.chunks[best]
-	from.chunks = slices.Delete(from.chunks, best, best+1)
-	from.use -= c.Rate * from.cost()
-	to.use += c.Rate * to.cost()
-	return Move{Span: c.Span, From: from.Holder, To: to.Holder}, true
+	from.chunks = slices.Delete(from.chunks, r.first, r.last+1)
+	from.used -= r.Rate * from.cost()
+	to.used += r.Rate * to.cost()
+	return Move{Span: r.Span, From: from.Holder, To: to.Holder}, true
+}
+
+// run is a number of neighbouring chunks.
+type run struct {
+	Chunk
+	first, last int
+	// left is the use of the busier of both sides after the move, above that of the other before it.
+	left float64
+}
+
+// better reports whether r leaves clearly less than o, or about as much with fewer keys.
+func (r run) better(o run, difference float64) bool {
+	if d := (o.left - r.left) / difference; d > runTie || d < -runTie {
+		return d > 0
+	}
+	return r.Len() < o.Len()
+}
+
+// runTie is the part of the difference in use by which two runs count as equally good.
+const runTie = 0.05
+
+// bestRun returns the run of chunks whose move brings the two sides closest together.
+func bestRun(from, to *side) (run, bool) {
+	difference := from.used - to.used
+	best, found := run{left: difference * (1 - leastGain)}, false
+	for i := range from.chunks {
+		r := run{Chunk: Chunk{Span: from.chunks[i].Span}, first: i}
+		for j := i; j < len(from.chunks); j++ {
+			c := from.chunks[j]
+			if j > i && c.From != r.To+1 {
+				break
+			}
+			r.To, r.Rate, r.last = c.To, r.Rate+c.Rate, j
+			r.left = max(from.used-r.Rate*from.cost(), to.used+r.Rate*to.cost()) - to.used
+			if r.left < difference*(1-leastGain) && (!found || r.better(best, difference)) {
+				best, found = r, true
+			}
+		}
+	}
+	return best, found
 }
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -4,8 +4,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
+
+	"cardamomseam/internal/member/seampeer"
 )
 
 // Keys is the number of keys of a service. Keys are numbered from 0.
@@ -21,6 +24,13 @@
 	// Born is the start of this life, in milliseconds since the Unix epoch. A
 	// target that restarts under its id holds nothing of its former life.
 	Born int64
+	// Address is the ip:port at which the target takes requests.
+	Address string
+}
+
+// Succeeds reports whether h is a later life at the address of o, so that o has ended.
+func (h Holder) Succeeds(o Holder) bool {
+	return h.Address != "" && h.Address == o.Address && h.Born > o.Born
 }
 
 // Zero reports whether h names no target.
@@ -53,6 +63,12 @@
 	Handover string
 }
 
+// Node returns the node beside the holder of a range.
+func (t Table) Node(r Range) (seampeer.Peer, bool) {
+	p, ok := t.Nodes[r.Holder]
+	return p, ok
+}
+
 // Table is the assignment of the keys of one service.
 type Table struct {
 	Service string
@@ -62,11 +78,22 @@
 	Fence uint64
 	// Ranges are in the order of their keys and do not overlap.
 	Ranges []Range
+	// Assigner is the node that wrote the table; zero after it gave the office up.
+	Assigner Assigner
+	// Nodes are the nodes beside the holders.
+	Nodes map[Holder]seampeer.Peer
+}
+
+// Assigner identifies one run of the node that assigns keys.
+type Assigner struct {
+	Name        string
+	Incarnation uint64
 }
 
 // Clone returns a copy that shares nothing with t.
 func (t Table) Clone() Table {
 	t.Ranges = slices.Clone(t.Ranges)
+	t.Nodes = maps.Clone(t.Nodes)
 	return t
 }
 
--- a/internal/own/seamtable/wire.go
+++ b/internal/own/seamtable/wire.go
@@ -4,12 +4,23 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"cardamomseam/internal/member/seampeer"
 	wire "cardamomseam/internal/own/seamtablewire"
 )
 
 // Encode returns the table as it stands in the store.
 func Encode(t Table) ([]byte, error) {
-	return proto.Marshal(&wire.Table{Service: t.Service, Epoch: t.Epoch, Fence: t.Fence, Ranges: WireRanges(t.Ranges)})
+	ranges := WireRanges(t.Ranges)
+	nodes := t.wireNodes(ranges)
+	return proto.Marshal(&wire.Table{
+		Service:     t.Service,
+		Epoch:       t.Epoch,
+		Fence:       t.Fence,
+		Ranges:      ranges,
+		Nodes:       nodes,
+		Assigner:    t.Assigner.Name,
+		Incarnation: t.Assigner.Incarnation,
+	})
 }
 
 // Decode reads a table. The error is *OverlapError if its ranges are no assignment.
@@ -18,10 +29,56 @@
 	if err := proto.Unmarshal(value, w); err != nil {
 		return Table{}, errors.Wrap(err, "table of owners")
 	}
-	t := Table{Service: w.GetService(), Epoch: w.GetEpoch(), Fence: w.GetFence(), Ranges: Ranges(w.GetRanges())}
+	t := Table{
+		Service:  w.GetService(),
+		Epoch:    w.GetEpoch(),
+		Fence:    w.GetFence(),
+		Ranges:   Ranges(w.GetRanges()),
+		Assigner: Assigner{Name: w.GetAssigner(), Incarnation: w.GetIncarnation()},
+		Nodes:    map[Holder]seampeer.Peer{},
+	}
+	for i, r := range w.GetRanges() {
+		if n := int(r.GetNode()); n >= 1 && n <= len(w.GetNodes()) {
+			t.Nodes[t.Ranges[i].Holder] = NodeOf(w.GetNodes()[n-1])
+		}
+	}
 	return t, t.Check()
 }
 
+// wireNodes returns the nodes of the table and notes at each range which of them is beside its holder.
+func (t Table) wireNodes(ranges []*wire.Range) []*wire.Node {
+	var nodes []*wire.Node
+	index := map[Holder]uint32{}
+	for i, r := range t.Ranges {
+		p, ok := t.Nodes[r.Holder]
+		if !ok {
+			continue
+		}
+		if index[r.Holder] == 0 {
+			nodes = append(nodes, WireNode(p))
+			index[r.Holder] = uint32(len(nodes))
+		}
+		ranges[i].Node = index[r.Holder]
+	}
+	return nodes
+}
+
+// WireNode returns a node in wire form.
+func WireNode(p seampeer.Peer) *wire.Node {
+	return &wire.Node{Name: p.Name, Incarnation: p.Incarnation, Address: p.Address, Region: p.Region, Domain: p.Domain}
+}
+
+// NodeOf returns the node of a wire form, which may be nil.
+func NodeOf(w *wire.Node) seampeer.Peer {
+	return seampeer.Peer{
+		Name:        w.GetName(),
+		Incarnation: w.GetIncarnation(),
+		Address:     w.GetAddress(),
+		Region:      w.GetRegion(),
+		Domain:      w.GetDomain(),
+	}
+}
+
 // WireRanges returns ranges in wire form.
 func WireRanges(ranges []Range) []*wire.Range {
 	out := make([]*wire.Range, 0, len(ranges))
@@ -47,12 +104,12 @@
 
 // WireHolder returns the holder in wire form.
 func WireHolder(h Holder) *wire.Holder {
-	return &wire.Holder{Target: h.Target, Born: h.Born}
+	return &wire.Holder{Target: h.Target, Born: h.Born, Address: h.Address}
 }
 
 // HolderOf returns the holder of a wire form, which may be nil.
 func HolderOf(w *wire.Holder) Holder {
-	return Holder{Target: w.GetTarget(), Born: w.GetBorn()}
+	return Holder{Target: w.GetTarget(), Born: w.GetBorn(), Address: w.GetAddress()}
 }
 
 // WireLoad returns the load in wire form.
--- /dev/null
+++ b/internal/route/seamadmit/times.go
@@ -0,0 +1,47 @@
+package seamadmit
+
+import "time"
+
+const (
+	// meanWeight is the weight of one request in the mean time of all.
+	meanWeight = 0.05
+	// classWeight is the weight of one request in the mean time of its class.
+	classWeight = 0.08
+	// leastPart divides the mean time of a request: so much time a request needs at least.
+	leastPart = 3
+	// afterFloor is the least time that a refused caller is told to wait.
+	afterFloor = 20 * time.Millisecond
+	// classLimit is the number of classes whose times are kept.
+	classLimit = 256
+)
+
+// times holds the mean times of requests at the target, in seconds.
+type times struct {
+	mean    float64
+	classes map[uint32]float64
+}
+
+// of returns the mean time of a class; 0 if it is not known.
+func (t *times) of(class uint32) time.Duration {
+	return seconds(t.classes[class])
+}
+
+func (t *times) note(class uint32, service float64) {
+	t.mean = mix(t.mean, service, meanWeight)
+	if _, known := t.classes[class]; !known && len(t.classes) >= classLimit {
+		clear(t.classes)
+	}
+	t.classes[class] = mix(t.classes[class], service, classWeight)
+}
+
+// mix returns the mean after one more sample.
+func mix(mean, sample, weight float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + (sample-mean)*weight
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/route/seamegress/admission.go
@@ -0,0 +1,58 @@
+package seamegress
+
+import (
+	"context"
+	"time"
+
+	"cardamomseam/internal/route/seamadmit"
+	"cardamomseam/internal/route/seamlimit"
+	"cardamomseam/internal/route/seamroutewire"
+)
+
+// admission decides which requests the target gets.
+type admission interface {
+	Resize(now time.Time, c seamlimit.Capacity)
+	Load() seamlimit.Load
+	// admit waits until the request may run, or returns why it may not.
+	admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict
+	// done ends an admitted request. ran says that it reached the target, and whole that the target answered it.
+	done(now time.Time, head *seamroutewire.RequestHead, ran, whole bool, s seamlimit.Sample)
+}
+
+// fair admits requests in turn among callers, and finds out how many the target runs well at once.
+type fair struct {
+	*seamlimit.Limiter
+}
+
+func (f fair) admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict {
+	deadline, _ := ctx.Deadline()
+	return f.Admit(ctx, now, seamlimit.Ask{Caller: head.GetCaller(), Deadline: deadline, Queue: int(head.GetQueue())})
+}
+
+func (f fair) done(now time.Time, _ *seamroutewire.RequestHead, ran, _ bool, s seamlimit.Sample) {
+	f.Done(now, ran, s)
+}
+
+// prompt admits those requests first that can still be answered within their objectives.
+type prompt struct {
+	*seamadmit.Limiter
+}
+
+func (p prompt) admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict {
+	deadline, _ := ctx.Deadline()
+	ask := seamadmit.Ask{Class: head.GetClass(), Priority: int(head.GetPriority()), Deadline: deadline}
+	if left := head.GetObjective(); left != 0 {
+		ask.Objective = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	v := p.Admit(ctx, now, ask)
+	return seamlimit.Verdict{Admitted: v.Admitted, Reason: v.Reason, After: v.After, Waited: time.Since(now)}
+}
+
+func (p prompt) done(now time.Time, head *seamroutewire.RequestHead, ran, whole bool, s seamlimit.Sample) {
+	service := s.Latency
+	if !ran || s.Shed || !whole && service < p.Load().Service {
+		// A request that was cut short says only that the target takes at least so long.
+		service = 0
+	}
+	p.Done(now, head.GetClass(), service)
+}
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -79,16 +79,14 @@
 
 // admit waits for a place at the target.
 func (c *call) admit(ctx context.Context, grant *seamgrant.Grant) seamoutcome.End {
-	deadline, _ := ctx.Deadline()
-	ask := seamlimit.Ask{Caller: c.head.GetCaller(), Deadline: deadline, Queue: int(c.head.GetQueue())}
-	v := c.egress.limiter.Admit(ctx, time.Now(), ask)
+	c.countKey()
+	v := c.egress.limiter.admit(ctx, time.Now(), c.head)
 	if !v.Admitted {
 		end := seamoutcome.Refuse(v.Reason, "not admitted to the target")
 		end.After = v.After
 		return end
 	}
-	c.countKey()
-	p := &place{limiter: c.egress.limiter, start: time.Now()}
+	p := &place{limiter: c.egress.limiter, head: c.head, start: time.Now()}
 	defer p.free(false, false)
 	if grant != nil && v.Waited > 0 {
 		// The wait may have outlasted the grant: a renewed one holds longer.
@@ -102,7 +100,7 @@
 	return c.run(ctx, grant, p)
 }
 
-// countKey counts the key of an admitted request.
+// countKey counts the key of a request that may be admitted here.
 func (c *call) countKey() {
 	if !c.head.GetKeyed() {
 		return
@@ -113,7 +111,8 @@
 
 // place is one of the target's slots.
 type place struct {
-	limiter *seamlimit.Limiter
+	limiter admission
+	head    *seamroutewire.RequestHead
 	start   time.Time
 	// latency is the time until the target answered, once it did.
 	latency time.Duration
@@ -132,10 +131,11 @@
 	}
 	p.freed = true
 	now := time.Now()
-	if p.latency == 0 {
+	whole := p.latency > 0
+	if !whole {
 		p.latency = now.Sub(p.start)
 	}
-	p.limiter.Done(now, ran, seamlimit.Sample{Latency: p.latency, Shed: shed})
+	p.limiter.done(now, p.head, ran, whole, seamlimit.Sample{Latency: p.latency, Shed: shed})
 }
 
 // run sends the request to the target and passes its answer on.
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -18,6 +18,7 @@
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/route/seamadmit"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamledger"
 	"cardamomseam/internal/route/seamlimit"
@@ -63,6 +64,8 @@
 	Records int
 	// Dial bounds the opening of a connection to the target.
 	Dial time.Duration
+	// Prompt has requests admitted by their objectives, at all slots of the target, instead of fairly among callers.
+	Prompt bool
 	// Dialect is how the target is spoken to; nil means Own.
 	Dialect Dialect
 	// Closed is told of a target that nothing listens for at its address; nil ignores it.
@@ -93,7 +96,7 @@
 	clock    Clock
 	keys     Keys
 	ledger   *seamledger.Ledger
-	limiter  *seamlimit.Limiter
+	limiter  admission
 	targets  *targets
 	counters *seamoutcome.Counters
 	events   seamevent.Sink
@@ -131,7 +134,7 @@
 		clock:    clock,
 		keys:     keys,
 		ledger:   seamledger.New(cfg.Records),
-		limiter:  seamlimit.New(cfg.Warm, set),
+		limiter:  newAdmission(cfg, set),
 		targets:  &targets{dial: cfg.Dial},
 		counters: seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		events:   sink,
@@ -142,6 +145,13 @@
 	return e, e.targets.close
 }
 
+func newAdmission(cfg Config, set *metrics.Set) admission {
+	if cfg.Prompt {
+		return prompt{seamadmit.New(set)}
+	}
+	return fair{seamlimit.New(cfg.Warm, set)}
+}
+
 // Load returns the present load of the target.
 func (e *Egress) Load() seamlimit.Load {
 	return e.limiter.Load()
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -33,6 +33,8 @@
 	service  string
 	choice   seamrule.Choice
 	deadline time.Time
+	// start is the time at which the request was read.
+	start time.Time
 	// objective is the time until which the answer is prompt; zero if there is none.
 	objective time.Time
 	head      *seamroutewire.RequestHead
@@ -41,6 +43,9 @@
 	// named is the id that the caller chose, or empty.
 	named string
 
+	// attempts are those made so far, for the log.
+	attempts []attempt
+
 	// hint is the owner that the last attempt named.
 	hint seampeer.Peer
 	// left are the nodes that will not run the request, which are not tried again.
@@ -132,6 +137,7 @@
 	start := time.Now()
 	left := x.deadline.Sub(start)
 	x.head.Left = left.Milliseconds()
+	x.head.Objective = x.objectiveLeft(start)
 	i := x.ingress
 	i.sent(start, to)
 	end, at, err := x.send(ctx, to)
@@ -139,6 +145,14 @@
 		end = x.lost(ctx, at, err, sentAt{start, left})
 	}
 	x.ended(to, end, left)
+	x.attempts = append(x.attempts, attempt{
+		Node:    to.String(),
+		Reason:  string(end.Reason),
+		At:      start.Sub(x.start),
+		Took:    time.Since(start),
+		Wait:    end.Wait,
+		Service: end.Service,
+	})
 	if i.cfg.Rules != nil && end.Rules > 0 {
 		i.cfg.Rules(end.Rules, to)
 	}
@@ -148,6 +162,17 @@
 	return end
 }
 
+// objectiveLeft returns the milliseconds until the objective; 0 if there is none.
+func (x *exchange) objectiveLeft(now time.Time) int64 {
+	if x.objective.IsZero() {
+		return 0
+	}
+	if left := x.objective.Sub(now).Milliseconds(); left != 0 {
+		return left
+	}
+	return -1
+}
+
 // sent counts an attempt on its way.
 func (i *Ingress) sent(now time.Time, to seampeer.Peer) {
 	if i.cfg.Chooser != nil {
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -164,26 +164,21 @@
 	w.Header().Set(seamheader.Trace, seamspan.ID(ctx))
 	x, refused := i.prepare(w, r, start)
 	if refused != nil {
-		i.finish(ctx, newResponder(w, i.cfg.Slow), refused.End, refused.Status, start)
+		i.logRefused(start, r, refused)
+		i.finish(newResponder(w, i.cfg.Slow), refused.End, refused.Status, start)
 		return
 	}
 	end := x.run(ctx)
 	seamspan.Note(span, end)
-	i.finish(ctx, x.answer, end, seamoutcome.Lookup(end.Reason).Status, start)
+	x.log(start, end)
+	i.finish(x.answer, end, seamoutcome.Lookup(end.Reason).Status, start)
 }
 
 // finish gives the caller the end of its request. An answer that is cut after
 // its head was sent ends the connection, so that it is never taken as whole.
-func (i *Ingress) finish(ctx context.Context, answer *responder, end seamoutcome.End, status int, start time.Time) {
+func (i *Ingress) finish(answer *responder, end seamoutcome.End, status int, start time.Time) {
 	i.stats.counters.Count(end)
 	i.stats.time.UpdateDuration(start)
-	if end.Outcome == seamoutcome.Unknown {
-		i.events.Emit(time.Now(), seamevent.RequestUnknown, seamevent.Fields{
-			"reason": string(end.Reason),
-			"detail": end.Detail,
-			"trace":  seamspan.ID(ctx),
-		})
-	}
 	switch {
 	case end.Outcome == seamoutcome.Done:
 		answer.commit()
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -1,6 +1,7 @@
 package seamingress
 
 import (
+	"hash/fnv"
 	"net"
 	"net/http"
 	"strconv"
@@ -60,6 +61,7 @@
 		ingress:  i,
 		service:  service,
 		choice:   choice,
+		start:    now,
 		deadline: now.Add(left),
 		answer:   newResponder(w, i.cfg.Slow),
 		head:     i.headOf(r, service, choice),
@@ -156,7 +158,7 @@
 		Revision:   choice.Revision,
 		Request:    r.Header.Get(seamheader.Request),
 		Priority:   int32(choice.Priority),
-		Objective:  choice.Objective.Milliseconds(),
+		Class:      classOf(choice),
 	}
 	if i.cfg.Origin != nil {
 		head.Origin = i.cfg.Origin()
@@ -177,6 +179,13 @@
 	return head
 }
 
+// classOf returns a number for the requests of a selector or route.
+func classOf(choice seamrule.Choice) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(choice.Selector)) // a hash takes every byte
+	return h.Sum32()
+}
+
 func queueOf(l seamrule.Limits) int {
 	if l.Queue > 0 {
 		return l.Queue
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -63,6 +63,8 @@
 	// Answer is the time without an answer of the peer's process to a probe
 	// after which a session is given up.
 	Answer time.Duration
+	// Lazy says that only sessions with requests under way are probed, once nothing has arrived for a while.
+	Lazy bool
 	// Relays names detours when the pool is full of busy sessions; may be nil.
 	Relays Relayer
 }
--- a/internal/route/seamsession/conn.go
+++ b/internal/route/seamsession/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,12 +26,17 @@
 	net.Conn
 	in, out *metrics.Counter
 	pending []byte
+	// heard is the time of the last bytes that arrived, in nanoseconds since the Unix epoch.
+	heard atomic.Int64
 }
 
 // Read counts what arrives.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.in.Add(n)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -67,6 +67,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.listen(l) })
 	wg.Go(func() { p.sweep(ctx) })
+	if cfg.Lazy {
+		wg.Go(func() { p.probe(ctx) })
+	}
 	return p, func() {
 		cancel()
 		l.Close()
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -17,8 +17,11 @@
 // session is one connection to a peer.
 type session struct {
 	peer  seampeer.Peer
+	conn  *conn
 	mux   *yamux.Session
 	start time.Time
+	// probing says that a probe waits for its answer.
+	probing atomic.Bool
 	// used is the time of the last stream, in nanoseconds since the Unix epoch.
 	used atomic.Int64
 	// leaving says that the session takes no new streams.
@@ -29,7 +32,7 @@
 	spare []*stream
 }
 
-func newSession(c net.Conn, peer seampeer.Peer, client bool, cfg Config) (*session, error) {
+func newSession(c *conn, peer seampeer.Peer, client bool, cfg Config) (*session, error) {
 	make := yamux.Server
 	if client {
 		make = yamux.Client
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{peer: peer, mux: mux, start: time.Now()}
+	s := &session{peer: peer, conn: c, mux: mux, start: time.Now()}
 	s.touch(s.start)
 	return s, nil
 }
@@ -47,6 +50,7 @@
 	y := yamux.DefaultConfig()
 	y.AcceptBacklog = streamBacklog
 	y.KeepAliveInterval = cfg.Keepalive
+	y.EnableKeepAlive = !cfg.Lazy
 	y.ConnectionWriteTimeout = cfg.Answer
 	y.MaxStreamWindowSize = streamWindow
 	y.StreamCloseTimeout = streamLinger
