--- a/internal/member/seamroll/entry.go
+++ b/internal/member/seamroll/entry.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// Run keeps the entry until ctx ends, and removes it then.
+// Run keeps the entry until ctx ends. The entry then lasts as long as its lease: a node that restarts
+// writes it anew, and others learn from its sessions that it is away.
 func (e *Entry) Run(ctx context.Context) {
 	attempt := 0
 	for ctx.Err() == nil {
@@ -93,7 +94,6 @@
 		}
 		e.pause(ctx, wait, err == nil)
 	}
-	e.end()
 }
 
 // pause waits; a change of the entry ends the wait if the store is there.
@@ -188,15 +188,3 @@
 	e.forget(err)
 	return err
 }
-
-// end removes the entry.
-func (e *Entry) end() {
-	if e.lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout/2)
-	defer cancel()
-	if err := e.store.End(ctx, e.lease); err != nil {
-		e.sink.Emit(time.Now(), seamevent.EntryFailed, seamevent.Fields{"lease": int64(e.lease), "error": err.Error()})
-	}
-}
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -59,10 +59,12 @@
 	raw      atomic.Pointer[rawRules]
 	targets  *seamannounce.Registry
 	runner   *seamhold.Runner
-	sessions *seamsession.Pool
-	egress   *seamegress.Egress
-	ingress  *seamingress.Ingress
-	server   *seamingress.Server
+	// stopRunner ends the orders to the target and the beats to the assigner.
+	stopRunner func()
+	sessions   *seamsession.Pool
+	egress     *seamegress.Egress
+	ingress    *seamingress.Ingress
+	server     *seamingress.Server
 
 	officeMu sync.Mutex
 	offices  map[string]*seamoffice.Office
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -9,8 +9,11 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/own/seamhold"
 	"cardamomseam/internal/own/seamoffice"
+	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
 	"cardamomseam/internal/route/seamframe"
@@ -32,7 +35,8 @@
 	orders, stop := n.adapter.Orders()
 	c.add(stop)
 	n.runner = seamhold.NewRunner(seamhold.DefaultConfig(), orders, beatLink{n}, n.clock, targetWork{n}, n.sink, n.targetEnded)
-	c.add(background(n.runner.Run))
+	n.stopRunner = sync.OnceFunc(background(n.runner.Run))
+	c.add(n.stopRunner)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	c.add(func() {
@@ -108,9 +112,36 @@
 }
 
 // Redirected takes note of an assigner that another node named.
-func (l beatLink) Redirected(w *wire.Office) {
-	m := l.node.entry.Member()
-	l.node.registry.Note(m.Target.Service, seamoffice.RecordOf(w))
+func (l beatLink) Redirected(service string, office *wire.Office) {
+	l.node.registry.Note(service, seamoffice.RecordOf(office))
+}
+
+// Learned takes a table that the assigner sent, before the store shows it.
+func (l beatLink) Learned(service string, table []byte, revision int64) {
+	t, err := seamtable.Decode(table)
+	if err != nil {
+		l.node.sink.Emit(time.Now(), seamevent.TableRefused, seamevent.Fields{"service": service, "revision": revision, "error": err.Error()})
+		return
+	}
+	l.node.registry.Learn(service, seamoffice.Versioned{Table: t, Revision: revision})
+}
+
+// hintedOwners adds to a refusal the node that is believed to own the key.
+type hintedOwners struct {
+	*seamhold.Runner
+	node *Node
+}
+
+// Acquire is that of the runner.
+func (h hintedOwners) Acquire(ctx context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
+	grant, release, err := h.Runner.Acquire(ctx, id)
+	var not *seamgrant.NotOwnerError
+	if errors.As(err, &not) && !not.Arriving {
+		if p, ok := (directory{h.node}).Owner(id.Service, id.Index); ok && !p.Same(h.node.self) {
+			not.Owner = p.Address
+		}
+	}
+	return grant, release, err
 }
 
 // beatHandler answers the beats of holders.
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -32,7 +32,7 @@
 		Closed:  func(a seamtarget.Announcement) { n.targets.Down(time.Now(), a.Name, a.Born) },
 		Linger:  n.settings.Stop.Linger,
 		Rules:   n.book.Revision,
-	}, n.self, n.runner, n.targets, n.clock, n.runner, n.set, n.sink)
+	}, n.self, hintedOwners{n.runner, n}, n.targets, n.clock, n.runner, n.set, n.sink)
 	n.egress = egress
 	c.add(stop)
 	n.sessions.Register(seamsession.Request, egress)
@@ -44,6 +44,7 @@
 		Budget:   func(service string) seamingress.Budget { return budgets.Of(service) },
 		Distinct: true,
 		Table:    true,
+		Changed:  n.registry.Changed,
 		Origin:   n.origin,
 		Wrap:     n.adapter.Callers,
 		Rules:    n.heardRules,
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -77,7 +77,7 @@
 		life = seamhold.Life{Service: a.Service, Address: a.Address, Holder: target.Holder(), Slots: a.Slots}
 	}
 	n.runner.Serve(life)
-	if a.Leaving || n.leaving.Load() {
+	if a.Leaving {
 		n.runner.Leave()
 	}
 }
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -30,6 +30,8 @@
 	Interval time.Duration
 	// Moves is the number of planned moves that may be under way at once for the balance.
 	Moves int
+	// Room is the part of the other targets' slots up to which the keys of a node that restarts may fill them.
+	Room float64
 	// Stuck is the time after which a planned move that was not confirmed is given up.
 	Stuck time.Duration
 }
@@ -45,6 +47,7 @@
 		Patience: 3 * time.Second,
 		Interval: 500 * time.Millisecond,
 		Moves:    8,
+		Room:     0.7,
 		Stuck:    6 * time.Second,
 	}
 }
@@ -56,8 +59,11 @@
 const (
 	// Ready means that the target takes keys.
 	Ready State = "ready"
-	// Leaving means that the target or its node stops; its keys go elsewhere.
+	// Leaving means that the target is about to end; its keys go elsewhere.
 	Leaving State = "leaving"
+	// Stopping means that the node restarts while the target stays; its keys go elsewhere if the
+	// other targets have room for them.
+	Stopping State = "stopping"
 	// Dead means that the target's process has ended; it holds nothing.
 	Dead State = "dead"
 )
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -138,17 +138,27 @@
 // evacuate plans the moves of all keys of holders that leave.
 func (a *Assigner) evacuate(now seamclock.Instant) {
 	for h, known := range a.holders {
-		if known.state != Leaving {
+		if known.state != Leaving && known.state != Stopping {
 			continue
 		}
 		candidates := a.candidates(now, h)
-		if len(candidates) == 0 {
+		if len(candidates) == 0 || known.state == Stopping && !a.room(known.load, candidates) {
 			continue
 		}
 		a.evacuateHolder(now, h, candidates)
 	}
 }
 
+// room reports whether the candidates have room for the keys of a holder.
+func (a *Assigner) room(load seamtable.Load, candidates []seamtable.Candidate) bool {
+	demand, capacity := load.Rate, 0.0
+	for _, c := range candidates {
+		demand += c.Load.Rate
+		capacity += c.Capacity()
+	}
+	return demand <= a.cfg.Room*capacity
+}
+
 func (a *Assigner) evacuateHolder(now seamclock.Instant, h seamtable.Holder, candidates []seamtable.Candidate) {
 	var spans []seamtable.Span
 	for _, r := range a.promised(h) {
--- a/internal/own/seamhold/beats.go
+++ b/internal/own/seamhold/beats.go
@@ -84,7 +84,7 @@
 			return
 		}
 		open = append(open, sent)
-		if open = r.listen(ctx, replies, open, &heard); open == nil {
+		if open = r.listen(ctx, service, replies, open, &heard); open == nil {
 			return
 		}
 	}
@@ -110,7 +110,7 @@
 
 // listen takes replies until the next beat is due, and returns the beats that still have
 // none; nil if the node at the other end is not the assigner.
-func (r *Runner) listen(ctx context.Context, replies <-chan *wire.Reply, open []sentBeat, heard *time.Time) []sentBeat {
+func (r *Runner) listen(ctx context.Context, service string, replies <-chan *wire.Reply, open []sentBeat, heard *time.Time) []sentBeat {
 	t := time.NewTimer(beatInterval)
 	defer t.Stop()
 	for {
@@ -124,23 +124,21 @@
 			return nil
 		case w := <-replies:
 			if w.GetEpoch() == 0 {
-				r.redirected(w)
+				if w.GetOther() != nil {
+					r.link.Redirected(service, w.GetOther())
+				}
 				seamwait.For(ctx, openWait)
 				return nil
 			}
 			*heard = time.Now()
+			if len(w.GetTable()) > 0 {
+				r.link.Learned(service, w.GetTable(), w.GetRevision())
+			}
 			open = r.replied(w, open)
 		}
 	}
 }
 
-// redirected notes the assigner that a node names which is not the assigner itself.
-func (r *Runner) redirected(w *wire.Reply) {
-	if n, ok := r.link.(interface{ Redirected(*wire.Office) }); ok && w.GetOther() != nil {
-		n.Redirected(w.GetOther())
-	}
-}
-
 // replied applies a reply and returns the beats that still have none.
 func (r *Runner) replied(w *wire.Reply, open []sentBeat) []sentBeat {
 	r.mu.Lock()
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -78,6 +78,7 @@
 	// inherited is the latest end of what the target may hold by grants of an earlier run of the node.
 	inherited seamclock.Instant
 	leaving   bool
+	stopping  bool
 	dead      bool
 }
 
@@ -103,9 +104,12 @@
 // Epoch returns the highest epoch that was accepted.
 func (h *Holder) Epoch() uint64 { return h.epoch }
 
-// Leave says that the target or the node is about to stop.
+// Leave says that the target is about to end.
 func (h *Holder) Leave() { h.leaving = true }
 
+// Stop says that the node is about to restart.
+func (h *Holder) Stop() { h.stopping = true }
+
 // Die says that the target's process has ended: it holds nothing any more.
 func (h *Holder) Die() {
 	h.dead = true
@@ -132,6 +136,8 @@
 		return seamassign.Dead
 	case h.leaving:
 		return seamassign.Leaving
+	case h.stopping:
+		return seamassign.Stopping
 	default:
 		return seamassign.Ready
 	}
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -15,6 +15,7 @@
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/own/seamtable"
+	wire "cardamomseam/internal/own/seamtablewire"
 	"cardamomseam/internal/own/seamusage"
 )
 
@@ -65,9 +66,14 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Cause }
 
-// Link opens streams to the assigner of a service.
+// Link reaches the assigner of a service.
 type Link interface {
+	// OpenBeats opens a stream to the assigner.
 	OpenBeats(ctx context.Context, service string) (net.Conn, error)
+	// Redirected takes note of the assigner that another node names.
+	Redirected(service string, office *wire.Office)
+	// Learned takes the table of owners that the assigner sent.
+	Learned(service string, table []byte, revision int64)
 }
 
 // Clock reads the clocks of the machine.
@@ -156,12 +162,17 @@
 	r.signal()
 }
 
-// Leave gives all keys away.
-func (r *Runner) Leave() {
+// Leave gives all keys away, because the target is about to end.
+func (r *Runner) Leave() { r.say((*Holder).Leave) }
+
+// Stop lets others have the keys if they have room for them, because the node is about to restart.
+func (r *Runner) Stop() { r.say((*Holder).Stop) }
+
+func (r *Runner) say(what func(*Holder)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.holder != nil {
-		r.holder.Leave()
+		what(r.holder)
 	}
 	kick(r.beat)
 }
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -144,10 +144,21 @@
 	if version == told {
 		return told
 	}
+	table, err := seamtable.Encode(o.assigner.Table())
+	if err != nil {
+		o.failed("encode", err)
+		return told
+	}
 	for s := range o.streams {
-		if r, ok := o.assigner.News(s.holder()); ok {
-			s.push(seamassign.WireReply(0, r))
+		r, ok := o.assigner.News(s.holder())
+		if !ok {
+			continue
+		}
+		news := seamassign.WireReply(0, r)
+		if version.Revision != told.Revision {
+			news.Table = table
 		}
+		s.push(news)
 	}
 	return version
 }
--- a/internal/own/seamtable/plan.go
+++ b/internal/own/seamtable/plan.go
@@ -55,6 +55,9 @@
 	return service / float64(max(c.Load.Slots, 1))
 }
 
+// Capacity is the number of requests a second that the target can take.
+func (c Candidate) Capacity() float64 { return 1 / c.cost() }
+
 // use is the part of the target's slots that its keys take.
 func (c Candidate) use() float64 { return c.Load.Rate * c.cost() }
 
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seampeer"
-	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamchoice"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
@@ -80,7 +79,7 @@
 		}
 		end := x.attempt(ctx, to)
 		wait, again := x.next(end, to, budget)
-		if !again || !seamwait.For(ctx, wait) {
+		if !again || !x.pause(ctx, wait) {
 			return x.honest(cause(end, last))
 		}
 		x.remember(end)
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -94,6 +94,8 @@
 	Distinct bool
 	// Table says that the directory knows all owners, so that no node is asked for one.
 	Table bool
+	// Changed returns a channel that is closed when owners change; nil means that they are looked for again and again.
+	Changed func() <-chan struct{}
 	// Origin returns the service of the instance of this node; nil means none.
 	Origin func() string
 	// Wrap adapts the handler to what callers speak; nil leaves it.
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -16,6 +16,9 @@
 	ownerPatience = 2 * time.Second
 	// ownerLook is the mean time between looks for the owner.
 	ownerLook = 25 * time.Millisecond
+	// movePatience and moveLook take the place of both where the table of owners is known.
+	movePatience = 400 * time.Millisecond
+	moveLook     = 80 * time.Millisecond
 	// ownerWaiters is the number of requests of an ingress that may wait so.
 	ownerWaiters = 1024
 )
@@ -31,7 +34,7 @@
 	if x.patience.IsZero() && !x.startWaiting(now) {
 		return 0, false
 	}
-	wait = ownerLook/2 + rand.N(ownerLook)
+	wait = x.ingress.look()
 	if now.Add(wait).After(x.patience) || !x.hasTime(wait) {
 		return 0, false
 	}
@@ -50,7 +53,7 @@
 		return false
 	}
 	wait, again := x.awaitOwner(*last, seampeer.Peer{})
-	return again && seamwait.For(ctx, wait)
+	return again && x.pause(ctx, wait)
 }
 
 // ownerChanging reports whether the refusal may be due to a change of owner.
@@ -70,10 +73,44 @@
 		x.ingress.waiting.Add(-1)
 		return false
 	}
-	x.patience = now.Add(ownerPatience)
+	x.patience = now.Add(x.ingress.ownerPatience())
 	return true
 }
 
+// ownerPatience bounds the time for which a request waits for an owner. Where the table of owners
+// is known, a move is shorter, and a loss is longer than a caller should be kept.
+func (i *Ingress) ownerPatience() time.Duration {
+	if i.cfg.Changed != nil {
+		return movePatience
+	}
+	return ownerPatience
+}
+
+// look returns the time until an owner is looked for again.
+func (i *Ingress) look() time.Duration {
+	if i.cfg.Changed != nil {
+		return moveLook
+	}
+	return ownerLook/2 + rand.N(ownerLook)
+}
+
+// pause waits before the next attempt, and for an owner until owners change. It reports whether ctx
+// still lasts.
+func (x *exchange) pause(ctx context.Context, wait time.Duration) bool {
+	if x.ingress.cfg.Changed == nil || x.patience.IsZero() || wait <= 0 {
+		return seamwait.For(ctx, wait)
+	}
+	changed := x.ingress.cfg.Changed()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 func (x *exchange) stopWaiting() {
 	if !x.patience.IsZero() {
 		x.ingress.waiting.Add(-1)
