--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -86,6 +86,8 @@
 	// Revision is that of the list of ranges that the node has.
 	Revision int64
 	State    State
+	// Settled says that the life holds nothing that was meant for a former one at its address.
+	Settled  bool
 	Released []Released
 	Load     seamtable.Load
 }
@@ -218,7 +220,9 @@
 	if b.Epoch == a.epoch {
 		h.attached = true
 	}
-	a.bury(b.Holder)
+	if b.Settled {
+		a.bury(b.Holder)
+	}
 	for _, r := range b.Released {
 		a.released(now, b.Holder, r)
 	}
--- a/internal/own/seamassign/wire.go
+++ b/internal/own/seamassign/wire.go
@@ -16,6 +16,7 @@
 		Holder:   seamtable.WireHolder(b.Holder),
 		Revision: b.Revision,
 		State:    string(b.State),
+		Settled:  b.Settled,
 	}
 	for _, r := range b.Released {
 		w.Released = append(w.Released, &wire.Released{From: r.From, To: r.To, Fence: r.Fence, Handover: r.Handover})
@@ -33,6 +34,7 @@
 		Holder:   seamtable.HolderOf(w.GetHolder()),
 		Revision: w.GetRevision(),
 		State:    State(w.GetState()),
+		Settled:  w.GetSettled(),
 		Load:     seamtable.LoadOf(w.GetLoad()),
 	}
 	for _, r := range w.GetReleased() {
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -25,6 +25,9 @@
 	Drift float64
 }
 
+// startSpread is the time by which a target may start before the node beside it when both start together.
+const startSpread = 400 * time.Millisecond
+
 // DefaultConfig returns the usual times.
 func DefaultConfig() Config {
 	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
@@ -79,6 +82,7 @@
 	inherited seamclock.Instant
 	leaving   bool
 	stopping  bool
+	retired   bool
 	dead      bool
 }
 
@@ -110,6 +114,17 @@
 // Stop says that the node is about to restart.
 func (h *Holder) Stop() { h.stopping = true }
 
+// Retire says that another life of the target has taken its address. Grants that were sent since may have
+// reached that life, so that they are taken back before this one is dead.
+func (h *Holder) Retire() {
+	h.retired = true
+	for i := range h.entries {
+		if e := &h.entries[i]; e.phase < releasing {
+			e.phase, e.sent = releasing, seamclock.Instant{}
+		}
+	}
+}
+
 // Die says that the target's process has ended: it holds nothing any more.
 func (h *Holder) Die() {
 	h.dead = true
@@ -120,8 +135,8 @@
 func (h *Holder) Dead() bool { return h.dead }
 
 // Beat returns the report to the assigner.
-func (h *Holder) Beat() seamassign.Beat {
-	b := seamassign.Beat{Epoch: h.epoch, Holder: h.target, Revision: h.revision, State: h.state()}
+func (h *Holder) Beat(now seamclock.Instant) seamassign.Beat {
+	b := seamassign.Beat{Epoch: h.epoch, Holder: h.target, Revision: h.revision, State: h.state(), Settled: h.settled(now)}
 	for _, e := range h.entries {
 		if e.phase == released {
 			b.Released = append(b.Released, seamassign.Released{Span: e.Span, Fence: e.Fence, Handover: e.handover})
@@ -130,6 +145,14 @@
 	return b
 }
 
+// settled reports whether no earlier run of the node can have given this life of the target keys that were
+// meant for a former one.
+func (h *Holder) settled(now seamclock.Instant) bool {
+	started := h.inherited.Wall - h.safely(seamclock.Instant{}.Add(h.cfg.Hold)).Wall
+	born := time.Duration(h.target.Born) * time.Millisecond
+	return born >= started-startSpread || seamclock.Least(now, h.inherited) >= 0
+}
+
 func (h *Holder) state() seamassign.State {
 	switch {
 	case h.dead:
@@ -146,7 +169,7 @@
 // Reply takes the answer to a beat that was sent at a time. An answer of an
 // epoch that is over is ignored.
 func (h *Holder) Reply(sent seamclock.Instant, r seamassign.Reply) {
-	if h.dead || r.Epoch < h.epoch {
+	if h.dead || h.retired || r.Epoch < h.epoch {
 		return
 	}
 	if r.Epoch > h.epoch {
@@ -287,6 +310,22 @@
 	return list
 }
 
+// Over reports whether nothing that was granted to a retired life is left at its address.
+func (h *Holder) Over(now seamclock.Instant) bool {
+	return h.Empty() && !h.mayReach(now, seamtable.Span{To: seamtable.LastKey})
+}
+
+// released returns the number of ranges that were given up and stand on the list still.
+func (h *Holder) released() int {
+	n := 0
+	for _, e := range h.entries {
+		if e.phase == released {
+			n++
+		}
+	}
+	return n
+}
+
 // Empty reports whether the holder has nothing left to give up.
 func (h *Holder) Empty() bool {
 	return !slices.ContainsFunc(h.entries, func(e entry) bool { return e.phase != released })
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -118,10 +118,10 @@
 	onDead func(seamtable.Holder)
 }
 
-// ended is a former life of the target that the assigner has not been told of.
+// ended is a former life of the target whose end the assigner has not been told of.
 type ended struct {
-	service string
-	holder  *Holder
+	life   Life
+	holder *Holder
 }
 
 // NewRunner returns a runner without a target. onDead is told of the end of a target's process.
@@ -152,8 +152,10 @@
 		return
 	}
 	if r.holder != nil {
-		r.holder.Die()
-		r.former = append(r.former, &ended{r.life.Service, r.holder})
+		if !r.holder.Dead() {
+			r.holder.Retire()
+		}
+		r.former = append(r.former, &ended{r.life, r.holder})
 	}
 	r.life, r.holder, r.closed = l, nil, 0
 	if !l.Holder.Zero() {
@@ -282,30 +284,30 @@
 func (r *Runner) dueOrders() []call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
+	var calls []call
+	for _, f := range r.former {
+		for _, o := range f.holder.Due(now) {
+			calls = append(calls, call{r, f.holder, o, f.life})
+		}
+		if !f.holder.Dead() && f.holder.Over(now) {
+			f.holder.Die()
+			kick(r.beat)
+		}
+	}
 	if r.holder == nil {
-		return nil
+		return calls
 	}
-	before := r.releasedCount()
-	var calls []call
-	for _, o := range r.holder.Due(r.clock.Now()) {
+	before := r.holder.released()
+	for _, o := range r.holder.Due(now) {
 		calls = append(calls, call{r, r.holder, o, r.life})
 	}
-	if r.releasedCount() != before {
+	if r.holder.released() != before {
 		kick(r.beat)
 	}
 	return calls
 }
 
-func (r *Runner) releasedCount() int {
-	n := 0
-	for _, e := range r.holder.entries {
-		if e.phase == released {
-			n++
-		}
-	}
-	return n
-}
-
 func (c call) run(ctx context.Context) {
 	if c.order.Kind == Release {
 		c.release(ctx)
@@ -392,14 +394,18 @@
 func (r *Runner) report() (service string, b seamassign.Beat, h *Holder) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
 	if len(r.former) > 0 {
 		f := r.former[0]
-		return f.service, f.holder.Beat(), f.holder
+		if !f.holder.Dead() {
+			return "", seamassign.Beat{}, nil
+		}
+		return f.life.Service, f.holder.Beat(now), f.holder
 	}
 	if r.holder == nil {
 		return "", seamassign.Beat{}, nil
 	}
-	b = r.holder.Beat()
+	b = r.holder.Beat(now)
 	b.Load.Slots = r.life.Slots
 	b.Load.Busy, b.Load.Service = r.work.Work()
 	b.Load.Chunks, b.Load.Rate = r.usage.Chunks(time.Now(), r.holder.Ranges(), chunks)
