--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -44,6 +44,7 @@
 	adapter  Adapter
 	self     seampeer.Peer
 	clock    *seamclock.Clock
+	began    seamclock.Instant
 	set      *metrics.Set
 	stream   *seamevent.Stream
 	sink     *seamlog.Log
@@ -90,6 +91,7 @@
 			Domain:      s.Domain,
 		},
 		clock:   clock,
+		began:   clock.Now(),
 		set:     metrics.NewSet(),
 		stream:  seamevent.NewStream(s.Name),
 		ring:    o.Ring,
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -10,6 +10,8 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/own/seamhold"
 	"cardamomseam/internal/own/seamoffice"
@@ -116,6 +118,15 @@
 	l.node.registry.Note(service, seamoffice.RecordOf(office))
 }
 
+// Confirmed returns the epoch of the assigner that the store named. A node that has not read the store
+// since its start waits until no assigner that was replaced before can act.
+func (l beatLink) Confirmed(service string) (uint64, bool) {
+	epoch, ok := l.node.registry.Confirmed(service)
+	cfg := seamassign.DefaultConfig()
+	old := seamclock.Least(l.node.clock.Now(), l.node.began) > cfg.Alone+cfg.Promise
+	return epoch, ok || old
+}
+
 // Learned takes a table that the assigner sent, before the store shows it.
 func (l beatLink) Learned(service string, table []byte, revision int64) {
 	t, err := seamtable.Decode(table)
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -4,6 +4,7 @@
 package seamassign
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -129,6 +130,7 @@
 // machine without clocks and without network, not safe for concurrent use.
 type Assigner struct {
 	cfg   Config
+	self  seamtable.Assigner
 	epoch uint64
 	// began is the time at which the epoch began.
 	began seamclock.Instant
@@ -174,12 +176,12 @@
 		began:    now,
 		durable:  found,
 		revision: revision,
-		next:     found.Clone(),
+		self:     self,
 		changed:  true,
 		holders:  map[seamtable.Holder]*holder{},
 		balanced: now,
 	}
-	a.next.Epoch, a.next.Assigner = epoch, self
+	a.adopt(found)
 	a.predecessor = found.Assigner
 	a.foreign = now.Add(a.bound(cfg.Alone + cfg.Promise))
 	if found.Assigner == (seamtable.Assigner{}) || found.Assigner == self {
@@ -217,8 +219,10 @@
 	if b.Load.Slots > 0 {
 		h.load = b.Load
 	}
-	if b.Epoch == a.epoch {
+	if b.Epoch == a.epoch && !h.attached {
+		// The last promise of the predecessor that the node took is older than this beat.
 		h.attached = true
+		h.right = now.Add(a.bound(a.cfg.Promise))
 	}
 	if b.Settled {
 		a.bury(b.Holder)
@@ -416,5 +420,20 @@
 	}
 	a.writing, a.changed = false, true
 	a.durable, a.revision = found, revision
+	if found.Epoch != a.epoch {
+		a.adopt(found)
+	}
 	return true
 }
+
+// adopt starts from the table that the predecessor left.
+func (a *Assigner) adopt(found seamtable.Table) {
+	nodes := a.next.Nodes
+	a.next = found.Clone()
+	a.next.Epoch, a.next.Assigner = a.epoch, a.self
+	if a.next.Nodes == nil {
+		a.next.Nodes = map[seamtable.Holder]seampeer.Peer{}
+	}
+	maps.Copy(a.next.Nodes, nodes)
+	a.moves = nil
+}
--- /dev/null
+++ b/internal/own/seamassign/model_test.go
@@ -0,0 +1,450 @@
+package seamassign_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamhold"
+	"cardamomseam/internal/own/seamtable"
+)
+
+const (
+	// modelStep is the time between two looks at the model.
+	modelStep = 10 * time.Millisecond
+	// modelSteps is the number of steps of one run.
+	modelSteps = 1500
+	// modelTargets is the number of targets, each with its node.
+	modelTargets = 3
+	// slowClock is the part by which the clock of a target runs slow.
+	slowClock = 0.02
+)
+
+// hold is what a target holds by one grant.
+type hold struct {
+	seamtable.Span
+	fence uint64
+	until time.Duration
+}
+
+// modelTarget is one target, whose lives follow each other at one address.
+type modelTarget struct {
+	name  string
+	born  int64
+	holds []hold
+	// seen are the fencing tokens of the present life.
+	seen []hold
+}
+
+// grant takes a grant that arrived at a time, which may be before now.
+func (m *modelTarget) grant(arrived, now time.Duration, r seamtable.Range, d time.Duration) bool {
+	for _, s := range m.seen {
+		if s.Meets(r.Span) && s.fence > r.Fence {
+			return false
+		}
+	}
+	until := arrived + d + time.Duration(float64(d)*slowClock)
+	m.seen = append(m.seen, hold{Span: r.Span, fence: r.Fence})
+	if until > now {
+		m.drop(r.Span, r.Fence)
+		m.holds = append(m.holds, hold{Span: r.Span, fence: r.Fence, until: until})
+	}
+	return true
+}
+
+// drop removes a span from the holds.
+func (m *modelTarget) drop(s seamtable.Span, fence uint64) {
+	var kept []hold
+	for _, h := range m.holds {
+		if !h.Meets(s) || h.fence > fence {
+			kept = append(kept, h)
+			continue
+		}
+		if h.From < s.From {
+			left := h
+			left.To = s.From - 1
+			kept = append(kept, left)
+		}
+		if h.To > s.To {
+			right := h
+			right.From = s.To + 1
+			kept = append(kept, right)
+		}
+	}
+	m.holds = kept
+}
+
+func (m *modelTarget) has(now time.Duration, key uint32) bool {
+	for _, h := range m.holds {
+		if h.Has(key) && h.until > now {
+			return true
+		}
+	}
+	return false
+}
+
+// modelNode is the node beside a target.
+type modelNode struct {
+	target *modelTarget
+	holder *seamhold.Holder
+	// former are earlier lives that this run of the node has served.
+	former []*seamhold.Holder
+	// started is the time at which the node's run began; it is away until then.
+	started time.Duration
+	beatAt  time.Duration
+	// confirmed is the epoch that the store named when this run of the node read it.
+	confirmed uint64
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// model is a service with its targets, nodes, assigners and the store.
+type model struct {
+	t      *rapid.T
+	random *rand.Rand
+	now    time.Duration
+	events []event
+	nodes  []*modelNode
+	// assigners holds all that still act; the last one has the office.
+	assigners []*modelAssigner
+	stored    seamtable.Table
+	revision  int64
+	epoch     uint64
+	log       []string
+}
+
+// modelAssigner is one run of an assigner.
+type modelAssigner struct {
+	*seamassign.Assigner
+	began time.Duration
+	id    seamtable.Assigner
+}
+
+func (m *model) clock() seamclock.Instant { return seamclock.Instant{Mono: m.now, Wall: m.now} }
+
+func (m *model) later(d time.Duration, do func()) {
+	m.events = append(m.events, event{m.now + d, do})
+}
+
+func (m *model) note(format string, args ...any) {
+	m.log = append(m.log, fmt.Sprintf("%8s ", m.now)+fmt.Sprintf(format, args...))
+}
+
+// chance draws whether something happens that does so once in n times.
+func (m *model) chance(n int) bool {
+	return m.random.IntN(n) == 0
+}
+
+// delay draws a time of at most so many milliseconds.
+func (m *model) delay(most int) time.Duration {
+	return time.Duration(1+m.random.IntN(most)) * time.Millisecond
+}
+
+// elect begins an epoch. The assigners before it act on for a while.
+func (m *model) elect() {
+	m.epoch += 1 << 16
+	id := seamtable.Assigner{Name: fmt.Sprint("a", m.epoch), Incarnation: m.epoch}
+	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.epoch, m.stored.Clone(), m.revision), m.now, id}
+	m.assigners = append(m.assigners, a)
+	m.note("epoch %d begins", m.epoch)
+}
+
+func (m *model) step() {
+	m.now += modelStep
+	m.runEvents()
+	m.faults()
+	for _, a := range m.assigners {
+		m.assign(a)
+	}
+	for _, n := range m.nodes {
+		if m.now >= n.started {
+			m.serve(n)
+		}
+	}
+	m.check()
+}
+
+func (m *model) runEvents() {
+	var due, rest []event
+	for _, e := range m.events {
+		if e.at <= m.now {
+			due = append(due, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	m.events = rest
+	for _, e := range due {
+		e.do()
+	}
+}
+
+// faults draws what goes wrong in this step.
+func (m *model) faults() {
+	if m.chance(500) {
+		m.elect()
+	}
+	alone := seamassign.DefaultConfig().Alone
+	if len(m.assigners) > 1 && m.now-m.assigners[1].began > alone {
+		m.assigners = m.assigners[1:]
+	}
+	for _, n := range m.nodes {
+		switch {
+		case m.chance(700):
+			m.restartNode(n)
+		case m.chance(700):
+			m.restartTarget(n)
+		}
+	}
+}
+
+func (m *model) restartNode(n *modelNode) {
+	n.started = m.now + m.delay(2500)
+	n.former, n.confirmed = nil, 0
+	started := seamclock.Instant{Mono: n.started, Wall: n.started}
+	life := m.life(n)
+	if m.chance(3) {
+		// The node hears the former life first.
+		life.Born--
+		n.holder = seamhold.New(seamhold.DefaultConfig(), life, started)
+		m.note("node of %s restarts and hears of life %d", n.target.name, life.Born)
+		m.later(n.started-m.now+m.delay(900), func() { m.announce(n) })
+		return
+	}
+	n.holder = seamhold.New(seamhold.DefaultConfig(), life, started)
+	m.note("node of %s restarts", n.target.name)
+}
+
+func (m *model) restartTarget(n *modelNode) {
+	n.target.born += 2
+	n.target.holds, n.target.seen = nil, nil
+	m.note("target %s begins life %d", n.target.name, n.target.born)
+	m.later(m.delay(900), func() { m.announce(n) })
+}
+
+func (m *model) life(n *modelNode) seamtable.Holder {
+	return seamtable.Holder{Target: n.target.name, Born: n.target.born, Address: n.target.name}
+}
+
+// announce tells the node of the present life of its target.
+func (m *model) announce(n *modelNode) {
+	if n.holder.Target() == m.life(n) {
+		return
+	}
+	n.holder.Retire()
+	n.former = append(n.former, n.holder)
+	started := seamclock.Instant{Mono: n.started, Wall: n.started}
+	n.holder = seamhold.New(seamhold.DefaultConfig(), m.life(n), started)
+	m.note("node of %s hears of life %d", n.target.name, n.target.born)
+}
+
+// assign lets an assigner do what is due, and writes its table.
+func (m *model) assign(a *modelAssigner) {
+	a.Tick(m.clock())
+	table, revision, ok := a.Wanted()
+	if !ok {
+		return
+	}
+	lost := m.chance(10)
+	m.later(m.delay(40), func() {
+		if revision != m.revision {
+			m.settle(a)
+			return
+		}
+		m.revision++
+		m.stored = table.Clone()
+		if lost {
+			m.later(m.delay(600), func() { m.settle(a) })
+			return
+		}
+		a.Stored(table, m.revision)
+	})
+}
+
+// settle has an assigner go on from what the store holds, or stop if another has written it.
+func (m *model) settle(a *modelAssigner) {
+	if a.Uncertain(m.stored.Clone(), m.revision) {
+		return
+	}
+	for i, o := range m.assigners {
+		if o == a {
+			m.assigners = append(m.assigners[:i:i], m.assigners[i+1:]...)
+			m.note("epoch %d is deposed", a.Epoch())
+			return
+		}
+	}
+}
+
+// serve lets a node do what is due.
+func (m *model) serve(n *modelNode) {
+	holders := append([]*seamhold.Holder{n.holder}, n.former...)
+	for _, h := range holders {
+		for _, o := range h.Due(m.clock()) {
+			m.order(n, h, o)
+		}
+	}
+	for _, h := range n.former {
+		if !h.Dead() && h.Over(m.clock()) {
+			h.Die()
+		}
+	}
+	if m.now-n.beatAt >= 300*time.Millisecond {
+		n.beatAt = m.now
+		m.beat(n)
+	}
+}
+
+// beat reports to one of the assigners: mostly to the one that has the office.
+func (m *model) beat(n *modelNode) {
+	h := n.holder
+	if len(n.former) > 0 {
+		h = n.former[0]
+		if !h.Dead() {
+			return
+		}
+	}
+	if len(m.assigners) == 0 || m.chance(12) {
+		return
+	}
+	a := m.assigners[len(m.assigners)-1]
+	if len(m.assigners) > 1 && m.chance(4) {
+		a = m.assigners[len(m.assigners)-2]
+	}
+	if n.confirmed == 0 {
+		n.confirmed = m.epoch
+	}
+	h.Trust(n.confirmed)
+	sent := m.clock()
+	b := h.Beat(sent)
+	b.Node = seampeer.Peer{Name: n.target.name}
+	b.Load = m.load(h)
+	started := n.started
+	m.later(m.delay(30), func() {
+		if b.Epoch > a.Epoch() || m.now-a.began > seamassign.DefaultConfig().Alone && a != m.assigners[len(m.assigners)-1] {
+			return
+		}
+		r := a.Beat(m.clock(), b)
+		if m.chance(12) {
+			return
+		}
+		m.later(m.delay(30), func() {
+			if n.started != started {
+				return
+			}
+			if b.State == seamassign.Dead {
+				n.former = slices.DeleteFunc(n.former, func(f *seamhold.Holder) bool { return f == h })
+				return
+			}
+			h.Reply(sent, r)
+		})
+	})
+}
+
+// load draws a load, so that keys move.
+func (m *model) load(h *seamhold.Holder) seamtable.Load {
+	l := seamtable.Load{Slots: 10, Service: 0.1}
+	for _, r := range h.Ranges() {
+		rate := float64(m.random.IntN(120))
+		l.Chunks = append(l.Chunks, seamtable.Chunk{Span: r.Span, Rate: rate})
+		l.Rate += rate
+	}
+	return l
+}
+
+// order sends an order to the target. Some get no answer, and some of these are carried out late.
+func (m *model) order(n *modelNode, h *seamhold.Holder, o seamhold.Order) {
+	sent := m.clock()
+	var d time.Duration
+	if o.Kind == seamhold.Grant {
+		var ok bool
+		if o, d, ok = h.Start(sent, o); !ok {
+			return
+		}
+	}
+	started := n.started
+	m.later(m.delay(8), func() {
+		arrived := m.now
+		if m.chance(6) {
+			m.later(2*time.Second+m.delay(4000), func() { m.carryOut(n, o, arrived, d) })
+			return
+		}
+		taken := m.carryOut(n, o, arrived, d)
+		m.later(m.delay(8), func() {
+			if n.started == started {
+				m.answer(h, o, sent, d, taken)
+			}
+		})
+	})
+}
+
+func (m *model) carryOut(n *modelNode, o seamhold.Order, arrived time.Duration, d time.Duration) bool {
+	if o.Kind == seamhold.Release {
+		n.target.drop(o.Span, o.Fence)
+		return true
+	}
+	return n.target.grant(arrived, m.now, o.Range, d)
+}
+
+func (m *model) answer(h *seamhold.Holder, o seamhold.Order, sent seamclock.Instant, d time.Duration, taken bool) {
+	switch {
+	case o.Kind == seamhold.Release:
+		h.Released(m.clock(), o, "state")
+	case taken:
+		h.Granted(sent, o, d)
+	default:
+		h.Refused(o)
+	}
+}
+
+// check fails if a key has two holders.
+func (m *model) check() {
+	for _, a := range m.nodes {
+		for _, h := range a.target.holds {
+			if h.until <= m.now {
+				continue
+			}
+			for _, b := range m.nodes {
+				if b != a && (b.target.has(m.now, h.From) || b.target.has(m.now, h.To)) {
+					m.fail(h, a, b)
+				}
+			}
+		}
+	}
+}
+
+func (m *model) fail(h hold, a, b *modelNode) {
+	for _, line := range m.log {
+		m.t.Log(line)
+	}
+	m.t.Fatalf("%s: %s and %s both hold keys of %d-%d (fence %d; %+v)", m.now, a.target.name, b.target.name, h.From, h.To, h.fence, b.target.holds)
+}
+
+// TestNoKeyHasTwoHolders plays assigners, nodes and targets with lost, late and repeated messages,
+// restarts of each of them, and two assigners that act at once.
+func TestNoKeyHasTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		m := &model{t: t, random: rand.New(rand.NewPCG(seed, 0)), epoch: 1 << 16}
+		for i := range modelTargets {
+			target := &modelTarget{name: fmt.Sprint("t", i), born: 1000}
+			n := &modelNode{target: target}
+			n.holder = seamhold.New(seamhold.DefaultConfig(), m.life(n), m.clock())
+			m.nodes = append(m.nodes, n)
+		}
+		m.elect()
+		for range modelSteps {
+			m.step()
+		}
+	})
+}
--- a/internal/own/seamhold/beats.go
+++ b/internal/own/seamhold/beats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"cardamomseam/internal/observe/seamevent"
@@ -20,8 +21,8 @@
 	answerTimeout = 700 * time.Millisecond
 	// openWait is the wait after a stream that could not be opened.
 	openWait = 100 * time.Millisecond
-	// idleWait is the time between looks of a node whose target holds no keys.
-	idleWait = time.Second
+	// idleWait is the time between looks of a node that has nothing to report.
+	idleWait = 200 * time.Millisecond
 	// leastGap is the least time between two beats.
 	leastGap = 5 * time.Millisecond
 )
@@ -60,6 +61,8 @@
 	number uint64
 	at     seamclock.Instant
 	holder *Holder
+	// dead says that the beat told the end of the life.
+	dead bool
 }
 
 // talk exchanges beats and replies on one stream until it fails or another service is due.
@@ -78,7 +81,7 @@
 		if now != service || time.Since(heard) > answerTimeout {
 			return
 		}
-		sent := sentBeat{number: number, at: r.clock.Now(), holder: h}
+		sent := sentBeat{number: number, at: r.clock.Now(), holder: h, dead: beat.State == seamassign.Dead}
 		conn.SetWriteDeadline(time.Now().Add(answerTimeout))
 		if err := seamframe.Write(conn, seamframe.Beat, seamassign.WireBeat(service, number, beat)); err != nil {
 			return
@@ -146,28 +149,30 @@
 	reply := seamassign.ReplyOf(w)
 	if w.GetNumber() == 0 {
 		if len(open) > 0 {
-			r.apply(open[len(open)-1].holder, r.clock.Now(), reply)
+			last := open[len(open)-1]
+			r.apply(sentBeat{at: r.clock.Now(), holder: last.holder}, reply)
 		}
 		return open
 	}
 	for i, s := range open {
 		if s.number == w.GetNumber() {
-			r.apply(s.holder, s.at, reply)
+			r.apply(s, reply)
 			return append([]sentBeat{}, open[i+1:]...)
 		}
 	}
 	return open
 }
 
-// apply applies a reply to the life that it answers. mu is held.
-func (r *Runner) apply(h *Holder, sent seamclock.Instant, reply seamassign.Reply) {
-	if len(r.former) > 0 && r.former[0].holder == h {
-		r.former = r.former[1:]
+// apply applies a reply to the life that it answers. A life whose end was told is forgotten. mu is held.
+func (r *Runner) apply(s sentBeat, reply seamassign.Reply) {
+	h := s.holder
+	if s.dead {
+		r.former = slices.DeleteFunc(r.former, func(f *ended) bool { return f.holder == h })
 		kick(r.beat)
 		return
 	}
 	before := h.Epoch()
-	h.Reply(sent, reply)
+	h.Reply(s.at, reply)
 	if reply.Changed {
 		r.sink.Emit(time.Now(), seamevent.KeysListed, seamevent.Fields{
 			"target": h.Target().String(), "epoch": reply.Epoch, "former": before, "revision": reply.Revision,
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -19,6 +19,8 @@
 	Hold time.Duration
 	// Renew is the time between two grants of the same keys.
 	Renew time.Duration
+	// Answer is the time for which the answer to a grant is awaited before the range is released regardless.
+	Answer time.Duration
 	// Margin is the part of a right that is not used, for the way to the target.
 	Margin time.Duration
 	// Drift is the part by which the target's clock may run slow.
@@ -30,7 +32,7 @@
 
 // DefaultConfig returns the usual times.
 func DefaultConfig() Config {
-	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
+	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
 }
 
 // phase is the state of a range at the target.
@@ -90,6 +92,7 @@
 type openGrant struct {
 	id   uint64
 	span seamtable.Span
+	sent seamclock.Instant
 	// end is the latest time for which the target may hold the keys by it.
 	end seamclock.Instant
 }
@@ -108,6 +111,10 @@
 // Epoch returns the highest epoch that was accepted.
 func (h *Holder) Epoch() uint64 { return h.epoch }
 
+// Trust takes note that the store named the assigner of an epoch after this run of the node began.
+// Assigners of earlier epochs promise nothing from now on.
+func (h *Holder) Trust(epoch uint64) { h.epoch = max(h.epoch, epoch) }
+
 // Leave says that the target is about to end.
 func (h *Holder) Leave() { h.leaving = true }
 
--- a/internal/own/seamhold/order.go
+++ b/internal/own/seamhold/order.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// underWay reports whether the answer to a grant of some of the keys is still awaited.
+func (h *Holder) underWay(now seamclock.Instant, s seamtable.Span) bool {
+	return slices.ContainsFunc(h.open, func(g openGrant) bool {
+		return g.span.Meets(s) && seamclock.Least(now, g.sent) < h.cfg.Answer
+	})
+}
+
 // safely returns the latest end of a hold that ends here by the clock of the node.
 func (h *Holder) safely(end seamclock.Instant) seamclock.Instant {
 	return end.Add(time.Duration(float64(h.cfg.Hold)*h.cfg.Drift) + h.cfg.Margin)
@@ -91,7 +98,8 @@
 		}
 		return Order{Kind: Grant, Range: r}, !seamclock.Past(now, h.right)
 	case releasing:
-		return Order{Kind: Release, Range: e.Range}, true
+		// A grant on its way could reach the target after the release.
+		return Order{Kind: Release, Range: e.Range}, !h.underWay(now, e.Span)
 	default:
 		return Order{}, false
 	}
@@ -109,7 +117,7 @@
 	hold = hold.Truncate(time.Millisecond)
 	h.counter++
 	o.id = h.counter
-	h.open = append(h.open, openGrant{id: o.id, span: o.Span, end: h.safely(now.Add(hold))})
+	h.open = append(h.open, openGrant{id: o.id, span: o.Span, sent: now, end: h.safely(now.Add(hold))})
 	return o, hold, true
 }
 
@@ -139,8 +147,12 @@
 		if end := sent.Add(hold); e.confirmed.Zero() || seamclock.Least(end, e.confirmed) > 0 {
 			e.confirmed = end
 		}
-		if e.phase < releasing {
+		switch {
+		case e.phase < releasing:
 			e.phase, e.used = held, true
+		case e.phase == settling:
+			// The target may have taken the grant after the release.
+			e.phase, e.sent = releasing, seamclock.Instant{}
 		}
 	}
 }
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -22,8 +22,6 @@
 const (
 	// dueInterval is the time between two looks for orders that are due.
 	dueInterval = 50 * time.Millisecond
-	// orderTimeout bounds the wait for the target's answer to a grant.
-	orderTimeout = 400 * time.Millisecond
 	// chunks is the number of chunks in which the load is reported.
 	chunks = 24
 	// deadTries is the number of orders in a row that find nothing listening from which the
@@ -72,6 +70,9 @@
 	OpenBeats(ctx context.Context, service string) (net.Conn, error)
 	// Redirected takes note of the assigner that another node names.
 	Redirected(service string, office *wire.Office)
+	// Confirmed returns the epoch of the assigner that the store named since this run of the node began. It
+	// returns false as long as an assigner that is known otherwise may have been replaced before.
+	Confirmed(service string) (epoch uint64, ok bool)
 	// Learned takes the table of owners that the assigner sent.
 	Learned(service string, table []byte, revision int64)
 }
@@ -325,7 +326,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, hold))
+	ctx, cancel := context.WithTimeout(ctx, min(r.cfg.Answer, hold))
 	defer cancel()
 	err := r.orders.Grant(ctx, c.life.Address, order.Range, hold)
 	r.mu.Lock()
@@ -405,6 +406,11 @@
 	if r.holder == nil {
 		return "", seamassign.Beat{}, nil
 	}
+	epoch, ok := r.link.Confirmed(r.life.Service)
+	if !ok {
+		return "", seamassign.Beat{}, nil
+	}
+	r.holder.Trust(epoch)
 	b = r.holder.Beat(now)
 	b.Load.Slots = r.life.Slots
 	b.Load.Busy, b.Load.Service = r.work.Work()
--- a/internal/own/seamoffice/record.go
+++ b/internal/own/seamoffice/record.go
@@ -55,6 +55,8 @@
 	mu      sync.Mutex
 	offices map[string]Record
 	tables  map[string]Versioned
+	// confirmed are the highest epochs that the store named.
+	confirmed map[string]uint64
 	// vacant is the time since which a service has no record.
 	vacant  map[string]time.Time
 	fresh   bool
@@ -68,6 +70,9 @@
 		offices: map[string]Record{},
 		tables:  map[string]Versioned{},
 		vacant:  map[string]time.Time{},
+
+		confirmed: map[string]uint64{},
+
 		changed: make(chan struct{}),
 	}
 }
@@ -138,10 +143,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.offices[service] = record
+	r.confirmed[service] = max(r.confirmed[service], record.Epoch)
 	delete(r.vacant, service)
 	r.signal()
 }
 
+// Confirmed returns the highest epoch of a service that the store named; false if it named none.
+func (r *Registry) Confirmed(service string) (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	epoch, ok := r.confirmed[service]
+	return epoch, ok
+}
+
 func (r *Registry) putTable(now time.Time, service string, e seamstore.Entry) {
 	t, err := seamtable.Decode(e.Value)
 	if err != nil {
--- a/internal/own/seamtable/plan.go
+++ b/internal/own/seamtable/plan.go
@@ -233,21 +233,18 @@
 	left float64
 }
 
-// better reports whether r leaves clearly less than o, or about as much with fewer keys.
-func (r run) better(o run, difference float64) bool {
-	if d := (o.left - r.left) / difference; d > runTie || d < -runTie {
-		return d > 0
-	}
-	return r.Len() < o.Len()
+// price is what is left of the difference after the move, and the cost of moving so many keys.
+func (r run) price(difference float64) float64 {
+	return r.left/difference + keyPrice*float64(r.Len())/Keys
 }
 
-// runTie is the part of the difference in use by which two runs count as equally good.
-const runTie = 0.05
+// keyPrice is the cost of moving all keys, in parts of the difference in use between two targets.
+const keyPrice = 3.0
 
 // bestRun returns the run of chunks whose move brings the two sides closest together.
 func bestRun(from, to *side) (run, bool) {
 	difference := from.used - to.used
-	best, found := run{left: difference * (1 - leastGain)}, false
+	best, lowest, found := run{}, 1-leastGain, false
 	for i := range from.chunks {
 		r := run{Chunk: Chunk{Span: from.chunks[i].Span}, first: i}
 		for j := i; j < len(from.chunks); j++ {
@@ -257,8 +254,8 @@
 			}
 			r.To, r.Rate, r.last = c.To, r.Rate+c.Rate, j
 			r.left = max(from.used-r.Rate*from.cost(), to.used+r.Rate*to.cost()) - to.used
-			if r.left < difference*(1-leastGain) && (!found || r.better(best, difference)) {
-				best, found = r, true
+			if p := r.price(difference); p < lowest {
+				best, lowest, found = r, p, true
 			}
 		}
 	}
