--- /dev/null
+++ b/internal/member/seamroll/roll_test.go
@@ -0,0 +1,151 @@
+package seamroll_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/stand/seamstandkv"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(name string, incarnation uint64) seamroll.Member {
+	return seamroll.Member{
+		Peer:   seampeer.Peer{Name: name, Incarnation: incarnation, Address: "10.0.0.1:7000", Region: "ost", Domain: "ost-1"},
+		Target: seamroll.Target{Service: "booker", ID: "t-" + name, Born: 1000, Address: "10.0.0.1:80", Slots: 9},
+	}
+}
+
+func entry(t *testing.T, m seamroll.Member) seamstore.Entry {
+	t.Helper()
+	value, err := proto.Marshal(seamroll.Encode(m))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seamstore.Entry{Key: seamroll.Prefix + m.Peer.Name, Value: value, Revision: 1}
+}
+
+func nobodyLives(seampeer.Peer) bool { return false }
+
+func TestMembersAreListedByService(t *testing.T) {
+	r := seamroll.New("self", seamevent.NewStream("self"))
+	want := member("n1", 1)
+	r.Put(start, entry(t, want))
+	got := r.View().Of("booker")
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("got %+v", got)
+	}
+	if m, ok := r.View().Holder(want.Target.Holder()); !ok || m != want {
+		t.Errorf("holder %+v, %t", m, ok)
+	}
+}
+
+func TestLapsedMemberStaysForTheGraceTime(t *testing.T) {
+	r := seamroll.New("self", seamevent.NewStream("self"))
+	r.Put(start, entry(t, member("n1", 1)))
+	r.Delete(start, seamroll.Prefix+"n1", false)
+	r.Sweep(start.Add(seamroll.Grace/2), nobodyLives)
+	if len(r.View().Members) != 1 {
+		t.Error("removed before the grace time")
+	}
+	r.Sweep(start.Add(seamroll.Grace), func(seampeer.Peer) bool { return true })
+	if len(r.View().Members) != 1 {
+		t.Error("removed although it lives")
+	}
+	r.Sweep(start.Add(seamroll.Grace), nobodyLives)
+	if len(r.View().Members) != 0 {
+		t.Error("still listed after the grace time")
+	}
+}
+
+func TestEntryThatIsBackKeepsItsMember(t *testing.T) {
+	r := seamroll.New("self", seamevent.NewStream("self"))
+	r.Put(start, entry(t, member("n1", 1)))
+	r.Delete(start, seamroll.Prefix+"n1", false)
+	r.Put(start.Add(time.Second), entry(t, member("n1", 1)))
+	r.Sweep(start.Add(time.Minute), nobodyLives)
+	if len(r.View().Members) != 1 {
+		t.Error("removed although its entry is back")
+	}
+}
+
+func TestEarlierRunDoesNotReplaceALaterOne(t *testing.T) {
+	r := seamroll.New("self", seamevent.NewStream("self"))
+	r.Put(start, entry(t, member("n1", 5)))
+	r.Put(start, entry(t, member("n1", 4)))
+	if got := r.View().Members["n1"].Peer.Incarnation; got != 5 {
+		t.Errorf("incarnation %d is listed", got)
+	}
+}
+
+func TestUnreadableEntriesNameNoMember(t *testing.T) {
+	nameless, homeless, other := member("", 1), member("n2", 1), member("n3", 1)
+	homeless.Peer.Address = ""
+	foreign := entry(t, other)
+	foreign.Key = seamroll.Prefix + "n4"
+	for name, e := range map[string]seamstore.Entry{
+		"bytes":       {Key: seamroll.Prefix + "n1", Value: []byte{0xff, 0xff}},
+		"no name":     entry(t, nameless),
+		"no address":  entry(t, homeless),
+		"another key": foreign,
+	} {
+		s := seamevent.NewStream("self")
+		r := seamroll.New("self", s)
+		r.Put(start, entry(t, member("n0", 1)))
+		r.Put(start, e)
+		if n := len(r.View().Members); n != 1 {
+			t.Errorf("%s: %d members", name, n)
+		}
+		if events := s.Recent(); events[len(events)-1].Name != seamevent.EntryRefused {
+			t.Errorf("%s: the log says %s", name, events[len(events)-1].Name)
+		}
+	}
+}
+
+// patience bounds the wait for an entry.
+const patience = 20 * time.Second
+
+// await waits until the store's entry of n1 satisfies the condition.
+func await(t *testing.T, store *seamstandkv.Store, ok func(seamstore.Entry) bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if e, err := store.Get(context.Background(), seamstore.Takeover, seamroll.Prefix+"n1"); err == nil && ok(e) {
+			return
+		}
+	}
+	t.Fatal("the entry did not come")
+}
+
+func TestEntryComesBackWhenItsLeaseWasTakenAway(t *testing.T) {
+	store, stop := seamstandkv.New()
+	t.Cleanup(stop)
+	e := seamroll.NewEntry(store, member("n1", 1), seamevent.NewStream("n1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { e.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	written := func(e seamstore.Entry) bool { return e.Revision > 0 }
+	await(t, store, written)
+	store.Revoke()
+	await(t, store, written)
+	store.Fail(seamstandkv.Faults{Lose: true})
+	e.Update(func(m *seamroll.Member) { m.Target.Leaving = true })
+	time.Sleep(10 * time.Millisecond)
+	store.Fail(seamstandkv.Faults{})
+	r := seamroll.New("self", seamevent.NewStream("self"))
+	await(t, store, func(found seamstore.Entry) bool {
+		r.Put(start, found)
+		return r.View().Members["n1"].Target.Leaving
+	})
+}
--- /dev/null
+++ b/internal/node/seamrouter/node_test.go
@@ -0,0 +1,120 @@
+package seamrouter_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/stand/seamstandkv"
+)
+
+func TestKeysAreServedByTheirOwnersThroughAnyNode(t *testing.T) {
+	f := newFleet(t, keyedService, keyedService, plainService)
+	for _, n := range f.nodes {
+		f.awaitServed(n)
+	}
+	for _, key := range []uint32{0, 20000, 40000, 65535} {
+		if n := f.held(key); n != 1 {
+			t.Errorf("key %d has %d holders", key, n)
+		}
+	}
+	a, err := f.send(f.nodes[0], http.MethodPost, "/book/1", "")
+	if err != nil || a.status != http.StatusOK || a.body != f.nodes[2].target.name {
+		t.Errorf("booking: %+v, %v", a, err)
+	}
+	if a, err := f.send(f.nodes[0], http.MethodGet, "/nowhere", ""); err != nil || a.status != http.StatusNotFound {
+		t.Errorf("no route: %+v, %v", a, err)
+	}
+}
+
+func TestKeysOfAnEndedTargetMove(t *testing.T) {
+	f := newFleet(t, keyedService, keyedService, plainService)
+	f.awaitServed(f.nodes[2])
+	gone := f.nodes[0].target
+	f.mu.Lock()
+	delete(f.targets, gone.address())
+	f.mu.Unlock()
+	gone.server.Close()
+	f.awaitServed(f.nodes[2])
+}
+
+func TestKeysAreServedWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t, keyedService, keyedService, plainService)
+	f.awaitServed(f.nodes[2])
+	f.store.Fail(seamstandkv.Faults{Down: true})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if !f.allServed(f.nodes[2]) {
+			t.Fatal("a key was not served")
+		}
+	}
+	f.store.Fail(seamstandkv.Faults{})
+	f.awaitServed(f.nodes[0])
+}
+
+func TestNodeThatRestartsWhileTheStoreIsDownLearnsFromItsPeers(t *testing.T) {
+	f := newFleet(t, keyedService, plainService, plainService)
+	f.awaitServed(f.nodes[1])
+	f.store.Fail(seamstandkv.Faults{Down: true})
+	n := f.nodes[2]
+	n.stop()
+	f.start(n)
+	f.await("readiness", func() bool {
+		// A peer that knows the node opens a session to it.
+		_, _ = f.send(f.nodes[1], http.MethodPost, "/book/1", "")
+		return n.Ready()
+	})
+}
+
+func TestAnotherNodeAssignsWhenTheAssignerStops(t *testing.T) {
+	f := newFleet(t, keyedService, plainService, plainService, plainService)
+	f.awaitServed(f.nodes[3])
+	assigner := f.nodes[0].State(time.Now()).Offices[keyedService]
+	for _, n := range f.nodes[1:] {
+		if n.State(time.Now()).Node == assigner {
+			n.stop()
+		}
+	}
+	f.await("another assigner", func() bool {
+		now := f.nodes[0].State(time.Now()).Offices[keyedService]
+		return now != "" && now != assigner
+	})
+	f.awaitServed(f.nodes[0])
+}
+
+func TestRoutesComeIntoForceAlthoughTheWatchIsSilent(t *testing.T) {
+	f := newFleet(t, plainService, plainService)
+	f.await("readiness", func() bool { return f.nodes[0].Ready() && f.nodes[1].Ready() })
+	// The first node reads the store anew; the second hears of the revision from it.
+	f.store.Fail(seamstandkv.Faults{Silent: true})
+	f.apply(2)
+	f.store.Forget()
+	f.store.Fail(seamstandkv.Faults{})
+	f.await("the new revision", func() bool {
+		_, _ = f.send(f.nodes[0], http.MethodPost, "/book/1", "")
+		return f.nodes[0].State(time.Now()).Routes == 2 && f.nodes[1].State(time.Now()).Routes == 2
+	})
+}
+
+func TestTargetThatLeavesGivesItsKeysAway(t *testing.T) {
+	f := newFleet(t, keyedService, keyedService, plainService)
+	f.awaitServed(f.nodes[2])
+	f.beat(f.nodes[0], true)
+	f.await("the move of all keys", func() bool { return len(f.nodes[0].State(time.Now()).Held) == 0 })
+	f.awaitServed(f.nodes[2])
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, keyedService, plainService, plainService)
+	f.awaitServed(f.nodes[1])
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := f.nodes[2].Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	f.nodes[2].stop()
+	f.await("service by the other node", func() bool {
+		a, err := f.send(f.nodes[0], http.MethodPost, "/book/1", "")
+		return err == nil && a.status == http.StatusOK
+	})
+}
--- /dev/null
+++ b/internal/own/seamassign/assigner_test.go
@@ -0,0 +1,253 @@
+package seamassign_test
+
+import (
+	"testing"
+	"time"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamtable"
+)
+
+// scene is an assigner with its store.
+type scene struct {
+	t        *testing.T
+	a        *seamassign.Assigner
+	now      time.Duration
+	stored   seamtable.Table
+	revision int64
+	loads    map[seamtable.Holder]seamtable.Load
+}
+
+const epoch = 7
+
+func newScene(t *testing.T, found seamtable.Table) *scene {
+	t.Helper()
+	s := &scene{t: t, stored: found, revision: 1, loads: map[seamtable.Holder]seamtable.Load{}}
+	s.a = seamassign.New(seamassign.DefaultConfig(), s.clock(), seamtable.Assigner{Name: "a", Incarnation: 1}, epoch, found, s.revision)
+	s.write()
+	return s
+}
+
+func (s *scene) clock() seamclock.Instant { return seamclock.Instant{Mono: s.now, Wall: s.now} }
+
+// write writes what the assigner wants.
+func (s *scene) write() {
+	for {
+		table, revision, ok := s.a.Wanted()
+		if !ok {
+			return
+		}
+		if revision != s.revision {
+			s.t.Fatalf("write at revision %d, the store has %d", revision, s.revision)
+		}
+		s.revision++
+		s.stored = table
+		s.a.Stored(table, s.revision)
+	}
+}
+
+// life returns the first life of a target.
+func life(name string) seamtable.Holder {
+	return seamtable.Holder{Target: name, Born: 1000, Address: name}
+}
+
+func (s *scene) beat(h seamtable.Holder, state seamassign.State, released ...seamassign.Released) seamassign.Reply {
+	return s.a.Beat(s.clock(), seamassign.Beat{
+		Epoch: epoch, Holder: h, Node: seampeer.Peer{Name: "node-" + h.Target}, State: state, Settled: true, Released: released, Load: s.loads[h],
+	})
+}
+
+// pass lets time pass while the holders beat.
+func (s *scene) pass(d time.Duration, holders ...seamtable.Holder) {
+	for end := s.now + d; s.now < end; s.now += 100 * time.Millisecond {
+		for _, h := range holders {
+			s.beat(h, seamassign.Ready)
+		}
+		s.a.Tick(s.clock())
+		s.write()
+	}
+}
+
+func (s *scene) keysOf(h seamtable.Holder) int {
+	n := 0
+	for _, r := range s.stored.Of(h) {
+		n += r.Len()
+	}
+	return n
+}
+
+func TestKeysAreDividedAmongTheTargetsThatStartTogether(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"), life("c"))
+	for _, name := range []string{"a", "b", "c"} {
+		if n := s.keysOf(life(name)); n < seamtable.Keys/4 || n > seamtable.Keys/2 {
+			t.Errorf("target %s holds %d keys", name, n)
+		}
+	}
+	if r := s.beat(life("a"), seamassign.Ready); r.Promise <= 0 || !r.Changed || len(r.Ranges) == 0 {
+		t.Errorf("reply %+v", r)
+	}
+}
+
+func TestSilentHolderLosesItsKeysAfterItsRight(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	s.pass(2*time.Second, life("b"))
+	if s.keysOf(life("a")) == 0 {
+		t.Fatal("the keys went elsewhere within the promise")
+	}
+	s.pass(time.Second, life("b"))
+	if n := s.keysOf(life("b")); n != seamtable.Keys {
+		t.Errorf("the other target holds %d keys", n)
+	}
+}
+
+func TestDeadHolderLosesItsKeysAtOnce(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	s.beat(life("a"), seamassign.Dead)
+	s.pass(100*time.Millisecond, life("b"))
+	if n := s.keysOf(life("b")); n != seamtable.Keys {
+		t.Errorf("the other target holds %d keys", n)
+	}
+}
+
+func TestLeavingHolderIsAskedForAllKeys(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	s.beat(life("a"), seamassign.Leaving)
+	s.a.Tick(s.clock())
+	r := s.beat(life("a"), seamassign.Leaving)
+	if len(r.Release) == 0 {
+		t.Fatalf("reply %+v asks for nothing", r)
+	}
+	if s.keysOf(life("a")) == 0 {
+		t.Fatal("the keys went elsewhere before they were released")
+	}
+	for _, o := range r.Release {
+		s.beat(life("a"), seamassign.Leaving, seamassign.Released{Span: o.Span, Fence: o.Fence, Handover: "state"})
+	}
+	s.write()
+	if s.keysOf(life("a")) != 0 {
+		t.Errorf("still holds %d keys", s.keysOf(life("a")))
+	}
+	for _, o := range s.stored.Of(life("b")) {
+		if o.Fence > 2 && o.Handover != "state" {
+			t.Errorf("range %+v came without its handover", o)
+		}
+	}
+}
+
+func TestStoppingNodeKeepsKeysThatOthersHaveNoRoomFor(t *testing.T) {
+	for name, tt := range map[string]struct {
+		rate float64
+		asks bool
+	}{
+		"room":    {20, true},
+		"no room": {90, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, seamtable.Table{})
+			for _, h := range []seamtable.Holder{life("a"), life("b")} {
+				s.loads[h] = seamtable.Load{Slots: 10, Service: 0.1, Rate: tt.rate}
+			}
+			s.pass(2*time.Second, life("a"), life("b"))
+			s.beat(life("a"), seamassign.Stopping)
+			s.a.Tick(s.clock())
+			if r := s.beat(life("a"), seamassign.Stopping); (len(r.Release) > 0) != tt.asks {
+				t.Errorf("asks for %v", r.Release)
+			}
+		})
+	}
+}
+
+func TestNewTargetGetsKeysSoon(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	for _, h := range []seamtable.Holder{life("a"), life("b")} {
+		s.loads[h] = seamtable.Load{Slots: 10, Service: 0.1, Rate: 30}
+	}
+	asked := 0
+	for range 20 {
+		s.pass(100*time.Millisecond, life("a"), life("b"), life("c"))
+		for _, h := range []seamtable.Holder{life("a"), life("b")} {
+			asked += len(s.beat(h, seamassign.Ready).Release)
+		}
+	}
+	if asked == 0 {
+		t.Error("two seconds after it joined, no keys are on their way to the new target")
+	}
+}
+
+// found is a table that a predecessor left.
+func found(by seamtable.Assigner) seamtable.Table {
+	table := seamtable.Table{Epoch: 3, Assigner: by}
+	table.Give(seamtable.Span{From: 0, To: seamtable.LastKey}, life("a"), "")
+	return table
+}
+
+func TestSuccessorWaitsForThePromisesOfItsPredecessor(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	for name, tt := range map[string]struct {
+		by      seamtable.Assigner
+		succeed bool
+		least   time.Duration
+	}{
+		"predecessor may act alone": {seamtable.Assigner{Name: "old", Incarnation: 1}, false, cfg.Alone + cfg.Promise},
+		"predecessor has restarted": {seamtable.Assigner{Name: "old", Incarnation: 1}, true, cfg.Promise},
+		"predecessor has resigned":  {seamtable.Assigner{}, false, cfg.Promise},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, found(tt.by))
+			if tt.succeed {
+				s.a.Succeed(s.clock())
+			}
+			for s.keysOf(life("a")) > 0 && s.now < time.Minute {
+				s.pass(100*time.Millisecond, life("b"))
+			}
+			if s.now < tt.least || s.now > tt.least+2*time.Second {
+				t.Errorf("the keys of a silent holder went elsewhere after %s, want about %s", s.now, tt.least)
+			}
+		})
+	}
+}
+
+func TestLaterLifeAtTheAddressFreesTheKeysOfTheFormer(t *testing.T) {
+	s := newScene(t, found(seamtable.Assigner{Name: "old", Incarnation: 1}))
+	next := life("a")
+	next.Target, next.Born = "a2", 2000
+	s.pass(200*time.Millisecond, next)
+	if n := s.keysOf(next); n != seamtable.Keys {
+		t.Errorf("the later life holds %d keys", n)
+	}
+}
+
+func TestNothingIsPromisedBeforeTheEpochIsStored(t *testing.T) {
+	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, found(seamtable.Assigner{}), 1)
+	if r := a.Beat(seamclock.Instant{}, seamassign.Beat{Holder: life("a"), State: seamassign.Ready}); r.Promise > 0 || r.Changed {
+		t.Errorf("reply %+v", r)
+	}
+}
+
+func TestTableOfALaterEpochDeposes(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	if s.a.Uncertain(seamtable.Table{Epoch: epoch + 1}, 9) {
+		t.Error("an assigner went on beside its successor")
+	}
+}
+
+func TestWriteOfThePredecessorIsTakenOver(t *testing.T) {
+	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, seamtable.Table{Epoch: 3}, 1)
+	if _, _, ok := a.Wanted(); !ok {
+		t.Fatal("the epoch is not written")
+	}
+	if !a.Uncertain(found(seamtable.Assigner{Name: "old"}), 2) {
+		t.Fatal("deposed by an earlier epoch")
+	}
+	table, revision, _ := a.Wanted()
+	if revision != 2 || len(table.Of(life("a"))) != 1 {
+		t.Errorf("wants %+v at revision %d", table, revision)
+	}
+}
--- a/internal/own/seamassign/model_test.go
+++ b/internal/own/seamassign/model_test.go
@@ -200,10 +200,10 @@
 		m.assigners = m.assigners[1:]
 	}
 	for _, n := range m.nodes {
-		switch {
-		case m.chance(700):
+		if m.chance(700) {
 			m.restartNode(n)
-		case m.chance(700):
+		}
+		if m.chance(700) {
 			m.restartTarget(n)
 		}
 	}
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -183,7 +183,7 @@
 		// What an earlier assigner promised holds no longer.
 		h.epoch, h.revision = r.Epoch, 0
 		if !r.Changed {
-			h.right = sent
+			// The right by the earlier promise ends by itself.
 			return
 		}
 	}
@@ -191,7 +191,7 @@
 		h.list(r.Ranges)
 		h.revision = r.Revision
 	}
-	if end := sent.Add(r.Promise); r.Promise > 0 && h.revision == r.Revision {
+	if end := sent.Add(r.Promise); h.revision == r.Revision && seamclock.Least(end, h.right) > 0 {
 		h.right = end
 	}
 	for _, o := range r.Release {
--- /dev/null
+++ b/internal/own/seamhold/holder_test.go
@@ -0,0 +1,245 @@
+package seamhold_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamgrant"
+	"cardamomseam/internal/own/seamhold"
+	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/own/seamtable"
+)
+
+// at is a time since the start of the machine on both clocks.
+func at(d time.Duration) seamclock.Instant {
+	return seamclock.Instant{Mono: d, Wall: d}
+}
+
+// long is a time after which nothing of an earlier run of a node is left.
+const long = time.Minute
+
+var (
+	life = seamtable.Holder{Target: "t", Born: 1000, Address: "10.0.0.1:80"}
+	cfg  = seamhold.DefaultConfig()
+)
+
+func span(from, to uint32) seamtable.Span { return seamtable.Span{From: from, To: to} }
+
+func ranges(s seamtable.Span, fence uint64) []seamtable.Range {
+	return []seamtable.Range{{Span: s, Holder: life, Fence: fence, Handover: "state"}}
+}
+
+// listed returns a holder that was promised a range at a time.
+func listed(now time.Duration) *seamhold.Holder {
+	h := seamhold.New(cfg, life, at(0))
+	h.Reply(at(now), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5, Changed: true, Ranges: ranges(span(0, 99), 3)})
+	return h
+}
+
+// holding returns a holder whose target has confirmed the range at a time.
+func holding(t *testing.T, now time.Duration) *seamhold.Holder {
+	t.Helper()
+	h := listed(now)
+	o, hold := start(t, h, now)
+	h.Granted(at(now), o, hold)
+	return h
+}
+
+// start starts the one grant that is due.
+func start(t *testing.T, h *seamhold.Holder, now time.Duration) (seamhold.Order, time.Duration) {
+	t.Helper()
+	due := h.Due(at(now))
+	if len(due) != 1 || due[0].Kind != seamhold.Grant {
+		t.Fatalf("due are %+v, want one grant", due)
+	}
+	o, hold, ok := h.Start(at(now), due[0])
+	if !ok {
+		t.Fatal("the grant was not started")
+	}
+	return o, hold
+}
+
+func release(h *seamhold.Holder, now time.Duration) {
+	h.Reply(at(now), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5, Release: ranges(span(0, 99), 3)})
+}
+
+func acquire(h *seamhold.Holder, now time.Duration, key uint32) (seamgrant.Grant, *seamgrant.NotOwnerError) {
+	g, err := h.Acquire(at(now), seamgrant.Grant{Slot: seamslot.ID{Service: "calendar", Index: key}})
+	var not *seamgrant.NotOwnerError
+	errors.As(err, &not)
+	return g, not
+}
+
+func TestKeyIsServedOnceTheTargetHasConfirmed(t *testing.T) {
+	h := listed(long)
+	if _, not := acquire(h, long, 5); not == nil || !not.Arriving {
+		t.Errorf("before the grant: %+v", not)
+	}
+	o, hold := start(t, h, long)
+	if o.Handover != "state" {
+		t.Error("the first grant has no handover")
+	}
+	h.Granted(at(long), o, hold)
+	g, not := acquire(h, long, 5)
+	if not != nil || g.Epoch != 3 || g.Until != at(long+hold) {
+		t.Errorf("got %+v, %v", g, not)
+	}
+	if _, not := acquire(h, long+hold, 5); not == nil {
+		t.Error("the key is served after the end of the grant")
+	}
+	if _, not := acquire(h, long, 100); not == nil || not.Arriving || not.Moving {
+		t.Errorf("key of another: %+v", not)
+	}
+}
+
+func TestGrantNeverOutlastsTheRight(t *testing.T) {
+	h := listed(long)
+	for _, after := range []time.Duration{0, 500, 1000, 1500, 1900} {
+		now := long + after*time.Millisecond
+		for _, o := range h.Due(at(now)) {
+			_, hold, ok := h.Start(at(now), o)
+			if end := now + hold + time.Duration(float64(hold)*cfg.Drift); ok && end > long+2*time.Second {
+				t.Errorf("a grant %s after the beat lasts until %s", after, end-long)
+			}
+		}
+	}
+	if due := h.Due(at(long + 2*time.Second)); len(due) > 0 {
+		t.Errorf("due after the end of the right: %+v", due)
+	}
+}
+
+func TestSuspendedMachineGrantsNothing(t *testing.T) {
+	h := listed(long)
+	due := h.Due(at(long))
+	// The steady clock stood still while the machine was suspended.
+	thawed := seamclock.Instant{Mono: long, Wall: long + 5*time.Second}
+	if _, _, ok := h.Start(thawed, due[0]); ok {
+		t.Error("a grant was started after the end of the right")
+	}
+}
+
+func TestReleaseWaitsForRenewalsOnTheirWay(t *testing.T) {
+	h := holding(t, long)
+	now := long + cfg.Renew
+	o, hold := start(t, h, now)
+	release(h, now)
+	if due := h.Due(at(now)); len(due) > 0 {
+		t.Fatalf("due beside a grant on its way: %+v", due)
+	}
+	h.Granted(at(now), o, hold)
+	due := h.Due(at(now))
+	if len(due) != 1 || due[0].Kind != seamhold.Release {
+		t.Fatalf("due after the answer: %+v", due)
+	}
+	h.Released(at(now), due[0], "after")
+	got := h.Beat(at(now)).Released
+	if len(got) != 1 || got[0].Span != span(0, 99) || got[0].Fence != 3 || got[0].Handover != "after" {
+		t.Errorf("reported %+v", got)
+	}
+}
+
+func TestReleaseIsNotReportedWhileAGrantMayStillArrive(t *testing.T) {
+	h := holding(t, long)
+	now := long + cfg.Renew
+	_, hold := start(t, h, now) // it gets no answer
+	release(h, now)
+	now += cfg.Answer
+	due := h.Due(at(now))
+	if len(due) != 1 || due[0].Kind != seamhold.Release {
+		t.Fatalf("due after the time for the answer: %+v", due)
+	}
+	h.Released(at(now), due[0], "after")
+	if got := h.Beat(at(now)).Released; len(got) > 0 {
+		t.Errorf("reported %+v, although a grant without an answer lasts", got)
+	}
+	now = long + cfg.Renew + 2*hold
+	h.Due(at(now))
+	if got := h.Beat(at(now)).Released; len(got) != 1 {
+		t.Errorf("reported %+v after the end of that grant", got)
+	}
+}
+
+func TestUnansweredReleaseEndsWithTheGrant(t *testing.T) {
+	h := holding(t, long)
+	release(h, long)
+	h.Due(at(long))
+	if got := h.Beat(at(long)).Released; len(got) > 0 {
+		t.Errorf("reported %+v before the answer", got)
+	}
+	now := long + 2*cfg.Hold
+	h.Due(at(now))
+	if got := h.Beat(at(now)).Released; len(got) != 1 || got[0].Handover != "" {
+		t.Errorf("reported %+v after the end of the grant", got)
+	}
+}
+
+func TestPartOfARangeIsReleased(t *testing.T) {
+	h := holding(t, long)
+	h.Reply(at(long), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5, Release: ranges(span(40, 59), 3)})
+	if _, not := acquire(h, long, 39); not != nil {
+		t.Errorf("key beside the part: %v", not)
+	}
+	if _, not := acquire(h, long, 50); not == nil || !not.Moving {
+		t.Errorf("key of the part: %+v", not)
+	}
+	if due := h.Due(at(long)); len(due) != 1 || due[0].Span != span(40, 59) {
+		t.Errorf("due: %+v", due)
+	}
+}
+
+func TestRestartedNodeReleasesWhatItsFormerRunGranted(t *testing.T) {
+	// The run began just now, and the release is ordered before its first grant.
+	h := listed(10 * time.Millisecond)
+	release(h, 10*time.Millisecond)
+	now := 20 * time.Millisecond
+	due := h.Due(at(now))
+	if len(due) != 1 || due[0].Kind != seamhold.Release {
+		t.Fatalf("due: %+v", due)
+	}
+	if got := h.Beat(at(now)).Released; len(got) > 0 {
+		t.Errorf("reported %+v, although the former run may have granted the range", got)
+	}
+	h.Released(at(now), due[0], "")
+	now = 2 * cfg.Hold
+	h.Due(at(now))
+	if got := h.Beat(at(now)).Released; len(got) != 1 {
+		t.Errorf("reported %+v after all grants of the former run", got)
+	}
+}
+
+func TestRetiredLifeIsOverOnceItsKeysAreReleased(t *testing.T) {
+	h := holding(t, long)
+	h.Retire()
+	if h.Over(at(long)) {
+		t.Error("over while the new life may hold the keys")
+	}
+	due := h.Due(at(long))
+	if len(due) != 1 || due[0].Kind != seamhold.Release {
+		t.Fatalf("due: %+v", due)
+	}
+	h.Released(at(long), due[0], "")
+	if !h.Over(at(long)) {
+		t.Error("not over after the release")
+	}
+}
+
+func TestEarlierEpochsAreIgnored(t *testing.T) {
+	h := listed(long)
+	h.Trust(9)
+	h.Reply(at(long+time.Second), seamassign.Reply{Epoch: 8, Promise: 10 * time.Second, Revision: 6, Changed: true, Ranges: ranges(span(0, 999), 9)})
+	if _, not := acquire(h, long, 500); not == nil || not.Arriving {
+		t.Errorf("a replaced assigner was believed: %+v", not)
+	}
+}
+
+func TestLateAnswerCountsFromItsBeat(t *testing.T) {
+	h := listed(long)
+	h.Reply(at(long+time.Second), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5})
+	h.Reply(at(long), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5})
+	if due := h.Due(at(long + 2500*time.Millisecond)); len(due) != 1 {
+		t.Error("the answer to an earlier beat shortened the right")
+	}
+}
--- /dev/null
+++ b/internal/own/seamtable/plan_test.go
@@ -0,0 +1,125 @@
+package seamtable_test
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cardamomseam/internal/own/seamtable"
+)
+
+// candidate is a holder of twelve slots.
+func candidate(name string, service, rate float64, chunks ...seamtable.Chunk) seamtable.Candidate {
+	return seamtable.Candidate{Holder: holder(name), Load: seamtable.Load{Slots: 12, Service: service, Rate: rate, Chunks: chunks}}
+}
+
+func chunk(from, to uint32, rate float64) seamtable.Chunk {
+	return seamtable.Chunk{Span: span(from, to), Rate: rate}
+}
+
+func TestFillCoversEachSpanOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var spans []seamtable.Span
+		next := uint32(0)
+		for range rapid.IntRange(1, 5).Draw(t, "spans") {
+			from := next + uint32(rapid.IntRange(0, 50).Draw(t, "gap"))
+			to := from + uint32(rapid.IntRange(0, 5000).Draw(t, "keys"))
+			spans = append(spans, span(from, to))
+			next = to + 1
+		}
+		var candidates []seamtable.Candidate
+		for i := range rapid.IntRange(1, 6).Draw(t, "candidates") {
+			candidates = append(candidates, candidate(string(rune('a'+i)), rapid.Float64Range(0.01, 2).Draw(t, "service"), rapid.Float64Range(0, 200).Draw(t, "rate")))
+		}
+		rates := []seamtable.Chunk{chunk(0, 40, rapid.Float64Range(0, 100).Draw(t, "hot"))}
+		given := make([]int, next)
+		for _, p := range seamtable.Fill(spans, candidates, rates) {
+			for key := p.From; key <= p.To; key++ {
+				given[key]++
+			}
+		}
+		for _, s := range spans {
+			for key := s.From; key <= s.To; key++ {
+				given[key]--
+			}
+		}
+		for key, n := range given {
+			if n != 0 {
+				t.Fatalf("key %d: given %+d times too often", key, n)
+			}
+		}
+	})
+}
+
+func TestFillGivesMoreToTargetsWithMoreRoom(t *testing.T) {
+	parts := seamtable.Fill([]seamtable.Span{span(0, 9999)}, []seamtable.Candidate{candidate("fast", 0.05, 0), candidate("slow", 0.2, 0)}, nil)
+	keys := map[string]int{}
+	for _, p := range parts {
+		keys[p.Holder.Target] += p.Len()
+	}
+	if ratio := float64(keys["fast"]) / float64(keys["slow"]); math.Abs(ratio-4) > 0.1 {
+		t.Errorf("keys %v: a target four times as fast gets %.2f times the keys", keys, ratio)
+	}
+}
+
+func TestFillFollowsTheLoad(t *testing.T) {
+	parts := seamtable.Fill([]seamtable.Span{span(0, 9999)}, []seamtable.Candidate{candidate("a", 0.1, 0), candidate("b", 0.1, 0)}, []seamtable.Chunk{chunk(0, 99, 100)})
+	for _, p := range parts {
+		if p.Holder.Target == "a" && p.Len() > 200 {
+			t.Errorf("the first target has %d keys beside half of the load", p.Len())
+		}
+	}
+}
+
+func TestFillWithoutCandidatesGivesNothing(t *testing.T) {
+	if parts := seamtable.Fill([]seamtable.Span{span(0, 9)}, nil, nil); parts != nil {
+		t.Errorf("got %v", parts)
+	}
+}
+
+// TestHotKeysAreSpread plays a load in which 200 neighbouring keys draw most requests: one target
+// would need more slots than it has.
+func TestHotKeysAreSpread(t *testing.T) {
+	var hot []seamtable.Chunk
+	for i := range uint32(20) {
+		hot = append(hot, chunk(1000+10*i, 1009+10*i, 8))
+	}
+	hot = append(hot, chunk(1200, 9999, 10))
+	busy := candidate("busy", 0.09, 170, hot...)
+	all := []seamtable.Candidate{busy}
+	for _, name := range []string{"b", "c", "d", "e", "f"} {
+		all = append(all, candidate(name, 0.09, 20, chunk(20000, 29999, 20)))
+	}
+	left, keys := busy.Load.Rate, 0
+	for _, m := range seamtable.Balance(all, 8) {
+		if m.From != busy.Holder || m.To == busy.Holder {
+			t.Fatalf("move %+v does not relieve the busy target", m)
+		}
+		keys += m.Len()
+		for _, c := range hot {
+			if c.From >= m.Span.From && c.To <= m.Span.To {
+				left -= c.Rate
+			}
+		}
+	}
+	if use := left * 0.09 / 12; use > 0.8 {
+		t.Errorf("the busy target is left with %.2f of its slots in use", use)
+	}
+	if keys > 200 {
+		t.Errorf("%d keys were moved, although 200 draw the load", keys)
+	}
+}
+
+func TestCalmOrEvenLoadMovesNothing(t *testing.T) {
+	for name, all := range map[string][]seamtable.Candidate{
+		"calm":             {candidate("a", 0.09, 60, chunk(0, 9, 60)), candidate("b", 0.09, 0)},
+		"even":             {candidate("a", 0.09, 130, chunk(0, 9, 130)), candidate("b", 0.09, 120, chunk(10, 19, 120))},
+		"one target":       {candidate("a", 0.09, 200, chunk(0, 9, 200))},
+		"a single hot key": {candidate("a", 0.09, 200, chunk(5, 5, 200)), candidate("b", 0.09, 0)},
+	} {
+		if moves := seamtable.Balance(all, 8); len(moves) > 0 {
+			t.Errorf("%s: %+v", name, moves)
+		}
+	}
+}
--- a/internal/route/seamadmit/limiter.go
+++ b/internal/route/seamadmit/limiter.go
@@ -18,42 +18,13 @@
 	"cardamomseam/internal/route/seamoutcome"
 )
 
-// Ask is a request for admission.
-type Ask struct {
-	// Class groups requests of alike work.
-	Class uint32
-	// Priority ranks requests, 0 highest.
-	Priority int
-	// Objective is the time until which the answer is prompt; zero means the deadline.
-	Objective time.Time
-	Deadline  time.Time
-}
-
-// Verdict is the answer to an Ask.
-type Verdict struct {
-	Admitted bool
-	// Reason says why the request was not admitted.
-	Reason seamoutcome.Reason
-	// After is the time after which to try again.
-	After time.Duration
-}
-
-// waiter is a request in the queue.
-type waiter struct {
-	Ask
-	arrived time.Time
-	// late says that the request can't be answered promptly any more.
-	late    bool
-	verdict chan Verdict
-}
-
-// Limiter admits requests to one target. It is safe for concurrent use.
+// Limiter is a queue for concurrent use: requests wait at it for their verdicts.
 type Limiter struct {
 	mu       sync.Mutex
 	capacity seamlimit.Capacity
-	running  int
-	queue    []*waiter
-	times    times
+	queue    *Queue
+	verdicts map[uint64]chan Verdict
+	counter  uint64
 	stats    stats
 }
 
@@ -67,7 +38,8 @@
 func New(set *metrics.Set) *Limiter {
 	l := &Limiter{
 		capacity: seamlimit.Capacity{Slots: 1},
-		times:    times{classes: map[uint32]float64{}},
+		queue:    NewQueue(1),
+		verdicts: map[uint64]chan Verdict{},
 		stats: stats{
 			wait:    set.NewHistogram("cardamomseam_admit_wait_seconds"),
 			service: set.NewHistogram("cardamomseam_admit_service_seconds"),
@@ -87,222 +59,105 @@
 		return
 	}
 	if c.Name != l.capacity.Name {
-		l.times = times{classes: map[uint32]float64{}}
+		l.queue.Forget()
 	}
 	l.capacity = c
-	l.dispatch(now)
+	l.deliver(l.queue.Resize(now, slots(c)))
 }
 
-// slots returns the number of requests that may run at once.
-func (l *Limiter) slots() int {
-	n := max(l.capacity.Slots, 1)
-	if l.capacity.Connections > 0 {
-		n = min(n, l.capacity.Connections)
+// slots returns the number of requests that may run at once. Each takes one connection.
+func slots(c seamlimit.Capacity) int {
+	if c.Connections > 0 {
+		return min(c.Slots, c.Connections)
 	}
-	return n
+	return c.Slots
 }
 
 // Load returns the present load.
 func (l *Limiter) Load() seamlimit.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := seamlimit.Load{
-		Running: l.running,
-		Queued:  len(l.queue),
-		Slots:   l.slots(),
-		Service: seconds(l.times.mean),
-	}
-	if l.running >= l.slots() {
-		load.Wait = l.turn(len(l.queue))
+	return seamlimit.Load{
+		Running: l.queue.Running(),
+		Queued:  l.queue.Waiting(),
+		Slots:   max(slots(l.capacity), 1),
+		Service: l.queue.Service(),
+		Wait:    l.queue.Wait(),
 	}
-	return load
 }
 
 // Admit waits until the request may run. An admitted request must be ended with Done.
 // A refusal is given as soon as it is certain.
 func (l *Limiter) Admit(ctx context.Context, now time.Time, a Ask) Verdict {
-	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
-		a.Objective = a.Deadline
-	}
-	w, v := l.enter(now, a)
-	if w == nil {
-		return v
-	}
+	id, verdict := l.ask(now, a)
 	for {
-		look := time.NewTimer(time.Until(l.next(w)))
+		look := time.NewTimer(l.untilNext(id))
 		select {
-		case v = <-w.verdict:
+		case v := <-verdict:
 			look.Stop()
-			l.stats.wait.Update(time.Since(w.arrived).Seconds())
+			l.count(now, v)
 			return v
 		case <-ctx.Done():
 			look.Stop()
-			return l.abandon(w, ended(ctx))
+			return l.leave(id, verdict, ended(ctx))
 		case <-look.C:
-			l.look(time.Now(), w)
+			l.look(time.Now())
 		}
 	}
 }
 
-// enter admits or refuses a request at once, or queues it.
-func (l *Limiter) enter(now time.Time, a Ask) (*waiter, Verdict) {
+func (l *Limiter) ask(now time.Time, a Ask) (uint64, <-chan Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := &waiter{Ask: a, arrived: now, verdict: make(chan Verdict, 1)}
-	if !l.inTime(now, w, 0) {
-		return nil, l.refuse(seamoutcome.Late, l.turn(len(l.queue)))
-	}
-	if len(l.queue) == 0 && l.running < l.slots() {
-		l.running++
-		return nil, Verdict{Admitted: true}
-	}
-	wait := l.turn(l.ahead(w))
-	w.late = !l.prompt(now, w, wait)
-	if w.late && (l.crowded() || !l.inTime(now, w, l.turn(len(l.queue)))) {
-		return nil, l.refuse(seamoutcome.Late, wait)
-	}
-	l.queue = append(l.queue, w)
-	l.dispatch(now)
-	return w, Verdict{}
-}
-
-func (l *Limiter) refuse(r seamoutcome.Reason, after time.Duration) Verdict {
-	l.stats.refused.Inc()
-	return Verdict{Reason: r, After: max(after, afterFloor)}
-}
-
-// prompt reports whether a request that gets its turn after a wait is answered within its objective.
-func (l *Limiter) prompt(now time.Time, w *waiter, wait time.Duration) bool {
-	return !now.Add(wait + l.times.of(w.Class)).After(w.Objective)
-}
-
-// inTime reports whether a request that gets its turn after a wait may end by its deadline.
-func (l *Limiter) inTime(now time.Time, w *waiter, wait time.Duration) bool {
-	return now.Add(wait + l.times.of(w.Class)/leastPart).Before(w.Deadline)
-}
-
-// turn estimates the time until a request with so many before it gets its turn.
-func (l *Limiter) turn(ahead int) time.Duration {
-	return seconds(l.times.mean * float64(ahead+1) / float64(l.slots()))
+	l.counter++
+	verdict := make(chan Verdict, 1)
+	l.verdicts[l.counter] = verdict
+	l.deliver(l.queue.Ask(now, l.counter, a))
+	return l.counter, verdict
 }
 
-// crowded reports whether requests that can be answered promptly wait for longer than one of them takes,
-// so that one that is late already would only take their turn.
-func (l *Limiter) crowded() bool {
-	n := 0
-	for _, w := range l.queue {
-		if !w.late {
-			n++
-		}
-	}
-	return n >= l.slots()
-}
-
-// ahead returns the number of waiters that get their turn before w.
-func (l *Limiter) ahead(w *waiter) int {
-	n := 0
-	for _, o := range l.queue {
-		if o != w && o.before(w) {
-			n++
-		}
+// deliver hands out verdicts. mu is held.
+func (l *Limiter) deliver(decisions []Decision) {
+	for _, d := range decisions {
+		l.verdicts[d.ID] <- d.Verdict
+		delete(l.verdicts, d.ID)
 	}
-	return n
 }
 
-// before reports whether w gets its turn before o: requests that can be prompt go first, then by
-// priority, then by the time that is left.
-func (w *waiter) before(o *waiter) bool {
-	switch {
-	case w.late != o.late:
-		return !w.late
-	case w.Priority != o.Priority:
-		return w.Priority < o.Priority
-	case w.late:
-		return w.Deadline.Before(o.Deadline)
-	default:
-		return w.Objective.Before(o.Objective)
-	}
-}
-
-// next returns the time at which the state of a waiter changes by itself.
-func (l *Limiter) next(w *waiter) time.Time {
+// untilNext returns the time until the state of a request changes by itself.
+func (l *Limiter) untilNext(id uint64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	service := l.times.of(w.Class)
-	if w.late {
-		return w.Deadline.Add(-service / leastPart).Add(time.Millisecond)
+	next, waits := l.queue.Next(id)
+	if !waits {
+		return time.Minute // its verdict is there already
 	}
-	return w.Objective.Add(-service).Add(time.Millisecond)
+	return time.Until(next)
 }
 
-// look takes note that time has passed for a waiter.
-func (l *Limiter) look(now time.Time, w *waiter) {
+func (l *Limiter) look(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dispatch(now)
-	for i, o := range l.queue {
-		if o == w {
-			l.age(now, i)
-			return
-		}
-	}
+	l.deliver(l.queue.Look(now))
 }
 
-// age marks a waiter late that can't be prompt, and refuses it if it can't be served at all.
-func (l *Limiter) age(now time.Time, i int) (removed bool) {
-	w := l.queue[i]
-	if !w.late && !l.prompt(now, w, 0) {
-		w.late = true
-		removed = l.crowded()
-	}
-	if removed || !l.inTime(now, w, 0) {
-		l.remove(i)
-		w.verdict <- l.refuse(seamoutcome.Late, l.turn(len(l.queue)))
-		return true
-	}
-	return false
-}
-
-func (l *Limiter) remove(i int) {
-	l.queue = append(l.queue[:i], l.queue[i+1:]...)
-}
-
-// dispatch gives free slots to waiters.
-func (l *Limiter) dispatch(now time.Time) {
-	for l.running < l.slots() {
-		for i := 0; i < len(l.queue); {
-			if !l.age(now, i) {
-				i++
-			}
-		}
-		best := -1
-		for i, w := range l.queue {
-			if best < 0 || w.before(l.queue[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return
-		}
-		w := l.queue[best]
-		l.remove(best)
-		l.running++
-		w.verdict <- Verdict{Admitted: true}
+func (l *Limiter) count(start time.Time, v Verdict) {
+	l.stats.wait.Update(time.Since(start).Seconds())
+	if !v.Admitted {
+		l.stats.refused.Inc()
 	}
 }
 
-// abandon takes a waiter out of the queue whose caller has left.
-func (l *Limiter) abandon(w *waiter, r seamoutcome.Reason) Verdict {
+// leave takes a request out of the queue whose caller has left.
+func (l *Limiter) leave(id uint64, verdict <-chan Verdict, r seamoutcome.Reason) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i, o := range l.queue {
-		if o == w {
-			l.remove(i)
-			return Verdict{Reason: r}
-		}
+	if !l.queue.Leave(id) {
+		// The verdict came at the same time.
+		return <-verdict
 	}
-	// The verdict came at the same time.
-	return <-w.verdict
+	delete(l.verdicts, id)
+	return Verdict{Reason: r}
 }
 
 // ended returns why a wait ended with its context.
@@ -318,10 +173,9 @@
 func (l *Limiter) Done(now time.Time, class uint32, service time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running--
 	if service > 0 {
 		l.stats.service.Update(service.Seconds())
-		l.times.note(class, service.Seconds())
+		l.queue.Note(class, service)
 	}
-	l.dispatch(now)
+	l.deliver(l.queue.Done(now))
 }
--- /dev/null
+++ b/internal/route/seamadmit/limiter_test.go
@@ -0,0 +1,200 @@
+package seamadmit_test
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/route/seamadmit"
+	"cardamomseam/internal/route/seamlimit"
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+// newLimiter returns a limiter of so many slots whose requests take the time.
+func newLimiter(t *testing.T, slots int, service time.Duration) *seamadmit.Limiter {
+	t.Helper()
+	l := seamadmit.New(metrics.NewSet())
+	l.Resize(time.Now(), seamlimit.Capacity{Name: "t", Slots: slots})
+	for range 20 {
+		if v := l.Admit(context.Background(), time.Now(), ask(time.Minute, time.Minute)); !v.Admitted {
+			t.Fatalf("not admitted: %+v", v)
+		}
+		l.Done(time.Now(), 0, service)
+	}
+	return l
+}
+
+func ask(objective, deadline time.Duration) seamadmit.Ask {
+	now := time.Now()
+	return seamadmit.Ask{Objective: now.Add(objective), Deadline: now.Add(deadline)}
+}
+
+// fill takes all slots.
+func fill(l *seamadmit.Limiter, slots int) {
+	for range slots {
+		l.Admit(context.Background(), time.Now(), ask(time.Minute, time.Minute))
+	}
+}
+
+// admit asks in the background and returns the verdict when it comes.
+func admit(l *seamadmit.Limiter, a seamadmit.Ask) <-chan seamadmit.Verdict {
+	c := make(chan seamadmit.Verdict, 1)
+	queued := l.Load().Queued
+	go func() { c <- l.Admit(context.Background(), time.Now(), a) }()
+	for l.Load().Queued == queued && len(c) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+func TestNoMoreThanTheSlotsRun(t *testing.T) {
+	l := newLimiter(t, 2, 10*time.Millisecond)
+	fill(l, 2)
+	waiting := admit(l, ask(time.Minute, time.Minute))
+	if n := l.Load().Running; n != 2 {
+		t.Errorf("%d run", n)
+	}
+	l.Done(time.Now(), 0, 10*time.Millisecond)
+	if v := <-waiting; !v.Admitted {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+func TestRequestThatCanBePromptGoesFirst(t *testing.T) {
+	l := newLimiter(t, 4, 50*time.Millisecond)
+	fill(l, 4)
+	late := admit(l, ask(-time.Second, time.Minute))
+	prompt := admit(l, ask(30*time.Second, time.Minute))
+	l.Done(time.Now(), 0, 50*time.Millisecond)
+	if v := <-prompt; !v.Admitted {
+		t.Errorf("verdict %+v", v)
+	}
+	select {
+	case v := <-late:
+		t.Errorf("the late request came at the same time: %+v", v)
+	default:
+	}
+	l.Done(time.Now(), 0, 50*time.Millisecond)
+	if v := <-late; !v.Admitted {
+		t.Errorf("verdict on the late request %+v", v)
+	}
+}
+
+func TestPriorityGoesBeforeUrgency(t *testing.T) {
+	l := newLimiter(t, 1, 10*time.Millisecond)
+	fill(l, 1)
+	low := ask(10*time.Second, time.Minute)
+	low.Priority = 2
+	first := admit(l, low)
+	second := admit(l, ask(30*time.Second, time.Minute))
+	l.Done(time.Now(), 0, 10*time.Millisecond)
+	if v := <-second; !v.Admitted {
+		t.Errorf("verdict %+v", v)
+	}
+	if len(first) > 0 {
+		t.Error("the less important request came first")
+	}
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	l := newLimiter(t, 1, 10*time.Second)
+	fill(l, 1)
+	start := time.Now()
+	v := l.Admit(context.Background(), start, ask(time.Second, 2*time.Second))
+	if v.Admitted || v.Reason != seamoutcome.Late || v.After <= 0 {
+		t.Errorf("verdict %+v", v)
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("the refusal took %s", took)
+	}
+}
+
+func TestCallerThatLeavesTakesNoTurn(t *testing.T) {
+	l := newLimiter(t, 1, 10*time.Millisecond)
+	fill(l, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan seamadmit.Verdict, 1)
+	go func() { done <- l.Admit(ctx, time.Now(), ask(time.Minute, time.Minute)) }()
+	for l.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if v := <-done; v.Admitted || v.Reason != seamoutcome.Gone {
+		t.Errorf("verdict %+v", v)
+	}
+	if n := l.Load().Queued; n != 0 {
+		t.Errorf("%d wait", n)
+	}
+}
+
+// finish is the end of a request of the played load.
+type finish struct {
+	at      time.Time
+	arrived time.Time
+}
+
+type finishes []finish
+
+func (f finishes) Len() int           { return len(f) }
+func (f finishes) Less(i, j int) bool { return f[i].at.Before(f[j].at) }
+func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+
+// Push is for package heap.
+func (f *finishes) Push(x any) { *f = append(*f, x.(finish)) }
+
+// Pop is for package heap.
+func (f *finishes) Pop() any {
+	old := *f
+	last := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return last
+}
+
+// TestOverloadServesPromptly plays a load of one and a half times what the target can run for
+// 20 s of its own time, and counts the callers that get a prompt answer. A queue ordered by deadlines serves
+// nearly all too late; a target that always has work can serve two thirds promptly.
+func TestOverloadServesPromptly(t *testing.T) {
+	const (
+		slots     = 12
+		service   = 100 * time.Millisecond
+		objective = 300 * time.Millisecond
+		deadline  = 800 * time.Millisecond
+		gap       = service / slots * 2 / 3
+		requests  = 3600
+	)
+	r := rand.New(rand.NewPCG(1, 2))
+	q := seamadmit.NewQueue(slots)
+	q.Note(0, service)
+	var running finishes
+	now := time.Unix(1000, 0)
+	prompt, arrived := 0, map[uint64]time.Time{}
+	run := func(decisions []seamadmit.Decision) {
+		for _, d := range decisions {
+			if d.Admitted {
+				took := time.Duration(float64(service) * (0.5 + r.Float64()))
+				heap.Push(&running, finish{at: now.Add(took), arrived: arrived[d.ID]})
+			}
+		}
+	}
+	for id := range uint64(requests) {
+		next := now.Add(gap)
+		for len(running) > 0 && !running[0].at.After(next) {
+			f := heap.Pop(&running).(finish)
+			now = f.at
+			if f.at.Sub(f.arrived) <= objective {
+				prompt++
+			}
+			run(q.Done(now))
+		}
+		now = next
+		arrived[id] = now
+		run(q.Ask(now, id, seamadmit.Ask{Objective: now.Add(objective), Deadline: now.Add(deadline)}))
+	}
+	if share := float64(prompt) / requests; share < 0.6 {
+		t.Errorf("%.2f of the callers got a prompt answer", share)
+	}
+}
--- a/internal/route/seamadmit/times.go
+++ b/internal/route/seamadmit/times.go
@@ -7,6 +7,8 @@
 	meanWeight = 0.05
 	// classWeight is the weight of one request in the mean time of its class.
 	classWeight = 0.08
+	// usualFactor times the mean time of a request is the time within which most requests end.
+	usualFactor = 1.5
 	// leastPart divides the mean time of a request: so much time a request needs at least.
 	leastPart = 3
 	// afterFloor is the least time that a refused caller is told to wait.
@@ -21,6 +23,8 @@
 	classes map[uint32]float64
 }
 
+func newTimes() times { return times{classes: map[uint32]float64{}} }
+
 // of returns the mean time of a class; 0 if it is not known.
 func (t *times) of(class uint32) time.Duration {
 	return seconds(t.classes[class])
--- /dev/null
+++ b/internal/route/seamchoice/choice_test.go
@@ -0,0 +1,131 @@
+package seamchoice_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamchoice"
+	"cardamomseam/internal/route/seampick"
+)
+
+var (
+	now  = time.Unix(1000, 0)
+	self = seampeer.Peer{Name: "self", Incarnation: 1, Region: "ost", Domain: "ost-1"}
+)
+
+func candidate(name, region, domain string) seampick.Candidate {
+	return seampick.Candidate{Peer: seampeer.Peer{Name: name, Incarnation: 1, Region: region, Domain: domain}, Slots: 10}
+}
+
+var (
+	near = candidate("near", "ost", "ost-1")
+	rest = candidate("rest", "ost", "ost-2")
+	far  = candidate("far", "west", "west-1")
+	all  = []seampick.Candidate{far, rest, near}
+)
+
+func newChooser() *seamchoice.Chooser {
+	return seamchoice.New(seamchoice.Config{Draw: func() float64 { return 0 }}, self, metrics.NewSet())
+}
+
+// tell lets a request to the candidate end.
+func tell(c *seamchoice.Chooser, at time.Time, p seampeer.Peer, r seamchoice.Result) {
+	c.Sent(at, p)
+	c.Ended(at, p, r)
+}
+
+// report returns what an idle target of the service time says.
+func report(service, wait time.Duration) seamchoice.Result {
+	return seamchoice.Result{Known: true, Slots: 10, Service: service, Wait: wait, Served: true}
+}
+
+func pick(c *seamchoice.Chooser, at time.Time, q seamchoice.Query) string {
+	got, ok := c.Pick(at, all, q, nil)
+	if !ok {
+		return ""
+	}
+	return got.Peer.Name
+}
+
+var lookup = seamchoice.Query{Objective: 300 * time.Millisecond, Deadline: 800 * time.Millisecond}
+
+func TestPickWeighsTheWayAgainstTheTime(t *testing.T) {
+	upload := lookup
+	upload.Bytes = 60_000
+	for _, tt := range []struct {
+		name    string
+		query   seamchoice.Query
+		service time.Duration
+		wait    time.Duration
+		want    string
+	}{
+		{"idle", lookup, 90 * time.Millisecond, 0, "near"},
+		{"somewhat slower", lookup, 120 * time.Millisecond, 0, "near"},
+		{"slow", lookup, 600 * time.Millisecond, 0, "rest"},
+		{"queue", lookup, 90 * time.Millisecond, 400 * time.Millisecond, "rest"},
+		{"slow, but the way costs more", upload, 600 * time.Millisecond, 0, "near"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newChooser()
+			tell(c, now, near.Peer, report(tt.service, tt.wait))
+			tell(c, now, rest.Peer, report(90*time.Millisecond, 0))
+			if got := pick(c, now, tt.query); got != tt.want {
+				t.Errorf("picked %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestFailingTargetIsLeftUntilItRecovers(t *testing.T) {
+	c := newChooser()
+	for range 20 {
+		tell(c, now, near.Peer, seamchoice.Result{Known: true, Slots: 10, Service: 90 * time.Millisecond, Failed: true})
+		tell(c, now, rest.Peer, report(90*time.Millisecond, 0))
+	}
+	if got := pick(c, now, lookup); got != "rest" {
+		t.Errorf("picked %q beside a target that fails", got)
+	}
+	if got := pick(c, now.Add(20*time.Second), lookup); got != "near" {
+		t.Errorf("picked %q long after the failures", got)
+	}
+}
+
+func TestUnreachableNodeIsChosenLast(t *testing.T) {
+	c := newChooser()
+	tell(c, now, near.Peer, seamchoice.Result{Unreachable: true})
+	if got := pick(c, now, lookup); got == "near" {
+		t.Error("a node that can't be reached was chosen")
+	}
+	only := []seampick.Candidate{near}
+	if got, ok := c.Pick(now, only, lookup, nil); !ok || got.Peer.Name != "near" {
+		t.Error("the only node was not chosen")
+	}
+	if got := pick(c, now.Add(time.Second), lookup); got != "near" {
+		t.Errorf("picked %q after the ejection", got)
+	}
+}
+
+func TestRequestsUnderWayCount(t *testing.T) {
+	c := newChooser()
+	tell(c, now, near.Peer, report(90*time.Millisecond, 0))
+	tell(c, now, rest.Peer, report(90*time.Millisecond, 0))
+	for range 50 {
+		c.Sent(now, near.Peer)
+	}
+	if got := pick(c, now, lookup); got != "rest" {
+		t.Errorf("picked %q with 50 requests at ten slots", got)
+	}
+}
+
+func TestDrainingAndSkippedNodesAreNotChosen(t *testing.T) {
+	c := newChooser()
+	draining := near
+	draining.Draining = true
+	got, ok := c.Pick(now, []seampick.Candidate{draining, rest, far}, lookup, func(p seampeer.Peer) bool { return p.Name == "rest" })
+	if !ok || got.Peer.Name != "far" {
+		t.Errorf("picked %q", got.Peer.Name)
+	}
+}
--- a/internal/rule/seamroutes/document.go
+++ b/internal/rule/seamroutes/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -86,10 +87,16 @@
 		}
 		services[s.Name] = true
 	}
+	places := map[string]bool{}
 	for _, r := range d.Routes {
 		if err := r.check(services); err != nil {
 			return err
 		}
+		place := strings.ToLower(r.Host) + r.Prefix
+		if places[place] {
+			return &InvalidError{"host and prefix of route " + r.Name, place, "a place that no other route has"}
+		}
+		places[place] = true
 	}
 	return nil
 }
