Hops are lighter, candidates fewer, cancelled requests reset; orders are not sent late

A request that is given up resets its connection. - A node that restarted was refused as another run: the life of the target decides, not the run of its node. - Three candidates stand for the assigner at first, a seldom changing entry is written once at the start.

--- a/internal/member/seamroll/entry.go
+++ b/internal/member/seamroll/entry.go
@@ -21,6 +21,8 @@
 	// retryFirst and retryLast bound the wait after a failed call.
 	retryFirst = 150 * time.Millisecond
 	retryLast  = time.Second
+	// firstWait is the time that the target has to announce itself before the entry is written without it.
+	firstWait = 1500 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = time.Second
 )
@@ -82,6 +84,10 @@
 // writes it anew, and others learn from its sessions that it is away.
 func (e *Entry) Run(ctx context.Context) {
 	attempt := 0
+	if e.Member().Target.ID == "" {
+		// The first announcement of the target saves a second writing.
+		e.pause(ctx, firstWait, true)
+	}
 	for ctx.Err() == nil {
 		err := e.step(ctx, time.Now())
 		wait := renewInterval
--- a/internal/member/seamroll/member.go
+++ b/internal/member/seamroll/member.go
@@ -21,14 +21,10 @@
 	Address string
 	// Slots is the number of requests that the target runs at once.
 	Slots int
-	// Connections is the number of connections that the target accepts; 0 means no bound is known.
-	Connections int
 	// Leaving says that the target is about to stop and wants no new work.
 	Leaving bool
 	// Down says that the target does not accept connections.
 	Down bool
-	// Keyed says that the target serves only the keys that are assigned to it.
-	Keyed bool
 }
 
 // Holder returns the life of the target as a holder of keys.
@@ -68,15 +64,13 @@
 	}
 	if m.Target.ID != "" {
 		e.Target = &wire.Target{
-			Service:     m.Target.Service,
-			Id:          m.Target.ID,
-			Born:        m.Target.Born,
-			Address:     m.Target.Address,
-			Slots:       int32(m.Target.Slots),
-			Connections: int32(m.Target.Connections),
-			Leaving:     m.Target.Leaving,
-			Down:        m.Target.Down,
-			Keyed:       m.Target.Keyed,
+			Service: m.Target.Service,
+			Id:      m.Target.ID,
+			Born:    m.Target.Born,
+			Address: m.Target.Address,
+			Slots:   int32(m.Target.Slots),
+			Leaving: m.Target.Leaving,
+			Down:    m.Target.Down,
 		}
 	}
 	return e
@@ -114,15 +108,13 @@
 		},
 		Leaving: e.GetLeaving(),
 		Target: Target{
-			Service:     t.GetService(),
-			ID:          t.GetId(),
-			Born:        t.GetBorn(),
-			Address:     t.GetAddress(),
-			Slots:       int(t.GetSlots()),
-			Connections: int(t.GetConnections()),
-			Leaving:     t.GetLeaving(),
-			Down:        t.GetDown(),
-			Keyed:       t.GetKeyed(),
+			Service: t.GetService(),
+			ID:      t.GetId(),
+			Born:    t.GetBorn(),
+			Address: t.GetAddress(),
+			Slots:   int(t.GetSlots()),
+			Leaving: t.GetLeaving(),
+			Down:    t.GetDown(),
 		},
 	}, nil
 }
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/member/seamroll"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamassign"
 	"cardamomseam/internal/own/seamclock"
@@ -81,9 +83,30 @@
 	node *Node
 }
 
-// Holds reports whether the target beside this node serves the service.
-func (k knownPeers) Holds(service string) bool {
-	return k.node.entry.Member().Target.Service == service
+// Rank returns the place of this node among the candidates for the assigner of a service. The
+// order differs from service to service.
+func (k knownPeers) Rank(service string) (rank int, known bool) {
+	self := k.node.entry.Member()
+	before := candidacy(self, service)
+	for _, m := range k.node.roll.View().Members {
+		if m.Peer.Name == self.Peer.Name {
+			continue
+		}
+		known = true
+		if candidacy(m, service) < before {
+			rank++
+		}
+	}
+	return rank, known
+}
+
+// candidacy returns a number by which candidates are ordered.
+func candidacy(m seamroll.Member, service string) uint64 {
+	n := xxhash.Sum64String(m.Peer.Name+"\x00"+service) >> 1
+	if m.Target.Service == service {
+		n |= 1 << 63
+	}
+	return n
 }
 
 // Restarted reports whether a later run of the node is known.
@@ -148,7 +171,7 @@
 	grant, release, err := h.Runner.Acquire(ctx, id)
 	var not *seamgrant.NotOwnerError
 	if errors.As(err, &not) && !not.Arriving {
-		if p, ok := (directory{h.node}).Owner(id.Service, id.Index); ok && !p.Same(h.node.self) {
+		if p, ok := (directory{h.node}).Owner(id.Service, id.Index); ok && p.Name != h.node.self.Name {
 			not.Owner = p.Address
 		}
 	}
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -43,6 +43,7 @@
 		Chooser:  seamchoice.New(seamchoice.Config{}, n.self, n.set),
 		Budget:   func(service string) seamingress.Budget { return budgets.Of(service) },
 		Distinct: true,
+		Lean:     true,
 		Table:    true,
 		Changed:  n.registry.Changed,
 		Origin:   n.origin,
@@ -95,10 +96,16 @@
 		return seampeer.Peer{}, false
 	}
 	peer, ok := t.Node(r)
-	if m, known := d.node.roll.View().Holder(r.Holder); known && m.Peer.Incarnation > peer.Incarnation {
-		return m.Peer, true
+	return d.anyRun(peer), ok
+}
+
+// anyRun returns the node without its run: a node that has just restarted beside its target serves on.
+func (d directory) anyRun(p seampeer.Peer) seampeer.Peer {
+	if p.Name == d.node.self.Name {
+		return d.node.self
 	}
-	return peer, ok
+	p.Incarnation = 0
+	return p
 }
 
 // Learn does nothing: owners are learned from the table.
@@ -110,7 +117,7 @@
 	candidates := make([]seampick.Candidate, 0, len(members))
 	for _, m := range members {
 		candidates = append(candidates, seampick.Candidate{
-			Peer:     m.Peer,
+			Peer:     d.anyRun(m.Peer),
 			Slots:    m.Target.Slots,
 			Draining: m.Leaving || m.Target.Leaving || m.Target.Down,
 		})
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -61,19 +61,17 @@
 	target := seamroll.Target{}
 	if present {
 		target = seamroll.Target{
-			Service:     a.Service,
-			ID:          a.Name,
-			Born:        a.Born,
-			Address:     a.Address,
-			Slots:       a.Slots,
-			Connections: a.Connections,
-			Leaving:     a.Leaving,
-			Keyed:       n.keyed(a.Service),
+			Service: a.Service,
+			ID:      a.Name,
+			Born:    a.Born,
+			Address: a.Address,
+			Slots:   a.Slots,
+			Leaving: a.Leaving,
 		}
 	}
 	n.entry.Update(func(m *seamroll.Member) { m.Target = target })
 	life := seamhold.Life{}
-	if target.Keyed {
+	if n.keyed(target.Service) {
 		life = seamhold.Life{Service: a.Service, Address: a.Address, Holder: target.Holder(), Slots: a.Slots}
 	}
 	n.runner.Serve(life)
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -46,7 +46,7 @@
 		Alone:    10 * time.Second,
 		Settle:   700 * time.Millisecond,
 		Patience: 3 * time.Second,
-		Interval: 500 * time.Millisecond,
+		Interval: 250 * time.Millisecond,
 		Moves:    8,
 		Room:     0.7,
 		Stuck:    6 * time.Second,
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -21,6 +21,8 @@
 	Renew time.Duration
 	// Answer is the time for which the answer to a grant is awaited before the range is released regardless.
 	Answer time.Duration
+	// Slip is the longest time between the decision on a grant and its first byte.
+	Slip time.Duration
 	// Margin is the part of a right that is not used, for the way to the target.
 	Margin time.Duration
 	// Drift is the part by which the target's clock may run slow.
@@ -32,7 +34,7 @@
 
 // DefaultConfig returns the usual times.
 func DefaultConfig() Config {
-	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
+	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Slip: 100 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
 }
 
 // phase is the state of a range at the target.
--- a/internal/own/seamhold/order.go
+++ b/internal/own/seamhold/order.go
@@ -69,7 +69,7 @@
 
 // safely returns the latest end of a hold that ends here by the clock of the node.
 func (h *Holder) safely(end seamclock.Instant) seamclock.Instant {
-	return end.Add(time.Duration(float64(h.cfg.Hold)*h.cfg.Drift) + h.cfg.Margin)
+	return end.Add(time.Duration(float64(h.cfg.Hold)*h.cfg.Drift) + h.cfg.Slip + h.cfg.Margin)
 }
 
 // mayReach reports whether a grant without an answer may still give the target
@@ -109,7 +109,7 @@
 // granted the range. It returns false if the right has ended meanwhile, or if the
 // range was cut since the order became due.
 func (h *Holder) Start(now seamclock.Instant, o Order) (started Order, hold time.Duration, ok bool) {
-	left := -seamclock.Most(now, h.right) - h.cfg.Margin
+	left := -seamclock.Most(now, h.right) - h.cfg.Slip - h.cfg.Margin
 	hold = min(h.cfg.Hold, time.Duration(float64(left)/(1+h.cfg.Drift)))
 	if h.dead || hold < time.Millisecond || !h.wants(o) {
 		return o, 0, false
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -33,8 +33,9 @@
 // does not take the order, *ClosedError if nothing listens at its address, and others
 // if there was no answer.
 type Orders interface {
-	// Grant grants the range for a time, or renews it.
-	Grant(ctx context.Context, address string, r seamtable.Range, hold time.Duration) error
+	// Grant grants the range for a time, or renews it. It calls fresh right before the first byte is
+	// sent, and sends nothing if that returns false.
+	Grant(ctx context.Context, address string, r seamtable.Range, hold time.Duration, fresh func() bool) error
 	// Release takes the range back, waits for the end of the work on it, and returns
 	// what the target hands over.
 	Release(ctx context.Context, address string, r seamtable.Range) (handover string, err error)
@@ -328,7 +329,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(r.cfg.Answer, hold))
 	defer cancel()
-	err := r.orders.Grant(ctx, c.life.Address, order.Range, hold)
+	fresh := func() bool { return seamclock.Most(r.clock.Now(), sent) < r.cfg.Slip }
+	err := r.orders.Grant(ctx, c.life.Address, order.Range, hold, fresh)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var refused *RefusedError
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -31,11 +31,13 @@
 	// callTimeout bounds one call of the store.
 	callTimeout = 600 * time.Millisecond
 	// rankStep is the time by which each further candidate waits longer.
-	rankStep = 40 * time.Millisecond
-	// ranks is the number of different waits.
-	ranks = 8
-	// holderDelay is the additional wait of a node whose own target holds keys of the service.
-	holderDelay = 300 * time.Millisecond
+	rankStep = 120 * time.Millisecond
+	// startSpread is the time over which nodes that know no others yet spread their candidacies.
+	startSpread = 1500 * time.Millisecond
+	// reserve is the additional wait of nodes beyond the first candidates, so that few try at once.
+	reserve = time.Second
+	// first is the number of nodes that try without the additional wait.
+	first = 3
 	// retryWait is the wait after a failed attempt to take the office.
 	retryWait = 400 * time.Millisecond
 	// epochBits is the number of low bits of an epoch that are random, so that two assigners that read
@@ -57,8 +59,10 @@
 
 // Peers tells what the node knows of itself and of other nodes.
 type Peers interface {
-	// Holds reports whether the target beside this node serves the service.
-	Holds(service string) bool
+	// Rank returns the place of this node among the candidates for the assigner of a service, from 0; false
+	// if no other node is known. Nodes beside a holder come last, since a machine that is lost takes
+	// both with it.
+	Rank(service string) (rank int, known bool)
 	// Restarted reports whether a later run of the node is known.
 	Restarted(name string, incarnation uint64) bool
 }
@@ -166,16 +170,17 @@
 	return false
 }
 
-// delay is the time for which this node leaves the office to others: nodes differ, and
-// those beside a holder stand back, since a machine that is lost takes both with it.
+// delay is the time for which this node leaves the office to others.
 func (o *Office) delay() time.Duration {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(o.self.Name + "\x00" + o.service)) // a hash takes every byte
-	d := time.Duration(h.Sum32()%ranks) * rankStep
-	if o.peers.Holds(o.service) {
-		d += holderDelay
+	rank, known := o.peers.Rank(o.service)
+	switch {
+	case !known:
+		return time.Duration(xxhash.Sum64String(o.self.Name+"\x00"+o.service) % uint64(startSpread))
+	case rank < first:
+		return time.Duration(rank) * rankStep
+	default:
+		return reserve + time.Duration(rank)*rankStep
 	}
-	return d
 }
 
 // take writes the record of this node and begins an epoch.
--- a/internal/own/seamusage/usage.go
+++ b/internal/own/seamusage/usage.go
@@ -13,7 +13,7 @@
 
 const (
 	// window is the time constant with which counts decay.
-	window = 2 * time.Second
+	window = time.Second
 	// rebaseAge is the age of the origin from which counts are scaled anew, before they overflow.
 	rebaseAge = 30 * time.Second
 	// forget is the rate, in requests a second, below which a key is forgotten.
--- a/internal/route/seamcall/call.go
+++ b/internal/route/seamcall/call.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"cardamomseam/internal/route/seamheader"
@@ -20,12 +21,12 @@
 	Body(p []byte) error
 }
 
-// Fields returns the headers that are passed on, in wire form.
-func Fields(h http.Header) []*seamroutewire.Field {
+// Fields returns the headers that are passed on, in wire form, without those left out.
+func Fields(h http.Header, without ...string) []*seamroutewire.Field {
 	named := seamheader.Named(h)
 	fields := make([]*seamroutewire.Field, 0, len(h))
 	for name, values := range h {
-		if !seamheader.Passes(name, named) {
+		if !seamheader.Passes(name, named) || slices.Contains(without, name) {
 			continue
 		}
 		for _, v := range values {
@@ -45,7 +46,6 @@
 // WireEnd returns the end of an attempt in wire form.
 func WireEnd(head *seamroutewire.RequestHead, e seamoutcome.End) *seamroutewire.AnswerEnd {
 	w := &seamroutewire.AnswerEnd{
-		Id:       head.GetId(),
 		Attempt:  head.GetAttempt(),
 		Outcome:  string(e.Outcome),
 		Reason:   string(e.Reason),
--- a/internal/route/seamegress/client.go
+++ b/internal/route/seamegress/client.go
@@ -91,7 +91,11 @@
 		a.conn.pool.put(a.conn, time.Now())
 		return
 	}
-	a.conn.pool.drop(a.conn)
+	if whole {
+		a.conn.pool.drop(a.conn)
+		return
+	}
+	a.conn.pool.abort(a.conn)
 }
 
 // drained reads what is left of a short body and reports whether that was its end.
@@ -144,7 +148,7 @@
 		err = errors.CombineErrors(err, readErr)
 	}
 	stop()
-	t.pool.drop(t)
+	t.pool.abort(t)
 	return nil, err
 }
 
--- a/internal/route/seamegress/dialect.go
+++ b/internal/route/seamegress/dialect.go
@@ -18,6 +18,8 @@
 	Request string
 	// Target identifies the run of the target that is meant.
 	Target string
+	// Key is the number of the key of a keyed request.
+	Key uint32
 	// Origin is the service of the instance at which the request began.
 	Origin string
 	// Left is the time until the deadline; 0 means that there is none.
--- a/internal/route/seamegress/pool.go
+++ b/internal/route/seamegress/pool.go
@@ -109,6 +109,16 @@
 	<-p.places
 }
 
+// abort resets a connection, so that a target that has not accepted it yet, or has not read the
+// request, never sees the request.
+func (p *targetPool) abort(c *targetConn) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that is gone already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	p.drop(c)
+}
+
 // close closes the idle connections, and the others when their requests end.
 func (p *targetPool) close() {
 	p.mu.Lock()
--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -71,6 +71,9 @@
 		Origin:  c.head.GetOrigin(),
 		Grant:   grant,
 	}
+	if c.head.GetKeyed() {
+		c.order.Key = c.head.GetSlot()
+	}
 	if left, ok := c.left(ctx, grant); ok {
 		c.order.Left = left
 	}
@@ -145,10 +148,9 @@
 
 func (c *call) answerHead(res *answer) *seamroutewire.AnswerHead {
 	return &seamroutewire.AnswerHead{
-		Id:      c.head.GetId(),
 		Attempt: c.head.GetAttempt(),
 		Status:  int32(res.StatusCode),
-		Headers: seamcall.Fields(res.Header),
+		Headers: seamcall.Fields(res.Header, "Content-Length", "Date"),
 		Length:  res.ContentLength,
 		Whole:   c.head.GetMethod() == http.MethodHead || res.ContentLength >= 0 && res.ContentLength <= wholeLimit,
 	}
--- a/internal/route/seamingress/answer.go
+++ b/internal/route/seamingress/answer.go
@@ -60,12 +60,20 @@
 	a.started = true
 	h := a.w.Header()
 	seamcall.Header(h, a.head.GetHeaders())
+	if n := a.head.GetLength(); n >= 0 && hasLength(int(a.head.GetStatus())) {
+		h["Content-Length"] = []string{strconv.FormatInt(n, 10)}
+	}
 	h[seamheader.Outcome] = []string{seamheader.Done}
 	delete(h, seamheader.Reason)
 	h[seamheader.Server] = []string{a.server}
 	a.w.WriteHeader(int(a.head.GetStatus()))
 }
 
+// hasLength reports whether an answer of the status may state the length of its body.
+func hasLength(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 func (a *responder) send(p []byte) error {
 	// Writers without deadlines, as in tests, wait without a bound.
 	_ = a.rc.SetWriteDeadline(time.Now().Add(a.slow))
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -92,6 +92,8 @@
 	// Distinct says that callers give each attempt an id of its own, so that
 	// duplicates of a request need not meet at one node.
 	Distinct bool
+	// Lean leaves out of messages to other nodes what they can do without.
+	Lean bool
 	// Table says that the directory knows all owners, so that no node is asked for one.
 	Table bool
 	// Changed returns a channel that is closed when owners change; nil means that they are looked for again and again.
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -166,6 +166,9 @@
 	if choice.Keyed {
 		head.Region = i.self.Region
 	}
+	if i.cfg.Lean {
+		lighten(head, r.Header)
+	}
 	if i.cfg.Distinct {
 		head.Id = seamcall.RandomID()
 		return head
@@ -179,6 +182,12 @@
 	return head
 }
 
+// lighten leaves out of a head what other fields say, or what only the admission by callers needs.
+func lighten(head *seamroutewire.RequestHead, h http.Header) {
+	head.Headers = seamcall.Fields(h, seamheader.Request, seamheader.Deadline, seamheader.Key, seamheader.Caller, "Content-Length")
+	head.Caller, head.Queue, head.Region, head.Key = "", 0, "", nil
+}
+
 // classOf returns a number for the requests of a selector or route.
 func classOf(choice seamrule.Choice) uint32 {
 	h := fnv.New32a()
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -1,7 +1,6 @@
 package seamingress
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -104,7 +103,9 @@
 
 // talk sends the request and receives the answer.
 func (x *exchange) talk(ctx context.Context, conn net.Conn) (seamoutcome.End, error) {
-	x.head.Trace = seamspan.Format(ctx)
+	if !x.ingress.cfg.Lean || seamspan.Sampled(ctx) {
+		x.head.Trace = seamspan.Format(ctx)
+	}
 	x.head.Expires = 0
 	if a, ok := conn.(interface{ Age(time.Time) time.Duration }); ok {
 		now := time.Now()
@@ -244,7 +245,7 @@
 	if err := f.Decode(head); err != nil {
 		return err
 	}
-	if a.head != nil || !x.mine(head.GetId(), head.GetAttempt()) {
+	if a.head != nil || !x.mine(head.GetAttempt()) {
 		return &seamframe.Error{Fault: "head of another answer", Type: f.Type}
 	}
 	a.head = head
@@ -273,7 +274,7 @@
 	if err := f.Decode(w); err != nil {
 		return seamoutcome.End{}, err
 	}
-	if !x.mine(w.GetId(), w.GetAttempt()) {
+	if !x.mine(w.GetAttempt()) {
 		return seamoutcome.End{}, &seamframe.Error{Fault: "end of another answer", Type: f.Type}
 	}
 	end := seamcall.End(w)
@@ -290,8 +291,8 @@
 	return a.head.GetLength() < 0 || a.length == a.head.GetLength() || x.head.GetMethod() == http.MethodHead
 }
 
-func (x *exchange) mine(id []byte, attempt uint64) bool {
-	return attempt == x.head.GetAttempt() && bytes.Equal(id, x.head.GetId())
+func (x *exchange) mine(attempt uint64) bool {
+	return attempt == x.head.GetAttempt()
 }
 
 // void asks the run of a node that took an attempt never to run it, and reports
@@ -347,7 +348,7 @@
 	if err := reader.Expect(seamframe.Voided, answer); err != nil {
 		return seamledger.Unknown, err
 	}
-	if !x.mine(answer.GetId(), answer.GetAttempt()) {
+	if !x.mine(answer.GetAttempt()) {
 		return seamledger.Unknown, nil
 	}
 	return seamledger.State(answer.GetState()), nil
--- a/internal/route/seamspan/span.go
+++ b/internal/route/seamspan/span.go
@@ -52,6 +52,11 @@
 	return s.value
 }
 
+// Sampled reports whether the span in ctx is recorded.
+func Sampled(ctx context.Context) bool {
+	return trace.SpanContextFromContext(ctx).IsSampled()
+}
+
 // ID returns the trace id of ctx in hexadecimal form.
 func ID(ctx context.Context) string {
 	return trace.SpanContextFromContext(ctx).TraceID().String()
