Requests waiting for a slot leave when it moves; a node's former run yields the office; state command

It now leaves for the new holder at once; requests that were never tried stay not run. Ruled out: the queue of the target (its lengths were 0 at the time). An assigner's office that a former run of the same node holds was waited for until its lease ended; the new run now takes it over at once, as the lease names it.

--- a/cmd/cardamomseam/main.go
+++ b/cmd/cardamomseam/main.go
@@ -25,6 +25,7 @@
 		Commands: append([]*cli.Command{
 			nodeCommand(),
 			serveCommand(),
+			stateCommand(),
 			checkCommand(),
 			demoCommand(),
 		}, seamcommand.Commands()...),
--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -66,6 +66,7 @@
 		Name:         "check",
 		Usage:        "tell whether files of settings are right, without starting anything",
 		ArgsUsage:    "FILE...",
+		Flags:        []cli.Flag{&cli.BoolFlag{Name: "serve", Usage: "the files are settings for serve, not for node"}},
 		OnUsageError: seamcommand.OnUsage,
 		Action:       runCheck,
 	}
@@ -76,8 +77,12 @@
 		return seamcommand.Usage(errors.New("name at least one file of settings"))
 	}
 	var faults []error
+	check := seamsetting.Check
+	if c.Bool("serve") {
+		check = seamsetting.CheckRouter
+	}
 	for _, file := range c.Args().Slice() {
-		if err := seamsetting.Check(file); err != nil {
+		if err := check(file); err != nil {
 			faults = append(faults, err)
 			continue
 		}
--- /dev/null
+++ b/cmd/cardamomseam/state.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"cardamomseam/internal/node/seamrouter"
+	"cardamomseam/internal/rule/seamcommand"
+)
+
+// stateTimeout bounds the question to the node.
+const stateTimeout = 3 * time.Second
+
+func stateCommand() *cli.Command {
+	return &cli.Command{
+		Name:         "state",
+		Usage:        "print what a node run by serve believes: members, owners, routes, the store",
+		Flags:        []cli.Flag{&cli.StringFlag{Name: "address", Aliases: []string{"a"}, Required: true, Usage: "`IP:PORT` of the setting metrics of the node"}},
+		OnUsageError: seamcommand.OnUsage,
+		Action:       runState,
+	}
+}
+
+func runState(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.String("address")+seamrouter.StatePath, nil)
+	if err != nil {
+		return seamcommand.Usage(err)
+	}
+	res, err := httpc.DoRequest(r)
+	if err != nil {
+		return errors.Wrap(err, "asking the node")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("the node answered with status %d", res.StatusCode)
+	}
+	if _, err := io.Copy(os.Stdout, res.Body); err != nil {
+		return errors.Wrap(err, "reading the answer")
+	}
+	fmt.Println()
+	return nil
+}
--- a/internal/node/seamsetting/load.go
+++ b/internal/node/seamsetting/load.go
@@ -41,6 +41,12 @@
 	return err
 }
 
+// CheckRouter is Check for the settings of a router.
+func CheckRouter(path string) error {
+	_, err := LoadRouter(path)
+	return err
+}
+
 // Parse is Load for content that was read already; file names it in faults.
 func Parse(file string, content []byte) (Settings, error) {
 	return parse(file, content, withAddress, clashes)
--- a/internal/node/seamsetting/load_test.go
+++ b/internal/node/seamsetting/load_test.go
@@ -218,3 +218,48 @@
 	}
 	return begins
 }
+
+// routerFile are settings of a router with every required field.
+const routerFile = `name: n1
+region: ost
+domain: ost-1
+listen: 127.0.0.1:7101
+ingress: 127.0.0.1:7102
+announce: 127.0.0.1:7103
+health: 127.0.0.1:7104
+metrics: 127.0.0.1:7105
+store: ["127.0.0.1:2379"]
+`
+
+func TestSettingsOfARouter(t *testing.T) {
+	s, err := seamsetting.ParseRouter("f", []byte(routerFile+"retry: {ratio: 0.3, slack: 58, window: 10s}\nmemory: 284\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Retry.Ratio != 0.3 || s.Retry.Slack != 58 || s.Stop.Notice <= 0 || s.Memory != 284 || s.Log.Level != "info" {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestWrongSettingsOfARouterAreNamed(t *testing.T) {
+	for name, tt := range map[string]struct{ change, field string }{
+		"unknown field":      {"speed: 3\n", "speed"},
+		"address twice":      {"health: 127.0.0.1:7101\n", "health"},
+		"no address":         {"listen: somewhere\n", "listen"},
+		"notice above limit": {"stop: {notice: 10s, limit: 1s}\n", "stop.notice"},
+		"negative ratio":     {"retry: {ratio: -1}\n", "retry.ratio"},
+	} {
+		content := tt.change
+		for _, line := range strings.SplitAfter(routerFile, "\n") {
+			key, _, _ := strings.Cut(line, ":")
+			if !strings.HasPrefix(tt.change, key+":") || key == "" {
+				content += line
+			}
+		}
+		_, err := seamsetting.ParseRouter("f", []byte(content))
+		var faults seamsetting.Faults
+		if !errors.As(err, &faults) || faults[0].Field != tt.field || faults[0].Allowed == "" {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/own/seamhold/holder_test.go
+++ b/internal/own/seamhold/holder_test.go
@@ -39,12 +39,12 @@
 	return h
 }
 
-// holding returns a holder whose target has confirmed the range at a time.
-func holding(t *testing.T, now time.Duration) *seamhold.Holder {
+// holding returns a holder whose target has confirmed the range.
+func holding(t *testing.T) *seamhold.Holder {
 	t.Helper()
-	h := listed(now)
-	o, hold := start(t, h, now)
-	h.Granted(at(now), o, hold)
+	h := listed(long)
+	o, hold := start(t, h, long)
+	h.Granted(at(long), o, hold)
 	return h
 }
 
@@ -122,7 +122,7 @@
 }
 
 func TestReleaseWaitsForRenewalsOnTheirWay(t *testing.T) {
-	h := holding(t, long)
+	h := holding(t)
 	now := long + cfg.Renew
 	o, hold := start(t, h, now)
 	release(h, now)
@@ -142,7 +142,7 @@
 }
 
 func TestReleaseIsNotReportedWhileAGrantMayStillArrive(t *testing.T) {
-	h := holding(t, long)
+	h := holding(t)
 	now := long + cfg.Renew
 	_, hold := start(t, h, now) // it gets no answer
 	release(h, now)
@@ -163,7 +163,7 @@
 }
 
 func TestUnansweredReleaseEndsWithTheGrant(t *testing.T) {
-	h := holding(t, long)
+	h := holding(t)
 	release(h, long)
 	h.Due(at(long))
 	if got := h.Beat(at(long)).Released; len(got) > 0 {
@@ -177,7 +177,7 @@
 }
 
 func TestPartOfARangeIsReleased(t *testing.T) {
-	h := holding(t, long)
+	h := holding(t)
 	h.Reply(at(long), seamassign.Reply{Epoch: 1, Promise: 2 * time.Second, Revision: 5, Release: ranges(span(40, 59), 3)})
 	if _, not := acquire(h, long, 39); not != nil {
 		t.Errorf("key beside the part: %v", not)
@@ -211,7 +211,7 @@
 }
 
 func TestRetiredLifeIsOverOnceItsKeysAreReleased(t *testing.T) {
-	h := holding(t, long)
+	h := holding(t)
 	h.Retire()
 	if h.Over(at(long)) {
 		t.Error("over while the new life may hold the keys")
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -235,6 +235,13 @@
 	return r.holder.Held(id.Index, epoch)
 }
 
+// Changed returns a channel that is closed when what the target holds changes.
+func (r *Runner) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
 // Count counts a request for a key.
 func (r *Runner) Count(_ seamclock.Instant, slot seamslot.ID, _, _ string) {
 	r.usage.Count(time.Now(), slot.Index)
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -150,6 +150,9 @@
 // due waits until this node should try to take the office, and reports whether that is now.
 func (o *Office) due(ctx context.Context) bool {
 	changed := o.registry.Changed()
+	if o.former() != 0 {
+		return true
+	}
 	now := time.Now()
 	since, vacant := o.registry.Vacant(o.service, now)
 	if vacant {
@@ -170,6 +173,15 @@
 	return false
 }
 
+// former returns the revision of the record if an earlier run of this node wrote it, which has ended; 0 if not.
+func (o *Office) former() int64 {
+	record, ok := o.registry.Office(o.service)
+	if ok && record.Peer.Name == o.self.Name && record.Peer.Incarnation < o.self.Incarnation {
+		return record.Revision
+	}
+	return 0
+}
+
 // delay is the time for which this node leaves the office to others.
 func (o *Office) delay() time.Duration {
 	rank, known := o.peers.Rank(o.service)
@@ -203,7 +215,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := o.store.SwapLeased(ctx, seamstore.Takeover, OfficePrefix+o.service, 0, value, lease); err != nil {
+	if _, err := o.store.SwapLeased(ctx, seamstore.Takeover, OfficePrefix+o.service, o.former(), value, lease); err != nil {
 		o.end(lease)
 		return err
 	}
--- /dev/null
+++ b/internal/own/seamoffice/office_test.go
@@ -0,0 +1,159 @@
+package seamoffice_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamoffice"
+	"cardamomseam/internal/own/seamtable"
+	"cardamomseam/internal/platform/seammirror"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/stand/seamstandkv"
+)
+
+const (
+	service = "calendar"
+	// patience bounds the wait for what a test expects to happen.
+	patience = 20 * time.Second
+)
+
+// peers is the same for all nodes: each knows all others, in the order of their names.
+type peers struct {
+	rank int
+}
+
+func (p peers) Rank(string) (int, bool)           { return p.rank, true }
+func (peers) Restarted(string, uint64) bool       { return false }
+func (n *node) record() (seamoffice.Record, bool) { return n.registry.Office(service) }
+
+// node is one node that stands for the assigner.
+type node struct {
+	self     seampeer.Peer
+	registry *seamoffice.Registry
+	office   *seamoffice.Office
+	stop     func()
+}
+
+// reader hands the store's keys to a registry.
+type reader struct {
+	*seamoffice.Registry
+}
+
+// newNode starts a node of the store.
+func newNode(t *testing.T, store *seamstandkv.Store, name string, incarnation uint64, rank int) *node {
+	t.Helper()
+	sink := seamevent.NewStream(name)
+	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamoffice.NewRegistry(sink)}
+	n.office = seamoffice.New(service, n.self, store, n.registry, seamclock.NewClock(), peers{rank}, sink)
+	mirror := seammirror.New(store, "", reader{n.registry}, sink)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { mirror.Run(ctx) })
+	running.Go(func() { n.office.Run(ctx) })
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		running.Wait()
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+func newStore(t *testing.T) *seamstandkv.Store {
+	t.Helper()
+	store, stop := seamstandkv.New()
+	t.Cleanup(stop)
+	return store
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen", what)
+}
+
+func heldBy(n *node, name string) func() bool {
+	return func() bool {
+		r, ok := n.record()
+		return ok && r.Peer.Name == name
+	}
+}
+
+func TestOneOfManyHoldsTheOffice(t *testing.T) {
+	store := newStore(t)
+	var nodes []*node
+	for i := range 5 {
+		nodes = append(nodes, newNode(t, store, fmt.Sprint("n", i), 1, i))
+	}
+	for _, n := range nodes {
+		await(t, "the election", heldBy(n, "n0"))
+	}
+}
+
+func TestOfficeGoesOnWhenItsHolderResigns(t *testing.T) {
+	store := newStore(t)
+	first := newNode(t, store, "n0", 1, 0)
+	await(t, "the election", heldBy(first, "n0"))
+	second := newNode(t, store, "n1", 1, 1)
+	await(t, "the first table", func() bool { _, ok := second.registry.Table(service); return ok })
+	first.office.Leave()
+	await(t, "the succession", heldBy(second, "n1"))
+	record, _ := second.record()
+	await(t, "the epoch of the successor", func() bool { table, _ := second.registry.Table(service); return table.Epoch == record.Epoch })
+}
+
+func TestOfficeGoesOnWhenItsLeaseIsTakenAway(t *testing.T) {
+	store := newStore(t)
+	n := newNode(t, store, "n0", 1, 0)
+	await(t, "the election", heldBy(n, "n0"))
+	record, _ := n.record()
+	store.Revoke()
+	await(t, "the restored record", func() bool {
+		now, ok := n.record()
+		return ok && now.Revision > record.Revision
+	})
+}
+
+func TestRestartedNodeTakesItsOwnOfficeAtOnce(t *testing.T) {
+	store := newStore(t)
+	value, err := proto.Marshal(seamoffice.Record{Epoch: 5, Peer: seampeer.Peer{Name: "n0", Incarnation: 1}}.Wire())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The record of the former run lasts: it has no lease.
+	store.Put(seamoffice.OfficePrefix+service, value)
+	n := newNode(t, store, "n0", 2, 3)
+	await(t, "the office of the later run", func() bool {
+		r, ok := n.record()
+		return ok && r.Peer.Incarnation == 2
+	})
+}
+
+func TestUnreadableTableChangesNothing(t *testing.T) {
+	sink := seamevent.NewStream("n")
+	r := seamoffice.NewRegistry(sink)
+	value, err := seamtable.Encode(seamtable.Table{Service: service, Epoch: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0)
+	r.Put(now, seamstore.Entry{Key: seamoffice.TablePrefix + service, Value: value, Revision: 4})
+	r.Put(now, seamstore.Entry{Key: seamoffice.TablePrefix + service, Value: []byte{0xff}, Revision: 5})
+	if table, ok := r.Table(service); !ok || table.Epoch != 3 || table.Revision != 4 {
+		t.Errorf("got %+v", table)
+	}
+	if events := sink.Recent(); len(events) != 1 || events[0].Name != seamevent.TableRefused {
+		t.Errorf("the log says %v", events)
+	}
+}
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -80,7 +80,13 @@
 // admit waits for a place at the target.
 func (c *call) admit(ctx context.Context, grant *seamgrant.Grant) seamoutcome.End {
 	c.countKey()
-	v := c.egress.limiter.admit(ctx, time.Now(), c.head)
+	waiting, stop := c.whileHeld(ctx, grant)
+	v := c.egress.limiter.admit(waiting, time.Now(), c.head)
+	moved := errors.Is(context.Cause(waiting), errMoved)
+	stop()
+	if !v.Admitted && moved {
+		return c.redirected(ctx)
+	}
 	if !v.Admitted {
 		end := seamoutcome.Refuse(v.Reason, "not admitted to the target")
 		end.After = v.After
@@ -100,6 +106,45 @@
 	return c.run(ctx, grant, p)
 }
 
+// errMoved is why a request stops waiting for a place whose slot moves to another owner.
+var errMoved = errors.New("the slot moves to another owner")
+
+// whileHeld returns a context that ends when the node gives the slot of the grant up, and a function that
+// releases it.
+func (c *call) whileHeld(ctx context.Context, grant *seamgrant.Grant) (context.Context, func()) {
+	holder, ok := c.egress.owners.(Holder)
+	if grant == nil || !ok {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for {
+			changed := holder.Changed()
+			if _, held := c.egress.owners.Held(grant.Slot, grant.Epoch); !held {
+				cancel(errMoved)
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
+// redirected refuses a request whose slot moves, with the owner to turn to.
+func (c *call) redirected(ctx context.Context) seamoutcome.End {
+	_, release, err := c.egress.owners.Acquire(ctx, seamslot.ID{Service: c.head.GetService(), Index: c.head.GetSlot()})
+	if err != nil {
+		return acquireEnd(ctx, err)
+	}
+	// The slot is back already.
+	release()
+	return seamoutcome.Refuse(seamoutcome.Owner, errMoved.Error())
+}
+
 // countKey counts the key of a request that may be admitted here.
 func (c *call) countKey() {
 	if !c.head.GetKeyed() {
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -38,6 +38,12 @@
 	Held(id seamslot.ID, epoch uint64) (until seamclock.Instant, held bool)
 }
 
+// Holder is Owners that tells of changes, so that requests need not wait for a slot that has moved.
+type Holder interface {
+	// Changed returns a channel that is closed when what the node holds changes.
+	Changed() <-chan struct{}
+}
+
 // Target tells what the target last announced.
 type Target interface {
 	Current() (seamtarget.Announcement, bool)
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -356,3 +357,75 @@
 	}
 	expect(t, <-first, seamoutcome.Done, "")
 }
+
+// movable grants every slot until it moves to another owner.
+type movable struct {
+	granting
+	mu      sync.Mutex
+	moved   bool
+	changed chan struct{}
+}
+
+func (m *movable) Acquire(ctx context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.moved {
+		return seamgrant.Grant{}, nil, &seamgrant.NotOwnerError{Slot: id, Owner: "10.0.0.9:1", Moving: true}
+	}
+	return m.granting.Acquire(ctx, id)
+}
+
+func (m *movable) Held(seamslot.ID, uint64) (seamclock.Instant, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now().Add(m.life), !m.moved
+}
+
+func (m *movable) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+func (m *movable) move() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.moved = true
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func TestRequestsThatWaitLeaveWhenTheirSlotMoves(t *testing.T) {
+	running, end := make(chan struct{}, 2), make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-end
+	}))
+	t.Cleanup(target.Close)
+	clock := seamclock.NewClock()
+	owners := &movable{granting: granting{clock, time.Minute}, changed: make(chan struct{})}
+	e := egressOf(t, owners, clock, target, []string{seamtarget.CanFence})
+	keyed := func(attempt uint64) *seamroutewire.RequestHead {
+		h := head(attempt)
+		h.Idempotent, h.Keyed, h.Left = true, true, 60_000
+		return h
+	}
+	ends := make(chan seamoutcome.End, 3)
+	for n := range uint64(2) {
+		go func() { ends <- run(e, keyed(n)) }()
+		<-running
+	}
+	go func() { ends <- run(e, keyed(2)) }()
+	for e.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	owners.move()
+	got := <-ends
+	expect(t, got, seamoutcome.Refused, seamoutcome.Owner)
+	if got.Owner.Address != "10.0.0.9:1" {
+		t.Errorf("sent to %q", got.Owner.Address)
+	}
+	close(end)
+	<-ends
+	<-ends
+}
