An assigner that resigns leaves its predecessors named in the table

The table now names all runs that may still promise; a resignation removes only its own. A predecessor's write found later also counts anew.

Test: TestResigningAssignerLeavesThePromisesOfItsPredecessor failed before (keys moved after 2.3 s, want 12 s); the model now draws resignations as well.

--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -151,9 +151,9 @@
 	balanced seamclock.Instant
 	// plans counts the moves that were planned.
 	plans int
-	// predecessor is the assigner that may still promise by what it knew; zero if none can.
-	predecessor seamtable.Assigner
-	// foreign is the latest end of a promise of the predecessor.
+	// predecessors are the earlier assigners that may still promise by what they knew.
+	predecessors []seamtable.Assigner
+	// foreign is the latest end of a promise of a predecessor.
 	foreign seamclock.Instant
 	// lost holds the last known load of keys whose holders are gone.
 	lost []seamtable.Chunk
@@ -181,25 +181,25 @@
 		holders:  map[seamtable.Holder]*holder{},
 		balanced: now,
 	}
-	a.adopt(found)
-	a.predecessor = found.Assigner
-	a.foreign = now.Add(a.bound(cfg.Alone + cfg.Promise))
-	if found.Assigner == (seamtable.Assigner{}) || found.Assigner == self {
-		a.Succeed(now)
-	}
+	a.adopt(now, found)
 	return a
 }
 
-// Predecessor returns the assigner of the epoch before, as long as it may still promise.
-func (a *Assigner) Predecessor() (seamtable.Assigner, bool) {
-	return a.predecessor, a.predecessor != (seamtable.Assigner{})
+// Predecessors returns the earlier assigners that may still promise.
+func (a *Assigner) Predecessors() []seamtable.Assigner {
+	return slices.Clone(a.predecessors)
+}
+
+// Succeed takes note that a predecessor promises nothing any more, since its process has ended.
+func (a *Assigner) Succeed(now seamclock.Instant, predecessor seamtable.Assigner) {
+	a.predecessors = slices.DeleteFunc(a.predecessors, func(p seamtable.Assigner) bool { return p == predecessor })
+	a.succeeded(now)
 }
 
-// Succeed takes note that the predecessor promises nothing any more: it gave the office up, or its
-// process has ended.
-func (a *Assigner) Succeed(now seamclock.Instant) {
-	a.predecessor = seamtable.Assigner{}
-	if end := now.Add(a.bound(a.cfg.Promise)); seamclock.Least(a.foreign, end) > 0 {
+// succeeded bounds the promises of the predecessors by one that was made just now, once none is left.
+func (a *Assigner) succeeded(now seamclock.Instant) {
+	a.next.Assigners = append(slices.Clone(a.predecessors), a.self)
+	if end := now.Add(a.bound(a.cfg.Promise)); len(a.predecessors) == 0 && seamclock.Least(a.foreign, end) > 0 {
 		a.foreign = end
 	}
 }
@@ -268,10 +268,11 @@
 	return Reply{Epoch: a.epoch, Revision: a.revision, Changed: true, Ranges: a.promised(h), Release: a.releases(h)}, true
 }
 
-// Final returns the table in the store as an assigner leaves it that promises nothing any more.
+// Final returns the table in the store as an assigner leaves it that promises nothing any more. Its
+// predecessors may.
 func (a *Assigner) Final() seamtable.Table {
 	t := a.durable.Clone()
-	t.Assigner = seamtable.Assigner{}
+	t.Assigners = a.Predecessors()
 	return t
 }
 
@@ -414,26 +415,29 @@
 
 // Uncertain takes note that a write may have had an effect: found is the table
 // that stands in the store now. It reports false if another assigner wrote it.
-func (a *Assigner) Uncertain(found seamtable.Table, revision int64) bool {
+func (a *Assigner) Uncertain(now seamclock.Instant, found seamtable.Table, revision int64) bool {
 	if found.Epoch > a.epoch {
 		return false
 	}
 	a.writing, a.changed = false, true
 	a.durable, a.revision = found, revision
 	if found.Epoch != a.epoch {
-		a.adopt(found)
+		a.adopt(now, found)
 	}
 	return true
 }
 
 // adopt starts from the table that the predecessor left.
-func (a *Assigner) adopt(found seamtable.Table) {
+func (a *Assigner) adopt(now seamclock.Instant, found seamtable.Table) {
 	nodes := a.next.Nodes
 	a.next = found.Clone()
-	a.next.Epoch, a.next.Assigner = a.epoch, a.self
+	a.next.Epoch = a.epoch
 	if a.next.Nodes == nil {
 		a.next.Nodes = map[seamtable.Holder]seampeer.Peer{}
 	}
 	maps.Copy(a.next.Nodes, nodes)
 	a.moves = nil
+	a.predecessors = slices.Clone(found.Assigners)
+	a.foreign = now.Add(a.bound(a.cfg.Alone + a.cfg.Promise))
+	a.Succeed(now, a.self)
 }
--- a/internal/own/seamassign/assigner_test.go
+++ b/internal/own/seamassign/assigner_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamassign"
 	"cardamomseam/internal/own/seamclock"
@@ -182,27 +184,34 @@
 }
 
 // found is a table that a predecessor left.
-func found(by seamtable.Assigner) seamtable.Table {
-	table := seamtable.Table{Epoch: 3, Assigner: by}
+func found(by ...seamtable.Assigner) seamtable.Table {
+	table := seamtable.Table{Epoch: 3, Assigners: by}
 	table.Give(seamtable.Span{From: 0, To: seamtable.LastKey}, life("a"), "")
 	return table
 }
 
+var (
+	old   = seamtable.Assigner{Name: "old", Incarnation: 1}
+	older = seamtable.Assigner{Name: "older", Incarnation: 1}
+)
+
 func TestSuccessorWaitsForThePromisesOfItsPredecessor(t *testing.T) {
 	cfg := seamassign.DefaultConfig()
 	for name, tt := range map[string]struct {
-		by      seamtable.Assigner
-		succeed bool
-		least   time.Duration
+		by    []seamtable.Assigner
+		ended []seamtable.Assigner
+		least time.Duration
 	}{
-		"predecessor may act alone": {seamtable.Assigner{Name: "old", Incarnation: 1}, false, cfg.Alone + cfg.Promise},
-		"predecessor has restarted": {seamtable.Assigner{Name: "old", Incarnation: 1}, true, cfg.Promise},
-		"predecessor has resigned":  {seamtable.Assigner{}, false, cfg.Promise},
+		"predecessor may act alone":               {[]seamtable.Assigner{old}, nil, cfg.Alone + cfg.Promise},
+		"predecessor has restarted":               {[]seamtable.Assigner{old}, []seamtable.Assigner{old}, cfg.Promise},
+		"predecessor has resigned":                {nil, nil, cfg.Promise},
+		"one of two predecessors has restarted":   {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old}, cfg.Alone + cfg.Promise},
+		"both of two predecessors have restarted": {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old, older}, cfg.Promise},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newScene(t, found(tt.by))
-			if tt.succeed {
-				s.a.Succeed(s.clock())
+			s := newScene(t, found(tt.by...))
+			for _, p := range tt.ended {
+				s.a.Succeed(s.clock(), p)
 			}
 			for s.keysOf(life("a")) > 0 && s.now < time.Minute {
 				s.pass(100*time.Millisecond, life("b"))
@@ -214,8 +223,42 @@
 	}
 }
 
+func TestResigningAssignerLeavesThePromisesOfItsPredecessor(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	between := seamassign.New(cfg, seamclock.Instant{}, seamtable.Assigner{Name: "between", Incarnation: 1}, epoch-1, found(old), 1)
+	table, revision, _ := between.Wanted()
+	between.Stored(table, revision+1)
+	s := newScene(t, between.Final())
+	for s.keysOf(life("a")) > 0 && s.now < time.Minute {
+		s.pass(100*time.Millisecond, life("b"))
+	}
+	if least := cfg.Alone + cfg.Promise; s.now < least {
+		t.Errorf("the keys of a silent holder went elsewhere after %s, though the assigner before the last may act alone; want %s", s.now, least)
+	}
+}
+
+func TestPredecessorsAreForgottenOnceTheirPromisesAreOver(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	s := newScene(t, found(older, old))
+	s.pass(cfg.Alone+cfg.Promise+time.Second, life("b"))
+	if p := s.a.Predecessors(); len(p) > 0 {
+		t.Errorf("predecessors %v", p)
+	}
+	if p := s.a.Final().Assigners; len(p) > 0 {
+		t.Errorf("the final table names %v", p)
+	}
+}
+
+func TestTableOfTheStoreNamesAllWhoMayPromise(t *testing.T) {
+	s := newScene(t, found(older, old))
+	self := seamtable.Assigner{Name: "a", Incarnation: 1}
+	if diff := cmp.Diff([]seamtable.Assigner{older, old, self}, s.stored.Assigners); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestLaterLifeAtTheAddressFreesTheKeysOfTheFormer(t *testing.T) {
-	s := newScene(t, found(seamtable.Assigner{Name: "old", Incarnation: 1}))
+	s := newScene(t, found(old))
 	next := life("a")
 	next.Target, next.Born = "a2", 2000
 	s.pass(200*time.Millisecond, next)
@@ -225,7 +268,7 @@
 }
 
 func TestNothingIsPromisedBeforeTheEpochIsStored(t *testing.T) {
-	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, found(seamtable.Assigner{}), 1)
+	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, found(), 1)
 	if r := a.Beat(seamclock.Instant{}, seamassign.Beat{Holder: life("a"), State: seamassign.Ready}); r.Promise > 0 || r.Changed {
 		t.Errorf("reply %+v", r)
 	}
@@ -233,7 +276,7 @@
 
 func TestTableOfALaterEpochDeposes(t *testing.T) {
 	s := newScene(t, seamtable.Table{})
-	if s.a.Uncertain(seamtable.Table{Epoch: epoch + 1}, 9) {
+	if s.a.Uncertain(s.clock(), seamtable.Table{Epoch: epoch + 1}, 9) {
 		t.Error("an assigner went on beside its successor")
 	}
 }
@@ -243,7 +286,7 @@
 	if _, _, ok := a.Wanted(); !ok {
 		t.Fatal("the epoch is not written")
 	}
-	if !a.Uncertain(found(seamtable.Assigner{Name: "old"}), 2) {
+	if !a.Uncertain(seamclock.Instant{}, found(old), 2) {
 		t.Fatal("deposed by an earlier epoch")
 	}
 	table, revision, _ := a.Wanted()
--- a/internal/own/seamassign/model_test.go
+++ b/internal/own/seamassign/model_test.go
@@ -195,6 +195,9 @@
 	if m.chance(500) {
 		m.elect()
 	}
+	if m.chance(600) {
+		m.resign()
+	}
 	alone := seamassign.DefaultConfig().Alone
 	if len(m.assigners) > 1 && m.now-m.assigners[1].began > alone {
 		m.assigners = m.assigners[1:]
@@ -272,9 +275,24 @@
 	})
 }
 
+// resign has the last assigner give the office up, and begins the next epoch.
+func (m *model) resign() {
+	if len(m.assigners) == 0 {
+		return
+	}
+	last := m.assigners[len(m.assigners)-1]
+	m.assigners = m.assigners[:len(m.assigners)-1]
+	m.note("epoch %d resigns", last.Epoch())
+	if last.Version().Revision == m.revision {
+		m.revision++
+		m.stored = last.Final()
+	}
+	m.elect()
+}
+
 // settle has an assigner go on from what the store holds, or stop if another has written it.
 func (m *model) settle(a *modelAssigner) {
-	if a.Uncertain(m.stored.Clone(), m.revision) {
+	if a.Uncertain(m.clock(), m.stored.Clone(), m.revision) {
 		return
 	}
 	for i, o := range m.assigners {
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -15,6 +15,7 @@
 	if a.durable.Epoch != a.epoch {
 		return
 	}
+	a.outlast(now)
 	a.expire(now)
 	a.unstick(now)
 	a.fill(now)
@@ -22,6 +23,15 @@
 	a.balance(now)
 }
 
+// outlast forgets the predecessors once none of their promises can be in force.
+func (a *Assigner) outlast(now seamclock.Instant) {
+	if len(a.predecessors) == 0 || seamclock.Least(now, a.foreign) < 0 {
+		return
+	}
+	a.predecessors = nil
+	a.succeeded(now)
+}
+
 // expire takes the keys of holders whose right is over. A holder that has not
 // accepted this epoch may still act on a promise of the last assigner.
 func (a *Assigner) expire(now seamclock.Instant) {
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -52,8 +52,10 @@
 		o.mu.Unlock()
 		return nil
 	}
-	if p, ok := o.assigner.Predecessor(); ok && o.peers.Restarted(p.Name, p.Incarnation) {
-		o.assigner.Succeed(now)
+	for _, p := range o.assigner.Predecessors() {
+		if o.peers.Restarted(p.Name, p.Incarnation) {
+			o.assigner.Succeed(now, p)
+		}
 	}
 	o.assigner.Tick(now)
 	table, revision, ok := o.assigner.Wanted()
@@ -127,7 +129,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.assigner.Uncertain(found, entry.Revision) {
+	if !o.assigner.Uncertain(o.clock.Now(), found, entry.Revision) {
 		return &deposedError{By: Record{Epoch: found.Epoch}}
 	}
 	return nil
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -78,8 +78,9 @@
 	Fence uint64
 	// Ranges are in the order of their keys and do not overlap.
 	Ranges []Range
-	// Assigner is the node that wrote the table; zero after it gave the office up.
-	Assigner Assigner
+	// Assigners may still promise keys to holders: the one that wrote the table, and earlier ones. One that
+	// gave the office up is not among them.
+	Assigners []Assigner
 	// Nodes are the nodes beside the holders.
 	Nodes map[Holder]seampeer.Peer
 }
@@ -94,6 +95,7 @@
 func (t Table) Clone() Table {
 	t.Ranges = slices.Clone(t.Ranges)
 	t.Nodes = maps.Clone(t.Nodes)
+	t.Assigners = slices.Clone(t.Assigners)
 	return t
 }
 
--- a/internal/own/seamtable/table_test.go
+++ b/internal/own/seamtable/table_test.go
@@ -57,10 +57,10 @@
 
 func TestTableSurvivesTheStore(t *testing.T) {
 	table := seamtable.Table{
-		Service:  "calendar",
-		Epoch:    7,
-		Assigner: seamtable.Assigner{Name: "n1", Incarnation: 3},
-		Nodes:    map[seamtable.Holder]seampeer.Peer{},
+		Service:   "calendar",
+		Epoch:     7,
+		Assigners: []seamtable.Assigner{{Name: "n1", Incarnation: 3}, {Name: "n2", Incarnation: 1}},
+		Nodes:     map[seamtable.Holder]seampeer.Peer{},
 	}
 	table.Give(span(0, 9), holder("a"), "state")
 	table.Give(span(10, 19), holder("b"), "")
--- a/internal/own/seamtable/wire.go
+++ b/internal/own/seamtable/wire.go
@@ -13,13 +13,12 @@
 	ranges := WireRanges(t.Ranges)
 	nodes := t.wireNodes(ranges)
 	return proto.Marshal(&wire.Table{
-		Service:     t.Service,
-		Epoch:       t.Epoch,
-		Fence:       t.Fence,
-		Ranges:      ranges,
-		Nodes:       nodes,
-		Assigner:    t.Assigner.Name,
-		Incarnation: t.Assigner.Incarnation,
+		Service:   t.Service,
+		Epoch:     t.Epoch,
+		Fence:     t.Fence,
+		Ranges:    ranges,
+		Nodes:     nodes,
+		Assigners: wireAssigners(t.Assigners),
 	})
 }
 
@@ -30,12 +29,14 @@
 		return Table{}, errors.Wrap(err, "table of owners")
 	}
 	t := Table{
-		Service:  w.GetService(),
-		Epoch:    w.GetEpoch(),
-		Fence:    w.GetFence(),
-		Ranges:   Ranges(w.GetRanges()),
-		Assigner: Assigner{Name: w.GetAssigner(), Incarnation: w.GetIncarnation()},
-		Nodes:    map[Holder]seampeer.Peer{},
+		Service: w.GetService(),
+		Epoch:   w.GetEpoch(),
+		Fence:   w.GetFence(),
+		Ranges:  Ranges(w.GetRanges()),
+		Nodes:   map[Holder]seampeer.Peer{},
+	}
+	for _, a := range w.GetAssigners() {
+		t.Assigners = append(t.Assigners, Assigner{Name: a.GetName(), Incarnation: a.GetIncarnation()})
 	}
 	for i, r := range w.GetRanges() {
 		if n := int(r.GetNode()); n >= 1 && n <= len(w.GetNodes()) {
@@ -45,6 +46,14 @@
 	return t, t.Check()
 }
 
+func wireAssigners(assigners []Assigner) []*wire.Assigner {
+	var list []*wire.Assigner
+	for _, a := range assigners {
+		list = append(list, &wire.Assigner{Name: a.Name, Incarnation: a.Incarnation})
+	}
+	return list
+}
+
 // wireNodes returns the nodes of the table and notes at each range which of them is beside its holder.
 func (t Table) wireNodes(ranges []*wire.Range) []*wire.Node {
 	var nodes []*wire.Node
