--- /dev/null
+++ b/internal/route/seamegress/reset_test.go
@@ -0,0 +1,51 @@
+package seamegress_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamsketch"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+// TestCancelledRequestResetsItsConnection sends a request to a target that has not accepted the
+// connection when the caller leaves. A connection that ends without a reset would let the
+// target run the request afterwards.
+func TestCancelledRequestResetsItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	clock := seamclock.NewClock()
+	target := announcing{Service: "booker", Name: "t", Address: l.Addr().String(), Slots: 4, Connections: 4}
+	e, closeEgress := seamegress.New(seamegress.Config{}, self, granting{clock, time.Minute}, target, clock,
+		seamsketch.NewUsage(16, time.Minute, time.Minute), metrics.NewSet(), seamevent.NewStream("back"))
+	defer closeEgress()
+	ctx, leave := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer leave()
+	end := e.Run(ctx, request(1, http.MethodGet), http.NoBody, &discard{http.Header{}})
+	if end.Outcome == seamoutcome.Done {
+		t.Fatalf("the request ended with %+v before it was accepted", end)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection of a cancelled request ended with %v, want a reset", err)
+	}
+}
