Waiting loops, start of nodes and socket options: one piece of code for each

What the platform's engine had written again now calls one piece; behaviour is unchanged. - seamwait.Each replaces five ticker loops (seamrouter, seamannounce, seamsession twice, seamstandkv), seamwait.Until four waits with a wake-up (seamhold, seamroll, seamoffice, seamingress). seamoffice used a copy of seamwait.For and Jittered. - internal/node/seamstart has the clean-up list, background work and the start of the log, which both kinds of nodes had. - seamsession sets its socket option through seamnet.Control, as seamnet.Bound does. - The commands serve and node share the settings flag and the start of tracing. - seamhold: lifeChanged calls keysChanged instead of repeating it (they were signal and arrived).

--- a/cmd/cardamomseam/node.go
+++ b/cmd/cardamomseam/node.go
@@ -12,7 +12,6 @@
 
 	"cardamomseam/internal/node/seamnode"
 	"cardamomseam/internal/node/seamsetting"
-	"cardamomseam/internal/observe/seamtrace"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/platform/seammemory"
 	"cardamomseam/internal/rule/seamcommand"
@@ -20,11 +19,9 @@
 
 func nodeCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "node",
-		Usage: "run the node beside a target until SIGTERM or a drain order, then stop without cutting a request",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "YAML `FILE` of settings"},
-		},
+		Name:         "node",
+		Usage:        "run the node beside a target until SIGTERM or a drain order, then stop without cutting a request",
+		Flags:        []cli.Flag{settingsFlag()},
 		OnUsageError: seamcommand.OnUsage,
 		Action:       runNode,
 	}
@@ -36,12 +33,7 @@
 		return seamcommand.Usage(err)
 	}
 	seamhttp.OwnSignals()
-	ring, stopTracing := seamtrace.New(seamtrace.Config{
-		Name:     "cardamomseam",
-		Sampler:  settings.Trace.Sampler,
-		Endpoint: settings.Trace.Endpoint,
-		Batcher:  settings.Trace.Batcher,
-	})
+	ring, stopTracing := startTracing(settings.Trace)
 	defer stopTracing()
 	node, stop, err := seamnode.New(settings, seamnode.Options{Log: os.Stderr, Ring: ring, Bridge: true})
 	if err != nil {
--- a/cmd/cardamomseam/serve.go
+++ b/cmd/cardamomseam/serve.go
@@ -12,7 +12,6 @@
 
 	"cardamomseam/internal/node/seamrouter"
 	"cardamomseam/internal/node/seamsetting"
-	"cardamomseam/internal/observe/seamtrace"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/rule/seamcommand"
 	"cardamomseam/platform"
@@ -29,11 +28,9 @@
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "serve",
-		Usage: "run a node whose routes, members and owners stand in the platform's store, until SIGTERM",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "YAML `FILE` of settings"},
-		},
+		Name:         "serve",
+		Usage:        "run a node whose routes, members and owners stand in the platform's store, until SIGTERM",
+		Flags:        []cli.Flag{settingsFlag()},
 		OnUsageError: seamcommand.OnUsage,
 		Action:       runServe,
 	}
@@ -47,12 +44,7 @@
 	}
 	boundMemory(settings.Memory)
 	seamhttp.OwnSignals()
-	ring, stopTracing := seamtrace.New(seamtrace.Config{
-		Name:     "cardamomseam",
-		Sampler:  settings.Trace.Sampler,
-		Endpoint: settings.Trace.Endpoint,
-		Batcher:  settings.Trace.Batcher,
-	})
+	ring, stopTracing := startTracing(settings.Trace)
 	defer stopTracing()
 	node, stop, err := seamrouter.New(settings, platform.Adapter(), seamrouter.Options{Log: os.Stdout, Ring: ring, Bridge: true})
 	if err != nil {
--- a/internal/member/seamannounce/server.go
+++ b/internal/member/seamannounce/server.go
@@ -13,6 +13,7 @@
 
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/platform/seamhttp"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -52,7 +53,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var expiry sync.WaitGroup
-	expiry.Go(func() { r.expireLoop(ctx) })
+	expiry.Go(func() { seamwait.Each(ctx, expireInterval, r.Expire) })
 	return address, func() {
 		cancel()
 		stop()
@@ -60,19 +61,6 @@
 	}, nil
 }
 
-func (r *Registry) expireLoop(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			r.Expire(now)
-		}
-	}
-}
-
 func (r *Registry) put(w http.ResponseWriter, q *http.Request) {
 	var a seamtarget.Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, q.Body, bodyLimit))
--- a/internal/member/seamroll/entry.go
+++ b/internal/member/seamroll/entry.go
@@ -108,13 +108,7 @@
 		seamwait.Jittered(ctx, wait)
 		return
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-e.kick:
-	case <-ctx.Done():
-	}
+	seamwait.Until(ctx, wait, e.kick)
 }
 
 // step makes the calls that are due.
--- a/internal/node/seamnode/admin.go
+++ b/internal/node/seamnode/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/own/seamkeeper"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/rule/seamadmin"
@@ -15,7 +16,7 @@
 // adminStop bounds the time for operators' requests in flight when a node stops.
 const adminStop = time.Second
 
-func (n *Node) startAdmin(c *cleanups, _ Options) error {
+func (n *Node) startAdmin(c *seamstart.Cleanups, _ Options) error {
 	_, stop, err := seamadmin.Start(seamadmin.Config{
 		Address: n.settings.Admin.Listen,
 		Teams:   n.teams(),
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	c.add(func() {
+	c.Add(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), adminStop)
 		defer cancel()
 		_ = stop(ctx) // what is left is cut with the process
--- a/internal/node/seamnode/node.go
+++ b/internal/node/seamnode/node.go
@@ -16,6 +16,7 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/node/seamplacer"
 	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamlog"
 	"cardamomseam/internal/observe/seamtrace"
@@ -102,41 +103,34 @@
 		keys:    seamsketch.NewUsage(keyLimit, keyWindow, callerWindow),
 		ordered: make(chan struct{}),
 	}
-	c := &cleanups{}
-	for _, start := range []func(*cleanups, Options) error{
+	c := &seamstart.Cleanups{}
+	for _, start := range []func(*seamstart.Cleanups, Options) error{
 		n.startLog, n.startStore, n.startNetwork, n.startOwnership, n.startRequests, n.startRules, n.startAdmin, n.startTarget,
 	} {
 		if err := start(c, o); err != nil {
-			c.run()
+			c.Run()
 			return nil, nil, err
 		}
 	}
 	n.sink.Emit(time.Now(), seamevent.NodeStarted, seamevent.Fields{"address": n.self.Address, "incarnation": n.self.Incarnation})
 	return n, func() {
-		c.run()
+		c.Run()
 		n.set.UnregisterAllMetrics()
 	}, nil
 }
 
-func (n *Node) startLog(c *cleanups, o Options) error {
-	sink, stop, err := seamlog.New(seamlog.Config{
+func (n *Node) startLog(c *seamstart.Cleanups, o Options) error {
+	sink, err := seamstart.Log(c, seamstart.LogConfig{
 		Node:   n.settings.Name,
-		Level:  n.settings.Log.Level,
-		Format: n.settings.Log.Format,
+		Log:    n.settings.Log,
 		Out:    o.Log,
+		Bridge: o.Bridge,
 	}, n.stream, n.set)
-	if err != nil {
-		return errors.Wrap(err, "log")
-	}
 	n.sink = sink
-	c.add(stop)
-	if o.Bridge {
-		c.add(seamlog.Bridge(sink))
-	}
-	return nil
+	return err
 }
 
-func (n *Node) startStore(c *cleanups, _ Options) error {
+func (n *Node) startStore(c *seamstart.Cleanups, _ Options) error {
 	store, stop, err := seamstore.New(seamstore.Config{
 		Endpoints: n.settings.Store.Endpoints,
 		Timeout:   n.settings.Store.Timeout,
@@ -146,17 +140,17 @@
 		return errors.Wrap(err, "store")
 	}
 	n.store = seamstore.Observe(seamstore.Join(store), n.sink)
-	c.add(stop)
+	c.Add(stop)
 	return nil
 }
 
-func (n *Node) startNetwork(c *cleanups, _ Options) error {
+func (n *Node) startNetwork(c *seamstart.Cleanups, _ Options) error {
 	datagrams, stop, err := seamdatagram.New(n.settings.Listen, n.self, n.set)
 	if err != nil {
 		return err
 	}
 	n.datagrams = datagrams
-	c.add(stop)
+	c.Add(stop)
 	sessions, stop, err := seamsession.New(seamsession.Config{
 		Address: n.settings.Listen,
 		Max:     n.settings.Session.Max,
@@ -167,11 +161,11 @@
 		return err
 	}
 	n.sessions = sessions
-	c.add(stop)
+	c.Add(stop)
 	return nil
 }
 
-func (n *Node) startOwnership(c *cleanups, _ Options) error {
+func (n *Node) startOwnership(c *seamstart.Cleanups, _ Options) error {
 	n.rules = seamset.New(n.sink, n.set)
 	source := n.ruleSource()
 	keeper, stop, err := seamkeeper.New(keeperConfig(n.settings), n.self, seamkeeper.Parts{
@@ -190,7 +184,7 @@
 		return err
 	}
 	n.keeper = keeper
-	c.add(stop)
+	c.Add(stop)
 	n.sessions.Register(seamsession.Rules, source)
 	n.sessions.Register(seamsession.Cells, keeper)
 	n.datagrams.Register(seamdatagram.Cell, keeper)
@@ -221,18 +215,18 @@
 	return cfg
 }
 
-func (n *Node) startRules(c *cleanups, _ Options) error {
+func (n *Node) startRules(c *seamstart.Cleanups, _ Options) error {
 	n.book = seambook.New(n.store, n.rules, n.sink, n.set)
 	n.confirmer = seamconfirm.New(cells{keeper: n.keeper}, sender{endpoint: n.datagrams, kind: seamdatagram.Confirm}, n.behind, n.sink, n.set)
 	n.datagrams.Register(seamdatagram.Confirm, seamdatagram.HandlerFunc(func(from seampeer.Peer, payload []byte) {
 		n.confirmer.Receive(time.Now(), from, payload)
 	}))
 	table := &serviceTable{keeper: n.keeper, known: map[string]bool{}}
-	c.add(n.rules.Subscribe(time.Now(), table.apply))
-	c.add(n.rules.Subscribe(time.Now(), n.hint))
+	c.Add(n.rules.Subscribe(time.Now(), table.apply))
+	c.Add(n.rules.Subscribe(time.Now(), n.hint))
 	watch := &ruleWatch{set: n.rules, store: n.store, keeper: n.keeper}
-	c.add(background(watch.run))
-	c.add(background(n.confirmer.Run))
+	c.Add(seamstart.Background(watch.run))
+	c.Add(seamstart.Background(n.confirmer.Run))
 	return nil
 }
 
@@ -256,29 +250,18 @@
 // fetchTimeout bounds one fetch of rules from another node.
 const fetchTimeout = 2 * time.Second
 
-// background runs f until the returned function is called, which waits for its end.
-func background(f func(ctx context.Context)) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { f(ctx) })
-	return func() {
-		cancel()
-		running.Wait()
-	}
-}
-
-func (n *Node) startTarget(c *cleanups, _ Options) error {
+func (n *Node) startTarget(c *seamstart.Cleanups, _ Options) error {
 	_, stop, err := seamannounce.Serve(n.settings.Announce.Listen, n.targets)
 	if err != nil {
 		return err
 	}
-	c.add(stop)
+	c.Add(stop)
 	return nil
 }
 
 // startRequests starts the path of requests: the announced target, the egress
 // in front of it, and the ingress for callers.
-func (n *Node) startRequests(c *cleanups, _ Options) error {
+func (n *Node) startRequests(c *seamstart.Cleanups, _ Options) error {
 	n.targets = seamannounce.NewRegistry(n.settings.Announce.Life, n.sink, n.keeper)
 	egress, stop := seamegress.New(seamegress.Config{
 		Patience: n.settings.Limit.Patience,
@@ -287,7 +270,7 @@
 		Dial:     n.settings.Limit.Dial,
 	}, n.self, n.keeper, n.targets, n.clock, n.keys, n.set, n.sink)
 	n.egress = egress
-	c.add(stop)
+	c.Add(stop)
 	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.Voider{Egress: egress})
 	n.ingress = seamingress.New(seamingress.Config{
@@ -296,9 +279,9 @@
 		Headers: n.settings.Ingress.Header,
 		Slow:    n.settings.Ingress.Slow,
 	}, n.self, n.rules, directory{n.keeper}, n.sessions, egress, n.set, n.sink)
-	c.add(n.closeServer)
-	c.add(background(n.serveWhenReady))
-	c.add(background(n.reportLoad))
+	c.Add(n.closeServer)
+	c.Add(seamstart.Background(n.serveWhenReady))
+	c.Add(seamstart.Background(n.reportLoad))
 	return nil
 }
 
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -1,19 +1,18 @@
 package seamrouter
 
 import (
-	"context"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seamannounce"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamroll"
 	"cardamomseam/internal/node/seamsetting"
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamlog"
 	"cardamomseam/internal/observe/seamtrace"
@@ -100,12 +99,12 @@
 	}
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
-	c := &cleanups{}
-	for _, start := range []func(*cleanups, Options) error{
+	c := &seamstart.Cleanups{}
+	for _, start := range []func(*seamstart.Cleanups, Options) error{
 		n.startLog, n.startStore, n.startSessions, n.startOwnership, n.startRequests, n.startFollowing, n.startServers,
 	} {
 		if err := start(c, o); err != nil {
-			c.run()
+			c.Run()
 			return nil, nil, err
 		}
 	}
@@ -113,36 +112,29 @@
 		"address": n.self.Address, "incarnation": n.self.Incarnation, "region": s.Region, "domain": s.Domain,
 	})
 	return n, func() {
-		c.run()
+		c.Run()
 		n.set.UnregisterAllMetrics()
 	}, nil
 }
 
-func (n *Node) startLog(c *cleanups, o Options) error {
-	sink, stop, err := seamlog.New(seamlog.Config{
+func (n *Node) startLog(c *seamstart.Cleanups, o Options) error {
+	sink, err := seamstart.Log(c, seamstart.LogConfig{
 		Node:   n.settings.Name,
-		Level:  n.settings.Log.Level,
-		Format: n.settings.Log.Format,
+		Log:    n.settings.Log,
 		Out:    o.Log,
+		Bridge: o.Bridge,
 	}, n.stream, n.set)
-	if err != nil {
-		return errors.Wrap(err, "log")
-	}
 	n.sink = sink
-	c.add(stop)
-	if o.Bridge {
-		c.add(seamlog.Bridge(sink))
-	}
-	return nil
+	return err
 }
 
-func (n *Node) startSessions(c *cleanups, _ Options) error {
+func (n *Node) startSessions(c *seamstart.Cleanups, _ Options) error {
 	sessions, stop, err := seamsession.New(sessionConfig(n.settings), n.self, n.set, n.sink)
 	if err != nil {
 		return err
 	}
 	n.sessions = sessions
-	c.add(stop)
+	c.Add(stop)
 	sessions.Register(seamsession.Sync, syncHandler{n})
 	sessions.Register(seamsession.Beats, beatHandler{n})
 	return nil
@@ -160,30 +152,3 @@
 func sessionConfig(s seamsetting.Router) seamsession.Config {
 	return seamsession.Config{Address: s.Listen, Max: sessionLimit, Silence: sessionSilence, Answer: sessionAnswer, Lazy: true}
 }
-
-// background runs f until the returned function is called, which waits for its end.
-func background(f func(ctx context.Context)) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { f(ctx) })
-	return func() {
-		cancel()
-		running.Wait()
-	}
-}
-
-// cleanups runs clean-up functions in reverse order.
-type cleanups struct {
-	functions []func()
-}
-
-func (c *cleanups) add(f func()) {
-	c.functions = append(c.functions, f)
-}
-
-func (c *cleanups) run() {
-	for i := len(c.functions) - 1; i >= 0; i-- {
-		c.functions[i]()
-	}
-	c.functions = nil
-}
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -11,6 +11,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamassign"
 	"cardamomseam/internal/own/seamclock"
@@ -35,15 +36,15 @@
 // errNoAssigner says that no node is known to assign the keys of a service.
 var errNoAssigner = errors.New("no assigner of the service is known")
 
-func (n *Node) startOwnership(c *cleanups, _ Options) error {
+func (n *Node) startOwnership(c *seamstart.Cleanups, _ Options) error {
 	orders, stop := n.adapter.Orders()
-	c.add(stop)
+	c.Add(stop)
 	n.runner = seamhold.NewRunner(seamhold.DefaultConfig(), orders, beatLink{n}, n.clock, targetWork{n}, n.sink, n.targetEnded)
-	n.stopRunner = sync.OnceFunc(background(n.runner.Run))
-	c.add(n.stopRunner)
+	n.stopRunner = sync.OnceFunc(seamstart.Background(n.runner.Run))
+	c.Add(n.stopRunner)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	c.add(func() {
+	c.Add(func() {
 		cancel()
 		running.Wait()
 	})
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -8,6 +8,7 @@
 	"cardamomseam/internal/member/seamannounce"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/route/seamchoice"
 	"cardamomseam/internal/route/seamegress"
@@ -23,7 +24,7 @@
 
 // startRequests starts the path of requests: the egress in front of the target, and the
 // ingress for callers.
-func (n *Node) startRequests(c *cleanups, _ Options) error {
+func (n *Node) startRequests(c *seamstart.Cleanups, _ Options) error {
 	n.targets = seamannounce.NewRegistry(announceLife, n.sink, besideWatcher{n})
 	egress, stop := seamegress.New(seamegress.Config{
 		Dial:    dialTime,
@@ -34,7 +35,7 @@
 		Rules:   n.book.Revision,
 	}, n.self, hintedOwners{n.runner, n}, n.targets, n.clock, n.runner, n.set, n.sink)
 	n.egress = egress
-	c.add(stop)
+	c.Add(stop)
 	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.Voider{Egress: egress})
 	budgets := seamretry.NewShared(n.retryLimits)
@@ -55,7 +56,7 @@
 		return err
 	}
 	n.server = server
-	c.add(func() { _ = server.Close() })
+	c.Add(func() { _ = server.Close() })
 	return nil
 }
 
@@ -126,7 +127,7 @@
 }
 
 // startServers starts the servers for the target, the platform and operators.
-func (n *Node) startServers(c *cleanups, _ Options) error {
+func (n *Node) startServers(c *seamstart.Cleanups, _ Options) error {
 	for _, s := range []seamhttp.Config{
 		{Listen: n.settings.Announce, Routes: n.adapter.Announce(beside{n}, n.refuseBeat)},
 		{Listen: n.settings.Health, Routes: n.adapter.Health(n.Ready)},
@@ -136,7 +137,7 @@
 		if err != nil {
 			return err
 		}
-		c.add(stop)
+		c.Add(stop)
 	}
 	return nil
 }
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -10,10 +10,12 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seamroutes"
 )
 
@@ -61,10 +63,10 @@
 	return h.changed, h.reachable && now.Sub(h.reached) < storeFresh
 }
 
-func (n *Node) startStore(c *cleanups, _ Options) error {
+func (n *Node) startStore(c *seamstart.Cleanups, _ Options) error {
 	store, stop := n.adapter.Store(StoreConfig{Addresses: n.settings.Store, Observe: n.observeStore, Called: n.countCall, Wait: n.watchWait})
 	n.store = store
-	c.add(stop)
+	c.Add(stop)
 	n.roll = seamroll.New(n.self.Name, n.sink)
 	n.registry = seamoffice.NewRegistry(n.sink)
 	n.book = seamroutes.NewBook(n.sink)
@@ -96,30 +98,23 @@
 }
 
 // startFollowing follows the store.
-func (n *Node) startFollowing(c *cleanups, _ Options) error {
-	c.add(background(n.mirror.Run))
-	c.add(background(n.entry.Run))
-	c.add(background(n.sweep))
-	c.add(background(n.catchUp))
+func (n *Node) startFollowing(c *seamstart.Cleanups, _ Options) error {
+	c.Add(seamstart.Background(n.mirror.Run))
+	c.Add(seamstart.Background(n.entry.Run))
+	c.Add(seamstart.Background(n.sweep))
+	c.Add(seamstart.Background(n.catchUp))
 	return nil
 }
 
 // sweep removes the members whose entries are gone, once the store has been back for as long as
 // a live node takes to write its entry anew.
 func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			since, ok := n.health.steady(now)
-			if ok && now.Sub(since) >= seamroll.Grace {
-				n.roll.Sweep(now, func(p seampeer.Peer) bool { return now.Sub(n.sessions.Heard(p)) < peerFresh })
-			}
+	seamwait.Each(ctx, sweepInterval, func(now time.Time) {
+		since, ok := n.health.steady(now)
+		if ok && now.Sub(since) >= seamroll.Grace {
+			n.roll.Sweep(now, func(p seampeer.Peer) bool { return now.Sub(n.sessions.Heard(p)) < peerFresh })
 		}
-	}
+	})
 }
 
 // watchWait returns the time after which a watch is opened anew. A watch may stay silent although
--- a/internal/own/seamhold/beats.go
+++ b/internal/own/seamhold/beats.go
@@ -32,7 +32,7 @@
 	for ctx.Err() == nil {
 		service, _, h := r.report()
 		if h == nil {
-			r.await(ctx, idleWait)
+			seamwait.Until(ctx, idleWait, r.beat)
 			continue
 		}
 		conn, err := r.link.OpenBeats(ctx, service)
@@ -45,17 +45,6 @@
 	}
 }
 
-// await waits for the time or for a reason to report at once.
-func (r *Runner) await(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-r.beat:
-	case <-ctx.Done():
-	}
-}
-
 // sentBeat is a beat that has no answer.
 type sentBeat struct {
 	number uint64
@@ -180,7 +169,7 @@
 		})
 	}
 	if reply.Changed || len(reply.Release) > 0 {
-		r.arrived()
+		r.keysChanged()
 		kick(r.due)
 	}
 }
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -163,7 +163,7 @@
 	if !l.Holder.Zero() {
 		r.holder = New(r.cfg, l.Holder, r.started)
 	}
-	r.signal()
+	r.lifeChanged()
 }
 
 // Leave gives all keys away, because the target is about to end.
@@ -247,10 +247,9 @@
 	r.usage.Count(time.Now(), slot.Index)
 }
 
-// signal wakes those who wait for a change. mu is held.
-func (r *Runner) signal() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+// lifeChanged wakes those who wait for a change, gives the orders that are due and reports at once. mu is held.
+func (r *Runner) lifeChanged() {
+	r.keysChanged()
 	kick(r.due)
 	kick(r.beat)
 }
@@ -345,7 +344,7 @@
 	case err == nil:
 		r.closed = 0
 		c.holder.Granted(sent, order, hold)
-		r.arrived()
+		r.keysChanged()
 	case errors.As(err, &refused):
 		c.holder.Refused(order)
 		c.failed("grant", err)
@@ -354,8 +353,8 @@
 	}
 }
 
-// arrived wakes requests that wait for a key. mu is held.
-func (r *Runner) arrived() {
+// keysChanged wakes those who wait for a change. mu is held.
+func (r *Runner) keysChanged() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -390,7 +389,7 @@
 		return
 	}
 	c.holder.Die()
-	r.signal()
+	r.lifeChanged()
 	go r.onDead(c.life.Holder)
 }
 
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -130,7 +131,7 @@
 		}
 		if err := o.take(ctx); err != nil {
 			o.failed("take", err)
-			o.sleep(ctx, retryWait/2+rand.N(retryWait))
+			seamwait.Jittered(ctx, retryWait)
 			continue
 		}
 		o.serve(ctx)
@@ -138,15 +139,6 @@
 	}
 }
 
-func (o *Office) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // due waits until this node should try to take the office, and reports whether that is now.
 func (o *Office) due(ctx context.Context) bool {
 	changed := o.registry.Changed()
@@ -160,16 +152,10 @@
 		if wait <= 0 {
 			return true
 		}
-		o.sleep(ctx, wait)
+		seamwait.For(ctx, wait)
 		return false
 	}
-	t := time.NewTimer(lookInterval)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	seamwait.Until(ctx, lookInterval, changed)
 	return false
 }
 
@@ -315,7 +301,7 @@
 // store was away for so long that another may soon.
 func (o *Office) renewLoop(ctx context.Context) {
 	for {
-		o.sleep(ctx, renewInterval)
+		seamwait.For(ctx, renewInterval)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -14,6 +14,7 @@
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamframe"
 )
 
@@ -38,7 +39,7 @@
 			if errors.As(err, &deposed) {
 				return
 			}
-			o.sleep(ctx, tickInterval)
+			seamwait.For(ctx, tickInterval)
 		}
 		told = o.tell(told)
 	}
@@ -113,7 +114,7 @@
 			return errors.CombineErrors(o.settle(entry), cause)
 		}
 		o.failed("read", err)
-		o.sleep(ctx, retryWait)
+		seamwait.For(ctx, retryWait)
 	}
 	return cause
 }
--- a/internal/platform/seamnet/net.go
+++ b/internal/platform/seamnet/net.go
@@ -15,6 +15,12 @@
 // Bound lets the kernel end a connection to which data stays unacknowledged, or probes stay
 // unanswered, for about the given time.
 func Bound(c net.Conn, silence time.Duration) {
+	// A kernel without the options leaves the timeouts of the caller to find the loss.
+	Control(c, func(fd int) { bound(fd, silence) })
+}
+
+// Control calls f with the descriptor of a connection, if it has one and is open.
+func Control(c net.Conn, f func(fd int)) {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return
@@ -23,8 +29,8 @@
 	if err != nil {
 		return
 	}
-	// A kernel without the options leaves the timeouts of the caller to find the loss.
-	_ = control.Control(func(fd uintptr) { bound(int(fd), silence) })
+	// A connection that is closed needs no options.
+	_ = control.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 func bound(fd int, silence time.Duration) {
--- a/internal/platform/seamwait/wait.go
+++ b/internal/platform/seamwait/wait.go
@@ -1,4 +1,4 @@
-// Package seamwait waits for a time, or for the end of a context.
+// Package seamwait waits for a time, for a wake-up, or for the end of a context.
 package seamwait
 
 import (
@@ -27,3 +27,29 @@
 func Jittered(ctx context.Context, d time.Duration) bool {
 	return For(ctx, d/2+rand.N(d))
 }
+
+// Until waits for d or until wake is ready, and reports whether ctx still lasts.
+func Until(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// Each calls f with the time after each interval until ctx ends.
+func Each(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/seamwait/wait_test.go
@@ -0,0 +1,45 @@
+package seamwait_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/platform/seamwait"
+)
+
+func TestUntilEndsWithTheFirstReason(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	woken := make(chan struct{})
+	close(woken)
+	for name, tt := range map[string]struct {
+		ctx   context.Context
+		wait  time.Duration
+		wake  <-chan struct{}
+		lasts bool
+	}{
+		"time":    {context.Background(), time.Millisecond, nil, true},
+		"wake-up": {context.Background(), time.Hour, woken, true},
+		"context": {ended, time.Hour, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := seamwait.Until(tt.ctx, tt.wait, tt.wake); got != tt.lasts {
+				t.Errorf("the context lasts: %t, want %t", got, tt.lasts)
+			}
+		})
+	}
+}
+
+func TestEachEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	seamwait.Each(ctx, time.Millisecond, func(time.Time) {
+		if calls++; calls == 3 {
+			cancel()
+		}
+	})
+	if calls < 3 {
+		t.Errorf("%d calls, want 3", calls)
+	}
+}
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -100,15 +100,7 @@
 	if x.ingress.cfg.Changed == nil || x.patience.IsZero() || wait <= 0 {
 		return seamwait.For(ctx, wait)
 	}
-	changed := x.ingress.cfg.Changed()
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	return ctx.Err() == nil
+	return seamwait.Until(ctx, wait, x.ingress.cfg.Changed())
 }
 
 func (x *exchange) stopWaiting() {
--- a/internal/route/seamsession/conn.go
+++ b/internal/route/seamsession/conn.go
@@ -4,11 +4,12 @@
 	"encoding/binary"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"cardamomseam/internal/platform/seamnet"
 )
 
 const (
@@ -80,16 +81,8 @@
 
 // boundSilence lets the kernel give up a connection whose data stays unacknowledged.
 func boundSilence(c net.Conn, silence time.Duration) {
-	raw, ok := c.(syscall.Conn)
-	if !ok {
-		return
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return
-	}
-	// A kernel without the option leaves the probes of the session to find the loss.
-	_ = control.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	seamnet.Control(c, func(fd int) {
+		// A kernel without the option leaves the probes of the session to find the loss.
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
 	})
 }
--- a/internal/route/seamsession/probe.go
+++ b/internal/route/seamsession/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -17,18 +18,11 @@
 
 // probe finds sessions with requests under way whose peers have fallen silent, until ctx ends.
 func (p *Pool) probe(ctx context.Context) {
-	tick := time.NewTicker(probeLook)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			for _, s := range p.all() {
-				s.probe(now)
-			}
+	seamwait.Each(ctx, probeLook, func(now time.Time) {
+		for _, s := range p.all() {
+			s.probe(now)
 		}
-	}
+	})
 }
 
 // probe asks the peer for a sign if it is silent, and closes the session if none comes.
--- a/internal/route/seamsession/sweep.go
+++ b/internal/route/seamsession/sweep.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cardamomseam/internal/platform/seamwait"
 )
 
 // reserve makes room for one session, closing the one that was idle longest if need be.
@@ -52,16 +54,7 @@
 
 // sweep closes sessions that are idle, and those that are too old once their streams ended.
 func (p *Pool) sweep(ctx context.Context) {
-	tick := time.NewTicker(max(min(p.cfg.Idle/4, time.Second), time.Millisecond))
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			p.sweepOnce(now)
-		}
-	}
+	seamwait.Each(ctx, max(min(p.cfg.Idle/4, time.Second), time.Millisecond), p.sweepOnce)
 }
 
 func (p *Pool) sweepOnce(now time.Time) {
--- a/internal/stand/seamstandkv/store.go
+++ b/internal/stand/seamstandkv/store.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 // errDown is why calls fail while the store is down.
@@ -59,28 +60,19 @@
 func New() (*Store, func()) {
 	s := &Store{entries: map[string]entry{}, leases: map[seamstore.Lease]lease{}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
-	go s.expire(ctx)
+	go seamwait.Each(ctx, expireInterval, s.expire)
 	return s, cancel
 }
 
 // expireInterval is the time between looks for leases that have ended.
 const expireInterval = 10 * time.Millisecond
 
-func (s *Store) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.mu.Lock()
-			for id, l := range s.leases {
-				if now.After(l.until) {
-					s.endLocked(id)
-				}
-			}
-			s.mu.Unlock()
+func (s *Store) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.leases {
+		if now.After(l.until) {
+			s.endLocked(id)
 		}
 	}
 }
