--- a/internal/route/seamsession/dial.go
+++ b/internal/route/seamsession/dial.go
@@ -75,7 +75,9 @@
 	if err != nil {
 		return nil, p.failed(to, err, time.Now())
 	}
-	p.add(s, to.Address)
+	if p.add(s, to.Address) {
+		go s.sayFarewell(p.ctx)
+	}
 	return s, nil
 }
 
--- a/internal/route/seamsession/leave.go
+++ b/internal/route/seamsession/leave.go
@@ -13,7 +13,8 @@
 
 // Leave ends all sessions of a node that stops, without losing what peers are sending: it
 // takes no new session, has each peer stop using the present ones, and waits until
-// their streams ended. If ctx ends before, the rest is cut.
+// their streams ended. A peer whose introduction has been answered already may send at once, so its
+// session counts as a present one. If ctx ends before, the rest is cut.
 func (p *Pool) Leave(ctx context.Context) {
 	p.mu.Lock()
 	p.left = true
@@ -24,7 +25,7 @@
 		told.Go(func() { s.sayFarewell(ctx) })
 	}
 	told.Wait()
-	for p.serving() && seamwait.For(ctx, leaveLook) {
+	for (p.welcoming.Load() > 0 || p.serving()) && seamwait.For(ctx, leaveLook) {
 	}
 }
 
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,9 @@
 	pending int
 	// left says that the node leaves: there are no new sessions.
 	left bool
+
+	// welcoming counts the connections of peers that have no session yet.
+	welcoming atomic.Int32
 }
 
 // New listens for sessions of other nodes and returns the pool and a function
@@ -115,12 +119,11 @@
 	return nil, &UnreachableError{To: to, Cause: last}
 }
 
-// add starts to serve a session, reachable under the address.
-func (p *Pool) add(s *session, address string) {
+// add starts to serve a session, reachable under the address, and reports whether the node leaves, so
+// that the peer has yet to be told.
+func (p *Pool) add(s *session, address string) (left bool) {
 	p.mu.Lock()
-	if p.left {
-		go s.sayFarewell(p.ctx)
-	}
+	left = p.left
 	p.sessions[s] = struct{}{}
 	delete(p.failures, address)
 	if old := p.routes[address]; old == nil || !old.usable() || old.peer.Incarnation <= s.peer.Incarnation {
@@ -131,6 +134,7 @@
 		s.accept(p.ctx, p.serve)
 		p.remove(s)
 	}()
+	return left
 }
 
 func (p *Pool) remove(s *session) {
@@ -164,7 +168,11 @@
 		if err != nil {
 			return
 		}
-		go p.welcome(c)
+		p.welcoming.Add(1)
+		go func() {
+			defer p.welcoming.Add(-1)
+			p.welcome(c)
+		}()
 	}
 }
 
@@ -191,7 +199,9 @@
 	if err != nil {
 		return
 	}
-	p.add(s, peer.Address)
+	if p.add(s, peer.Address) {
+		s.sayFarewell(p.ctx)
+	}
 }
 
 // serve reads the kind of a stream and hands it to its handler.
