A session ends without keeping its waiting streams busy; requests of callers that left are not sent on

A stream that waits for bytes finds itself not ended and tries again without a pause, with a new timer each time. With one processor each of them keeps it until it is preempted: 60 streams at 10 ms of a third of a core take two seconds. It happens when a peer with requests under way falls silent or cannot be written to.

Now the connection is closed first, which makes yamux end the session in one go, and a failed write does the same.

Besides: a request is read although its caller has left, if the process stood still. The HTTP library looks for that only while the request is under way. The node looks once itself before the first attempt.

--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -12,6 +12,7 @@
 	"cardamomseam/internal/member/seamroll"
 	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/observe/seamstall"
 	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
@@ -103,6 +104,7 @@
 	c.Add(seamstart.Background(n.entry.Run))
 	c.Add(seamstart.Background(n.sweep))
 	c.Add(seamstart.Background(n.catchUp))
+	c.Add(seamstart.Background(func(ctx context.Context) { seamstall.Watch(ctx, seamstall.Config{Sink: n.sink}) }))
 	return nil
 }
 
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -57,4 +57,5 @@
 	TargetDown       = "target.down"
 	SettingsLoaded   = "settings.loaded"
 	SettingsRefused  = "settings.refused"
+	ProcessStalled   = "process.stalled"
 )
--- /dev/null
+++ b/internal/observe/seamstall/stall_test.go
@@ -0,0 +1,58 @@
+package seamstall_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/observe/seamstall"
+)
+
+func TestLateLookIsAStall(t *testing.T) {
+	start := time.Unix(100, 0)
+	tests := []struct {
+		name    string
+		after   time.Duration
+		stalled bool
+		late    time.Duration
+	}{
+		{"on time", 250 * time.Millisecond, false, 0},
+		{"a little late", 450 * time.Millisecond, false, 0},
+		{"late", 1250 * time.Millisecond, true, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := seamstall.NewWatcher(start, seamstall.Usage{Processor: time.Second, Collections: 4})
+			s, stalled := w.Look(start.Add(tt.after), seamstall.Usage{Processor: 3 * time.Second, Collections: 9})
+			if stalled != tt.stalled {
+				t.Fatalf("stalled: %v", stalled)
+			}
+			if stalled && (s.Late != tt.late || s.Used.Processor != 2*time.Second || s.Used.Collections != 5) {
+				t.Errorf("got %+v", s)
+			}
+		})
+	}
+}
+
+func TestEachLookCountsFromTheOneBefore(t *testing.T) {
+	start := time.Unix(100, 0)
+	w := seamstall.NewWatcher(start, seamstall.Usage{})
+	now := start
+	for range 10 {
+		now = now.Add(300 * time.Millisecond)
+		if _, stalled := w.Look(now, seamstall.Usage{}); stalled {
+			t.Fatal("looks that are each a little late are no stall")
+		}
+	}
+}
+
+func TestProcessTellsItsUsage(t *testing.T) {
+	u := seamstall.Read()
+	if u.Processor <= 0 {
+		t.Errorf("got %+v", u)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	seamstall.Watch(ctx, seamstall.Config{Sink: seamevent.NewStream("n1")})
+}
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -167,6 +167,9 @@
 	}
 	w.Header().Set(seamheader.Trace, seamspan.ID(ctx))
 	x, refused := i.prepare(w, r, start)
+	if refused == nil && callerLeft(r.Context()) {
+		refused = refuse(seamoutcome.Gone, "the caller closed its connection before the request was read")
+	}
 	if refused != nil {
 		i.logRefused(start, r, refused)
 		i.finish(newResponder(w, i.cfg.Slow), refused.End, refused.Status, start)
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -110,6 +110,7 @@
 		h.ReadTimeout, h.WriteTimeout = 0, 0
 		h.IdleTimeout = idleTime
 		h.ConnState = s.door.note
+		h.ConnContext = WithConn
 		h.MaxHeaderBytes = s.ingress.cfg.Headers + headerSlack
 		h.BaseContext = func(l net.Listener) context.Context {
 			if !once.Swap(true) {
--- a/internal/route/seamsession/conn.go
+++ b/internal/route/seamsession/conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,14 @@
 	pending []byte
 	// heard is the time of the last bytes that arrived, in nanoseconds since the Unix epoch.
 	heard atomic.Int64
+	// failed is closed when reading has failed, or yamux ends the session for another reason.
+	failed chan struct{}
+	fail   func()
+}
+
+func newConn(c net.Conn, in, out *metrics.Counter) *conn {
+	failed := make(chan struct{})
+	return &conn{Conn: c, in: in, out: out, failed: failed, fail: sync.OnceFunc(func() { close(failed) })}
 }
 
 // Read counts what arrives.
@@ -38,6 +47,9 @@
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
 	}
+	if err != nil {
+		c.fail()
+	}
 	return n, err
 }
 
@@ -69,12 +81,31 @@
 	return len(p), nil
 }
 
+// send writes to the peer. An error ends the reading first, and with it the session.
 func (c *conn) send(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.out.Add(n)
+	if err != nil {
+		c.end()
+	}
 	return n, err
 }
 
+// end closes the connection and waits until reading has failed. That lets yamux end the session with all its
+// streams in one go. Yamux's own Close wakes the streams first, and each of them that waits for bytes then tries
+// again without a pause until the reading has stopped: with many streams and one processor, for seconds.
+func (c *conn) end() {
+	c.Conn.Close()
+	<-c.failed
+}
+
+// Close is called by yamux between waking the streams and ending them, so it does not wait.
+func (c *conn) Close() error {
+	c.fail()
+	go c.Conn.Close()
+	return nil
+}
+
 func bodyFollows(p []byte) bool {
 	return len(p) == headerSize && p[1] == dataType && binary.BigEndian.Uint32(p[8:]) > 0
 }
--- a/internal/route/seamsession/dial.go
+++ b/internal/route/seamsession/dial.go
@@ -104,7 +104,7 @@
 func (p *Pool) wrap(c net.Conn, peer seampeer.Peer, client bool) (*session, error) {
 	boundSilence(c, p.cfg.Silence)
 	in, out := p.stats.bytes(peer)
-	counted := &conn{Conn: c, in: in, out: out}
+	counted := newConn(c, in, out)
 	counted.heard.Store(time.Now().UnixNano())
 	s, err := newSession(counted, peer, client, p.cfg)
 	if err != nil {
--- a/internal/route/seamsession/probe.go
+++ b/internal/route/seamsession/probe.go
@@ -33,7 +33,7 @@
 	go func() {
 		defer s.probing.Store(false)
 		if _, err := s.mux.Ping(); err != nil {
-			s.mux.Close()
+			s.end()
 		}
 	}()
 }
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -108,6 +108,12 @@
 	}()
 }
 
+// end ends the session and waits until its streams have ended.
+func (s *session) end() {
+	s.conn.end()
+	s.mux.Close()
+}
+
 // accept hands the peer's streams to serve until the session ends.
 func (s *session) accept(ctx context.Context, serve func(context.Context, *session, net.Conn)) {
 	for {
--- a/internal/route/seamsession/sweep.go
+++ b/internal/route/seamsession/sweep.go
@@ -67,7 +67,7 @@
 		case s.leaving.Load():
 			if idle > lingerTime {
 				p.removeLocked(s)
-				go s.mux.Close()
+				go s.end()
 			}
 		case idle > p.cfg.Idle || now.Sub(s.start) > p.cfg.Age || s.skewed(now):
 			p.dropRouteLocked(s)
@@ -85,6 +85,6 @@
 	}
 	p.mu.Unlock()
 	for _, s := range all {
-		s.mux.Close()
+		s.end()
 	}
 }
