A successor waits for no assigner that has resigned or is forgotten

Cause, from office and table lines of the logs: - An assigner that stopped during the outage could not write that it promises nothing any more.

Now an assigner that leaves while the store is away goes on until its node ends, and then tells the eight next candidates that it promises nothing in its epoch and earlier ones; others learn it with the rest of what they ask a peer for. The table is written when a predecessor is forgotten. Nodes beside a holder stand last from the start. A word is bound to an epoch: a run may resign, take the office again, and promise again.

Ruled out: longer promises while the store is away. The successor of an assigner that restarted could not tell whether it had made them, and would have to wait for 12 s after each unplanned end.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamoffice"
 )
 
 // farewellTime bounds the wait until other nodes have stopped using their sessions with this one.
@@ -21,6 +25,7 @@
 	err := errors.Wrap(n.server.Drain(ctx, n.stop.Load().Notice), "callers' requests are in flight")
 	err = errors.CombineErrors(err, errors.Wrap(n.egress.Drain(ctx), "requests are in flight at the target"))
 	n.stopRunner()
+	n.endOffices(ctx)
 	leaving, cancel := context.WithTimeout(ctx, farewellTime)
 	defer cancel()
 	n.sessions.Leave(leaving)
@@ -32,10 +37,28 @@
 	return err
 }
 
+// officeTime bounds the wait until the node has given its offices up.
+const officeTime = 500 * time.Millisecond
+
 func (n *Node) leaveOffices() {
-	n.officeMu.Lock()
-	defer n.officeMu.Unlock()
-	for _, o := range n.offices {
+	for _, o := range n.openedOffices() {
 		o.Leave()
 	}
 }
+
+// endOffices gives up the offices that were kept while the store is away.
+func (n *Node) endOffices(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, officeTime)
+	defer cancel()
+	var ending sync.WaitGroup
+	for _, o := range n.openedOffices() {
+		ending.Go(func() { o.End(ctx) })
+	}
+	ending.Wait()
+}
+
+func (n *Node) openedOffices() []*seamoffice.Office {
+	n.officeMu.Lock()
+	defer n.officeMu.Unlock()
+	return slices.Collect(maps.Values(n.offices))
+}
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -137,6 +137,7 @@
 	c.Add(stop)
 	sessions.Register(seamsession.Sync, syncHandler{n})
 	sessions.Register(seamsession.Beats, beatHandler{n})
+	sessions.Register(seamsession.Farewells, farewellHandler{n})
 	return nil
 }
 
--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -88,6 +88,9 @@
 // order differs from service to service.
 func (k knownPeers) Rank(service string) (rank int, known bool) {
 	self := k.node.entry.Member()
+	if self.Target.Service == "" {
+		self.Target.Service = k.node.settings.Service // the target has not announced itself yet
+	}
 	before := candidacy(self, service)
 	for _, m := range k.node.roll.View().Members {
 		if m.Peer.Name == self.Peer.Name {
@@ -98,6 +101,9 @@
 			rank++
 		}
 	}
+	if !known && self.Target.Service == service {
+		rank++
+	}
 	return rank, known
 }
 
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	wire "cardamomseam/internal/member/seamentrywire"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamroll"
@@ -92,6 +94,11 @@
 			n.roll.Learn(now, m)
 		}
 	}
+	for _, w := range told.GetFarewells() {
+		if err := n.registry.HeardEncoded(w); err != nil {
+			n.sink.Emit(now, seamevent.PeerDown, seamevent.Fields{"peer": at.String(), "call": "sync", "error": err.Error()})
+		}
+	}
 	for _, k := range told.GetTables() {
 		if t, err := seamtable.Decode(k.GetValue()); err == nil {
 			n.registry.Learn(k.GetService(), seamoffice.Versioned{Table: t, Revision: k.GetRevision()})
@@ -139,6 +146,13 @@
 		}
 		told.Tables = append(told.Tables, &wire.Kept{Service: service, Value: value, Revision: t.Revision})
 	}
+	for _, w := range h.node.registry.Farewells() {
+		value, err := proto.Marshal(w)
+		if err != nil {
+			continue
+		}
+		told.Farewells = append(told.Farewells, value)
+	}
 	conn.SetWriteDeadline(time.Now().Add(askTime))
 	if err := seamframe.Write(conn, seamframe.Told, told); err != nil {
 		h.node.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"call": "sync", "error": err.Error()})
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -42,6 +42,7 @@
 	OfficeTaken      = "office.taken"
 	OfficeLost       = "office.lost"
 	OfficeFailed     = "office.failed"
+	OfficeResigned   = "office.resigned"
 	TableWritten     = "table.written"
 	TableFailed      = "table.failed"
 	TableRefused     = "table.refused"
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -190,15 +190,19 @@
 	return slices.Clone(a.predecessors)
 }
 
-// Succeed takes note that a predecessor promises nothing any more, since its process has ended.
+// Succeed takes note that a predecessor promises nothing any more, since its process has ended or it has said so.
 func (a *Assigner) Succeed(now seamclock.Instant, predecessor seamtable.Assigner) {
-	a.predecessors = slices.DeleteFunc(a.predecessors, func(p seamtable.Assigner) bool { return p == predecessor })
+	a.predecessors = slices.DeleteFunc(a.predecessors, predecessor.Covers)
 	a.succeeded(now)
 }
 
 // succeeded bounds the promises of the predecessors by one that was made just now, once none is left.
 func (a *Assigner) succeeded(now seamclock.Instant) {
-	a.next.Assigners = append(slices.Clone(a.predecessors), a.self)
+	if assigners := append(slices.Clone(a.predecessors), a.self); !slices.Equal(assigners, a.next.Assigners) {
+		// A successor that finds a predecessor in the table waits for its promises once more.
+		a.next.Assigners = assigners
+		a.changed = true
+	}
 	if end := now.Add(a.bound(a.cfg.Promise)); len(a.predecessors) == 0 && seamclock.Least(a.foreign, end) > 0 {
 		a.foreign = end
 	}
--- a/internal/own/seamassign/assigner_test.go
+++ b/internal/own/seamassign/assigner_test.go
@@ -249,6 +249,28 @@
 	}
 }
 
+func TestTableOfTheStoreForgetsPredecessorsToo(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	self := seamtable.Assigner{Name: "a", Incarnation: 1}
+	// All keys have a live holder, so that nothing else is written.
+	t.Run("promises are over", func(t *testing.T) {
+		s := newScene(t, found(older, old))
+		s.pass(cfg.Alone+cfg.Promise+time.Second, life("a"))
+		if diff := cmp.Diff([]seamtable.Assigner{self}, s.stored.Assigners); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("predecessors have ended", func(t *testing.T) {
+		s := newScene(t, found(older, old))
+		s.a.Succeed(s.clock(), old)
+		s.a.Succeed(s.clock(), older)
+		s.pass(time.Second, life("a"))
+		if diff := cmp.Diff([]seamtable.Assigner{self}, s.stored.Assigners); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 func TestTableOfTheStoreNamesAllWhoMayPromise(t *testing.T) {
 	s := newScene(t, found(older, old))
 	self := seamtable.Assigner{Name: "a", Incarnation: 1}
--- a/internal/own/seamassign/model_test.go
+++ b/internal/own/seamassign/model_test.go
@@ -121,7 +121,9 @@
 	stored    seamtable.Table
 	revision  int64
 	epoch     uint64
-	log       []string
+	// resigned is the last assigner that resigned.
+	resigned seamtable.Assigner
+	log      []string
 }
 
 // modelAssigner is one run of an assigner.
@@ -151,10 +153,14 @@
 	return time.Duration(1+m.random.IntN(most)) * time.Millisecond
 }
 
-// elect begins an epoch. The assigners before it act on for a while.
+// elect begins an epoch. The assigners before it act on for a while. Some are runs that resigned before.
 func (m *model) elect() {
 	m.epoch += 1 << 16
 	id := seamtable.Assigner{Name: fmt.Sprint("a", m.epoch), Incarnation: m.epoch}
+	if m.resigned.Name != "" && m.chance(3) {
+		id = m.resigned
+	}
+	id.Epoch = m.epoch
 	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.epoch, m.stored.Clone(), m.revision), m.now, id}
 	m.assigners = append(m.assigners, a)
 	m.note("epoch %d begins", m.epoch)
@@ -283,6 +289,12 @@
 	last := m.assigners[len(m.assigners)-1]
 	m.assigners = m.assigners[:len(m.assigners)-1]
 	m.note("epoch %d resigns", last.Epoch())
+	m.resigned = last.id
+	if m.chance(2) {
+		m.elect()
+		m.tell(last.id)
+		return
+	}
 	if last.Version().Revision == m.revision {
 		m.revision++
 		m.stored = last.Final()
@@ -290,6 +302,23 @@
 	m.elect()
 }
 
+// tell lets the assigners of later times hear that one has resigned without the store.
+func (m *model) tell(resigned seamtable.Assigner) {
+	m.later(m.delay(800), func() {
+		for _, a := range m.assigners {
+			for _, p := range a.Predecessors() {
+				if resigned.Covers(p) {
+					m.note("epoch %d hears that epoch %d has resigned", a.Epoch(), resigned.Epoch)
+					a.Succeed(m.clock(), p)
+				}
+			}
+		}
+		if !m.chance(20) {
+			m.tell(resigned)
+		}
+	})
+}
+
 // settle has an assigner go on from what the store holds, or stop if another has written it.
 func (m *model) settle(a *modelAssigner) {
 	if a.Uncertain(m.clock(), m.stored.Clone(), m.revision) {
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -60,12 +60,14 @@
 
 // Peers tells what the node knows of itself and of other nodes.
 type Peers interface {
-	// Rank returns the place of this node among the candidates for the assigner of a service, from 0; false
-	// if no other node is known. Nodes beside a holder come last, since a machine that is lost takes
-	// both with it.
+	// Rank returns the place of this node among the candidates for the assigner of a service, from 0. Nodes
+	// beside a holder come last, since a machine that is lost takes both with it. If no other node is known, it
+	// returns false, and 1 beside a holder.
 	Rank(service string) (rank int, known bool)
 	// Restarted reports whether a later run of the node is known.
 	Restarted(name string, incarnation uint64) bool
+	// TellResigned tells those that may be the next assigner that this node promises nothing any more.
+	TellResigned(service string, self seamtable.Assigner)
 }
 
 // Office runs the candidacy of this node for the assigner of one service, and
@@ -79,9 +81,11 @@
 	sink     seamevent.Sink
 	cfg      seamassign.Config
 	peers    Peers
-	// leaving is closed when the node stops.
-	leaving chan struct{}
-	once    sync.Once
+	// leaving is closed when the node stops, and ending when that can't wait for the store any longer.
+	leaving, ending chan struct{}
+	leave, end      func()
+	// ended is closed when the node stands for the office no more.
+	ended chan struct{}
 
 	mu sync.Mutex
 	// assigner is nil while another node holds the office.
@@ -96,6 +100,7 @@
 
 // New returns the office of a service at this node.
 func New(service string, self seampeer.Peer, store Store, registry *Registry, clock Clock, peers Peers, sink seamevent.Sink) *Office {
+	leaving, ending := make(chan struct{}), make(chan struct{})
 	return &Office{
 		service:  service,
 		self:     self,
@@ -105,33 +110,55 @@
 		sink:     sink,
 		cfg:      seamassign.DefaultConfig(),
 		peers:    peers,
-		leaving:  make(chan struct{}),
+		leaving:  leaving,
+		ending:   ending,
+		leave:    sync.OnceFunc(func() { close(leaving) }),
+		end:      sync.OnceFunc(func() { close(ending) }),
+		ended:    make(chan struct{}),
 		streams:  map[*beatStream]bool{},
 		wake:     make(chan struct{}, 1),
 	}
 }
 
-// Leave gives the office up, and stands for it no more.
-func (o *Office) Leave() { o.once.Do(func() { close(o.leaving) }) }
+// Leave has the node stand for the office no more. An assigner that reaches the store gives the office up at once;
+// one that does not goes on until End, since nobody can succeed it before.
+func (o *Office) Leave() { o.leave() }
 
-// Run stands for the office and holds it until ctx ends.
-func (o *Office) Run(ctx context.Context) {
+// End gives the office up, and waits until that is done or ctx ends.
+func (o *Office) End(ctx context.Context) {
+	o.leave()
+	o.end()
+	select {
+	case <-o.ended:
+	case <-ctx.Done():
+	}
+}
+
+// until returns a context that ends with ctx, or when the channel is closed.
+func until(ctx context.Context, closed <-chan struct{}) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	go func() {
 		select {
-		case <-o.leaving:
+		case <-closed:
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
-	for ctx.Err() == nil {
-		if !o.due(ctx) {
+	return ctx, cancel
+}
+
+// Run stands for the office and holds it until ctx ends.
+func (o *Office) Run(ctx context.Context) {
+	defer close(o.ended)
+	candidate, cancel := until(ctx, o.leaving)
+	defer cancel()
+	for candidate.Err() == nil {
+		if !o.due(candidate) {
 			continue
 		}
-		if err := o.take(ctx); err != nil {
+		if err := o.take(candidate); err != nil {
 			o.failed("take", err)
-			seamwait.Jittered(ctx, retryWait)
+			seamwait.Jittered(candidate, retryWait)
 			continue
 		}
 		o.serve(ctx)
@@ -173,7 +200,8 @@
 	rank, known := o.peers.Rank(o.service)
 	switch {
 	case !known:
-		return time.Duration(xxhash.Sum64String(o.self.Name+"\x00"+o.service) % uint64(startSpread))
+		spread := time.Duration(xxhash.Sum64String(o.self.Name+"\x00"+o.service) % uint64(startSpread))
+		return spread + time.Duration(rank)*startSpread
 	case rank < first:
 		return time.Duration(rank) * rankStep
 	default:
@@ -192,7 +220,7 @@
 	}
 	table, err := o.readTable(ctx)
 	if err != nil {
-		o.end(lease)
+		o.endLease(lease)
 		return err
 	}
 	epoch := (table.Epoch>>epochBits+1)<<epochBits | uint64(rand.N(1<<epochBits))
@@ -202,23 +230,23 @@
 		return err
 	}
 	if _, err := o.store.SwapLeased(ctx, seamstore.Takeover, OfficePrefix+o.service, o.former(), value, lease); err != nil {
-		o.end(lease)
+		o.endLease(lease)
 		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lease, o.renewed = lease, sent
-	o.assigner = seamassign.New(o.cfg, o.clock.Now(), o.identity(), epoch, table.Table, table.Revision)
+	o.assigner = seamassign.New(o.cfg, o.clock.Now(), o.identity(epoch), epoch, table.Table, table.Revision)
 	o.sink.Emit(time.Now(), seamevent.OfficeTaken, seamevent.Fields{"service": o.service, "epoch": epoch, "revision": table.Revision})
 	return nil
 }
 
-// identity returns this run of the node as an assigner.
-func (o *Office) identity() seamtable.Assigner {
-	return seamtable.Assigner{Name: o.self.Name, Incarnation: o.self.Incarnation}
+// identity returns this run of the node as the assigner of an epoch.
+func (o *Office) identity(epoch uint64) seamtable.Assigner {
+	return seamtable.Assigner{Name: o.self.Name, Incarnation: o.self.Incarnation, Epoch: epoch}
 }
 
-func (o *Office) end(l seamstore.Lease) {
+func (o *Office) endLease(l seamstore.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := o.store.End(ctx, l); err != nil {
@@ -240,13 +268,17 @@
 
 // serve runs the assigner until the office is lost or ctx ends.
 func (o *Office) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := until(ctx, o.ending)
 	defer cancel()
 	var running sync.WaitGroup
 	running.Go(func() {
 		defer cancel()
 		o.renewLoop(ctx)
 	})
+	running.Go(func() {
+		defer cancel()
+		o.awaitLeave(ctx)
+	})
 	running.Go(func() {
 		defer cancel()
 		o.writeLoop(ctx)
@@ -254,8 +286,26 @@
 	running.Wait()
 }
 
-// resign gives the office up.
+// awaitLeave waits until this node leaves and a successor can be elected.
+func (o *Office) awaitLeave(ctx context.Context) {
+	select {
+	case <-o.leaving:
+	case <-ctx.Done():
+	}
+	for !o.reachesStore() && seamwait.For(ctx, tickInterval) {
+	}
+}
+
+// reachesStore reports whether the record was renewed lately.
+func (o *Office) reachesStore() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return seamclock.Most(o.clock.Now(), o.renewed) < leaseTime
+}
+
+// resign gives the office up. The store, or else other nodes, learn that this one promises nothing any more.
 func (o *Office) resign() {
+	reachable := o.reachesStore()
 	o.mu.Lock()
 	authorized := o.authorizedLocked()
 	last := o.assigner.Final()
@@ -265,26 +315,29 @@
 	o.lease = 0
 	o.mu.Unlock()
 	o.sink.Emit(time.Now(), seamevent.OfficeLost, seamevent.Fields{"service": o.service, "epoch": last.Epoch})
-	if authorized {
-		o.writeFinal(last, revision)
+	if !authorized || !reachable || !o.writeFinal(last, revision) {
+		o.peers.TellResigned(o.service, o.identity(last.Epoch))
 	}
-	if lease != 0 {
-		o.end(lease)
+	if lease != 0 && reachable {
+		o.endLease(lease)
 	}
 }
 
-// writeFinal writes that this node promises nothing any more, so that its successor need not wait.
-func (o *Office) writeFinal(last seamtable.Table, revision int64) {
+// writeFinal writes that this node promises nothing any more, so that its successor need not wait. It reports
+// whether that was written.
+func (o *Office) writeFinal(last seamtable.Table, revision int64) bool {
 	value, err := seamtable.Encode(last)
 	if err != nil {
 		o.failed("resign", err)
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if _, err := o.store.Swap(ctx, seamstore.Takeover, TablePrefix+o.service, revision, value); err != nil {
 		o.failed("resign", err)
+		return false
 	}
+	return true
 }
 
 // deposedError says that another node is the assigner.
@@ -372,7 +425,7 @@
 	_, err = o.store.SwapLeased(ctx, seamstore.Takeover, OfficePrefix+o.service, 0, value, lease)
 	var conflict *seamstore.ConflictError
 	if errors.As(err, &conflict) {
-		o.end(lease)
+		o.endLease(lease)
 		return &deposedError{By: conflictRecord(conflict)}
 	}
 	if err != nil {
@@ -384,7 +437,7 @@
 		return err
 	}
 	if table.Epoch > epoch {
-		o.end(lease)
+		o.endLease(lease)
 		return &deposedError{By: Record{Epoch: table.Epoch}}
 	}
 	o.mu.Lock()
--- a/internal/own/seamoffice/office_test.go
+++ b/internal/own/seamoffice/office_test.go
@@ -11,6 +11,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamassign"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/own/seamtable"
@@ -28,6 +29,15 @@
 // peers is the same for all nodes: each knows all others, in the order of their names.
 type peers struct {
 	rank int
+	// told takes the assigners that resign without the store; nil ignores them.
+	told chan seamtable.Assigner
+}
+
+// TellResigned implements seamoffice.Peers.
+func (p peers) TellResigned(_ string, a seamtable.Assigner) {
+	if p.told != nil {
+		p.told <- a
+	}
 }
 
 func (p peers) Rank(string) (int, bool)           { return p.rank, true }
@@ -39,6 +49,7 @@
 	self     seampeer.Peer
 	registry *seamoffice.Registry
 	office   *seamoffice.Office
+	told     chan seamtable.Assigner
 	stop     func()
 }
 
@@ -51,8 +62,8 @@
 func newNode(t *testing.T, store *seamstandkv.Store, name string, incarnation uint64, rank int) *node {
 	t.Helper()
 	sink := seamevent.NewStream(name)
-	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamoffice.NewRegistry(sink)}
-	n.office = seamoffice.New(service, n.self, store, n.registry, seamclock.NewClock(), peers{rank}, sink)
+	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamoffice.NewRegistry(sink), told: make(chan seamtable.Assigner, 8)}
+	n.office = seamoffice.New(service, n.self, store, n.registry, seamclock.NewClock(), peers{rank, n.told}, sink)
 	mirror := seammirror.New(store, "", reader{n.registry}, sink)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -113,6 +124,83 @@
 	await(t, "the epoch of the successor", func() bool { table, _ := second.registry.Table(service); return table.Epoch == record.Epoch })
 }
 
+func TestAssignerThatLeavesGoesOnWhileTheStoreIsAway(t *testing.T) {
+	store := newStore(t)
+	n := newNode(t, store, "n0", 1, 0)
+	await(t, "the election", heldBy(n, "n0"))
+	await(t, "the first table", func() bool { table, _ := n.registry.Table(service); return table.Epoch != 0 })
+	store.Fail(seamstandkv.Faults{Down: true})
+	time.Sleep(1500 * time.Millisecond) // longer than the record's lease
+	n.office.Leave()
+	select {
+	case a := <-n.told:
+		t.Fatalf("%+v resigned although nobody can succeed it", a)
+	case <-time.After(500 * time.Millisecond):
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	n.office.End(ctx)
+	table, _ := n.registry.Table(service)
+	if a := <-n.told; a.Name != "n0" || a.Incarnation != 1 || a.Epoch != table.Epoch {
+		t.Errorf("%+v resigned in epoch %d", a, table.Epoch)
+	}
+}
+
+func TestAssignerThatLeavesTellsTheStoreThatItPromisesNothing(t *testing.T) {
+	store := newStore(t)
+	n := newNode(t, store, "n0", 1, 0)
+	await(t, "the first table", func() bool { table, _ := n.registry.Table(service); return table.Epoch != 0 })
+	n.office.Leave()
+	await(t, "the last table", func() bool { table, _ := n.registry.Table(service); return len(table.Assigners) == 0 })
+	if len(n.told) > 0 {
+		t.Errorf("%+v told others too", <-n.told)
+	}
+}
+
+func TestSuccessorDoesNotWaitForAnAssignerThatHasResigned(t *testing.T) {
+	former := seamtable.Assigner{Name: "former", Incarnation: 1, Epoch: 3 << 16}
+	tests := []struct {
+		name  string
+		word  seamtable.Assigner
+		waits bool
+	}{
+		{"the predecessor resigned", former, false},
+		{"a later epoch of it resigned", seamtable.Assigner{Name: "former", Incarnation: 1, Epoch: 4 << 16}, false},
+		{"an earlier epoch of it resigned", seamtable.Assigner{Name: "former", Incarnation: 1, Epoch: 2 << 16}, true},
+		{"another run of it resigned", seamtable.Assigner{Name: "former", Incarnation: 2, Epoch: 3 << 16}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			value, err := seamtable.Encode(seamtable.Table{Service: service, Epoch: former.Epoch, Assigners: []seamtable.Assigner{former}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.Put(seamoffice.TablePrefix+service, value)
+			n := newNode(t, store, "n0", 1, 0)
+			n.registry.Heard(seamoffice.WireFarewell(service, tt.word))
+			began := time.Now()
+			names := func() (both, one bool) {
+				table, _ := n.registry.Table(service)
+				return table.Epoch > former.Epoch && len(table.Assigners) == 2, table.Epoch > former.Epoch && len(table.Assigners) == 1
+			}
+			await(t, "the first table", func() bool { both, one := names(); return both || one })
+			if tt.waits {
+				time.Sleep(300 * time.Millisecond)
+				if _, one := names(); one && time.Since(began) < seamassign.DefaultConfig().Alone {
+					t.Error("the successor trusts the word of another assigner")
+				}
+				return
+			}
+			await(t, "the table without the predecessor", func() bool { _, one := names(); return one })
+			if waited := time.Since(began); waited >= seamassign.DefaultConfig().Alone {
+				t.Errorf("the successor waited for %v", waited)
+			}
+		})
+	}
+}
+
 func TestOfficeGoesOnWhenItsLeaseIsTakenAway(t *testing.T) {
 	store := newStore(t)
 	n := newNode(t, store, "n0", 1, 0)
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	for _, p := range o.assigner.Predecessors() {
-		if o.peers.Restarted(p.Name, p.Incarnation) {
+		if o.peers.Restarted(p.Name, p.Incarnation) || o.registry.Resigned(o.service, p) {
 			o.assigner.Succeed(now, p)
 		}
 	}
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -85,10 +85,17 @@
 	Nodes map[Holder]seampeer.Peer
 }
 
-// Assigner identifies one run of the node that assigns keys.
+// Assigner identifies one run of the node that assigns keys, in one epoch.
 type Assigner struct {
 	Name        string
 	Incarnation uint64
+	Epoch       uint64
+}
+
+// Covers reports whether a word of a, that it promises nothing any more, holds for b too: b is the same run
+// of the same node in the same epoch or an earlier one.
+func (a Assigner) Covers(b Assigner) bool {
+	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Epoch >= b.Epoch
 }
 
 // Clone returns a copy that shares nothing with t.
--- a/internal/own/seamtable/wire.go
+++ b/internal/own/seamtable/wire.go
@@ -36,7 +36,7 @@
 		Nodes:   map[Holder]seampeer.Peer{},
 	}
 	for _, a := range w.GetAssigners() {
-		t.Assigners = append(t.Assigners, Assigner{Name: a.GetName(), Incarnation: a.GetIncarnation()})
+		t.Assigners = append(t.Assigners, AssignerOf(a))
 	}
 	for i, r := range w.GetRanges() {
 		if n := int(r.GetNode()); n >= 1 && n <= len(w.GetNodes()) {
@@ -49,7 +49,7 @@
 func wireAssigners(assigners []Assigner) []*wire.Assigner {
 	var list []*wire.Assigner
 	for _, a := range assigners {
-		list = append(list, &wire.Assigner{Name: a.Name, Incarnation: a.Incarnation})
+		list = append(list, a.Wire())
 	}
 	return list
 }
@@ -138,3 +138,13 @@
 	}
 	return l
 }
+
+// Wire returns the assigner in wire form.
+func (a Assigner) Wire() *wire.Assigner {
+	return &wire.Assigner{Name: a.Name, Incarnation: a.Incarnation, Epoch: a.Epoch}
+}
+
+// AssignerOf returns the assigner of a wire form, which may be nil.
+func AssignerOf(w *wire.Assigner) Assigner {
+	return Assigner{Name: w.GetName(), Incarnation: w.GetIncarnation(), Epoch: w.GetEpoch()}
+}
--- a/internal/route/seamframe/frame.go
+++ b/internal/route/seamframe/frame.go
@@ -36,9 +36,10 @@
 	Beat        Type = 12
 	Reply       Type = 13
 	Told        Type = 14
+	Farewell    Type = 15
 
 	// last is the highest type.
-	last = Told
+	last = Farewell
 )
 
 const (
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -24,6 +24,8 @@
 	Beats Kind = 7
 	// Sync asks a node for what it knows of rules and members.
 	Sync Kind = 8
+	// Farewells say that a node assigns the keys of a service no longer.
+	Farewells Kind = 9
 	// relay streams are passed on to another peer.
 	relay Kind = 5
 	// farewell streams say that the peer leaves.
