Promises last longer while the store is away; a late holder is not promised again what it has lost

Promises made more than 1.2 s after the last answer of the store now last up to 6 s, within the 12 s that a successor waits for anyway. A node that accepts a later epoch cuts an older right to 2 s, which is what the successor counts with. The word of an assigner that resigns says when its promises end; it stays in the table until they do. That a node restarted is no proof any more that its promises are over, so that this rule is gone.

The model of assigners, nodes and targets now has outages of the store, nodes that reach no assigner, and words of resignation. It found two faults: - A holder silent for longer than its right, whose keys were taken, came back before the table was written: its list had the same revision, so that it was promised the keys again, and the next holder got them too. Four mutations (right not cut, long promises left out of the table, right of a holder shortened, list not sent) are each found by it within 8,000 runs.

--- a/internal/node/seamrouter/own.go
+++ b/internal/node/seamrouter/own.go
@@ -116,15 +116,6 @@
 	return n
 }
 
-// Restarted reports whether a later run of the node is known.
-func (k knownPeers) Restarted(name string, incarnation uint64) bool {
-	if name == k.node.self.Name {
-		return k.node.self.Incarnation > incarnation
-	}
-	m, ok := k.node.roll.View().Members[name]
-	return ok && m.Peer.Incarnation > incarnation
-}
-
 // beatLink opens streams to assigners.
 type beatLink struct {
 	node *Node
--- a/internal/node/seamrouter/resign.go
+++ b/internal/node/seamrouter/resign.go
@@ -12,7 +12,6 @@
 	"cardamomseam/internal/member/seamroll"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamoffice"
-	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamsession"
@@ -28,15 +27,14 @@
 
 // TellResigned tells the next candidates for the assigner of a service that this run of the node promises nothing any
 // more. One of them that takes the office need not wait until the promises of this run are over at the latest.
-func (k knownPeers) TellResigned(service string, self seamtable.Assigner) {
+func (k knownPeers) TellResigned(f seamoffice.Farewell) {
 	n := k.node
-	word := seamoffice.WireFarewell(service, self)
 	ctx, cancel := context.WithTimeout(context.Background(), tellTime)
 	defer cancel()
 	var telling sync.WaitGroup
-	for _, m := range k.candidates(service, successors) {
+	for _, m := range k.candidates(f.Service, successors) {
 		telling.Go(func() {
-			if err := n.tellResigned(ctx, m.Peer, word); err != nil {
+			if err := n.tellResigned(ctx, m.Peer, f.Wire(n.clock.Now())); err != nil {
 				n.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"peer": m.Peer.String(), "call": "farewell", "error": err.Error()})
 			}
 		})
@@ -88,9 +86,10 @@
 	if err := reader.Expect(seamframe.Farewell, word); err != nil {
 		return // the node at the other end counts it as not told
 	}
-	h.node.registry.Heard(word)
+	h.node.registry.Resign(seamoffice.FarewellOf(h.node.clock.Now(), word))
 	h.node.sink.Emit(time.Now(), seamevent.OfficeResigned, seamevent.Fields{
-		"service": word.GetService(), "assigner": word.GetAssigner().GetName(), "incarnation": word.GetAssigner().GetIncarnation(), "from": from.String(),
+		"service": word.GetService(), "assigner": word.GetAssigner().GetName(), "epoch": word.GetAssigner().GetEpoch(),
+		"over": word.GetOver(), "from": from.String(),
 	})
 	_ = seamframe.Write(conn, seamframe.Farewell, word) // a sender that misses it counts it as not told
 }
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -95,9 +95,12 @@
 		}
 	}
 	for _, w := range told.GetFarewells() {
-		if err := n.registry.HeardEncoded(w); err != nil {
+		f, err := seamoffice.DecodeFarewell(n.clock.Now(), w)
+		if err != nil {
 			n.sink.Emit(now, seamevent.PeerDown, seamevent.Fields{"peer": at.String(), "call": "sync", "error": err.Error()})
+			continue
 		}
+		n.registry.Resign(f)
 	}
 	for _, k := range told.GetTables() {
 		if t, err := seamtable.Decode(k.GetValue()); err == nil {
@@ -146,8 +149,8 @@
 		}
 		told.Tables = append(told.Tables, &wire.Kept{Service: service, Value: value, Revision: t.Revision})
 	}
-	for _, w := range h.node.registry.Farewells() {
-		value, err := proto.Marshal(w)
+	for _, f := range h.node.registry.Farewells() {
+		value, err := proto.Marshal(f.Wire(h.node.clock.Now()))
 		if err != nil {
 			continue
 		}
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -23,6 +23,11 @@
 	Drift float64
 	// Alone is the time for which an assigner goes on without the store.
 	Alone time.Duration
+	// Away is the time without the store from which promises are Long, so that holders go on if the assigner
+	// ends too: nobody can succeed it then.
+	Away time.Duration
+	// Long is the longest promise while the store is away.
+	Long time.Duration
 	// Settle is the time without a further target after which keys are assigned for the first time.
 	Settle time.Duration
 	// Patience bounds the wait for further targets before the first assignment.
@@ -44,6 +49,8 @@
 		Margin:   100 * time.Millisecond,
 		Drift:    0.02,
 		Alone:    10 * time.Second,
+		Away:     1200 * time.Millisecond,
+		Long:     6 * time.Second,
 		Settle:   700 * time.Millisecond,
 		Patience: 3 * time.Second,
 		Interval: 250 * time.Millisecond,
@@ -151,10 +158,16 @@
 	balanced seamclock.Instant
 	// plans counts the moves that were planned.
 	plans int
-	// predecessors are the earlier assigners that may still promise by what they knew.
-	predecessors []seamtable.Assigner
+	// predecessors are the earlier assigners whose promises may be in force.
+	predecessors []predecessor
 	// foreign is the latest end of a promise of a predecessor.
 	foreign seamclock.Instant
+	// renewed is the time at which the store confirmed the office last.
+	renewed seamclock.Instant
+	// former is the end of what this run of the node has promised in earlier epochs.
+	former seamclock.Instant
+	// longest is the latest end of a promise of this assigner.
+	longest seamclock.Instant
 	// lost holds the last known load of keys whose holders are gone.
 	lost []seamtable.Chunk
 }
@@ -168,11 +181,11 @@
 }
 
 // New begins an epoch of the assigner self with the table found in the store. The epoch is above
-// that of the table.
-func New(cfg Config, now seamclock.Instant, self seamtable.Assigner, epoch uint64, found seamtable.Table, revision int64) *Assigner {
+// that of the table. What this run of the node has promised in earlier epochs ends before former.
+func New(cfg Config, now seamclock.Instant, self seamtable.Assigner, former seamclock.Instant, found seamtable.Table, revision int64) *Assigner {
 	a := &Assigner{
 		cfg:      cfg,
-		epoch:    epoch,
+		epoch:    self.Epoch,
 		began:    now,
 		durable:  found,
 		revision: revision,
@@ -180,34 +193,85 @@
 		changed:  true,
 		holders:  map[seamtable.Holder]*holder{},
 		balanced: now,
+		renewed:  now,
+		longest:  now,
+		former:   former,
 	}
 	a.adopt(now, found)
 	return a
 }
 
-// Predecessors returns the earlier assigners that may still promise.
+// predecessor is an earlier assigner.
+type predecessor struct {
+	seamtable.Assigner
+	// resigned says that it promises nothing any more, and that what it has promised ends before over.
+	resigned bool
+	over     seamclock.Instant
+}
+
+// Predecessors returns the earlier assigners whose promises may be in force for longer than any assigner's usual ones.
 func (a *Assigner) Predecessors() []seamtable.Assigner {
-	return slices.Clone(a.predecessors)
+	list := make([]seamtable.Assigner, 0, len(a.predecessors)+1)
+	for _, p := range a.predecessors {
+		list = append(list, p.Assigner)
+	}
+	return list
 }
 
-// Succeed takes note that a predecessor promises nothing any more, since its process has ended or it has said so.
-func (a *Assigner) Succeed(now seamclock.Instant, predecessor seamtable.Assigner) {
-	a.predecessors = slices.DeleteFunc(a.predecessors, predecessor.Covers)
+// Succeed takes note that an assigner promises nothing any more, and that what it has promised ends before over.
+func (a *Assigner) Succeed(now seamclock.Instant, resigned seamtable.Assigner, over seamclock.Instant) {
+	for i := range a.predecessors {
+		if p := &a.predecessors[i]; resigned.Covers(p.Assigner) {
+			p.resigned, p.over = true, over
+		}
+	}
 	a.succeeded(now)
 }
 
-// succeeded bounds the promises of the predecessors by one that was made just now, once none is left.
+// succeeded forgets the predecessors whose promises end no later than one that is made now: for those each
+// successor waits anyway. Once all predecessors have resigned, their promises bound the wait of this assigner.
 func (a *Assigner) succeeded(now seamclock.Instant) {
-	if assigners := append(slices.Clone(a.predecessors), a.self); !slices.Equal(assigners, a.next.Assigners) {
+	end := now.Add(a.cfg.Bound(a.cfg.Promise))
+	a.predecessors = slices.DeleteFunc(a.predecessors, func(p predecessor) bool {
+		return p.resigned && seamclock.Most(p.over, end) <= 0
+	})
+	if assigners := append(a.Predecessors(), a.self); !slices.Equal(assigners, a.next.Assigners) {
 		// A successor that finds a predecessor in the table waits for its promises once more.
 		a.next.Assigners = assigners
 		a.changed = true
 	}
-	if end := now.Add(a.bound(a.cfg.Promise)); len(a.predecessors) == 0 && seamclock.Least(a.foreign, end) > 0 {
+	for _, p := range a.predecessors {
+		if !p.resigned {
+			return
+		}
+		end = seamclock.Later(end, p.over)
+	}
+	if seamclock.Least(a.foreign, end) > 0 {
 		a.foreign = end
 	}
 }
 
+// Renew takes note that the store confirmed the office, by a call that was sent at a time.
+func (a *Assigner) Renew(sent seamclock.Instant) { a.renewed = sent }
+
+// Longest returns the time after which nothing that this assigner has promised is in force.
+func (a *Assigner) Longest() seamclock.Instant { return a.longest }
+
+// promise returns the length of a promise that is made now. None lasts longer than a successor waits for.
+func (a *Assigner) promise(now seamclock.Instant) time.Duration {
+	away := seamclock.Most(now, a.renewed)
+	if away < a.cfg.Away {
+		return a.cfg.Promise
+	}
+	return min(max(a.cfg.Alone-away, 0)+a.cfg.Promise, a.cfg.Long)
+}
+
+// promiseTo notes a promise to a holder.
+func (a *Assigner) promiseTo(now seamclock.Instant, h *holder, d time.Duration) {
+	h.right = seamclock.Later(h.right, now.Add(a.cfg.Bound(d)))
+	a.longest = seamclock.Later(a.longest, h.right)
+}
+
 // Epoch returns the epoch of the assigner.
 func (a *Assigner) Epoch() uint64 { return a.epoch }
 
@@ -226,7 +290,7 @@
 	if b.Epoch == a.epoch && !h.attached {
 		// The last promise of the predecessor that the node took is older than this beat.
 		h.attached = true
-		h.right = now.Add(a.bound(a.cfg.Promise))
+		a.promiseTo(now, h, a.cfg.Promise)
 	}
 	if b.Settled {
 		a.bury(b.Holder)
@@ -254,9 +318,9 @@
 	if a.durable.Epoch != a.epoch || b.State == Dead {
 		return Reply{Epoch: a.epoch, Revision: a.revision}
 	}
-	r := Reply{Epoch: a.epoch, Promise: a.cfg.Promise, Revision: a.revision}
-	h.right = now.Add(a.bound(a.cfg.Promise))
-	if b.Revision != a.revision || b.Epoch != a.epoch {
+	r := Reply{Epoch: a.epoch, Promise: a.promise(now), Revision: a.revision}
+	a.promiseTo(now, h, r.Promise)
+	if b.Revision != a.revision || b.Epoch != a.epoch || a.withdrawn(b.Holder) {
 		r.Changed = true
 		r.Ranges = a.promised(b.Holder)
 	}
@@ -273,10 +337,13 @@
 }
 
 // Final returns the table in the store as an assigner leaves it that promises nothing any more. Its
-// predecessors may.
-func (a *Assigner) Final() seamtable.Table {
+// predecessors may. The assigner stays in the table while it has long promises in force.
+func (a *Assigner) Final(now seamclock.Instant) seamtable.Table {
 	t := a.durable.Clone()
 	t.Assigners = a.Predecessors()
+	if seamclock.Most(a.longest, now.Add(a.cfg.Bound(a.cfg.Promise))) > 0 {
+		t.Assigners = append(t.Assigners, a.self)
+	}
 	return t
 }
 
@@ -285,9 +352,9 @@
 	return Version{Revision: a.revision, Moves: a.plans}
 }
 
-// bound returns the longest time that a right of another machine may last.
-func (a *Assigner) bound(d time.Duration) time.Duration {
-	return d + time.Duration(float64(d)*a.cfg.Drift) + a.cfg.Margin
+// Bound returns the longest time that a right of another machine may last, which that takes for d.
+func (c Config) Bound(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*c.Drift) + c.Margin
 }
 
 // promised returns the ranges that are the holder's both in the store and in the wanted table.
@@ -306,6 +373,21 @@
 	return list
 }
 
+// withdrawn reports whether the holder is to lose keys that the table in the store still gives it. It may have them
+// on its list.
+func (a *Assigner) withdrawn(h seamtable.Holder) bool {
+	return keys(a.promised(h)) != keys(a.durable.Of(h))
+}
+
+// keys returns the number of keys in the ranges.
+func keys(ranges []seamtable.Range) int {
+	n := 0
+	for _, r := range ranges {
+		n += r.Len()
+	}
+	return n
+}
+
 func (a *Assigner) releases(h seamtable.Holder) []seamtable.Range {
 	var list []seamtable.Range
 	for _, m := range a.moves {
@@ -441,7 +523,10 @@
 	}
 	maps.Copy(a.next.Nodes, nodes)
 	a.moves = nil
-	a.predecessors = slices.Clone(found.Assigners)
-	a.foreign = now.Add(a.bound(a.cfg.Alone + a.cfg.Promise))
-	a.Succeed(now, a.self)
+	a.predecessors = nil
+	for _, p := range found.Assigners {
+		a.predecessors = append(a.predecessors, predecessor{Assigner: p})
+	}
+	a.foreign = now.Add(a.cfg.Bound(a.cfg.Alone + a.cfg.Promise))
+	a.Succeed(now, a.self, a.former)
 }
--- a/internal/own/seamassign/assigner_test.go
+++ b/internal/own/seamassign/assigner_test.go
@@ -24,10 +24,13 @@
 
 const epoch = 7
 
+// self is the assigner of a scene.
+var self = seamtable.Assigner{Name: "a", Incarnation: 1, Epoch: epoch}
+
 func newScene(t *testing.T, found seamtable.Table) *scene {
 	t.Helper()
 	s := &scene{t: t, stored: found, revision: 1, loads: map[seamtable.Holder]seamtable.Load{}}
-	s.a = seamassign.New(seamassign.DefaultConfig(), s.clock(), seamtable.Assigner{Name: "a", Incarnation: 1}, epoch, found, s.revision)
+	s.a = seamassign.New(seamassign.DefaultConfig(), s.clock(), self, seamclock.Instant{}, found, s.revision)
 	s.write()
 	return s
 }
@@ -61,9 +64,10 @@
 	})
 }
 
-// pass lets time pass while the holders beat.
+// pass lets time pass while the holders beat and the store is there.
 func (s *scene) pass(d time.Duration, holders ...seamtable.Holder) {
 	for end := s.now + d; s.now < end; s.now += 100 * time.Millisecond {
+		s.a.Renew(s.clock())
 		for _, h := range holders {
 			s.beat(h, seamassign.Ready)
 		}
@@ -106,6 +110,23 @@
 	}
 }
 
+func TestHolderThatReturnsTooLateIsPromisedNothingOfWhatItLost(t *testing.T) {
+	s := newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	// The holder is silent until its right is over. What becomes of its keys can't be written yet.
+	for end := s.now + 3*time.Second; s.now < end; s.now += 100 * time.Millisecond {
+		s.beat(life("b"), seamassign.Ready)
+		s.a.Tick(s.clock())
+	}
+	late := seamassign.Beat{Epoch: epoch, Holder: life("a"), Revision: s.revision, State: seamassign.Ready, Settled: true}
+	if r := s.a.Beat(s.clock(), late); !r.Changed || len(r.Ranges) > 0 {
+		t.Errorf("the keys were promised again: %+v", r)
+	}
+	if r := s.beat(life("b"), seamassign.Ready); len(r.Ranges) == 0 {
+		t.Errorf("the other holder has none: %+v", r)
+	}
+}
+
 func TestDeadHolderLosesItsKeysAtOnce(t *testing.T) {
 	s := newScene(t, seamtable.Table{})
 	s.pass(2*time.Second, life("a"), life("b"))
@@ -191,8 +212,9 @@
 }
 
 var (
-	old   = seamtable.Assigner{Name: "old", Incarnation: 1}
-	older = seamtable.Assigner{Name: "older", Incarnation: 1}
+	old     = seamtable.Assigner{Name: "old", Incarnation: 1, Epoch: 5}
+	older   = seamtable.Assigner{Name: "older", Incarnation: 1, Epoch: 3}
+	earlier = seamtable.Assigner{Name: "old", Incarnation: 1, Epoch: 4}
 )
 
 func TestSuccessorWaitsForThePromisesOfItsPredecessor(t *testing.T) {
@@ -200,18 +222,22 @@
 	for name, tt := range map[string]struct {
 		by    []seamtable.Assigner
 		ended []seamtable.Assigner
+		// over is the time after which the promises of those that ended are over.
+		over  time.Duration
 		least time.Duration
 	}{
-		"predecessor may act alone":               {[]seamtable.Assigner{old}, nil, cfg.Alone + cfg.Promise},
-		"predecessor has restarted":               {[]seamtable.Assigner{old}, []seamtable.Assigner{old}, cfg.Promise},
-		"predecessor has resigned":                {nil, nil, cfg.Promise},
-		"one of two predecessors has restarted":   {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old}, cfg.Alone + cfg.Promise},
-		"both of two predecessors have restarted": {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old, older}, cfg.Promise},
+		"predecessor may act alone":                 {[]seamtable.Assigner{old}, nil, 0, cfg.Alone + cfg.Promise},
+		"predecessor has said that it resigned":     {[]seamtable.Assigner{old}, []seamtable.Assigner{old}, time.Second, cfg.Promise},
+		"predecessor left long promises":            {[]seamtable.Assigner{old}, []seamtable.Assigner{old}, 5 * time.Second, 5 * time.Second},
+		"predecessor has resigned":                  {nil, nil, 0, cfg.Promise},
+		"one of two predecessors has said so":       {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old}, time.Second, cfg.Alone + cfg.Promise},
+		"both of two predecessors have said so":     {[]seamtable.Assigner{older, old}, []seamtable.Assigner{old, older}, time.Second, cfg.Promise},
+		"a word from an earlier epoch says nothing": {[]seamtable.Assigner{old}, []seamtable.Assigner{earlier}, 0, cfg.Alone + cfg.Promise},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScene(t, found(tt.by...))
 			for _, p := range tt.ended {
-				s.a.Succeed(s.clock(), p)
+				s.a.Succeed(s.clock(), p, s.clock().Add(tt.over))
 			}
 			for s.keysOf(life("a")) > 0 && s.now < time.Minute {
 				s.pass(100*time.Millisecond, life("b"))
@@ -223,12 +249,65 @@
 	}
 }
 
+// away plays an assigner with holders for a time without the store.
+func away(t *testing.T, d time.Duration) (s *scene, last seamassign.Reply) {
+	t.Helper()
+	s = newScene(t, seamtable.Table{})
+	s.pass(2*time.Second, life("a"), life("b"))
+	s.a.Renew(s.clock())
+	for end := s.now + d; s.now < end; s.now += 100 * time.Millisecond {
+		s.beat(life("a"), seamassign.Ready)
+		s.beat(life("b"), seamassign.Ready)
+	}
+	return s, s.beat(life("a"), seamassign.Ready)
+}
+
+func TestPromisesAreLongWhileTheStoreIsAway(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	for name, tt := range map[string]struct{ away, promise time.Duration }{
+		"the store answered lately":    {500 * time.Millisecond, cfg.Promise},
+		"the store is away":            {3 * time.Second, cfg.Long},
+		"a successor may soon be sure": {cfg.Alone - time.Second, time.Second + cfg.Promise},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, reply := away(t, tt.away)
+			if reply.Promise != tt.promise {
+				t.Errorf("promised %s, want %s", reply.Promise, tt.promise)
+			}
+			// The keys of the holder stay its own for that long, also when the store is back.
+			s.a.Renew(s.clock())
+			s.pass(tt.promise, life("b"))
+			if s.keysOf(life("a")) == 0 {
+				t.Error("the keys went elsewhere within the promise")
+			}
+			s.pass(time.Second, life("b"))
+			if s.keysOf(life("a")) != 0 {
+				t.Error("the keys stayed after the promise")
+			}
+		})
+	}
+}
+
+func TestAssignerWithLongPromisesStaysInTheTable(t *testing.T) {
+	s, reply := away(t, 3*time.Second)
+	if got := s.a.Final(s.clock()).Assigners; len(got) != 1 || got[0] != self {
+		t.Errorf("the final table names %v", got)
+	}
+	if end := seamclock.Least(s.a.Longest(), s.clock()); end < reply.Promise {
+		t.Errorf("all promises are over after %s, though %s was promised", end, reply.Promise)
+	}
+	s.now += reply.Promise
+	if got := s.a.Final(s.clock()).Assigners; len(got) != 0 {
+		t.Errorf("the final table names %v", got)
+	}
+}
+
 func TestResigningAssignerLeavesThePromisesOfItsPredecessor(t *testing.T) {
 	cfg := seamassign.DefaultConfig()
-	between := seamassign.New(cfg, seamclock.Instant{}, seamtable.Assigner{Name: "between", Incarnation: 1}, epoch-1, found(old), 1)
+	between := seamassign.New(cfg, seamclock.Instant{}, seamtable.Assigner{Name: "between", Incarnation: 1, Epoch: epoch - 1}, seamclock.Instant{}, found(old), 1)
 	table, revision, _ := between.Wanted()
 	between.Stored(table, revision+1)
-	s := newScene(t, between.Final())
+	s := newScene(t, between.Final(seamclock.Instant{}))
 	for s.keysOf(life("a")) > 0 && s.now < time.Minute {
 		s.pass(100*time.Millisecond, life("b"))
 	}
@@ -237,6 +316,23 @@
 	}
 }
 
+func TestResigningAssignerLeavesTheLongPromisesOfItsPredecessor(t *testing.T) {
+	cfg := seamassign.DefaultConfig()
+	between := seamassign.New(cfg, seamclock.Instant{}, seamtable.Assigner{Name: "between", Incarnation: 1, Epoch: epoch - 1}, seamclock.Instant{}, found(old), 1)
+	table, revision, _ := between.Wanted()
+	between.Stored(table, revision+1)
+	over := seamclock.Instant{}.Add(cfg.Long)
+	between.Succeed(seamclock.Instant{}, old, over)
+	if got := between.Final(seamclock.Instant{}).Assigners; len(got) != 1 || got[0] != old {
+		t.Errorf("the final table names %v", got)
+	}
+	late := over.Add(-cfg.Promise)
+	between.Tick(late)
+	if got := between.Final(late).Assigners; len(got) != 0 {
+		t.Errorf("shortly before the end of its promises the final table names %v", got)
+	}
+}
+
 func TestPredecessorsAreForgottenOnceTheirPromisesAreOver(t *testing.T) {
 	cfg := seamassign.DefaultConfig()
 	s := newScene(t, found(older, old))
@@ -244,14 +340,13 @@
 	if p := s.a.Predecessors(); len(p) > 0 {
 		t.Errorf("predecessors %v", p)
 	}
-	if p := s.a.Final().Assigners; len(p) > 0 {
+	if p := s.a.Final(s.clock()).Assigners; len(p) > 0 {
 		t.Errorf("the final table names %v", p)
 	}
 }
 
 func TestTableOfTheStoreForgetsPredecessorsToo(t *testing.T) {
 	cfg := seamassign.DefaultConfig()
-	self := seamtable.Assigner{Name: "a", Incarnation: 1}
 	// All keys have a live holder, so that nothing else is written.
 	t.Run("promises are over", func(t *testing.T) {
 		s := newScene(t, found(older, old))
@@ -262,8 +357,8 @@
 	})
 	t.Run("predecessors have ended", func(t *testing.T) {
 		s := newScene(t, found(older, old))
-		s.a.Succeed(s.clock(), old)
-		s.a.Succeed(s.clock(), older)
+		s.a.Succeed(s.clock(), old, s.clock())
+		s.a.Succeed(s.clock(), older, s.clock())
 		s.pass(time.Second, life("a"))
 		if diff := cmp.Diff([]seamtable.Assigner{self}, s.stored.Assigners); diff != "" {
 			t.Error(diff)
@@ -273,7 +368,6 @@
 
 func TestTableOfTheStoreNamesAllWhoMayPromise(t *testing.T) {
 	s := newScene(t, found(older, old))
-	self := seamtable.Assigner{Name: "a", Incarnation: 1}
 	if diff := cmp.Diff([]seamtable.Assigner{older, old, self}, s.stored.Assigners); diff != "" {
 		t.Error(diff)
 	}
@@ -290,7 +384,7 @@
 }
 
 func TestNothingIsPromisedBeforeTheEpochIsStored(t *testing.T) {
-	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, found(), 1)
+	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a", Epoch: epoch}, seamclock.Instant{}, found(), 1)
 	if r := a.Beat(seamclock.Instant{}, seamassign.Beat{Holder: life("a"), State: seamassign.Ready}); r.Promise > 0 || r.Changed {
 		t.Errorf("reply %+v", r)
 	}
@@ -304,7 +398,7 @@
 }
 
 func TestWriteOfThePredecessorIsTakenOver(t *testing.T) {
-	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a"}, epoch, seamtable.Table{Epoch: 3}, 1)
+	a := seamassign.New(seamassign.DefaultConfig(), seamclock.Instant{}, seamtable.Assigner{Name: "a", Epoch: epoch}, seamclock.Instant{}, seamtable.Table{Epoch: 3}, 1)
 	if _, _, ok := a.Wanted(); !ok {
 		t.Fatal("the epoch is not written")
 	}
--- a/internal/own/seamassign/model_test.go
+++ b/internal/own/seamassign/model_test.go
@@ -101,6 +101,8 @@
 	beatAt  time.Duration
 	// confirmed is the epoch that the store named when this run of the node read it.
 	confirmed uint64
+	// cut is the time until which the node reaches no assigner, but its target.
+	cut time.Duration
 }
 
 // event is something that happens later.
@@ -123,7 +125,11 @@
 	epoch     uint64
 	// resigned is the last assigner that resigned.
 	resigned seamtable.Assigner
-	log      []string
+	// promised is the end of what a run promised before it resigned, by its name.
+	promised map[string]seamclock.Instant
+	// away is the time until which the store answers nobody.
+	away time.Duration
+	log  []string
 }
 
 // modelAssigner is one run of an assigner.
@@ -153,15 +159,21 @@
 	return time.Duration(1+m.random.IntN(most)) * time.Millisecond
 }
 
-// elect begins an epoch. The assigners before it act on for a while. Some are runs that resigned before.
+// elect begins an epoch, if the store is there. The assigners before it act on for a while. Some are runs that
+// resigned before.
 func (m *model) elect() {
+	if m.now < m.away {
+		m.later(m.away-m.now, m.elect)
+		return
+	}
 	m.epoch += 1 << 16
 	id := seamtable.Assigner{Name: fmt.Sprint("a", m.epoch), Incarnation: m.epoch}
 	if m.resigned.Name != "" && m.chance(3) {
 		id = m.resigned
+		m.resigned = seamtable.Assigner{} // a run has the office once at a time
 	}
 	id.Epoch = m.epoch
-	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.epoch, m.stored.Clone(), m.revision), m.now, id}
+	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.promised[id.Name], m.stored.Clone(), m.revision), m.now, id}
 	m.assigners = append(m.assigners, a)
 	m.note("epoch %d begins", m.epoch)
 }
@@ -198,6 +210,13 @@
 
 // faults draws what goes wrong in this step.
 func (m *model) faults() {
+	if m.chance(900) {
+		m.away = m.now + m.delay(9000)
+		m.note("the store is away until %s", m.away)
+	}
+	if n := len(m.assigners); n > 0 && m.now >= m.away {
+		m.assigners[n-1].Renew(m.clock())
+	}
 	if m.chance(500) {
 		m.elect()
 	}
@@ -212,6 +231,10 @@
 		if m.chance(700) {
 			m.restartNode(n)
 		}
+		if m.chance(700) {
+			n.cut = m.now + m.delay(8000)
+			m.note("node of %s is cut off until %s", n.target.name, n.cut)
+		}
 		if m.chance(700) {
 			m.restartTarget(n)
 		}
@@ -266,7 +289,7 @@
 		return
 	}
 	lost := m.chance(10)
-	m.later(m.delay(40), func() {
+	m.later(max(m.away-m.now, 0)+m.delay(40), func() {
 		if revision != m.revision {
 			m.settle(a)
 			return
@@ -290,31 +313,32 @@
 	m.assigners = m.assigners[:len(m.assigners)-1]
 	m.note("epoch %d resigns", last.Epoch())
 	m.resigned = last.id
-	if m.chance(2) {
+	m.promised[last.id.Name] = last.Longest()
+	if m.now < m.away || m.chance(2) {
+		m.tell(last.id, last.Longest())
 		m.elect()
-		m.tell(last.id)
 		return
 	}
 	if last.Version().Revision == m.revision {
 		m.revision++
-		m.stored = last.Final()
+		m.stored = last.Final(m.clock())
 	}
 	m.elect()
 }
 
 // tell lets the assigners of later times hear that one has resigned without the store.
-func (m *model) tell(resigned seamtable.Assigner) {
+func (m *model) tell(resigned seamtable.Assigner, over seamclock.Instant) {
 	m.later(m.delay(800), func() {
 		for _, a := range m.assigners {
 			for _, p := range a.Predecessors() {
 				if resigned.Covers(p) {
 					m.note("epoch %d hears that epoch %d has resigned", a.Epoch(), resigned.Epoch)
-					a.Succeed(m.clock(), p)
+					a.Succeed(m.clock(), p, over)
 				}
 			}
 		}
 		if !m.chance(20) {
-			m.tell(resigned)
+			m.tell(resigned, over)
 		}
 	})
 }
@@ -361,7 +385,7 @@
 			return
 		}
 	}
-	if len(m.assigners) == 0 || m.chance(12) {
+	if len(m.assigners) == 0 || m.now < n.cut || m.chance(12) {
 		return
 	}
 	a := m.assigners[len(m.assigners)-1]
@@ -371,14 +395,14 @@
 	if n.confirmed == 0 {
 		n.confirmed = m.epoch
 	}
-	h.Trust(n.confirmed)
+	h.Trust(m.clock(), n.confirmed)
 	sent := m.clock()
 	b := h.Beat(sent)
 	b.Node = seampeer.Peer{Name: n.target.name}
 	b.Load = m.load(h)
 	started := n.started
 	m.later(m.delay(30), func() {
-		if b.Epoch > a.Epoch() || m.now-a.began > seamassign.DefaultConfig().Alone && a != m.assigners[len(m.assigners)-1] {
+		if b.Epoch > a.Epoch() || !slices.Contains(m.assigners, a) {
 			return
 		}
 		r := a.Beat(m.clock(), b)
@@ -393,7 +417,7 @@
 				n.former = slices.DeleteFunc(n.former, func(f *seamhold.Holder) bool { return f == h })
 				return
 			}
-			h.Reply(sent, r)
+			h.Reply(m.clock(), sent, r)
 		})
 	})
 }
@@ -482,7 +506,7 @@
 func TestNoKeyHasTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		m := &model{t: t, random: rand.New(rand.NewPCG(seed, 0)), epoch: 1 << 16}
+		m := &model{t: t, random: rand.New(rand.NewPCG(seed, 0)), epoch: 1 << 16, promised: map[string]seamclock.Instant{}}
 		for i := range modelTargets {
 			target := &modelTarget{name: fmt.Sprint("t", i), born: 1000}
 			n := &modelNode{target: target}
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -23,12 +23,14 @@
 	a.balance(now)
 }
 
-// outlast forgets the predecessors once none of their promises can be in force.
+// outlast forgets the predecessors none of whose promises can be in force.
 func (a *Assigner) outlast(now seamclock.Instant) {
-	if len(a.predecessors) == 0 || seamclock.Least(now, a.foreign) < 0 {
+	if len(a.predecessors) == 0 {
 		return
 	}
-	a.predecessors = nil
+	if seamclock.Least(now, a.foreign) >= 0 {
+		a.predecessors = nil
+	}
 	a.succeeded(now)
 }
 
--- a/internal/own/seamclock/instant.go
+++ b/internal/own/seamclock/instant.go
@@ -34,6 +34,16 @@
 	return min(now.Mono-since.Mono, now.Wall-since.Wall)
 }
 
+// Later returns the later reading of each clock. It bounds the end of a right of another process.
+func Later(x, y Instant) Instant {
+	return Instant{Mono: max(x.Mono, y.Mono), Wall: max(x.Wall, y.Wall)}
+}
+
+// Earlier returns the earlier reading of each clock. It bounds the end of a right of this process.
+func Earlier(x, y Instant) Instant {
+	return Instant{Mono: min(x.Mono, y.Mono), Wall: min(x.Wall, y.Wall)}
+}
+
 // Past reports whether a right of this process that ends at end is over at now.
 func Past(now, end Instant) bool {
 	return Most(now, end) >= 0
--- a/internal/own/seamhold/beats.go
+++ b/internal/own/seamhold/beats.go
@@ -161,7 +161,7 @@
 		return
 	}
 	before := h.Epoch()
-	h.Reply(s.at, reply)
+	h.Reply(r.clock.Now(), s.at, reply)
 	if reply.Changed {
 		r.sink.Emit(time.Now(), seamevent.KeysListed, seamevent.Fields{
 			"target": h.Target().String(), "epoch": reply.Epoch, "former": before, "revision": reply.Revision,
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -27,6 +27,8 @@
 	Margin time.Duration
 	// Drift is the part by which the target's clock may run slow.
 	Drift float64
+	// Keep is the longest time for which a right lasts once the assigner of a later epoch is accepted.
+	Keep time.Duration
 }
 
 // startSpread is the time by which a target may start before the node beside it when both start together.
@@ -34,7 +36,7 @@
 
 // DefaultConfig returns the usual times.
 func DefaultConfig() Config {
-	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Slip: 100 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02}
+	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Slip: 100 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02, Keep: seamassign.DefaultConfig().Promise}
 }
 
 // phase is the state of a range at the target.
@@ -115,7 +117,17 @@
 
 // Trust takes note that the store named the assigner of an epoch after this run of the node began.
 // Assigners of earlier epochs promise nothing from now on.
-func (h *Holder) Trust(epoch uint64) { h.epoch = max(h.epoch, epoch) }
+func (h *Holder) Trust(now seamclock.Instant, epoch uint64) {
+	if epoch > h.epoch {
+		h.accept(now, epoch)
+	}
+}
+
+// accept takes note of a later epoch. The right by an earlier one ends soon.
+func (h *Holder) accept(now seamclock.Instant, epoch uint64) {
+	h.epoch = epoch
+	h.right = seamclock.Earlier(h.right, now.Add(h.cfg.Keep))
+}
 
 // Leave says that the target is about to end.
 func (h *Holder) Leave() { h.leaving = true }
@@ -177,13 +189,14 @@
 
 // Reply takes the answer to a beat that was sent at a time. An answer of an
 // epoch that is over is ignored.
-func (h *Holder) Reply(sent seamclock.Instant, r seamassign.Reply) {
+func (h *Holder) Reply(now, sent seamclock.Instant, r seamassign.Reply) {
 	if h.dead || h.retired || r.Epoch < h.epoch {
 		return
 	}
 	if r.Epoch > h.epoch {
 		// What an earlier assigner promised holds no longer.
-		h.epoch, h.revision = r.Epoch, 0
+		h.accept(now, r.Epoch)
+		h.revision = 0
 		if !r.Changed {
 			// The right by the earlier promise ends by itself.
 			return
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -418,7 +418,7 @@
 	if !ok {
 		return "", seamassign.Beat{}, nil
 	}
-	r.holder.Trust(epoch)
+	r.holder.Trust(now, epoch)
 	b = r.holder.Beat(now)
 	b.Load.Slots = r.life.Slots
 	b.Load.Busy, b.Load.Service = r.work.Work()
--- a/internal/own/seamoffice/farewell.go
+++ b/internal/own/seamoffice/farewell.go
@@ -1,10 +1,12 @@
 package seamoffice
 
 import (
-	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
 )
@@ -12,55 +14,72 @@
 // farewellLimit is the number of former assigners that are remembered for each service.
 const farewellLimit = 16
 
-// Resigned reports whether an assigner has said that it promises keys of the service no longer.
-func (r *Registry) Resigned(service string, a seamtable.Assigner) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.resigned[service], func(former seamtable.Assigner) bool { return former.Covers(a) })
+// Farewell is the word of an assigner that it promises keys of a service no longer.
+type Farewell struct {
+	Service  string
+	Assigner seamtable.Assigner
+	// Over is the time after which none of its promises is in force.
+	Over seamclock.Instant
 }
 
-// Resign takes note of the word of an assigner that it promises keys of the service no longer.
-func (r *Registry) Resign(service string, a seamtable.Assigner) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if slices.Contains(r.resigned[service], a) {
-		return
+// Wire returns the word in wire form.
+func (f Farewell) Wire(now seamclock.Instant) *wire.Farewell {
+	over := max(seamclock.Most(f.Over, now), 0)
+	return &wire.Farewell{Service: f.Service, Assigner: f.Assigner.Wire(), Over: (over + time.Millisecond - 1).Milliseconds()}
+}
+
+// FarewellOf returns the word of a wire form that has just arrived.
+func FarewellOf(now seamclock.Instant, w *wire.Farewell) Farewell {
+	over := time.Duration(w.GetOver()) * time.Millisecond
+	return Farewell{
+		Service:  w.GetService(),
+		Assigner: seamtable.AssignerOf(w.GetAssigner()),
+		Over:     now.Add(seamassign.DefaultConfig().Bound(over)),
 	}
-	r.resigned[service] = append(r.resigned[service], a)
-	if extra := len(r.resigned[service]) - farewellLimit; extra > 0 {
-		r.resigned[service] = r.resigned[service][extra:]
+}
+
+// DecodeFarewell returns the word that another node has kept.
+func DecodeFarewell(now seamclock.Instant, value []byte) (Farewell, error) {
+	w := new(wire.Farewell)
+	if err := proto.Unmarshal(value, w); err != nil {
+		return Farewell{}, err
 	}
+	return FarewellOf(now, w), nil
 }
 
-// Farewells returns the words of all former assigners that are remembered, in wire form.
-func (r *Registry) Farewells() []*wire.Farewell {
+// Resigned returns the time after which no promise of an assigner is in force; false if it has not said that it
+// promises nothing any more.
+func (r *Registry) Resigned(service string, a seamtable.Assigner) (over seamclock.Instant, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []*wire.Farewell
-	for service, former := range r.resigned {
-		for _, a := range former {
-			list = append(list, WireFarewell(service, a))
+	for _, f := range r.farewells[service] {
+		if f.Assigner.Covers(a) {
+			return f.Over, true
 		}
 	}
-	return list
+	return seamclock.Instant{}, false
 }
 
-// WireFarewell returns the word of a former assigner in wire form.
-func WireFarewell(service string, a seamtable.Assigner) *wire.Farewell {
-	return &wire.Farewell{Service: service, Assigner: a.Wire()}
-}
-
-// Heard takes the word of a former assigner from its wire form.
-func (r *Registry) Heard(w *wire.Farewell) {
-	r.Resign(w.GetService(), seamtable.AssignerOf(w.GetAssigner()))
+// Resign takes note of a word, unless it is known already.
+func (r *Registry) Resign(f Farewell) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.farewells[f.Service]
+	for _, known := range list {
+		if known.Assigner == f.Assigner {
+			return
+		}
+	}
+	r.farewells[f.Service] = append(list[max(len(list)+1-farewellLimit, 0):], f)
 }
 
-// HeardEncoded takes the encoded word of a former assigner.
-func (r *Registry) HeardEncoded(value []byte) error {
-	w := new(wire.Farewell)
-	if err := proto.Unmarshal(value, w); err != nil {
-		return err
+// Farewells returns the words that are remembered.
+func (r *Registry) Farewells() []Farewell {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Farewell
+	for _, list := range r.farewells {
+		all = append(all, list...)
 	}
-	r.Heard(w)
-	return nil
+	return all
 }
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +65,8 @@
 	// beside a holder come last, since a machine that is lost takes both with it. If no other node is known, it
 	// returns false, and 1 beside a holder.
 	Rank(service string) (rank int, known bool)
-	// Restarted reports whether a later run of the node is known.
-	Restarted(name string, incarnation uint64) bool
 	// TellResigned tells those that may be the next assigner that this node promises nothing any more.
-	TellResigned(service string, self seamtable.Assigner)
+	TellResigned(f Farewell)
 }
 
 // Office runs the candidacy of this node for the assigner of one service, and
@@ -93,7 +92,9 @@
 	lease    seamstore.Lease
 	// renewed is the time at which the last renewal that succeeded was sent.
 	renewed seamclock.Instant
-	streams map[*beatStream]bool
+	// promised is the end of what this run of the node has promised in epochs that are over.
+	promised seamclock.Instant
+	streams  map[*beatStream]bool
 	// wake is signalled when the assigner has something to do.
 	wake chan struct{}
 }
@@ -235,12 +236,19 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lease, o.renewed = lease, sent
-	o.assigner = seamassign.New(o.cfg, o.clock.Now(), o.identity(epoch), epoch, table.Table, table.Revision)
+	o.lease = lease
+	o.assigner = seamassign.New(o.cfg, o.clock.Now(), o.identity(epoch), o.promised, table.Table, table.Revision)
+	o.confirmed(sent)
 	o.sink.Emit(time.Now(), seamevent.OfficeTaken, seamevent.Fields{"service": o.service, "epoch": epoch, "revision": table.Revision})
 	return nil
 }
 
+// confirmed takes note that the store has confirmed the office by a call that was sent at a time. mu is held.
+func (o *Office) confirmed(sent seamclock.Instant) {
+	o.renewed = sent
+	o.assigner.Renew(sent)
+}
+
 // identity returns this run of the node as the assigner of an epoch.
 func (o *Office) identity(epoch uint64) seamtable.Assigner {
 	return seamtable.Assigner{Name: o.self.Name, Incarnation: o.self.Incarnation, Epoch: epoch}
@@ -308,15 +316,18 @@
 	reachable := o.reachesStore()
 	o.mu.Lock()
 	authorized := o.authorizedLocked()
-	last := o.assigner.Final()
+	last := o.assigner.Final(o.clock.Now())
 	revision := o.assigner.Version().Revision
+	o.promised = seamclock.Later(o.promised, o.assigner.Longest())
+	word := Farewell{Service: o.service, Assigner: o.identity(o.assigner.Epoch()), Over: o.promised}
 	o.assigner = nil
 	lease := o.lease
 	o.lease = 0
 	o.mu.Unlock()
 	o.sink.Emit(time.Now(), seamevent.OfficeLost, seamevent.Fields{"service": o.service, "epoch": last.Epoch})
-	if !authorized || !reachable || !o.writeFinal(last, revision) {
-		o.peers.TellResigned(o.service, o.identity(last.Epoch))
+	written := authorized && reachable && o.writeFinal(last, revision)
+	if !written || slices.Contains(last.Assigners, word.Assigner) {
+		o.peers.TellResigned(word)
 	}
 	if lease != 0 && reachable {
 		o.endLease(lease)
@@ -403,7 +414,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.renewed = sent
+	o.confirmed(sent)
 	return nil
 }
 
@@ -442,7 +453,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lease, o.renewed = lease, sent
+	o.lease = lease
+	o.confirmed(sent)
 	o.sink.Emit(time.Now(), seamevent.OfficeTaken, seamevent.Fields{"service": o.service, "epoch": epoch, "again": true})
 	return nil
 }
--- a/internal/own/seamoffice/office_test.go
+++ b/internal/own/seamoffice/office_test.go
@@ -30,18 +30,17 @@
 type peers struct {
 	rank int
 	// told takes the assigners that resign without the store; nil ignores them.
-	told chan seamtable.Assigner
+	told chan seamoffice.Farewell
 }
 
 // TellResigned implements seamoffice.Peers.
-func (p peers) TellResigned(_ string, a seamtable.Assigner) {
+func (p peers) TellResigned(f seamoffice.Farewell) {
 	if p.told != nil {
-		p.told <- a
+		p.told <- f
 	}
 }
 
 func (p peers) Rank(string) (int, bool)           { return p.rank, true }
-func (peers) Restarted(string, uint64) bool       { return false }
 func (n *node) record() (seamoffice.Record, bool) { return n.registry.Office(service) }
 
 // node is one node that stands for the assigner.
@@ -49,7 +48,7 @@
 	self     seampeer.Peer
 	registry *seamoffice.Registry
 	office   *seamoffice.Office
-	told     chan seamtable.Assigner
+	told     chan seamoffice.Farewell
 	stop     func()
 }
 
@@ -62,7 +61,7 @@
 func newNode(t *testing.T, store *seamstandkv.Store, name string, incarnation uint64, rank int) *node {
 	t.Helper()
 	sink := seamevent.NewStream(name)
-	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamoffice.NewRegistry(sink), told: make(chan seamtable.Assigner, 8)}
+	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamoffice.NewRegistry(sink), told: make(chan seamoffice.Farewell, 8)}
 	n.office = seamoffice.New(service, n.self, store, n.registry, seamclock.NewClock(), peers{rank, n.told}, sink)
 	mirror := seammirror.New(store, "", reader{n.registry}, sink)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -141,7 +140,7 @@
 	defer cancel()
 	n.office.End(ctx)
 	table, _ := n.registry.Table(service)
-	if a := <-n.told; a.Name != "n0" || a.Incarnation != 1 || a.Epoch != table.Epoch {
+	if a := (<-n.told).Assigner; a.Name != "n0" || a.Incarnation != 1 || a.Epoch != table.Epoch {
 		t.Errorf("%+v resigned in epoch %d", a, table.Epoch)
 	}
 }
@@ -179,7 +178,7 @@
 			}
 			store.Put(seamoffice.TablePrefix+service, value)
 			n := newNode(t, store, "n0", 1, 0)
-			n.registry.Heard(seamoffice.WireFarewell(service, tt.word))
+			n.registry.Resign(seamoffice.Farewell{Service: service, Assigner: tt.word})
 			began := time.Now()
 			names := func() (both, one bool) {
 				table, _ := n.registry.Table(service)
--- a/internal/own/seamoffice/record.go
+++ b/internal/own/seamoffice/record.go
@@ -57,8 +57,8 @@
 	tables  map[string]Versioned
 	// confirmed are the highest epochs that the store named.
 	confirmed map[string]uint64
-	// resigned holds the assigners of each service that promise nothing any more, by their own word.
-	resigned map[string][]seamtable.Assigner
+	// farewells are the words of former assigners of each service, the latest last.
+	farewells map[string][]Farewell
 	// vacant is the time since which a service has no record.
 	vacant  map[string]time.Time
 	fresh   bool
@@ -74,7 +74,7 @@
 		vacant:  map[string]time.Time{},
 
 		confirmed: map[string]uint64{},
-		resigned:  map[string][]seamtable.Assigner{},
+		farewells: map[string][]Farewell{},
 
 		changed: make(chan struct{}),
 	}
--- a/internal/own/seamoffice/serve.go
+++ b/internal/own/seamoffice/serve.go
@@ -54,8 +54,8 @@
 		return nil
 	}
 	for _, p := range o.assigner.Predecessors() {
-		if o.peers.Restarted(p.Name, p.Incarnation) || o.registry.Resigned(o.service, p) {
-			o.assigner.Succeed(now, p)
+		if over, ok := o.registry.Resigned(o.service, p); ok {
+			o.assigner.Succeed(now, p, over)
 		}
 	}
 	o.assigner.Tick(now)
