A request whose key nobody serves is refused at once

Now they wait for a renewal for 150 ms, then they are refused with Retry-After 0.3 s, and the ingress does not ask again unless another owner is known by then.

--- a/internal/own/seamgrant/grant.go
+++ b/internal/own/seamgrant/grant.go
@@ -28,9 +28,15 @@
 	Moving bool
 	// Arriving says that the slot is this node's and its server will have it shortly.
 	Arriving bool
+	// Lapsed says that the slot is this node's, but its right is over and nobody renews it. Until that changes no
+	// node serves the slot.
+	Lapsed bool
 }
 
 // Error names the slot and the likely owner.
 func (e *NotOwnerError) Error() string {
+	if e.Lapsed {
+		return fmt.Sprintf("the right to slot %s is over and was not renewed", e.Slot)
+	}
 	return fmt.Sprintf("slot %s is not owned here (owner %q, moving %t)", e.Slot, e.Owner, e.Moving)
 }
--- a/internal/own/seamhold/holder.go
+++ b/internal/own/seamhold/holder.go
@@ -29,6 +29,8 @@
 	Drift float64
 	// Keep is the longest time for which a right lasts once the assigner of a later epoch is accepted.
 	Keep time.Duration
+	// Lapse is the time after the end of a right for which requests wait for its renewal.
+	Lapse time.Duration
 }
 
 // startSpread is the time by which a target may start before the node beside it when both start together.
@@ -36,7 +38,7 @@
 
 // DefaultConfig returns the usual times.
 func DefaultConfig() Config {
-	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Slip: 100 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02, Keep: seamassign.DefaultConfig().Promise}
+	return Config{Hold: 1500 * time.Millisecond, Renew: 400 * time.Millisecond, Answer: 400 * time.Millisecond, Slip: 100 * time.Millisecond, Margin: 50 * time.Millisecond, Drift: 0.02, Keep: seamassign.DefaultConfig().Promise, Lapse: 150 * time.Millisecond}
 }
 
 // phase is the state of a range at the target.
@@ -286,12 +288,14 @@
 }
 
 // Acquire returns the right to send a request for the key to the target. The
-// error is *seamgrant.NotOwnerError; it says whether the key is arriving or moving.
+// error is *seamgrant.NotOwnerError; it says whether the key is arriving or moving, or the right has lapsed.
 func (h *Holder) Acquire(now seamclock.Instant, grant seamgrant.Grant) (seamgrant.Grant, error) {
 	e := h.find(grant.Slot.Index)
 	switch {
 	case e == nil:
 		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot}
+	case e.phase < releasing && seamclock.Past(now, h.right.Add(h.cfg.Lapse)):
+		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot, Lapsed: true}
 	case e.phase == granting && !seamclock.Past(now, h.right):
 		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot, Arriving: true}
 	case e.phase != held:
--- a/internal/own/seamhold/holder_test.go
+++ b/internal/own/seamhold/holder_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+func TestLapsedRightIsNotWaitedFor(t *testing.T) {
+	h := holding(t)
+	tests := []struct {
+		after            time.Duration
+		arriving, lapsed bool
+	}{
+		{2*time.Second + cfg.Lapse/2, true, false},
+		{2*time.Second + cfg.Lapse, false, true},
+		{10 * time.Second, false, true},
+	}
+	for _, tt := range tests {
+		if _, not := acquire(h, long+tt.after, 5); not == nil || not.Arriving != tt.arriving || not.Lapsed != tt.lapsed {
+			t.Errorf("%s after the promise: %+v", tt.after, not)
+		}
+	}
+	if _, not := acquire(listed(long), long+10*time.Second, 5); not == nil || !not.Lapsed {
+		t.Errorf("the target has never confirmed: %+v", not)
+	}
+}
+
 func TestGrantNeverOutlastsTheRight(t *testing.T) {
 	h := listed(long)
 	for _, after := range []time.Duration{0, 500, 1000, 1500, 1900} {
--- a/internal/own/seamhold/runner.go
+++ b/internal/own/seamhold/runner.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
 	"cardamomseam/internal/own/seamusage"
+	"cardamomseam/internal/platform/seamwait"
 )
 
 const (
@@ -198,7 +199,8 @@
 	return r.holder.Ranges()
 }
 
-// Acquire implements the egress's Owners: it waits, bounded by ctx, while the key arrives.
+// Acquire implements the egress's Owners: it waits, bounded by ctx, while the key arrives. It looks again now and
+// then, since the end of a right tells nobody.
 func (r *Runner) Acquire(ctx context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
 	for {
 		r.mu.Lock()
@@ -209,9 +211,7 @@
 		if err == nil || !errors.As(err, &not) || !not.Arriving {
 			return grant, func() {}, err
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !seamwait.Until(ctx, r.cfg.Lapse, changed) {
 			return grant, nil, err
 		}
 	}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -89,6 +89,8 @@
 	// leaveGrace is the time for which a target that is leaving still serves the
 	// slots that were not handed over yet.
 	leaveGrace = 2 * time.Second
+	// lapsedAfter is the time after which a caller should come back whose key nobody serves at present.
+	lapsedAfter = 300 * time.Millisecond
 	// idSize is the length of a request id, in bytes.
 	idSize = 16
 )
@@ -265,6 +267,9 @@
 	if errors.As(err, &not) {
 		end := seamoutcome.Refuse(seamoutcome.Owner, not.Error())
 		end.Owner = seampeer.Peer{Address: not.Owner}
+		if not.Lapsed {
+			end.After = lapsedAfter
+		}
 		return end
 	}
 	return seamoutcome.Refuse(early(ctx, seamoutcome.Owner), err.Error())
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -71,12 +71,17 @@
 	life  time.Duration
 	// asked counts the requests; until is the one up to which other is named, 0 for all.
 	asked, until int
+	// lapsed says that the right to each slot is over.
+	lapsed bool
 }
 
 func (f *fakeOwners) Acquire(_ context.Context, id seamslot.ID) (seamgrant.Grant, func(), error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
+	if f.lapsed {
+		return seamgrant.Grant{}, nil, &seamgrant.NotOwnerError{Slot: id, Lapsed: true}
+	}
 	if f.other != "" && (f.until == 0 || f.asked <= f.until) {
 		return seamgrant.Grant{}, nil, &seamgrant.NotOwnerError{Slot: id, Owner: f.other}
 	}
--- a/internal/route/seamingress/patience_test.go
+++ b/internal/route/seamingress/patience_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+func TestRequestWhoseKeyNobodyServesIsRefusedAtOnce(t *testing.T) {
+	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
+	front.rules.choice.Limits.Retries = 3
+	back.owners.lapsed = true
+	got := post(t, front)
+	got.expect(t, 503, seamoutcome.Refused, seamoutcome.Owner)
+	if asked := back.owners.count(); asked != 1 {
+		t.Errorf("the owner was asked %d times", asked)
+	}
+	if got.header.Get(seamheader.After) != "300" {
+		t.Errorf("the caller is told to come back after %q ms", got.header.Get(seamheader.After))
+	}
+}
+
 func TestRequestsThatWaitAreBounded(t *testing.T) {
 	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
 	back.owners.moving(back.peer.Address, 1<<30)
--- a/internal/route/seamingress/repeat.go
+++ b/internal/route/seamingress/repeat.go
@@ -13,7 +13,7 @@
 func (x *exchange) next(end seamoutcome.End, to seampeer.Peer, budget Budget) (wait time.Duration, again bool) {
 	hint := x.hint
 	x.hint = seampeer.Peer{}
-	if !x.mayRepeat(end) {
+	if !x.mayRepeat(end) || x.lapsed(end, to) {
 		return 0, false
 	}
 	if x.choice.Keyed && end.Reason == seamoutcome.Session {
@@ -31,6 +31,16 @@
 	return x.spend(end, to, budget)
 }
 
+// lapsed reports whether the owner of the key has said that nobody serves it at present. The caller is told to
+// come back instead of being kept until its deadline.
+func (x *exchange) lapsed(end seamoutcome.End, to seampeer.Peer) bool {
+	if !x.choice.Keyed || end.Reason != seamoutcome.Owner || end.After <= 0 {
+		return false
+	}
+	owner, known := x.ingress.directory.Owner(x.service, x.head.GetSlot())
+	return !known || owner.Same(to) || owner.Address == to.Address
+}
+
 // spend takes a retry from the rule's number and the service's budget, if both have one.
 func (x *exchange) spend(end seamoutcome.End, to seampeer.Peer, budget Budget) (wait time.Duration, again bool) {
 	if x.retries >= x.choice.Limits.Retries {
