--- a/internal/route/seamingress/export_test.go
+++ b/internal/route/seamingress/export_test.go
@@ -1,5 +1,20 @@
 package seamingress
 
+import (
+	"time"
+
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+// OwnerPatience returns the time for which a request waits for an owner, with or without a table of owners.
+func OwnerPatience(r seamoutcome.Reason, table bool) time.Duration {
+	i := &Ingress{}
+	if table {
+		i.cfg.Changed = func() <-chan struct{} { return nil }
+	}
+	return i.ownerPatience(r)
+}
+
 // FillWaiting makes the ingress as full as it may be of requests that wait for an owner.
 func FillWaiting(i *Ingress) { i.waiting.Store(ownerWaiters) }
 
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -19,6 +19,9 @@
 	// movePatience and moveLook take the place of both where the table of owners is known.
 	movePatience = 400 * time.Millisecond
 	moveLook     = 80 * time.Millisecond
+	// lossPatience takes the place of movePatience if the node of the owner can't be reached: another
+	// one takes longer than a caller should be kept.
+	lossPatience = 100 * time.Millisecond
 	// ownerWaiters is the number of requests of an ingress that may wait so.
 	ownerWaiters = 1024
 )
@@ -31,7 +34,7 @@
 		return 0, false
 	}
 	now := time.Now()
-	if x.patience.IsZero() && !x.startWaiting(now) {
+	if x.patience.IsZero() && !x.startWaiting(now, end.Reason) {
 		return 0, false
 	}
 	wait = x.ingress.look()
@@ -68,22 +71,26 @@
 	return false
 }
 
-func (x *exchange) startWaiting(now time.Time) bool {
+func (x *exchange) startWaiting(now time.Time, r seamoutcome.Reason) bool {
 	if x.ingress.waiting.Add(1) > ownerWaiters {
 		x.ingress.waiting.Add(-1)
 		return false
 	}
-	x.patience = now.Add(x.ingress.ownerPatience())
+	x.patience = now.Add(x.ingress.ownerPatience(r))
 	return true
 }
 
-// ownerPatience bounds the time for which a request waits for an owner. Where the table of owners
-// is known, a move is shorter, and a loss is longer than a caller should be kept.
-func (i *Ingress) ownerPatience() time.Duration {
-	if i.cfg.Changed != nil {
+// ownerPatience bounds the time for which a request waits for an owner after a refusal for the reason. Where the
+// table of owners is known, a move is shorter, and a loss is longer than a caller should be kept.
+func (i *Ingress) ownerPatience(r seamoutcome.Reason) time.Duration {
+	switch {
+	case i.cfg.Changed == nil:
+		return ownerPatience
+	case r == seamoutcome.Session:
+		return lossPatience
+	default:
 		return movePatience
 	}
-	return ownerPatience
 }
 
 // look returns the time until an owner is looked for again.
--- a/internal/route/seamingress/patience_test.go
+++ b/internal/route/seamingress/patience_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+func TestOwnerThatCannotBeReachedIsNotWaitedForLong(t *testing.T) {
+	for _, tt := range []struct {
+		reason seamoutcome.Reason
+		table  bool
+		longer bool
+	}{
+		{seamoutcome.Session, true, false},
+		{seamoutcome.Owner, true, true},
+		{seamoutcome.Session, false, true},
+	} {
+		got := seamingress.OwnerPatience(tt.reason, tt.table)
+		if longer := got > 200*time.Millisecond; longer != tt.longer {
+			t.Errorf("%s, table %v: waits for %s", tt.reason, tt.table, got)
+		}
+	}
+}
+
 func TestRequestsThatWaitAreBounded(t *testing.T) {
 	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
 	back.owners.moving(back.peer.Address, 1<<30)
