News of the assigner is taken between two beats

Most news was dropped, so that releases and new ranges waited for the next beat. Now it is applied to the holder of the last beat. Ruled out: the writing of the table (52 ms after the release) and the order to the target.

--- a/internal/own/seamhold/beats.go
+++ b/internal/own/seamhold/beats.go
@@ -76,7 +76,7 @@
 			return
 		}
 		open = append(open, sent)
-		if open = r.listen(ctx, service, replies, open, &heard); open == nil {
+		if open = r.listen(ctx, service, replies, open, h, &heard); open == nil {
 			return
 		}
 	}
@@ -101,8 +101,8 @@
 }
 
 // listen takes replies until the next beat is due, and returns the beats that still have
-// none; nil if the node at the other end is not the assigner.
-func (r *Runner) listen(ctx context.Context, service string, replies <-chan *wire.Reply, open []sentBeat, heard *time.Time) []sentBeat {
+// none; nil if the node at the other end is not the assigner. The last beat was that of the holder.
+func (r *Runner) listen(ctx context.Context, service string, replies <-chan *wire.Reply, open []sentBeat, last *Holder, heard *time.Time) []sentBeat {
 	t := time.NewTimer(beatInterval)
 	defer t.Stop()
 	for {
@@ -126,21 +126,19 @@
 			if len(w.GetTable()) > 0 {
 				r.link.Learned(service, w.GetTable(), w.GetRevision())
 			}
-			open = r.replied(w, open)
+			open = r.replied(w, open, last)
 		}
 	}
 }
 
-// replied applies a reply and returns the beats that still have none.
-func (r *Runner) replied(w *wire.Reply, open []sentBeat) []sentBeat {
+// replied applies a reply and returns the beats that still have none. A reply without a number is news for the
+// holder of the last beat, whether that has been answered or not.
+func (r *Runner) replied(w *wire.Reply, open []sentBeat, last *Holder) []sentBeat {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := seamassign.ReplyOf(w)
 	if w.GetNumber() == 0 {
-		if len(open) > 0 {
-			last := open[len(open)-1]
-			r.apply(sentBeat{at: r.clock.Now(), holder: last.holder}, reply)
-		}
+		r.apply(sentBeat{at: r.clock.Now(), holder: last}, reply)
 		return open
 	}
 	for i, s := range open {
