Read-through: a beat's list is worked out once, the stall watch has no unused setting, failed encodings are logged

Behaviour is unchanged but for two log lines. - seamassign: the answer to each beat computed the holder's list twice, once to see whether keys were withdrawn from it. - seamstall: Config had a Read that nothing set. - seamrouter: what a node could not encode for another was left out without a line; the older twin, for tables, too.

--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -104,7 +104,7 @@
 	c.Add(seamstart.Background(n.entry.Run))
 	c.Add(seamstart.Background(n.sweep))
 	c.Add(seamstart.Background(n.catchUp))
-	c.Add(seamstart.Background(func(ctx context.Context) { seamstall.Watch(ctx, seamstall.Config{Sink: n.sink}) }))
+	c.Add(seamstart.Background(func(ctx context.Context) { seamstall.Watch(ctx, n.sink) }))
 	return nil
 }
 
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -145,6 +145,7 @@
 	for service, t := range h.node.registry.Tables() {
 		value, err := seamtable.Encode(t.Table)
 		if err != nil {
+			h.failed(err) // the other node learns the rest
 			continue
 		}
 		told.Tables = append(told.Tables, &wire.Kept{Service: service, Value: value, Revision: t.Revision})
@@ -152,12 +153,18 @@
 	for _, f := range h.node.registry.Farewells() {
 		value, err := proto.Marshal(f.Wire(h.node.clock.Now()))
 		if err != nil {
+			h.failed(err) // the other node learns the rest
 			continue
 		}
 		told.Farewells = append(told.Farewells, value)
 	}
 	conn.SetWriteDeadline(time.Now().Add(askTime))
 	if err := seamframe.Write(conn, seamframe.Told, told); err != nil {
-		h.node.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"call": "sync", "error": err.Error()})
+		h.failed(err)
 	}
 }
+
+// failed logs what could not be told.
+func (h syncHandler) failed(err error) {
+	h.node.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"call": "sync", "error": err.Error()})
+}
--- a/internal/observe/seamstall/stall.go
+++ b/internal/observe/seamstall/stall.go
@@ -18,14 +18,6 @@
 	limit = 250 * time.Millisecond
 )
 
-// Config says what a watch reports to, and how it measures.
-type Config struct {
-	// Sink takes an event for each time that the process stood still.
-	Sink seamevent.Sink
-	// Read returns what the process has used; nil means Read.
-	Read func() Usage
-}
-
 // Usage is what the process has used since its start.
 type Usage struct {
 	// Processor is the time on processors, in user and system mode.
@@ -40,15 +32,12 @@
 	Preemptions int64
 }
 
-// Watch looks at the clock until ctx ends.
-func Watch(ctx context.Context, cfg Config) {
-	if cfg.Read == nil {
-		cfg.Read = Read
-	}
-	w := NewWatcher(time.Now(), cfg.Read())
+// Watch looks at the clock until ctx ends, and tells sink of each time that the process stood still.
+func Watch(ctx context.Context, sink seamevent.Sink) {
+	w := NewWatcher(time.Now(), Read())
 	for seamwait.For(ctx, look) {
-		if s, ok := w.Look(time.Now(), cfg.Read()); ok {
-			cfg.Sink.Emit(time.Now(), seamevent.ProcessStalled, s.fields())
+		if s, ok := w.Look(time.Now(), Read()); ok {
+			sink.Emit(time.Now(), seamevent.ProcessStalled, s.fields())
 		}
 	}
 }
@@ -109,6 +98,7 @@
 		CollectorTime: time.Duration(samples[1].Value.Float64() * float64(time.Second)),
 	}
 	var r syscall.Rusage
+	// It fails only for another process or a bad address; the fields stay 0 then.
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) == nil {
 		u.Processor = time.Duration(r.Utime.Nano() + r.Stime.Nano())
 		u.Faults, u.Preemptions = r.Majflt, r.Nivcsw
--- a/internal/observe/seamstall/stall_test.go
+++ b/internal/observe/seamstall/stall_test.go
@@ -54,5 +54,5 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	seamstall.Watch(ctx, seamstall.Config{Sink: seamevent.NewStream("n1")})
+	seamstall.Watch(ctx, seamevent.NewStream("n1"))
 }
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -320,9 +320,11 @@
 	}
 	r := Reply{Epoch: a.epoch, Promise: a.promise(now), Revision: a.revision}
 	a.promiseTo(now, h, r.Promise)
-	if b.Revision != a.revision || b.Epoch != a.epoch || a.withdrawn(b.Holder) {
-		r.Changed = true
-		r.Ranges = a.promised(b.Holder)
+	list := a.promised(b.Holder)
+	// The holder may have keys on its list that it is to lose, and that the table in the store still gives it.
+	withdrawn := keys(list) != keys(a.durable.Of(b.Holder))
+	if b.Revision != a.revision || b.Epoch != a.epoch || withdrawn {
+		r.Changed, r.Ranges = true, list
 	}
 	r.Release = a.releases(b.Holder)
 	return r
@@ -373,12 +375,6 @@
 	return list
 }
 
-// withdrawn reports whether the holder is to lose keys that the table in the store still gives it. It may have them
-// on its list.
-func (a *Assigner) withdrawn(h seamtable.Holder) bool {
-	return keys(a.promised(h)) != keys(a.durable.Of(h))
-}
-
 // keys returns the number of keys in the ranges.
 func keys(ranges []seamtable.Range) int {
 	n := 0
