Targets that join are expected to be as fast as the median of their service

Cause: a target of which nothing was known counted with 0.1 s a request, the known ones with 0.02 to 0.08 s, so that requests with a short objective passed by a target that had joined.

--- a/internal/route/seamchoice/choice.go
+++ b/internal/route/seamchoice/choice.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,8 +45,8 @@
 	domainTime = 0.001
 	regionTime = 0.002
 	farTime    = 0.026
-	// usualService is the time of a request at a target of which none is known, in seconds.
-	usualService = 0.1
+	// defaultService is the time of a request, in seconds, as long as it is known of no target of the service.
+	defaultService = 0.1
 	// usualObjective and usualDeadline stand in where a request states none, in seconds.
 	usualObjective = 0.5
 	usualDeadline  = 2.0
@@ -98,13 +99,14 @@
 func (c *Chooser) Pick(now time.Time, all []seampick.Candidate, q Query, skip func(seampeer.Peer) bool) (seampick.Candidate, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	usual := c.usualService(all)
 	var best seampick.Candidate
 	highest, found := math.Inf(-1), false
 	for _, candidate := range all {
 		if candidate.Draining || skip != nil && skip(candidate.Peer) {
 			continue
 		}
-		w := c.worth(now, candidate, q) + c.cfg.Draw()*noise
+		w := c.worth(now, candidate, usual, q) + c.cfg.Draw()*noise
 		if w > highest {
 			best, highest, found = candidate, w, true
 		}
@@ -118,11 +120,29 @@
 // unreachable is what a node that can't be reached is worth less.
 const unreachable = 100
 
-// worth estimates what the answer of a candidate is worth, less the cost of the way.
-func (c *Chooser) worth(now time.Time, candidate seampick.Candidate, q Query) float64 {
+// usualService returns the time of a request, in seconds, that is expected of a target of which it
+// is not known: the median of the known ones, so that a target that joined gets its share, and a
+// single slow target does not count.
+func (c *Chooser) usualService(all []seampick.Candidate) float64 {
+	var known []float64
+	for _, candidate := range all {
+		if n := c.nodes[keyOf(candidate.Peer)]; n != nil && n.service > 0 {
+			known = append(known, n.service)
+		}
+	}
+	if len(known) == 0 {
+		return defaultService
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+// worth estimates what the answer of a candidate is worth, less the cost of the way. A target of
+// which it is not known takes the usual time, in seconds.
+func (c *Chooser) worth(now time.Time, candidate seampick.Candidate, usual float64, q Query) float64 {
 	n := c.nodes[keyOf(candidate.Peer)]
 	way, cost := c.way(candidate.Peer, q)
-	took := way + n.expected(now, candidate.Slots)
+	took := way + n.expected(now, candidate.Slots, usual)
 	prompt := chance(took, left(q.Objective, usualObjective))
 	late := max(chance(took, left(q.Deadline, usualDeadline))-prompt, 0)
 	w := n.goodness(now)*(prompt+lateWorth*late) - cost
--- a/internal/route/seamchoice/choice_test.go
+++ b/internal/route/seamchoice/choice_test.go
@@ -79,6 +79,47 @@
 	}
 }
 
+// A target that joined is expected to be as fast as the others of its service are on the mean, so
+// that requests with a short objective reach it too.
+func TestUnknownTargetCountsLikeTheKnownOnes(t *testing.T) {
+	short := seamchoice.Query{Objective: 80 * time.Millisecond, Deadline: 300 * time.Millisecond}
+	for _, tt := range []struct {
+		name  string
+		known []time.Duration
+		want  string
+	}{
+		{"the known ones are fast", []time.Duration{20 * time.Millisecond, 30 * time.Millisecond}, "near"},
+		{"none is known", nil, "near"},
+		{"a slower one is known", []time.Duration{300 * time.Millisecond}, "near"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newChooser()
+			others := []seampick.Candidate{rest, far}
+			for i, service := range tt.known {
+				tell(c, now, others[i].Peer, report(service, 0))
+			}
+			if got := pick(c, now, short); got != tt.want {
+				t.Errorf("picked %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// A target that was slow long ago is expected to be as fast as the others again.
+func TestOldServiceTimeGivesWayToTheMean(t *testing.T) {
+	c := newChooser()
+	tell(c, now, near.Peer, report(600*time.Millisecond, 0))
+	tell(c, now, rest.Peer, report(90*time.Millisecond, 0))
+	if got := pick(c, now, lookup); got != "rest" {
+		t.Errorf("picked %q beside a slow target", got)
+	}
+	later := now.Add(40 * time.Second)
+	tell(c, later, rest.Peer, report(90*time.Millisecond, 0))
+	if got := pick(c, later, lookup); got != "near" {
+		t.Errorf("picked %q long after the target was slow", got)
+	}
+}
+
 func TestFailingTargetIsLeftUntilItRecovers(t *testing.T) {
 	c := newChooser()
 	for range 20 {
--- a/internal/route/seamchoice/node.go
+++ b/internal/route/seamchoice/node.go
@@ -57,15 +57,16 @@
 
 func newNode() *node { return &node{} }
 
-// expected returns the time in seconds until the target would have answered.
-func (n *node) expected(now time.Time, slots int) float64 {
+// expected returns the time in seconds until the target would have answered. usual is the time of a
+// request at a target of which it is not known, in seconds.
+func (n *node) expected(now time.Time, slots int, usual float64) float64 {
 	if n == nil {
-		return usualService
+		return usual
 	}
 	age := now.Sub(n.reported)
-	service := usualService
+	service := usual
 	if n.service > 0 {
-		service = usualService + (n.service-usualService)*decay(age, serviceLife)
+		service = usual + (n.service-usual)*decay(age, serviceLife)
 	}
 	if n.slots > 0 {
 		slots = n.slots
