go-zero's lines go through the node's log

Cause: the server for callers sets go-zero's log up when it is built, which replaced the bridge that the node had set; its lines were then written straight to standard output, unbounded, and a pipe that nobody reads would have blocked the caller. The first setting of go-zero's log wins, so the bridge makes it. TestBridgeStaysWhenAServerIsBuilt failed before.

--- a/internal/observe/seamlog/bridge.go
+++ b/internal/observe/seamlog/bridge.go
@@ -15,9 +15,16 @@
 // interceptor is the file of go-zero that logs each call of an HTTP client.
 const interceptor = "internal/loginterceptor.go"
 
+// setting is the first one of go-zero's log, which ignores all later ones: those of the
+// servers would write past the bridge.
+var setting = logx.LogConf{Mode: "console", Level: "info"}
+
 // Bridge writes go-zero's log, which is one for the process, through l and turns its
 // statistics off. The clean-up function gives go-zero's log back.
 func Bridge(l *Log) (restore func()) {
+	if err := logx.SetUp(setting); err != nil {
+		l.Logger.WithError(err).WithField("source", source).Error("log of go-zero not set up")
+	}
 	former := logx.Reset()
 	logx.DisableStat()
 	logx.SetWriter(&bridge{logger: l.Logger})
--- a/internal/observe/seamlog/log_test.go
+++ b/internal/observe/seamlog/log_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
 
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamlog"
@@ -123,6 +124,23 @@
 	}
 }
 
+// A server of go-zero sets its log up when it is built; its lines still go through the node's log, which is
+// bounded and never blocks.
+func TestBridgeStaysWhenAServerIsBuilt(t *testing.T) {
+	lines := write(t, "info", "text", func(l *seamlog.Log) {
+		defer seamlog.Bridge(l)()
+		conf := service.ServiceConf{Name: "n", Mode: service.ProMode, Log: logx.LogConf{Mode: "console", Level: "error"}}
+		conf.Telemetry.Disabled = true
+		if err := conf.SetUp(); err != nil {
+			t.Error(err)
+		}
+		logx.Error("call failed")
+	})
+	if len(lines) != 1 || !strings.Contains(lines[0], "call failed") || !strings.Contains(lines[0], "source=go-zero") {
+		t.Fatalf("got %q", lines)
+	}
+}
+
 func TestFieldsThatCannotBeEncoded(t *testing.T) {
 	lines := write(t, "info", "json", func(l *seamlog.Log) {
 		l.Emit(start, seamevent.NodeStarted, seamevent.Fields{"load": math.NaN()})
