Routes reach a node over a small link: from another node, and without a list of everything

Ruled out: a watch that says nothing (the other nodes had the version at 24.3 s), a stalled process (none logged).

--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -167,6 +168,8 @@
 	announce seamrouter.Targets
 	stop     func()
 	sequence uint64
+	// store is what the node reads instead of the fleet's store, if it is set.
+	store seamstore.Shared
 }
 
 // Ports from firstPort are below those that the kernel gives to outgoing connections, one of which could
@@ -222,7 +225,13 @@
 // add starts a node with a target.
 func (f *fleet) add(name, service string) *node {
 	f.t.Helper()
-	n := &node{target: newTarget(f.t, "t-"+name, service), settings: seamsetting.Router{
+	return f.addWith(name, service, nil)
+}
+
+// addWith starts a node with a target that reads the store, or the fleet's store if that is nil.
+func (f *fleet) addWith(name, service string, store seamstore.Shared) *node {
+	f.t.Helper()
+	n := &node{target: newTarget(f.t, "t-"+name, service), store: store, settings: seamsetting.Router{
 		Name: name, Region: "ost", Domain: "ost-1",
 		Listen: freeAddress(f.t), Ingress: freeAddress(f.t), Announce: freeAddress(f.t), Health: freeAddress(f.t), Metrics: freeAddress(f.t),
 		Store: []string{"127.0.0.1:1"},
@@ -265,7 +274,12 @@
 
 func (f *fleet) adapter(n *node) seamrouter.Adapter {
 	return seamrouter.Adapter{
-		Store:    func(seamrouter.StoreConfig) (seamstore.Shared, func()) { return f.store, func() {} },
+		Store: func(seamrouter.StoreConfig) (seamstore.Shared, func()) {
+			if n.store != nil {
+				return n.store, func() {}
+			}
+			return f.store, func() {}
+		},
 		RulesKey: routesKey,
 		DecodeRoutes: func(value []byte) (d seamroutes.Document, err error) {
 			err = json.Unmarshal(value, &d)
@@ -347,3 +361,21 @@
 	}
 	return n
 }
+
+// slowStore answers no watch, and counts the lists.
+type slowStore struct {
+	*seamstandkv.Store
+	lists atomic.Int32
+}
+
+// List implements seamstore.Store.
+func (s *slowStore) List(ctx context.Context, p seamstore.Priority, prefix string) ([]seamstore.Entry, int64, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, p, prefix)
+}
+
+// Watch implements seamstore.Store.
+func (*slowStore) Watch(ctx context.Context, _ string, _ int64, _ func([]seamstore.Change)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/internal/node/seamrouter/node_test.go
+++ b/internal/node/seamrouter/node_test.go
@@ -96,6 +96,24 @@
 	})
 }
 
+// A node whose watch is slow to bring the routes gets them from another node, and leaves the watch open: its
+// answer may be on the way.
+func TestRoutesComeFromAnotherNodeWhileTheWatchIsSlow(t *testing.T) {
+	f := newFleet(t, plainService)
+	slow := &slowStore{Store: f.store}
+	n := f.addWith("slow", keyedService, slow)
+	f.await("readiness", func() bool { return f.nodes[0].Ready() && n.Ready() })
+	before := slow.lists.Load()
+	f.apply(2)
+	f.await("the new revision", func() bool {
+		_, _ = f.send(n, http.MethodPost, "/book/1", "")
+		return n.State(time.Now()).Routes == 2
+	})
+	if lists := slow.lists.Load() - before; lists != 0 {
+		t.Errorf("the store was read anew %d times", lists)
+	}
+}
+
 func TestTargetThatLeavesGivesItsKeysAway(t *testing.T) {
 	f := newFleet(t, keyedService, keyedService, plainService)
 	f.awaitServed(f.nodes[2])
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -19,8 +20,10 @@
 )
 
 const (
-	// askTime bounds one question to another node.
+	// askTime bounds the wait for the first byte of the answer to a question to another node.
 	askTime = 500 * time.Millisecond
+	// answerTime bounds the whole answer: many routes may take long over a small link.
+	answerTime = 3 * time.Second
 	// askInterval is the time between questions of a node that knows no routes.
 	askInterval = 250 * time.Millisecond
 	// refreshTime is the time that the store has to show a revision of which another node has told,
@@ -28,6 +31,16 @@
 	refreshTime = 300 * time.Millisecond
 )
 
+// question is the first byte of a stream that asks a node.
+type question byte
+
+const (
+	// everything asks for the routes, the members, the tables and the words of former assigners.
+	everything question = iota
+	// onlyRoutes asks for the routes.
+	onlyRoutes
+)
+
 // heardRules is told of the revision of the routes at another node.
 func (n *Node) heardRules(revision int64, at seampeer.Peer) {
 	if revision <= n.book.Revision() {
@@ -56,31 +69,30 @@
 	}
 }
 
-// refresh reads the routes from the store, and from the node that has them if the store does
-// not show them.
+// refresh gets the routes from the node that has them if the store does not show them soon. The watch
+// of the store stays open: its answer may be on the way.
 func (n *Node) refresh(ctx context.Context, at seampeer.Peer) {
 	before := n.book.Revision()
-	n.mirror.Refresh()
 	seamwait.For(ctx, refreshTime)
 	if n.book.Revision() == before {
-		n.ask(ctx, at)
+		n.ask(ctx, at, onlyRoutes)
 	}
 }
 
 // askAny asks the nodes that have opened sessions to this one.
 func (n *Node) askAny(ctx context.Context) {
 	for _, p := range n.sessions.Peers() {
-		if n.ask(ctx, p); n.book.Current() != nil {
+		if n.ask(ctx, p, everything); n.book.Current() != nil {
 			return
 		}
 	}
 }
 
 // ask takes over what another node knows.
-func (n *Node) ask(ctx context.Context, at seampeer.Peer) {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+func (n *Node) ask(ctx context.Context, at seampeer.Peer, q question) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	told, err := n.askOnce(ctx, at)
+	told, err := n.askOnce(ctx, at, q)
 	if err != nil {
 		n.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"peer": at.String(), "call": "sync", "error": err.Error()})
 		return
@@ -109,19 +121,22 @@
 	}
 }
 
-func (n *Node) askOnce(ctx context.Context, at seampeer.Peer) (*wire.Told, error) {
+func (n *Node) askOnce(ctx context.Context, at seampeer.Peer, q question) (*wire.Told, error) {
 	conn, err := n.sessions.Open(ctx, at, seamsession.Sync)
 	if err != nil {
 		return nil, err
 	}
 	defer conn.Close()
-	if limit, ok := ctx.Deadline(); ok {
-		conn.SetDeadline(limit)
+	limit, _ := ctx.Deadline()
+	conn.SetDeadline(time.Now().Add(askTime))
+	if _, err := conn.Write([]byte{byte(q)}); err != nil {
+		return nil, err
 	}
-	// The kind of the stream is the whole question; it is sent with the first bytes.
-	if _, err := conn.Write([]byte{0}); err != nil {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(conn, first); err != nil {
 		return nil, err
 	}
+	conn.SetDeadline(limit)
 	reader, done := seamframe.NewReader(conn)
 	defer done()
 	told := new(wire.Told)
@@ -135,10 +150,31 @@
 
 // ServeStream answers one question.
 func (h syncHandler) ServeStream(_ context.Context, _ seampeer.Peer, conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(answerTime))
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(conn, first); err != nil {
+		h.failed(err)
+		return
+	}
+	// The byte is returned at once: the node that asks waits longer for the rest.
+	if _, err := conn.Write(first); err != nil {
+		h.failed(err)
+		return
+	}
 	told := &wire.Told{}
 	if raw := h.node.raw.Load(); raw != nil {
 		told.Rules = raw.value
 	}
+	if question(first[0]) == everything {
+		h.addRest(told)
+	}
+	if err := seamframe.Write(conn, seamframe.Told, told); err != nil {
+		h.failed(err)
+	}
+}
+
+// addRest adds what the node knows besides the routes.
+func (h syncHandler) addRest(told *wire.Told) {
 	for _, m := range h.node.roll.View().Members {
 		told.Members = append(told.Members, seamroll.Encode(m))
 	}
@@ -158,10 +194,6 @@
 		}
 		told.Farewells = append(told.Farewells, value)
 	}
-	conn.SetWriteDeadline(time.Now().Add(askTime))
-	if err := seamframe.Write(conn, seamframe.Told, told); err != nil {
-		h.failed(err)
-	}
 }
 
 // failed logs what could not be told.
--- a/internal/platform/seammirror/mirror.go
+++ b/internal/platform/seammirror/mirror.go
@@ -44,7 +44,6 @@
 	prefix string
 	reader Reader
 	sink   seamevent.Sink
-	poke   chan struct{}
 
 	mu sync.Mutex
 	// known holds the revision of each key; deleted ones keep the revision of their removal
@@ -60,15 +59,7 @@
 
 // New returns a mirror that hands what it reads to the reader.
 func New(store Store, prefix string, reader Reader, sink seamevent.Sink) *Mirror {
-	return &Mirror{store: store, prefix: prefix, reader: reader, sink: sink, poke: make(chan struct{}, 1), known: map[string]version{}}
-}
-
-// Refresh has the keys listed again soon, because another source says that the copy is out of date.
-func (m *Mirror) Refresh() {
-	select {
-	case m.poke <- struct{}{}:
-	default:
-	}
+	return &Mirror{store: store, prefix: prefix, reader: reader, sink: sink, known: map[string]version{}}
 }
 
 // Run keeps the copy until ctx ends.
@@ -95,17 +86,8 @@
 	m.sink.Emit(time.Now(), seamevent.StoreMissed, seamevent.Fields{"call": call, "prefix": m.prefix, "error": err.Error()})
 }
 
-// follow watches until changes were missed or a refresh is asked for.
+// follow watches until changes were missed.
 func (m *Mirror) follow(ctx context.Context, revision int64) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-m.poke:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	err := m.store.Watch(ctx, m.prefix, revision, func(changes []seamstore.Change) { m.apply(time.Now(), changes) })
 	var compacted *seamstore.CompactedError
 	if errors.As(err, &compacted) {
--- a/internal/platform/seammirror/mirror_test.go
+++ b/internal/platform/seammirror/mirror_test.go
@@ -110,16 +110,6 @@
 	r.expect(t, map[string]string{"a/1": "y"})
 }
 
-func TestRefreshFindsWhatASilentWatchHides(t *testing.T) {
-	store, m, r := follow(t)
-	store.Put("a/1", []byte("x"))
-	r.expect(t, map[string]string{"a/1": "x"})
-	store.Fail(seamstandkv.Faults{Silent: true})
-	store.Put("a/1", []byte("y"))
-	m.Refresh()
-	r.expect(t, map[string]string{"a/1": "y"})
-}
-
 func TestCopyIsReadOnceTheStoreIsThere(t *testing.T) {
 	store, _, r := follow(t)
 	store.Fail(seamstandkv.Faults{Down: true})
