A node that ends answers the requests that it gives up

Requests in flight now get an answer 0.35 s before the limit, and the end of a node is told as such (502 unknown, or 503 if not started). The default limit of a stop is 5.4 s, so that answers come within the last second of 6 s. Ruled out: refusals at the door (all requests were read before). TestDrainAnswersWhatItGivesUp, TestEndOfAnotherNodeIsNotTheCallers failed before.

--- a/internal/node/seamsetting/router.go
+++ b/internal/node/seamsetting/router.go
@@ -51,8 +51,8 @@
 type Stop struct {
 	// Notice is the time in which callers learn that the node stops. Default: 2200ms.
 	Notice time.Duration `json:"notice,default=2200ms" allow:"0s..1m"`
-	// Limit is the longest time for requests in flight to end. Default: 5200ms.
-	Limit time.Duration `json:"limit,default=5200ms" allow:"100ms..1h"`
+	// Limit is the longest time for requests in flight to end. Default: 5400ms.
+	Limit time.Duration `json:"limit,default=5400ms" allow:"100ms..1h"`
 	// Linger is the time for which a target that leaves still takes requests. Default: 1500ms.
 	Linger time.Duration `json:"linger,default=1500ms" allow:"0s..1m"`
 }
--- a/internal/route/seamingress/gone.go
+++ b/internal/route/seamingress/gone.go
@@ -25,12 +25,12 @@
 		return false
 	}
 	left := false
-	seamnet.Control(c, func(fd int) { left = ended(fd) })
+	seamnet.Control(c, func(fd int) { left = closed(fd) })
 	return left
 }
 
-// ended looks at what a socket has received without taking it.
-func ended(fd int) bool {
+// closed looks at what a socket has received without taking it.
+func closed(fd int) bool {
 	var next [1]byte
 	n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err == nil {
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -124,6 +124,9 @@
 	events    seamevent.Sink
 	stats     *stats
 	leaving   atomic.Bool
+	ending    ending
+	// running counts the requests of callers that have no answer yet.
+	running atomic.Int64
 	// waiting counts the requests that wait for a change of owner.
 	waiting atomic.Int64
 }
@@ -153,13 +156,18 @@
 		picker:    seampick.New(cfg.Pick, self, set),
 		events:    sink,
 		stats:     newStats(set),
+		ending:    newEnding(),
 	}
 }
 
 // ServeHTTP serves one request of a caller.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	ctx := seamspan.Extract(r.Context(), r.Header.Get(seamspan.Header))
+	i.running.Add(1)
+	defer i.running.Add(-1)
+	bound, release := i.ending.bind(r.Context())
+	defer release()
+	ctx := seamspan.Extract(bound, r.Header.Get(seamspan.Header))
 	ctx, span := seamspan.Start(ctx, "ingress", trace.SpanKindServer)
 	defer span.End()
 	if i.leaving.Load() {
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -17,6 +17,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamingress"
@@ -340,10 +341,64 @@
 	}
 }
 
-// crossing is a session whose node answers another request than it was asked.
-type crossing struct{}
+// A node that ends tells the callers whose requests it gives up, before it closes their connections.
+func TestDrainAnswersWhatItGivesUp(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		local  bool
+		slots  int
+		reason seamoutcome.Reason
+		status int
+	}{
+		{"runs at another node", false, 32, seamoutcome.Lost, 502},
+		{"runs beside this node", true, 32, seamoutcome.Lost, 502},
+		{"waits for its turn", true, 1, seamoutcome.Draining, 503},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			front, back := pair(t, func(http.ResponseWriter, *http.Request) { <-release })
+			if tt.local {
+				front = back
+				front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
+			}
+			back.target.announced.Slots = tt.slots
+			results := make(chan result, 2)
+			for range 2 {
+				go func() {
+					r, _ := http.NewRequest(http.MethodPost, front.url("/book"), nil)
+					results <- do(t, r)
+				}()
+			}
+			for back.egress.InFlight() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if err := front.server.Drain(ctx, 10*time.Millisecond); err != nil {
+				t.Error(err)
+			}
+			found := false
+			for range 2 {
+				got := <-results
+				if got.err != nil {
+					t.Errorf("a caller got no answer: %v", got.err)
+				}
+				if got.status == tt.status && got.header.Get(seamheader.Reason) == string(tt.reason) {
+					found = true
+				}
+			}
+			if !found {
+				t.Errorf("no caller was told %q with status %d", tt.reason, tt.status)
+			}
+		})
+	}
+}
+
+// scripted are sessions to a node that answers each request with the frames of its script.
+type scripted func(to net.Conn, head *seamroutewire.RequestHead)
 
-func (crossing) Open(context.Context, seampeer.Peer, seamsession.Kind) (net.Conn, error) {
+func (f scripted) Open(context.Context, seampeer.Peer, seamsession.Kind) (net.Conn, error) {
 	near, far := net.Pipe()
 	go func() {
 		defer far.Close()
@@ -354,25 +409,52 @@
 			return
 		}
 		_, _ = reader.Next()
-		wrong := &seamroutewire.AnswerHead{Id: head.Id, Attempt: head.Attempt + 1, Status: 200, Whole: true}
-		_ = seamframe.Write(far, seamframe.AnswerHead, wrong)
-		_ = seamframe.Write(far, seamframe.AnswerEnd, &seamroutewire.AnswerEnd{Id: head.Id, Attempt: head.Attempt + 1, Outcome: "done"})
+		f(far, head)
 	}()
 	return near, nil
 }
 
-func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+// sendTo sends a request through a node whose only peer follows the script.
+func sendTo(t *testing.T, script scripted) result {
+	t.Helper()
 	peer := seampeer.Peer{Name: "front", Incarnation: 1, Region: "ost", Domain: "ost-1"}
 	rules := &fakeRules{choice: seamrule.Choice{Limits: seamrule.Limits{Deadline: 200}}}
 	directory := &fakeDirectory{candidates: []seampick.Candidate{{Peer: seampeer.Peer{Name: "back", Incarnation: 1, Address: "x"}, Slots: 1}}}
-	in := seamingress.New(seamingress.Config{Address: "127.0.0.1:0"}, peer, rules, directory, crossing{}, nil, metrics.NewSet(), seamevent.NewStream("front"))
+	in := seamingress.New(seamingress.Config{Address: "127.0.0.1:0"}, peer, rules, directory, script, nil, metrics.NewSet(), seamevent.NewStream("front"))
 	server, err := in.Serve()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = server.Close() }()
 	r, _ := http.NewRequest(http.MethodPost, "http://"+server.Address()+"/book", nil)
-	do(t, r).expect(t, 502, seamoutcome.Unknown, seamoutcome.Lost)
+	return do(t, r)
+}
+
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	sendTo(t, func(to net.Conn, head *seamroutewire.RequestHead) {
+		wrong := &seamroutewire.AnswerHead{Id: head.Id, Attempt: head.Attempt + 1, Status: 200, Whole: true}
+		_ = seamframe.Write(to, seamframe.AnswerHead, wrong)
+		_ = seamframe.Write(to, seamframe.AnswerEnd, &seamroutewire.AnswerEnd{Id: head.Id, Attempt: head.Attempt + 1, Outcome: "done"})
+	}).expect(t, 502, seamoutcome.Unknown, seamoutcome.Lost)
+}
+
+// A node that ends takes its requests for ones whose callers left; the callers, who are there, are not told so.
+func TestEndOfAnotherNodeIsNotTheCallers(t *testing.T) {
+	for _, tt := range []struct {
+		end    seamoutcome.End
+		status int
+		want   seamoutcome.Outcome
+		reason seamoutcome.Reason
+	}{
+		{seamoutcome.Doubt(seamoutcome.Cancelled, "cut"), 502, seamoutcome.Unknown, seamoutcome.Lost},
+		{seamoutcome.Refuse(seamoutcome.Gone, "in the queue"), 503, seamoutcome.Refused, seamoutcome.Draining},
+	} {
+		t.Run(string(tt.end.Reason), func(t *testing.T) {
+			sendTo(t, func(to net.Conn, head *seamroutewire.RequestHead) {
+				_ = seamframe.Write(to, seamframe.AnswerEnd, seamcall.WireEnd(head, tt.end))
+			}).expect(t, tt.status, tt.want, tt.reason)
+		})
+	}
 }
 
 func TestRetryThatIsRefusedDoesNotHideAnAttemptThatRan(t *testing.T) {
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -129,16 +129,23 @@
 }
 
 // Drain goes on to serve for the grace time, asking callers to close their
-// connections, takes no new connection then, and closes each one when its request ended. The
-// error says that requests were in flight when ctx ended; they are cut then.
+// connections, takes no new connection then, and closes each one when its request ended. Shortly before
+// ctx ends, requests in flight are given an answer. The error says that some were in flight when it ended;
+// they are cut then.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.leaving.Store(true)
 	seamwait.For(ctx, grace)
 	s.door.shut(ctx)
-	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
+	defer s.ingress.ending.before(ctx)()
+	err := s.http.Shutdown(ctx)
+	if err == nil {
+		return nil
 	}
-	return nil
+	if s.ingress.running.Load() == 0 {
+		// The library looks rarely whether the last connection is idle.
+		return s.http.Close()
+	}
+	return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "requests were cut")
 }
 
 // Close closes all connections at once.
