Watches gather changes for a second, unless a request waits for one

Ruled out: entries (written at the start only) and lists. A node that routes by a table of the last second pays one hop more for a key that moved; a request that waits for an owner, and the nodes that take over from an assigner, still look after 0.4 s. Two addresses of one fleet in the tests of seamrouter could be the same ('address already in use', once): given ports are remembered.

--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -24,6 +24,10 @@
 	Called func(call string, took time.Duration, err error)
 	// Wait returns the time after which a watch without changes is opened anew.
 	Wait func() time.Duration
+	// Gather returns the time after a change in which a watch gathers further ones, unless one is awaited.
+	Gather func() time.Duration
+	// Awaited is signalled when a request waits for a change.
+	Awaited <-chan struct{}
 }
 
 // Targets takes what the target beside the node says of itself.
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -183,7 +183,11 @@
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range portCount {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		port := firstPort + rand.IntN(portCount)
+		if _, given := givenPorts.LoadOrStore(port, true); given {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String()
@@ -193,6 +197,9 @@
 	return ""
 }
 
+// givenPorts are the ports that freeAddress has returned, which may not be listened on yet.
+var givenPorts sync.Map
+
 func newFleet(t *testing.T, services ...string) *fleet {
 	t.Helper()
 	store, stop := seamstandkv.New()
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -73,6 +73,8 @@
 	retry  atomic.Pointer[seamsetting.Retry]
 	stop   atomic.Pointer[seamsetting.Stop]
 	behind chan seampeer.Peer
+	// awaited is signalled when a request waits for a change of owner.
+	awaited chan struct{}
 }
 
 // New starts a node. The clean-up function stops it at once; a planned stop
@@ -96,6 +98,7 @@
 		ring:    o.Ring,
 		offices: map[string]*seamoffice.Office{},
 		behind:  make(chan seampeer.Peer, 1),
+		awaited: make(chan struct{}, 1),
 	}
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -46,7 +46,7 @@
 		Distinct: true,
 		Lean:     true,
 		Table:    true,
-		Changed:  n.registry.Changed,
+		Changed:  n.awaitOwners,
 		Origin:   n.origin,
 		Wrap:     n.adapter.Callers,
 		Rules:    n.heardRules,
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -30,6 +30,9 @@
 	peerFresh = 2 * time.Second
 	// watchEach is the time between two looks of all nodes of a failure domain together.
 	watchEach = 800 * time.Millisecond
+	// gatherTime is the time after a change in which further ones are gathered: each answer to a watch is a
+	// call of the store, and a table that is out of date costs a request one hop more.
+	gatherTime = time.Second
 	// watchLongest is the longest time for which a watch stays open without changes.
 	watchLongest = 25 * time.Second
 )
@@ -65,7 +68,14 @@
 }
 
 func (n *Node) startStore(c *seamstart.Cleanups, _ Options) error {
-	store, stop := n.adapter.Store(StoreConfig{Addresses: n.settings.Store, Observe: n.observeStore, Called: n.countCall, Wait: n.watchWait})
+	store, stop := n.adapter.Store(StoreConfig{
+		Addresses: n.settings.Store,
+		Observe:   n.observeStore,
+		Called:    n.countCall,
+		Wait:      n.watchWait,
+		Gather:    n.watchGather,
+		Awaited:   n.awaited,
+	})
 	n.store = store
 	c.Add(stop)
 	n.roll = seamroll.New(n.self.Name, n.sink)
@@ -77,6 +87,16 @@
 	return nil
 }
 
+// awaitOwners returns a channel that is closed when owners change, and hurries the watch that tells it.
+func (n *Node) awaitOwners() <-chan struct{} {
+	changed := n.registry.Changed()
+	select {
+	case n.awaited <- struct{}{}:
+	default:
+	}
+	return changed
+}
+
 func (n *Node) observeStore(call string, err error) {
 	now := time.Now()
 	if !n.health.note(now, err == nil) {
@@ -133,6 +153,17 @@
 	return wait*3/4 + rand.N(wait/2)
 }
 
+// watchGather returns the time after a change in which further ones are gathered. The nodes that take over
+// from an assigner look at once.
+func (n *Node) watchGather() time.Duration {
+	for _, o := range n.openedOffices() {
+		if rank, _ := (knownPeers{n}).Rank(o.Service()); rank < seamoffice.First {
+			return 0
+		}
+	}
+	return gatherTime
+}
+
 // stateReader takes the keys of the store.
 type stateReader struct {
 	node *Node
--- a/internal/own/seamoffice/office.go
+++ b/internal/own/seamoffice/office.go
@@ -38,8 +38,6 @@
 	startSpread = 1500 * time.Millisecond
 	// reserve is the additional wait of nodes beyond the first candidates, so that few try at once.
 	reserve = time.Second
-	// first is the number of nodes that try without the additional wait.
-	first = 3
 	// retryWait is the wait after a failed attempt to take the office.
 	retryWait = 400 * time.Millisecond
 	// epochBits is the number of low bits of an epoch that are random, so that two assigners that read
@@ -47,6 +45,9 @@
 	epochBits = 16
 )
 
+// First is the number of candidates that try to take a vacant office without an additional wait.
+const First = 3
+
 // Store is where records and tables are kept.
 type Store interface {
 	seamstore.Leases
@@ -121,6 +122,9 @@
 	}
 }
 
+// Service returns the service whose assigner the office is.
+func (o *Office) Service() string { return o.service }
+
 // Leave has the node stand for the office no more. An assigner that reaches the store gives the office up at once;
 // one that does not goes on until End, since nobody can succeed it before.
 func (o *Office) Leave() { o.leave() }
@@ -203,7 +207,7 @@
 	case !known:
 		spread := time.Duration(xxhash.Sum64String(o.self.Name+"\x00"+o.service) % uint64(startSpread))
 		return spread + time.Duration(rank)*startSpread
-	case rank < first:
+	case rank < First:
 		return time.Duration(rank) * rankStep
 	default:
 		return reserve + time.Duration(rank)*rankStep
