--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -33,6 +33,7 @@
 		Closed:  func(a seamtarget.Announcement) { n.targets.Down(time.Now(), a.Name, a.Born) },
 		Linger:  n.settings.Stop.Linger,
 		Rules:   n.book.Revision,
+		Hold:    n.holdBytes(),
 	}, n.self, hintedOwners{n.runner, n}, n.targets, n.clock, n.runner, n.set, n.sink)
 	n.egress = egress
 	c.Add(stop)
@@ -60,6 +61,21 @@
 	return nil
 }
 
+const (
+	// holdPart is the part of the node's memory for bodies that wait for their turn at the target.
+	holdPart = 16
+	// holdDefault is the memory for them if the node's memory has no bound, in bytes.
+	holdDefault = 16 << 20
+)
+
+// holdBytes returns the memory for bodies that wait for their turn at the target.
+func (n *Node) holdBytes() int64 {
+	if n.settings.Memory == 0 {
+		return holdDefault
+	}
+	return int64(n.settings.Memory) << 20 / holdPart
+}
+
 // retryLimits returns the bounds of repetitions as they are now.
 func (n *Node) retryLimits() seamretry.Limits {
 	r := n.retry.Load()
--- a/internal/route/seamadmit/limiter.go
+++ b/internal/route/seamadmit/limiter.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// Forecast returns the refusal of a request if it would be refused now, without taking it.
+func (l *Limiter) Forecast(now time.Time, a Ask) (v Verdict, refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Forecast(now, a)
+}
+
 func (l *Limiter) ask(now time.Time, a Ask) (uint64, <-chan Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/route/seamadmit/limiter_test.go
+++ b/internal/route/seamadmit/limiter_test.go
@@ -113,6 +113,21 @@
 	}
 }
 
+func TestForecastIsTheVerdictOfARequestThatComesNow(t *testing.T) {
+	l := newLimiter(t, 1, 10*time.Second)
+	if v, refused := l.Forecast(time.Now(), ask(15*time.Second, 20*time.Second)); refused {
+		t.Errorf("forecast %+v for an idle target", v)
+	}
+	fill(l, 1)
+	hopeless := ask(time.Second, 2*time.Second)
+	if v, refused := l.Forecast(time.Now(), hopeless); !refused || v.Reason != seamoutcome.Late || v.After <= 0 {
+		t.Errorf("forecast %+v, %v", v, refused)
+	}
+	if n := l.Load().Queued; n != 0 {
+		t.Errorf("%d wait after a forecast", n)
+	}
+}
+
 func TestCallerThatLeavesTakesNoTurn(t *testing.T) {
 	l := newLimiter(t, 1, 10*time.Millisecond)
 	fill(l, 1)
--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -89,19 +89,42 @@
 		a.Objective = a.Deadline
 	}
 	w := &waiter{Ask: a, id: id}
-	if !q.inTime(now, w, 0) {
-		return []Decision{q.refuse(w, q.turn(len(q.waiting)))}
+	if d, refused := q.judge(now, w); refused {
+		return []Decision{d}
 	}
-	if len(q.waiting) == 0 && q.running < q.slots {
+	if q.idle() {
 		return []Decision{q.admit(w)}
 	}
+	q.waiting = append(q.waiting, w)
+	return q.dispatch(now)
+}
+
+// Forecast returns the refusal of a request if it would be refused now, without taking it.
+func (q *Queue) Forecast(now time.Time, a Ask) (v Verdict, refused bool) {
+	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
+		a.Objective = a.Deadline
+	}
+	d, refused := q.judge(now, &waiter{Ask: a})
+	return d.Verdict, refused
+}
+
+// idle reports whether a request that arrives runs at once.
+func (q *Queue) idle() bool { return len(q.waiting) == 0 && q.running < q.slots }
+
+// judge marks a request that can't be answered promptly, and refuses it if it is not worth waiting.
+func (q *Queue) judge(now time.Time, w *waiter) (d Decision, refused bool) {
+	if !q.inTime(now, w, 0) {
+		return q.refuse(w, q.turn(len(q.waiting))), true
+	}
+	if q.idle() {
+		return Decision{}, false
+	}
 	wait := q.turn(q.ahead(w))
 	w.late = !q.prompt(now, w, wait)
 	if w.late && (q.crowded() || !q.inTime(now, w, q.turn(len(q.waiting)))) {
-		return []Decision{q.refuse(w, wait)}
+		return q.refuse(w, wait), true
 	}
-	q.waiting = append(q.waiting, w)
-	return q.dispatch(now)
+	return Decision{}, false
 }
 
 // Done ends a request that was admitted.
--- a/internal/route/seamegress/admission.go
+++ b/internal/route/seamegress/admission.go
@@ -14,19 +14,25 @@
 	Resize(now time.Time, c seamlimit.Capacity)
 	Load() seamlimit.Load
 	// admit waits until the request may run, or returns why it may not.
-	admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict
+	admit(ctx context.Context, now time.Time, a ask) seamlimit.Verdict
 	// done ends an admitted request. ran says that it reached the target, and whole that the target answered it.
 	done(now time.Time, head *seamroutewire.RequestHead, ran, whole bool, s seamlimit.Sample)
 }
 
+// ask is a request that asks for a place.
+type ask struct {
+	head *seamroutewire.RequestHead
+	// objective is the time until which the answer is prompt; zero if there is none.
+	objective, deadline time.Time
+}
+
 // fair admits requests in turn among callers, and finds out how many the target runs well at once.
 type fair struct {
 	*seamlimit.Limiter
 }
 
-func (f fair) admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict {
-	deadline, _ := ctx.Deadline()
-	return f.Admit(ctx, now, seamlimit.Ask{Caller: head.GetCaller(), Deadline: deadline, Queue: int(head.GetQueue())})
+func (f fair) admit(ctx context.Context, now time.Time, a ask) seamlimit.Verdict {
+	return f.Admit(ctx, now, seamlimit.Ask{Caller: a.head.GetCaller(), Deadline: a.deadline, Queue: int(a.head.GetQueue())})
 }
 
 func (f fair) done(now time.Time, _ *seamroutewire.RequestHead, ran, _ bool, s seamlimit.Sample) {
@@ -38,16 +44,20 @@
 	*seamadmit.Limiter
 }
 
-func (p prompt) admit(ctx context.Context, now time.Time, head *seamroutewire.RequestHead) seamlimit.Verdict {
-	deadline, _ := ctx.Deadline()
-	ask := seamadmit.Ask{Class: head.GetClass(), Priority: int(head.GetPriority()), Deadline: deadline}
-	if left := head.GetObjective(); left != 0 {
-		ask.Objective = now.Add(time.Duration(left) * time.Millisecond)
-	}
-	v := p.Admit(ctx, now, ask)
+func (p prompt) admit(ctx context.Context, now time.Time, a ask) seamlimit.Verdict {
+	v := p.Admit(ctx, now, a.prompt())
 	return seamlimit.Verdict{Admitted: v.Admitted, Reason: v.Reason, After: v.After, Waited: time.Since(now)}
 }
 
+func (p prompt) forecast(now time.Time, a ask) (v seamlimit.Verdict, refused bool) {
+	f, refused := p.Forecast(now, a.prompt())
+	return seamlimit.Verdict{Reason: f.Reason, After: f.After}, refused
+}
+
+func (a ask) prompt() seamadmit.Ask {
+	return seamadmit.Ask{Class: a.head.GetClass(), Priority: int(a.head.GetPriority()), Objective: a.objective, Deadline: a.deadline}
+}
+
 func (p prompt) done(now time.Time, head *seamroutewire.RequestHead, ran, whole bool, s seamlimit.Sample) {
 	service := s.Latency
 	if !ran || s.Shed || !whole && service < p.Load().Service {
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -31,6 +31,12 @@
 	deadline seamclock.Instant
 	// order is what the target was told.
 	order Order
+	// arrived is the time at which the request came to this node.
+	arrived time.Time
+	// held is the room that the body takes in memory, in bytes.
+	held int64
+	// received says that the body was received before the request asked for a place.
+	received bool
 }
 
 // record keeps a request that must not run twice in the ledger while it is handled.
@@ -81,20 +87,23 @@
 func (c *call) admit(ctx context.Context, grant *seamgrant.Grant) seamoutcome.End {
 	c.countKey()
 	waiting, stop := c.whileHeld(ctx, grant)
-	v := c.egress.limiter.admit(waiting, time.Now(), c.head)
+	defer c.drop()
+	if end := c.receive(waiting); end != nil {
+		stop()
+		return *end
+	}
+	v := c.egress.limiter.admit(waiting, time.Now(), c.ask())
 	moved := errors.Is(context.Cause(waiting), errMoved)
 	stop()
 	if !v.Admitted && moved {
 		return c.redirected(ctx)
 	}
 	if !v.Admitted {
-		end := seamoutcome.Refuse(v.Reason, "not admitted to the target")
-		end.After = v.After
-		return end
+		return *notAdmitted(v)
 	}
 	p := &place{limiter: c.egress.limiter, head: c.head, start: time.Now()}
 	defer p.free(false, false)
-	if grant != nil && v.Waited > 0 {
+	if grant != nil && (v.Waited > 0 || c.received) {
 		// The wait may have outlasted the grant: a renewed one holds longer.
 		renewed, release, err := c.grant(ctx)
 		if err != nil {
@@ -106,6 +115,15 @@
 	return c.run(ctx, grant, p)
 }
 
+// ask returns what admission needs to know of the request.
+func (c *call) ask() ask {
+	a := ask{head: c.head, deadline: c.arrived.Add(time.Duration(c.head.GetLeft()) * time.Millisecond)}
+	if left := c.head.GetObjective(); left != 0 {
+		a.objective = c.arrived.Add(time.Duration(left) * time.Millisecond)
+	}
+	return a
+}
+
 // errMoved is why a request stops waiting for a place whose slot moves to another owner.
 var errMoved = errors.New("the slot moves to another owner")
 
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -79,6 +79,9 @@
 	// Linger is the time for which a target that is leaving still serves the keys that were
 	// not handed over yet; 0 means 2 s.
 	Linger time.Duration
+	// Hold is the memory for bodies that are received before their requests take places at the target, in
+	// bytes; 0 means that bodies are passed on as they arrive.
+	Hold int64
 	// Rules returns the revision of the rules at this node; nil means that it is not told.
 	Rules func() int64
 }
@@ -105,6 +108,7 @@
 	keys     Keys
 	ledger   *seamledger.Ledger
 	limiter  admission
+	room     *room
 	targets  *targets
 	counters *seamoutcome.Counters
 	events   seamevent.Sink
@@ -144,6 +148,7 @@
 		ledger:   seamledger.New(cfg.Records),
 		limiter:  newAdmission(cfg, set),
 		targets:  &targets{dial: cfg.Dial},
+		room:     &room{left: cfg.Hold},
 		counters: seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		events:   sink,
 		idle:     make(chan struct{}),
@@ -190,7 +195,7 @@
 	if len(head.GetId()) != idSize {
 		return seamoutcome.Refuse(seamoutcome.Malformed, "the request id has a wrong length")
 	}
-	arrived := e.clock.Now()
+	arrived, came := e.clock.Now(), time.Now()
 	left := time.Duration(head.GetLeft()) * time.Millisecond
 	if left <= 0 {
 		return seamoutcome.Refuse(seamoutcome.Expired, "the deadline passed on the way")
@@ -201,7 +206,7 @@
 	if end != nil {
 		return e.redirect(ctx, head, *end)
 	}
-	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(left)}
+	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(left), arrived: came}
 	return c.record(ctx, left)
 }
 
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -87,6 +89,84 @@
 	return countingEgress(t, owners, clock, target, can, seamsketch.NewUsage(16, time.Minute, time.Minute))
 }
 
+// holdingEgress returns an egress before a target with one slot that receives bodies before their requests take it.
+func holdingEgress(t *testing.T, hold int64, handler http.HandlerFunc) *seamegress.Egress {
+	t.Helper()
+	target := httptest.NewServer(handler)
+	t.Cleanup(target.Close)
+	clock := seamclock.NewClock()
+	announced := announcing{Service: "booker", Name: "t", Address: target.Listener.Addr().String(), Slots: 1}
+	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
+	cfg := seamegress.Config{Prompt: true, Hold: hold}
+	e, closeEgress := seamegress.New(cfg, self, granting{clock, time.Minute}, announced, clock, keys, metrics.NewSet(), seamevent.NewStream("back"))
+	t.Cleanup(closeEgress)
+	return e
+}
+
+// upload returns the head of a request whose body follows in parts.
+func upload(attempt uint64, length int) *seamroutewire.RequestHead {
+	h := head(attempt)
+	h.Id = binary.BigEndian.AppendUint64(make([]byte, 8), attempt)
+	h.Whole, h.Length, h.Left = false, int64(length), 20_000
+	return h
+}
+
+// A body that arrives slowly takes no place at the target from requests that could run meanwhile, as long as
+// there is room for it in memory.
+func TestSlowBodyTakesNoPlace(t *testing.T) {
+	const length = 100 << 10
+	for _, tt := range []struct {
+		name string
+		hold int64
+		free bool
+	}{
+		{"room", length, true},
+		{"no room", length - 1, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			got := make(chan int, 2)
+			e := holdingEgress(t, tt.hold, func(_ http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				got <- int(n)
+			})
+			body, send := io.Pipe()
+			ended := make(chan seamoutcome.End, 1)
+			go func() { ended <- e.Run(t.Context(), upload(1, length), body, &discard{header: http.Header{}}) }()
+			if _, err := send.Write(make([]byte, length/2)); err != nil {
+				t.Fatal(err)
+			}
+			if free := e.Load().Running == 0; free != tt.free {
+				t.Errorf("place free: %v, want %v", free, tt.free)
+			}
+			if tt.free {
+				if end := e.Run(t.Context(), upload(2, 0), nil, &discard{header: http.Header{}}); end.Outcome != seamoutcome.Done {
+					t.Errorf("the short request ended with %+v", end)
+				}
+				<-got
+			}
+			if _, err := send.Write(make([]byte, length/2)); err != nil {
+				t.Fatal(err)
+			}
+			send.Close()
+			if end := <-ended; end.Outcome != seamoutcome.Done {
+				t.Errorf("the upload ended with %+v", end)
+			}
+			if n := <-got; n != length {
+				t.Errorf("the target got %d bytes", n)
+			}
+		})
+	}
+}
+
+// A body that is cut while it is received reaches no target.
+func TestCutBodyIsNotRun(t *testing.T) {
+	e := holdingEgress(t, 1<<20, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
+	end := e.Run(t.Context(), upload(1, 100), io.MultiReader(strings.NewReader("a part")), &discard{header: http.Header{}})
+	if end.Outcome != seamoutcome.Refused || end.Reason != seamoutcome.Malformed {
+		t.Errorf("got %+v", end)
+	}
+}
+
 func countingEgress(t *testing.T, owners seamegress.Owners, clock *seamclock.Clock, target *httptest.Server, can []string, keys seamegress.Keys) *seamegress.Egress {
 	t.Helper()
 	announced := announcing{Service: "booker", Name: "t", Address: target.Listener.Addr().String(), Slots: 2, Can: can}
