Targets are chosen by the time of a request's own class

A target that happened to run short calls was taken for a fast one and got all of them (one of nine targets of galerie: 1,930 attempts of 5,900), while those with uploads were taken for slow. Ruled out: links (the busiest target had the same one). TestEachClassHasItsOwnTime.

--- a/internal/route/seamadmit/limiter.go
+++ b/internal/route/seamadmit/limiter.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// Work returns the mean time of a request of the class; 0 if it is not known.
+func (l *Limiter) Work(class uint32) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Work(class)
+}
+
 // Admit waits until the request may run. An admitted request must be ended with Done.
 // A refusal is given as soon as it is certain.
 func (l *Limiter) Admit(ctx context.Context, now time.Time, a Ask) Verdict {
--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -75,6 +75,9 @@
 // Service returns the mean time of a request, 0 if it is not known.
 func (q *Queue) Service() time.Duration { return seconds(q.times.mean) }
 
+// Work returns the mean time of a request of the class, 0 if it is not known.
+func (q *Queue) Work(class uint32) time.Duration { return q.times.of(class) }
+
 // Wait estimates the time for which a request that arrives now waits for its turn.
 func (q *Queue) Wait() time.Duration {
 	if q.running < q.slots {
--- a/internal/route/seamcall/call.go
+++ b/internal/route/seamcall/call.go
@@ -55,6 +55,7 @@
 		After:    e.After.Milliseconds(),
 		Ran:      e.Ran,
 		Service:  e.Service.Microseconds(),
+		Work:     e.Work.Microseconds(),
 		Wait:     e.Wait.Microseconds(),
 		Rules:    e.Rules,
 	}
@@ -77,6 +78,7 @@
 		After:    time.Duration(w.GetAfter()) * time.Millisecond,
 		Ran:      w.GetRan(),
 		Service:  time.Duration(w.GetService()) * time.Microsecond,
+		Work:     time.Duration(w.GetWork()) * time.Microsecond,
 		Wait:     time.Duration(w.GetWait()) * time.Microsecond,
 		Rules:    w.GetRules(),
 	}
--- a/internal/route/seamchoice/choice.go
+++ b/internal/route/seamchoice/choice.go
@@ -45,8 +45,8 @@
 	domainTime = 0.001
 	regionTime = 0.002
 	farTime    = 0.026
-	// defaultService is the time of a request, in seconds, as long as it is known of no target of the service.
-	defaultService = 0.1
+	// defaultWork is the time of a request, in seconds, as long as it is known of no target of the service.
+	defaultWork = 0.1
 	// usualObjective and usualDeadline stand in where a request states none, in seconds.
 	usualObjective = 0.5
 	usualDeadline  = 2.0
@@ -56,6 +56,8 @@
 
 // Query is what is known of a request.
 type Query struct {
+	// Class groups requests of alike work.
+	Class uint32
 	// Bytes is the size of the body.
 	Bytes int64
 	// Objective and Deadline are the times left, or 0.
@@ -99,7 +101,7 @@
 func (c *Chooser) Pick(now time.Time, all []seampick.Candidate, q Query, skip func(seampeer.Peer) bool) (seampick.Candidate, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	usual := c.usualService(all)
+	usual := c.usualWork(all, q.Class)
 	var best seampick.Candidate
 	highest, found := math.Inf(-1), false
 	for _, candidate := range all {
@@ -120,18 +122,18 @@
 // unreachable is what a node that can't be reached is worth less.
 const unreachable = 100
 
-// usualService returns the time of a request, in seconds, that is expected of a target of which it
-// is not known: the median of the known ones, so that a target that joined gets its share, and a
+// usualWork returns the time of a request of a class, in seconds, that is expected of a target of which
+// it is not known: the median of the known ones, so that a target that joined gets its share, and a
 // single slow target does not count.
-func (c *Chooser) usualService(all []seampick.Candidate) float64 {
+func (c *Chooser) usualWork(all []seampick.Candidate, class uint32) float64 {
 	var known []float64
 	for _, candidate := range all {
-		if n := c.nodes[keyOf(candidate.Peer)]; n != nil && n.service > 0 {
-			known = append(known, n.service)
+		if n := c.nodes[keyOf(candidate.Peer)]; n != nil && n.work[class].mean > 0 {
+			known = append(known, n.work[class].mean)
 		}
 	}
 	if len(known) == 0 {
-		return defaultService
+		return defaultWork
 	}
 	slices.Sort(known)
 	return known[(len(known)-1)/2]
@@ -142,7 +144,7 @@
 func (c *Chooser) worth(now time.Time, candidate seampick.Candidate, usual float64, q Query) float64 {
 	n := c.nodes[keyOf(candidate.Peer)]
 	way, cost := c.way(candidate.Peer, q)
-	took := way + n.expected(now, candidate.Slots, usual)
+	took := way + n.expected(now, candidate.Slots, q.Class, usual)
 	prompt := chance(took, left(q.Objective, usualObjective))
 	late := max(chance(took, left(q.Deadline, usualDeadline))-prompt, 0)
 	w := n.goodness(now)*(prompt+lateWorth*late) - cost
--- a/internal/route/seamchoice/choice_test.go
+++ b/internal/route/seamchoice/choice_test.go
@@ -39,7 +39,7 @@
 
 // report returns what an idle target of the service time says.
 func report(service, wait time.Duration) seamchoice.Result {
-	return seamchoice.Result{Known: true, Slots: 10, Service: service, Wait: wait, Served: true}
+	return seamchoice.Result{Known: true, Slots: 10, Service: service, Work: service, Wait: wait, Served: true}
 }
 
 func pick(c *seamchoice.Chooser, at time.Time, q seamchoice.Query) string {
@@ -105,6 +105,26 @@
 	}
 }
 
+// A target that runs long requests is not taken for slow by the short ones: each class has its own time.
+func TestEachClassHasItsOwnTime(t *testing.T) {
+	const long, brief = 1, 2
+	c := newChooser()
+	for _, n := range []struct {
+		at          seampeer.Peer
+		mean, brief time.Duration
+	}{
+		{near.Peer, 300 * time.Millisecond, 40 * time.Millisecond},
+		{rest.Peer, 42 * time.Millisecond, 60 * time.Millisecond},
+	} {
+		tell(c, now, n.at, seamchoice.Result{Known: true, Slots: 10, Service: n.mean, Class: brief, Work: n.brief, Served: true})
+		tell(c, now, n.at, seamchoice.Result{Known: true, Slots: 10, Service: n.mean, Class: long, Work: 350 * time.Millisecond, Served: true})
+	}
+	short := seamchoice.Query{Class: brief, Objective: 100 * time.Millisecond, Deadline: 300 * time.Millisecond}
+	if got := pick(c, now, short); got != "near" {
+		t.Errorf("picked %q for a short request", got)
+	}
+}
+
 // A target that was slow long ago is expected to be as fast as the others again.
 func TestOldServiceTimeGivesWayToTheMean(t *testing.T) {
 	c := newChooser()
@@ -123,7 +143,7 @@
 func TestFailingTargetIsLeftUntilItRecovers(t *testing.T) {
 	c := newChooser()
 	for range 20 {
-		tell(c, now, near.Peer, seamchoice.Result{Known: true, Slots: 10, Service: 90 * time.Millisecond, Failed: true})
+		tell(c, now, near.Peer, seamchoice.Result{Known: true, Slots: 10, Service: 90 * time.Millisecond, Work: 90 * time.Millisecond, Failed: true})
 		tell(c, now, rest.Peer, report(90*time.Millisecond, 0))
 	}
 	if got := pick(c, now, lookup); got != "rest" {
--- a/internal/route/seamchoice/node.go
+++ b/internal/route/seamchoice/node.go
@@ -10,8 +10,10 @@
 const (
 	// waitLife is the time constant with which a reported wait is forgotten.
 	waitLife = 400 * time.Millisecond
-	// serviceLife is the time constant with which the reported time of a request returns to the usual one.
-	serviceLife = 10 * time.Second
+	// workLife is the time constant with which the reported time of a request returns to the usual one.
+	workLife = 10 * time.Second
+	// classLimit is the number of classes of requests whose times are kept of a node.
+	classLimit = 64
 	// goodLife is the time constant with which failures are forgotten.
 	goodLife = 4 * time.Second
 	// goodWeight is the weight of one answer in the share of good ones.
@@ -27,8 +29,11 @@
 	// Known says that InFlight, Slots, Service and Wait were reported.
 	Known           bool
 	InFlight, Slots int
-	// Service is the mean time that the target takes for a request, or 0 if it is not known.
-	Service time.Duration
+	// Service is the mean time that the target takes for a request, and Work that for one of the same
+	// class, or 0 if it is not known.
+	Service, Work time.Duration
+	// Class is that of the request.
+	Class uint32
 	// Wait is the time for which a request would wait there for its turn.
 	Wait time.Duration
 	// Unreachable says that the node, or the target behind it, could not be reached.
@@ -45,9 +50,12 @@
 	own, ownThen int
 	inFlight     int
 	slots        int
-	// service and wait are in seconds.
-	service, wait float64
-	reported      time.Time
+	// service is the mean time of all requests, in seconds, and work that of each class.
+	service float64
+	work    map[uint32]work
+	// wait is in seconds.
+	wait     float64
+	reported time.Time
 	// bad is the share of requests that failed, at the time judged.
 	bad    float64
 	judged time.Time
@@ -55,32 +63,45 @@
 	health health
 }
 
-func newNode() *node { return &node{} }
+// work is the mean time of the requests of a class at a target, in seconds, as reported at a time.
+type work struct {
+	mean     float64
+	reported time.Time
+}
+
+func newNode() *node { return &node{work: map[uint32]work{}} }
 
-// expected returns the time in seconds until the target would have answered. usual is the time of a
-// request at a target of which it is not known, in seconds.
-func (n *node) expected(now time.Time, slots int, usual float64) float64 {
+// expected returns the time in seconds until the target would have answered a request of a class. usual is
+// the time of one at a target of which it is not known, in seconds.
+func (n *node) expected(now time.Time, slots int, class uint32, usual float64) float64 {
 	if n == nil {
 		return usual
 	}
-	age := now.Sub(n.reported)
-	service := usual
-	if n.service > 0 {
-		service = usual + (n.service-usual)*decay(age, serviceLife)
+	took := usual
+	if w, known := n.work[class]; known {
+		took = usual + (w.mean-usual)*decay(now.Sub(w.reported), workLife)
 	}
 	if n.slots > 0 {
 		slots = n.slots
 	}
 	slots = max(slots, 1)
-	fresh := decay(age, waitLife)
+	fresh := decay(now.Sub(n.reported), waitLife)
 	inFlight := max(float64(n.inFlight-n.ownThen)*fresh, 0) + float64(n.own)
 	wait := n.wait * fresh
 	if over := inFlight - float64(slots); over > 0 {
-		wait = max(wait, (over+1)*service/float64(slots))
+		wait = max(wait, (over+1)*n.turn(took)/float64(slots))
 	}
 	use := min(inFlight/float64(slots), 1)
 	// Some targets slow down when they are nearly full.
-	return wait + service*(1+use*use*use/2)
+	return wait + took*(1+use*use*use/2)
+}
+
+// turn returns the mean time of the requests that are before one that takes so long, in seconds.
+func (n *node) turn(took float64) float64 {
+	if n.service > 0 {
+		return n.service
+	}
+	return took
 }
 
 // goodness returns the share of requests that the target serves.
@@ -103,6 +124,7 @@
 		if r.Service > 0 {
 			n.service = r.Service.Seconds()
 		}
+		n.learn(now, r)
 	}
 	if !r.Failed && !r.Served {
 		return
@@ -115,6 +137,17 @@
 	n.bad, n.judged = bad+(sample-bad)*goodWeight, now
 }
 
+// learn takes the reported time of the requests of a class.
+func (n *node) learn(now time.Time, r Result) {
+	if r.Work <= 0 {
+		return
+	}
+	if _, known := n.work[r.Class]; !known && len(n.work) >= classLimit {
+		clear(n.work)
+	}
+	n.work[r.Class] = work{mean: r.Work.Seconds(), reported: now}
+}
+
 // key identifies a run of a node.
 type key struct {
 	name        string
--- a/internal/route/seamegress/admission.go
+++ b/internal/route/seamegress/admission.go
@@ -13,6 +13,8 @@
 type admission interface {
 	Resize(now time.Time, c seamlimit.Capacity)
 	Load() seamlimit.Load
+	// work returns the mean time of a request of the same class; 0 if it is not known.
+	work(head *seamroutewire.RequestHead) time.Duration
 	// admit waits until the request may run, or returns why it may not.
 	admit(ctx context.Context, now time.Time, a ask) seamlimit.Verdict
 	// done ends an admitted request. ran says that it reached the target, and whole that the target answered it.
@@ -39,6 +41,8 @@
 	f.Done(now, ran, s)
 }
 
+func (f fair) work(*seamroutewire.RequestHead) time.Duration { return f.Load().Service }
+
 // prompt admits those requests first that can still be answered within their objectives.
 type prompt struct {
 	*seamadmit.Limiter
@@ -49,6 +53,8 @@
 	return seamlimit.Verdict{Admitted: v.Admitted, Reason: v.Reason, After: v.After, Waited: time.Since(now)}
 }
 
+func (p prompt) work(head *seamroutewire.RequestHead) time.Duration { return p.Work(head.GetClass()) }
+
 func (p prompt) forecast(now time.Time, a ask) (v seamlimit.Verdict, refused bool) {
 	f, refused := p.Forecast(now, a.prompt())
 	return seamlimit.Verdict{Reason: f.Reason, After: f.After}, refused
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -116,7 +116,9 @@
 	mu sync.Mutex
 	// leaving refuses requests without a key, and draining all.
 	leaving, draining bool
-	inFlight          int
+	// ends is the time at which the node ends at the latest; zero if it does not end.
+	ends     time.Time
+	inFlight int
 	// leaver is the run of the target that is leaving, since a time.
 	leaver string
 	since  time.Time
@@ -179,6 +181,7 @@
 	load := e.limiter.Load()
 	end.InFlight, end.Slots = load.Running+load.Queued, load.Slots
 	end.Service, end.Wait = load.Service, load.Wait
+	end.Work = e.limiter.work(head)
 	if e.cfg.Rules != nil {
 		end.Rules = e.cfg.Rules()
 	}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -204,6 +204,8 @@
 		InFlight: end.InFlight,
 		Slots:    end.Slots,
 		Service:  end.Service,
+		Class:    x.head.GetClass(),
+		Work:     end.Work,
 		Wait:     end.Wait,
 	}
 	switch end.Reason {
--- a/internal/route/seamoutcome/end.go
+++ b/internal/route/seamoutcome/end.go
@@ -41,6 +41,8 @@
 	Ran bool
 	// Service is the mean time that the target takes for a request, or 0 if not known.
 	Service time.Duration
+	// Work is the mean time that the target takes for a request of the same class, or 0 if not known.
+	Work time.Duration
 	// Wait is the time that a request that arrives now would wait for its turn.
 	Wait time.Duration
 	// Rules is the revision of the rules at the target's node, or 0.
