Requests that waited are not started at a target, or by a node, that is about to end

A node that stops took keyed requests up to its last moment, and gave up those that it had just started. After the wait, a request is refused as not run if its target has been leaving for the time for which it serves on, or if twice its usual time, at least 0.3 s, is not left to the node. Ruled out: an acknowledgement that came too early (all nodes refused new requests in time). TestRequestThatWaitedReachesNoTargetThatLeft and TestNodeThatEndsSoonBeginsNoLongRequest failed before. TestRoutesComeFromAnotherNodeWhileTheWatchIsSlow failed once: its slow node lists the store once, and did so before the first node's entry was there; it now waits for the entry.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -19,6 +19,9 @@
 func (n *Node) drain(ctx context.Context, started time.Time) error {
 	n.sink.Emit(started, seamevent.NodeDraining, seamevent.Fields{"inflight": n.egress.InFlight()})
 	n.leaving.Store(true)
+	if limit, ok := ctx.Deadline(); ok {
+		n.egress.EndBy(limit)
+	}
 	n.runner.Stop()
 	n.leaveOffices()
 	// Until callers have left, the target is served as before; then the node leaves it alone.
--- a/internal/node/seamrouter/node_test.go
+++ b/internal/node/seamrouter/node_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/stand/seamstandkv"
 )
 
@@ -100,6 +102,10 @@
 // answer may be on the way.
 func TestRoutesComeFromAnotherNodeWhileTheWatchIsSlow(t *testing.T) {
 	f := newFleet(t, plainService)
+	f.await("the entry of the first node, which the slow one reads once", func() bool {
+		e, err := f.store.Get(t.Context(), seamstore.Takeover, seamroll.Prefix+f.nodes[0].settings.Name)
+		return err == nil && e.Revision != 0
+	})
 	slow := &slowStore{Store: f.store}
 	n := f.addWith("slow", keyedService, slow)
 	f.await("readiness", func() bool { return f.nodes[0].Ready() && n.Ready() })
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -103,6 +103,9 @@
 	}
 	p := &place{limiter: c.egress.limiter, head: c.head, start: time.Now()}
 	defer p.free(false, false)
+	if end := c.unstartable(p.start); end != nil {
+		return *end
+	}
 	if grant != nil && (v.Waited > 0 || c.received) {
 		// The wait may have outlasted the grant: a renewed one holds longer.
 		renewed, release, err := c.grant(ctx)
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamroutewire"
 )
 
@@ -53,6 +54,23 @@
 	e.leaving = true
 }
 
+// endMargin is the least time that a request is given before the node ends.
+const endMargin = 300 * time.Millisecond
+
+// EndBy tells the time at which the node ends at the latest: requests that may not end before are refused.
+func (e *Egress) EndBy(limit time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ends = limit
+}
+
+// outlasted reports whether the node ends before a request that takes so long on the mean may have.
+func (e *Egress) outlasted(now time.Time, work time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.ends.IsZero() && now.Add(max(2*work, endMargin)).After(e.ends)
+}
+
 // Drain refuses new requests from now on and waits until those in flight ended
 // or ctx did, whose error it returns.
 func (e *Egress) Drain(ctx context.Context) error {
@@ -78,3 +96,16 @@
 	}
 	return head.GetKeyed() && now.Sub(e.since) < e.cfg.Linger
 }
+
+// unstartable returns the refusal of a request that has its place at the target, but must not be started any
+// more: the target has been leaving for long, or the node ends soon.
+func (c *call) unstartable(now time.Time) *seamoutcome.End {
+	e := c.egress
+	if a, ok := e.target.Current(); ok && a.Name == c.announced.Name && a.Leaving && !e.mayLinger(c.head, a, now) {
+		return refusal(seamoutcome.Draining, "the target is leaving")
+	}
+	if e.outlasted(now, e.limiter.work(c.head)) {
+		return refusal(seamoutcome.Draining, "the node ends before the request would")
+	}
+	return nil
+}
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -158,6 +158,96 @@
 	}
 }
 
+// A node that ends soon begins nothing that it would have to give up.
+func TestNodeThatEndsSoonBeginsNoLongRequest(t *testing.T) {
+	var runs atomic.Int32
+	e := holdingEgress(t, 0, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		time.Sleep(100 * time.Millisecond)
+	})
+	run := func(attempt uint64) seamoutcome.End {
+		return e.Run(t.Context(), upload(attempt, 0), nil, &discard{header: http.Header{}})
+	}
+	if end := run(1); end.Outcome != seamoutcome.Done {
+		t.Fatalf("got %+v", end)
+	}
+	e.EndBy(time.Now().Add(time.Hour))
+	if end := run(2); end.Outcome != seamoutcome.Done {
+		t.Errorf("got %+v long before the end", end)
+	}
+	e.EndBy(time.Now().Add(150 * time.Millisecond))
+	if end := run(3); end.Outcome != seamoutcome.Refused || end.Reason != seamoutcome.Draining {
+		t.Errorf("got %+v right before the end", end)
+	}
+	if n := runs.Load(); n != 2 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+// leavingTarget is a target that says when it leaves.
+type leavingTarget struct {
+	mu sync.Mutex
+	a  seamtarget.Announcement
+}
+
+func (l *leavingTarget) Current() (seamtarget.Announcement, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.a, true
+}
+
+func (l *leavingTarget) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.a.Leaving = true
+}
+
+// A request that waited for its place while the target began to leave is not started after the time for which
+// the target serves on.
+func TestRequestThatWaitedReachesNoTargetThatLeft(t *testing.T) {
+	release := make(chan struct{})
+	var runs atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		<-release
+	}))
+	t.Cleanup(server.Close)
+	clock := seamclock.NewClock()
+	target := &leavingTarget{a: seamtarget.Announcement{Service: "booker", Name: "t", Address: server.Listener.Addr().String(), Slots: 1}}
+	cfg := seamegress.Config{Prompt: true, Linger: time.Millisecond}
+	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
+	e, closeEgress := seamegress.New(cfg, self, granting{clock, time.Minute}, target, clock, keys, metrics.NewSet(), seamevent.NewStream("back"))
+	t.Cleanup(closeEgress)
+	ends := make(chan seamoutcome.End, 2)
+	run := func(attempt uint64) {
+		h := upload(attempt, 0)
+		h.Keyed = true
+		ends <- e.Run(t.Context(), h, nil, &discard{header: http.Header{}})
+	}
+	go run(1)
+	for e.Load().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go run(2)
+	for e.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	target.leave()
+	// The time begins when the node sees that the target leaves.
+	if end := e.Run(t.Context(), upload(3, 0), nil, &discard{header: http.Header{}}); end.Reason != seamoutcome.Draining {
+		t.Errorf("a request without a key ended with %+v", end)
+	}
+	time.Sleep(5 * time.Millisecond)
+	close(release)
+	reasons := map[seamoutcome.Reason]int{}
+	for range 2 {
+		reasons[(<-ends).Reason]++
+	}
+	if reasons[seamoutcome.Draining] != 1 || runs.Load() != 1 {
+		t.Errorf("reasons %v, %d requests ran", reasons, runs.Load())
+	}
+}
+
 // A body that is cut while it is received reaches no target.
 func TestCutBodyIsNotRun(t *testing.T) {
 	e := holdingEgress(t, 1<<20, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
