Tables of owners are read once a second at the price of old answers, and no longer watched

A table that is out of date costs a request one hop more, since the former owner names the present one; so nodes glance at the tables once a second, and read them as they stand when a request waits for another owner than one that can't be reached. Keys of members and assigners begin with 'own/', those of tables with 'table/', so that one watch covers the routes and the former.

--- a/internal/member/seamroll/roll.go
+++ b/internal/member/seamroll/roll.go
@@ -15,7 +15,7 @@
 )
 
 // Prefix precedes the keys of entries in the store.
-const Prefix = "seam/node/"
+const Prefix = "own/node/"
 
 // Grace is the time for which a member whose entry lapsed is still taken to live:
 // the lease of a node that the store was away from is over as well.
--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -24,10 +24,8 @@
 	Called func(call string, took time.Duration, err error)
 	// Wait returns the time after which a watch without changes is opened anew.
 	Wait func() time.Duration
-	// Gather returns the time after a change in which a watch gathers further ones, unless one is awaited.
+	// Gather returns the time after a change in which a watch gathers further ones.
 	Gather func() time.Duration
-	// Awaited is signalled when a request waits for a change.
-	Awaited <-chan struct{}
 }
 
 // Targets takes what the target beside the node says of itself.
@@ -45,6 +43,8 @@
 	Store func(StoreConfig) (seamstore.Shared, func())
 	// RulesKey is the key under which operators write the routes.
 	RulesKey string
+	// Watched precedes RulesKey and the keys of members and assigners, which are watched together.
+	Watched string
 	// DecodeRoutes reads the routes as an operator wrote them.
 	DecodeRoutes func(value []byte) (seamroutes.Document, error)
 	// Callers translates the requests of callers and the answers to them.
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -22,6 +22,7 @@
 	"cardamomseam/internal/node/seamrouter"
 	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/own/seamhold"
+	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
@@ -33,7 +34,9 @@
 const (
 	keyedService = "calendar"
 	plainService = "booker"
-	routesKey    = "routes"
+	routesKey    = "operator/routes"
+	// watched precedes routesKey and the nodes' own keys, but for the tables.
+	watched = "o"
 	// patience bounds the wait for what a test expects to happen.
 	patience = 30 * time.Second
 )
@@ -288,6 +291,7 @@
 			return f.store, func() {}
 		},
 		RulesKey: routesKey,
+		Watched:  watched,
 		DecodeRoutes: func(value []byte) (d seamroutes.Document, err error) {
 			err = json.Unmarshal(value, &d)
 			return d, err
@@ -372,15 +376,25 @@
 // slowStore answers no watch, and counts the lists.
 type slowStore struct {
 	*seamstandkv.Store
-	lists atomic.Int32
+	lists, tables, glances atomic.Int32
 }
 
 // List implements seamstore.Store.
 func (s *slowStore) List(ctx context.Context, p seamstore.Priority, prefix string) ([]seamstore.Entry, int64, error) {
-	s.lists.Add(1)
+	if prefix == seamoffice.TablePrefix {
+		s.tables.Add(1)
+	} else {
+		s.lists.Add(1)
+	}
 	return s.Store.List(ctx, p, prefix)
 }
 
+// Glance implements seamstore.Glances.
+func (s *slowStore) Glance(ctx context.Context, prefix string) ([]seamstore.Entry, error) {
+	s.glances.Add(1)
+	return s.Store.Glance(ctx, prefix)
+}
+
 // Watch implements seamstore.Store.
 func (*slowStore) Watch(ctx context.Context, _ string, _ int64, _ func([]seamstore.Change)) error {
 	<-ctx.Done()
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -73,7 +73,7 @@
 	retry  atomic.Pointer[seamsetting.Retry]
 	stop   atomic.Pointer[seamsetting.Stop]
 	behind chan seampeer.Peer
-	// awaited is signalled when a request waits for a change of owner.
+	// awaited is signalled when a request waits for another owner than one that is lost.
 	awaited chan struct{}
 }
 
--- a/internal/node/seamrouter/node_test.go
+++ b/internal/node/seamrouter/node_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/stand/seamstandkv"
 )
@@ -120,6 +121,26 @@
 	}
 }
 
+// The tables of owners are read at the low price of old answers, until a request waits for a change of owner.
+func TestTablesAreReadAnewForARequestThatWaits(t *testing.T) {
+	f := newFleet(t, keyedService)
+	f.await("the table", func() bool {
+		entries, _, err := f.store.List(t.Context(), seamstore.Takeover, seamoffice.TablePrefix)
+		return err == nil && len(entries) > 0
+	})
+	counted := &slowStore{Store: f.store}
+	n := f.addWith("counted", plainService, counted)
+	f.awaitServed(n)
+	before := counted.glances.Load()
+	f.await("three cheap readings", func() bool { return counted.glances.Load() >= before+3 })
+	tables := counted.tables.Load()
+	f.nodes[0].stop()
+	f.await("a reading for a request", func() bool {
+		_, _ = f.send(n, http.MethodGet, "/slots/x", keys[0])
+		return counted.tables.Load() > tables
+	})
+}
+
 func TestTargetThatLeavesGivesItsKeysAway(t *testing.T) {
 	f := newFleet(t, keyedService, keyedService, plainService)
 	f.awaitServed(f.nodes[2])
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -31,8 +31,10 @@
 	// watchEach is the time between two looks of all nodes of a failure domain together.
 	watchEach = 800 * time.Millisecond
 	// gatherTime is the time after a change in which further ones are gathered: each answer to a watch is a
-	// call of the store, and a table that is out of date costs a request one hop more.
+	// call of the store.
 	gatherTime = time.Second
+	// gatherLeast takes its place at the nodes that take over from an assigner.
+	gatherLeast = 400 * time.Millisecond
 	// watchLongest is the longest time for which a watch stays open without changes.
 	watchLongest = 25 * time.Second
 )
@@ -74,7 +76,6 @@
 		Called:    n.countCall,
 		Wait:      n.watchWait,
 		Gather:    n.watchGather,
-		Awaited:   n.awaited,
 	})
 	n.store = store
 	c.Add(stop)
@@ -82,21 +83,11 @@
 	n.registry = seamoffice.NewRegistry(n.sink)
 	n.book = seamroutes.NewBook(n.sink)
 	n.entry = seamroll.NewEntry(store, seamroll.Member{Peer: n.self}, n.sink)
-	// One watch of all keys costs less than one for the routes and one for the rest.
-	n.mirror = seammirror.New(store, "", stateReader{n}, n.sink)
+	// One watch costs less than one for the routes and one for the rest.
+	n.mirror = seammirror.New(store, n.adapter.Watched, stateReader{n}, n.sink)
 	return nil
 }
 
-// awaitOwners returns a channel that is closed when owners change, and hurries the watch that tells it.
-func (n *Node) awaitOwners() <-chan struct{} {
-	changed := n.registry.Changed()
-	select {
-	case n.awaited <- struct{}{}:
-	default:
-	}
-	return changed
-}
-
 func (n *Node) observeStore(call string, err error) {
 	now := time.Now()
 	if !n.health.note(now, err == nil) {
@@ -121,6 +112,7 @@
 // startFollowing follows the store.
 func (n *Node) startFollowing(c *seamstart.Cleanups, _ Options) error {
 	c.Add(seamstart.Background(n.mirror.Run))
+	c.Add(seamstart.Background(n.followTables))
 	c.Add(seamstart.Background(n.entry.Run))
 	c.Add(seamstart.Background(n.sweep))
 	c.Add(seamstart.Background(n.catchUp))
@@ -158,7 +150,7 @@
 func (n *Node) watchGather() time.Duration {
 	for _, o := range n.openedOffices() {
 		if rank, _ := (knownPeers{n}).Rank(o.Service()); rank < seamoffice.First {
-			return 0
+			return gatherLeast
 		}
 	}
 	return gatherTime
--- a/internal/own/seamoffice/record.go
+++ b/internal/own/seamoffice/record.go
@@ -19,9 +19,10 @@
 
 const (
 	// OfficePrefix precedes the keys of the records of assigners.
-	OfficePrefix = "seam/office/"
-	// TablePrefix precedes the keys of the tables of owners.
-	TablePrefix = "seam/table/"
+	OfficePrefix = "own/office/"
+	// TablePrefix precedes the keys of the tables of owners. They change far more often than other keys, and
+	// a watch of the others does not cover them.
+	TablePrefix = "table/"
 )
 
 // Record says who is the assigner of a service.
--- a/internal/platform/seamstore/lease.go
+++ b/internal/platform/seamstore/lease.go
@@ -27,6 +27,14 @@
 type Shared interface {
 	Store
 	Leases
+	Glances
+}
+
+// Glances are readings that may be out of date.
+type Glances interface {
+	// Glance returns the entries whose keys begin with prefix as they were up to a few seconds ago, at a small
+	// part of the price of List.
+	Glance(ctx context.Context, prefix string) ([]Entry, error)
 }
 
 // LeaseError says that a lease has ended.
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -98,6 +98,9 @@
 	Table bool
 	// Changed returns a channel that is closed when owners change; nil means that they are looked for again and again.
 	Changed func() <-chan struct{}
+	// Unreachable is told when a request waits for another owner because the node of the one that is known can't
+	// be reached; nil ignores it.
+	Unreachable func()
 	// Origin returns the service of the instance of this node; nil means none.
 	Origin func() string
 	// Wrap adapts the handler to what callers speak; nil leaves it.
--- a/internal/route/seamingress/patience.go
+++ b/internal/route/seamingress/patience.go
@@ -77,6 +77,9 @@
 		return false
 	}
 	x.patience = now.Add(x.ingress.ownerPatience(r))
+	if r == seamoutcome.Session && x.ingress.cfg.Unreachable != nil {
+		x.ingress.cfg.Unreachable()
+	}
 	return true
 }
 
--- a/internal/stand/seamstandkv/store.go
+++ b/internal/stand/seamstandkv/store.go
@@ -52,13 +52,20 @@
 	history []seamstore.Change
 	changed chan struct{}
 	calls   int
+	// glanced is what Glance returns next for a prefix.
+	glanced map[string][]seamstore.Entry
 }
 
 var _ seamstore.Shared = (*Store)(nil)
 
 // New returns an empty store and a function that ends its leases' clock.
 func New() (*Store, func()) {
-	s := &Store{entries: map[string]entry{}, leases: map[seamstore.Lease]lease{}, changed: make(chan struct{})}
+	s := &Store{
+		entries: map[string]entry{},
+		leases:  map[seamstore.Lease]lease{},
+		changed: make(chan struct{}),
+		glanced: map[string][]seamstore.Entry{},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go seamwait.Each(ctx, expireInterval, s.expire)
 	return s, cancel
@@ -143,6 +150,11 @@
 	if err := s.enter(prefix); err != nil {
 		return nil, 0, err
 	}
+	return s.list(prefix), s.revision, nil
+}
+
+// list returns the entries below a prefix. mu is held.
+func (s *Store) list(prefix string) []seamstore.Entry {
 	var list []seamstore.Entry
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
@@ -150,7 +162,18 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b seamstore.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return list, s.revision, nil
+	return list
+}
+
+// Glance implements seamstore.Glances. It returns what there was when it was called last.
+func (s *Store) Glance(_ context.Context, prefix string) ([]seamstore.Entry, error) {
+	defer s.mu.Unlock()
+	if err := s.enter(prefix); err != nil {
+		return nil, err
+	}
+	list := s.glanced[prefix]
+	s.glanced[prefix] = s.list(prefix)
+	return list, nil
 }
 
 // Swap implements seamstore.Store.
