Few late requests wait for the one target that may run them

Load: a target that is asked for more than it runs, by callers that come back. This holds for requests with a key only, which no other target may run.

--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -16,6 +16,8 @@
 	// Objective is the time until which the answer is prompt; zero means the deadline.
 	Objective time.Time
 	Deadline  time.Time
+	// Bound says that no other target may run the request.
+	Bound bool
 }
 
 // Verdict is the answer to an Ask.
@@ -124,7 +126,7 @@
 	}
 	wait := q.turn(q.ahead(w))
 	w.late = !q.prompt(now, w, wait)
-	if w.late && (q.crowded() || !q.inTime(now, w, q.turn(len(q.waiting)))) {
+	if w.late && (q.crowded() || !q.lateRoom(w) || !q.inTime(now, w, q.turn(len(q.waiting)))) {
 		return q.refuse(w, wait), true
 	}
 	return Decision{}, false
@@ -201,6 +203,26 @@
 	return n >= q.slots
 }
 
+// lateShare divides the slots: the work of the requests that wait although they are late is at most that
+// part of what the slots do in the mean time of a request, or one request.
+const lateShare = 8
+
+// lateRoom reports whether a request that can't be answered promptly may wait. While it runs, it keeps others
+// from being prompt, so that few such requests wait, and the rest is refused at once. One that other targets
+// may run is let in: refused here, it would be offered to each of them.
+func (q *Queue) lateRoom(w *waiter) bool {
+	if !w.Bound {
+		return true
+	}
+	others := 0.0
+	for _, o := range q.waiting {
+		if o.late && o != w {
+			others += q.times.work(o.Class)
+		}
+	}
+	return others == 0 || others+q.times.work(w.Class) <= q.times.mean*max(1, float64(q.slots)/lateShare)
+}
+
 // ahead returns the number of waiters that get their turn before w.
 func (q *Queue) ahead(w *waiter) int {
 	n := 0
@@ -250,7 +272,7 @@
 	for _, w := range q.waiting {
 		turned := !w.late && !q.prompt(now, w, 0)
 		w.late = w.late || turned
-		if turned && q.crowded() || !q.inTime(now, w, 0) {
+		if turned && (q.crowded() || !q.lateRoom(w)) || !q.inTime(now, w, 0) {
 			decisions = append(decisions, q.refuse(w, q.turn(len(q.waiting))))
 			continue
 		}
--- a/internal/route/seamadmit/times.go
+++ b/internal/route/seamadmit/times.go
@@ -30,6 +30,14 @@
 	return seconds(t.classes[class])
 }
 
+// work returns the mean time of a class, in seconds, or that of all requests if it is not known.
+func (t *times) work(class uint32) float64 {
+	if mean, known := t.classes[class]; known {
+		return mean
+	}
+	return t.mean
+}
+
 func (t *times) note(class uint32, service float64) {
 	t.mean = mix(t.mean, service, meanWeight)
 	if _, known := t.classes[class]; !known && len(t.classes) >= classLimit {
--- a/internal/route/seamegress/admission.go
+++ b/internal/route/seamegress/admission.go
@@ -61,7 +61,13 @@
 }
 
 func (a ask) prompt() seamadmit.Ask {
-	return seamadmit.Ask{Class: a.head.GetClass(), Priority: int(a.head.GetPriority()), Objective: a.objective, Deadline: a.deadline}
+	return seamadmit.Ask{
+		Class:     a.head.GetClass(),
+		Priority:  int(a.head.GetPriority()),
+		Objective: a.objective,
+		Deadline:  a.deadline,
+		Bound:     a.head.GetKeyed(),
+	}
 }
 
 func (p prompt) done(now time.Time, head *seamroutewire.RequestHead, ran, whole bool, s seamlimit.Sample) {
