--- a/internal/platform/seammirror/mirror_test.go
+++ b/internal/platform/seammirror/mirror_test.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// follow returns a store, a mirror of its keys below a/ and the copy.
-func follow(t *testing.T) (*seamstandkv.Store, *seammirror.Mirror, *reader) {
+// follow returns a store and the copy of its keys below a/.
+func follow(t *testing.T) (*seamstandkv.Store, *reader) {
 	t.Helper()
 	store, stop := seamstandkv.New()
 	t.Cleanup(stop)
@@ -71,7 +71,7 @@
 		cancel()
 		running.Wait()
 	})
-	return store, m, r
+	return store, r
 }
 
 func remove(t *testing.T, store *seamstandkv.Store, key string) {
@@ -86,7 +86,7 @@
 }
 
 func TestCopyFollowsTheStore(t *testing.T) {
-	store, _, r := follow(t)
+	store, r := follow(t)
 	store.Put("a/1", []byte("x"))
 	store.Put("b/1", []byte("other"))
 	r.expect(t, map[string]string{"a/1": "x"})
@@ -98,7 +98,7 @@
 }
 
 func TestCopyIsRightAfterTheHistoryWasForgotten(t *testing.T) {
-	store, _, r := follow(t)
+	store, r := follow(t)
 	store.Put("a/1", []byte("x"))
 	store.Put("a/2", []byte("x"))
 	r.expect(t, map[string]string{"a/1": "x", "a/2": "x"})
@@ -111,7 +111,7 @@
 }
 
 func TestCopyIsReadOnceTheStoreIsThere(t *testing.T) {
-	store, _, r := follow(t)
+	store, r := follow(t)
 	store.Fail(seamstandkv.Faults{Down: true})
 	store.Put("a/1", []byte("x"))
 	store.Fail(seamstandkv.Faults{})
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -147,7 +147,9 @@
 			if _, err := send.Write(make([]byte, length/2)); err != nil {
 				t.Fatal(err)
 			}
-			send.Close()
+			if err := send.Close(); err != nil {
+				t.Fatal(err)
+			}
 			if end := <-ended; end.Outcome != seamoutcome.Done {
 				t.Errorf("the upload ended with %+v", end)
 			}
