Watches that a change wakes together are opened anew at different times

Before, the tables of owners woke the same watches all the time, which hid it. Ruled out: the exchange of revisions among nodes (1 s after the first node all had it). A watch is now opened anew after a time drawn evenly from the whole; the first of a failure domain looks within 0.8 s on the mean also after a common start. TestWatchesThatBeganTogetherEndApart.

--- a/internal/node/seamrouter/node_test.go
+++ b/internal/node/seamrouter/node_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
 
 	"cardamomseam/internal/member/seamroll"
+	"cardamomseam/internal/node/seamrouter"
 	"cardamomseam/internal/own/seamoffice"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/stand/seamstandkv"
@@ -121,6 +123,26 @@
 	}
 }
 
+// A change wakes the watches of all nodes at the same moment, and those opened then may stay silent. One of a failure
+// domain is opened anew within 0.8 s on the mean all the same.
+func TestWatchesThatBeganTogetherEndApart(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, nodes := range []int{1, 4, 9} {
+		const rounds = 2000
+		var sum time.Duration
+		for range rounds {
+			first := time.Hour
+			for range nodes {
+				first = min(first, seamrouter.WaitOf(nodes, random.Float64()))
+			}
+			sum += first
+		}
+		if mean := sum / rounds; mean > 850*time.Millisecond {
+			t.Errorf("the first of %d nodes looks after %s on the mean", nodes, mean)
+		}
+	}
+}
+
 // The tables of owners are read at the low price of old answers, until a request waits for a change of owner.
 func TestTablesAreReadAnewForARequestThatWaits(t *testing.T) {
 	f := newFleet(t, keyedService)
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -35,6 +35,8 @@
 	gatherTime = time.Second
 	// gatherLeast takes its place at the nodes that take over from an assigner.
 	gatherLeast = 400 * time.Millisecond
+	// watchLeast is the shortest time for which a watch stays open without changes.
+	watchLeast = 200 * time.Millisecond
 	// watchLongest is the longest time for which a watch stays open without changes.
 	watchLongest = 25 * time.Second
 )
@@ -131,9 +133,7 @@
 	})
 }
 
-// watchWait returns the time after which a watch is opened anew. A watch may stay silent although
-// keys change; the nodes of a failure domain, which hear of each other's revisions, together look
-// about once in watchEach.
+// watchWait returns the time after which a watch is opened anew.
 func (n *Node) watchWait() time.Duration {
 	near := 0
 	for _, m := range n.roll.View().Members {
@@ -141,8 +141,16 @@
 			near++
 		}
 	}
-	wait := min(time.Duration(max(near, 1))*watchEach, watchLongest)
-	return wait*3/4 + rand.N(wait/2)
+	return waitOf(near, rand.Float64())
+}
+
+// waitOf returns the time after which one of so many nodes of a failure domain opens its watch anew. A watch may
+// stay silent although keys change; the nodes, which hear of each other's revisions, together look about
+// once in watchEach. A change wakes them all at the same moment, so that draw, in [0, 1), spreads their next
+// looks over the whole time: of so many at random places in it, the first is about watchEach away.
+func waitOf(nodes int, draw float64) time.Duration {
+	longest := min(time.Duration(max(nodes, 1)+1)*watchEach, watchLongest)
+	return max(time.Duration(draw*float64(longest)), watchLeast)
 }
 
 // watchGather returns the time after a change in which further ones are gathered. The nodes that take over
