Read-through: one piece of code where the change had two, and no state or field that nothing reads

- A request whose slot moves is redirected by Egress.redirect, which did the same for others.
- seamwait.Woken serves Until and the reading of tables; the latter had its own copy of the wait.
- The objective of a request is bounded by its deadline in one place for Ask and Forecast.
- Whether a body was received follows from the room that it holds.
- The played loads of seamadmit share one queue of events.
- ended in seamingress, beside a method of that name, is toCaller.

--- a/internal/node/seamrouter/tables.go
+++ b/internal/node/seamrouter/tables.go
@@ -34,23 +34,10 @@
 			n.registry.Put(time.Now(), e)
 		}
 		seamwait.For(ctx, readLeast)
-		present = n.ownersAwaited(ctx, glanceInterval-readLeast)
+		present = seamwait.Woken(ctx, glanceInterval-readLeast, n.awaited)
 	}
 }
 
-// ownersAwaited waits, and reports whether a request began to wait for another owner before the time was over.
-func (n *Node) ownersAwaited(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-n.awaited:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // readTables returns the tables, or nothing if the store can't be reached; its client logs why.
 func (n *Node) readTables(ctx context.Context, present bool) []seamstore.Entry {
 	if present {
--- a/internal/platform/seamwait/wait.go
+++ b/internal/platform/seamwait/wait.go
@@ -30,14 +30,21 @@
 
 // Until waits for d or until wake is ready, and reports whether ctx still lasts.
 func Until(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	Woken(ctx, d, wake)
+	return ctx.Err() == nil
+}
+
+// Woken waits for d or until wake is ready, and reports whether it was wake that ended the wait.
+func Woken(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-t.C:
 	case <-wake:
+		return true
+	case <-t.C:
 	case <-ctx.Done():
 	}
-	return ctx.Err() == nil
+	return false
 }
 
 // Each calls f with the time after each interval until ctx ends.
--- a/internal/platform/seamwait/wait_test.go
+++ b/internal/platform/seamwait/wait_test.go
@@ -43,3 +43,19 @@
 		t.Errorf("%d calls, want 3", calls)
 	}
 }
+
+func TestWokenTellsWhatEndedTheWait(t *testing.T) {
+	wake := make(chan struct{}, 1)
+	if seamwait.Woken(t.Context(), time.Millisecond, wake) {
+		t.Error("woken by the end of the time")
+	}
+	wake <- struct{}{}
+	if !seamwait.Woken(t.Context(), time.Hour, wake) {
+		t.Error("not woken")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if seamwait.Woken(ctx, time.Hour, wake) {
+		t.Error("woken by the end of the context")
+	}
+}
--- a/internal/route/seamadmit/comeback_test.go
+++ b/internal/route/seamadmit/comeback_test.go
@@ -17,7 +17,7 @@
 	asked time.Time
 }
 
-// event is something that happens to a visitor at a time: it arrives, or its request ends.
+// event is something that happens to a request of a played load at a time: it arrives, or it ends.
 type event struct {
 	at  time.Time
 	id  uint64
--- a/internal/route/seamadmit/limiter_test.go
+++ b/internal/route/seamadmit/limiter_test.go
@@ -146,29 +146,6 @@
 	}
 }
 
-// finish is the end of a request of the played load.
-type finish struct {
-	at      time.Time
-	arrived time.Time
-}
-
-type finishes []finish
-
-func (f finishes) Len() int           { return len(f) }
-func (f finishes) Less(i, j int) bool { return f[i].at.Before(f[j].at) }
-func (f finishes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
-
-// Push is for package heap.
-func (f *finishes) Push(x any) { *f = append(*f, x.(finish)) }
-
-// Pop is for package heap.
-func (f *finishes) Pop() any {
-	old := *f
-	last := old[len(old)-1]
-	*f = old[:len(old)-1]
-	return last
-}
-
 // TestOverloadServesPromptly plays a load of one and a half times what the target can run for
 // 20 s of its own time, and counts the callers that get a prompt answer. A queue ordered by deadlines serves
 // nearly all too late; a target that always has work can serve two thirds promptly.
@@ -184,23 +161,23 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	q := seamadmit.NewQueue(slots)
 	q.Note(0, service)
-	var running finishes
+	var running events
 	now := time.Unix(1000, 0)
 	prompt, arrived := 0, map[uint64]time.Time{}
 	run := func(decisions []seamadmit.Decision) {
 		for _, d := range decisions {
 			if d.Admitted {
 				took := time.Duration(float64(service) * (0.5 + r.Float64()))
-				heap.Push(&running, finish{at: now.Add(took), arrived: arrived[d.ID]})
+				heap.Push(&running, event{at: now.Add(took), id: d.ID, end: true})
 			}
 		}
 	}
 	for id := range uint64(requests) {
 		next := now.Add(gap)
 		for len(running) > 0 && !running[0].at.After(next) {
-			f := heap.Pop(&running).(finish)
+			f := heap.Pop(&running).(event)
 			now = f.at
-			if f.at.Sub(f.arrived) <= objective {
+			if f.at.Sub(arrived[f.id]) <= objective {
 				prompt++
 			}
 			run(q.Done(now))
--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -43,6 +43,14 @@
 	late bool
 }
 
+// newWaiter returns a request whose objective ends with its deadline at the latest.
+func newWaiter(id uint64, a Ask) *waiter {
+	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
+		a.Objective = a.Deadline
+	}
+	return &waiter{Ask: a, id: id}
+}
+
 // Queue decides which requests run. It is a state machine without clocks, not safe for concurrent use.
 type Queue struct {
 	slots   int
@@ -90,10 +98,7 @@
 
 // Ask takes a request. The decisions are on it, if it need not wait, and on others.
 func (q *Queue) Ask(now time.Time, id uint64, a Ask) []Decision {
-	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
-		a.Objective = a.Deadline
-	}
-	w := &waiter{Ask: a, id: id}
+	w := newWaiter(id, a)
 	if d, refused := q.judge(now, w); refused {
 		return []Decision{d}
 	}
@@ -106,10 +111,7 @@
 
 // Forecast returns the refusal of a request if it would be refused now, without taking it.
 func (q *Queue) Forecast(now time.Time, a Ask) (v Verdict, refused bool) {
-	if a.Objective.IsZero() || a.Objective.After(a.Deadline) {
-		a.Objective = a.Deadline
-	}
-	d, refused := q.judge(now, &waiter{Ask: a})
+	d, refused := q.judge(now, newWaiter(0, a))
 	return d.Verdict, refused
 }
 
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -33,10 +33,9 @@
 	order Order
 	// arrived is the time at which the request came to this node.
 	arrived time.Time
-	// held is the room that the body takes in memory, in bytes.
+	// held is the room in memory that the body takes, in bytes, once it was received before the request asks
+	// for a place.
 	held int64
-	// received says that the body was received before the request asked for a place.
-	received bool
 }
 
 // record keeps a request that must not run twice in the ledger while it is handled.
@@ -96,7 +95,7 @@
 	moved := errors.Is(context.Cause(waiting), errMoved)
 	stop()
 	if !v.Admitted && moved {
-		return c.redirected(ctx)
+		return c.egress.redirect(ctx, c.head, seamoutcome.Refuse(seamoutcome.Owner, errMoved.Error()))
 	}
 	if !v.Admitted {
 		return *notAdmitted(v)
@@ -106,7 +105,7 @@
 	if end := c.unstartable(p.start); end != nil {
 		return *end
 	}
-	if grant != nil && (v.Waited > 0 || c.received) {
+	if grant != nil && (v.Waited > 0 || c.held > 0) {
 		// The wait may have outlasted the grant: a renewed one holds longer.
 		renewed, release, err := c.grant(ctx)
 		if err != nil {
@@ -118,6 +117,12 @@
 	return c.run(ctx, grant, p)
 }
 
+func notAdmitted(v seamlimit.Verdict) *seamoutcome.End {
+	end := refusal(v.Reason, "not admitted to the target")
+	end.After = v.After
+	return end
+}
+
 // ask returns what admission needs to know of the request.
 func (c *call) ask() ask {
 	a := ask{head: c.head, deadline: c.arrived.Add(time.Duration(c.head.GetLeft()) * time.Millisecond)}
@@ -155,17 +160,6 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// redirected refuses a request whose slot moves, with the owner to turn to.
-func (c *call) redirected(ctx context.Context) seamoutcome.End {
-	_, release, err := c.egress.owners.Acquire(ctx, seamslot.ID{Service: c.head.GetService(), Index: c.head.GetSlot()})
-	if err != nil {
-		return acquireEnd(ctx, err)
-	}
-	// The slot is back already.
-	release()
-	return seamoutcome.Refuse(seamoutcome.Owner, errMoved.Error())
-}
-
 // countKey counts the key of a request that may be admitted here.
 func (c *call) countKey() {
 	if !c.head.GetKeyed() {
--- a/internal/route/seamegress/receive.go
+++ b/internal/route/seamegress/receive.go
@@ -41,7 +41,6 @@
 		return refusal(early(ctx, seamoutcome.Malformed), err.Error())
 	}
 	c.body = bytes.NewReader(body)
-	c.received = true
 	return nil
 }
 
@@ -51,12 +50,6 @@
 	c.held = 0
 }
 
-func notAdmitted(v seamlimit.Verdict) *seamoutcome.End {
-	end := seamoutcome.Refuse(v.Reason, "not admitted to the target")
-	end.After = v.After
-	return &end
-}
-
 // room bounds the bytes of the bodies that wait in memory. It is safe for concurrent use.
 type room struct {
 	mu   sync.Mutex
--- a/internal/route/seamegress/void.go
+++ b/internal/route/seamegress/void.go
@@ -26,7 +26,7 @@
 		return
 	}
 	state := v.Egress.Void(ask)
-	answer := &seamroutewire.Voided{Id: ask.GetId(), Attempt: ask.GetAttempt(), State: string(state)}
+	answer := &seamroutewire.Voided{Attempt: ask.GetAttempt(), State: string(state)}
 	// Without an answer the asking node takes the outcome as unknown.
 	_ = seamframe.Write(conn, seamframe.Voided, answer)
 }
--- a/internal/route/seamingress/ending.go
+++ b/internal/route/seamingress/ending.go
@@ -51,9 +51,9 @@
 	return ctx.Err() == nil || errors.Is(context.Cause(ctx), errEnding)
 }
 
-// ended returns the end of an attempt as the caller is told it. To a node that ends, it looks as if the
+// toCaller returns the end of an attempt as the caller is told it. To a node that ends, it looks as if the
 // callers of its requests had left.
-func ended(ctx context.Context, end seamoutcome.End) seamoutcome.End {
+func toCaller(ctx context.Context, end seamoutcome.End) seamoutcome.End {
 	if !callerThere(ctx) {
 		return end
 	}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		end = x.lost(ctx, at, err, sentAt{start, left})
 	}
-	end = ended(ctx, end)
+	end = toCaller(ctx, end)
 	x.ended(to, end, left)
 	x.attempts = append(x.attempts, attempt{
 		Node:    to.String(),
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -432,9 +432,9 @@
 
 func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
 	sendTo(t, func(to net.Conn, head *seamroutewire.RequestHead) {
-		wrong := &seamroutewire.AnswerHead{Id: head.Id, Attempt: head.Attempt + 1, Status: 200, Whole: true}
+		wrong := &seamroutewire.AnswerHead{Attempt: head.Attempt + 1, Status: 200, Whole: true}
 		_ = seamframe.Write(to, seamframe.AnswerHead, wrong)
-		_ = seamframe.Write(to, seamframe.AnswerEnd, &seamroutewire.AnswerEnd{Id: head.Id, Attempt: head.Attempt + 1, Outcome: "done"})
+		_ = seamframe.Write(to, seamframe.AnswerEnd, &seamroutewire.AnswerEnd{Attempt: head.Attempt + 1, Outcome: "done"})
 	}).expect(t, 502, seamoutcome.Unknown, seamoutcome.Lost)
 }
 
