--- /dev/null
+++ b/internal/member/seamfeed/feed_test.go
@@ -0,0 +1,313 @@
+package seamfeed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cardamomseam/internal/member/seamfeed"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/stand/seamstandkv"
+)
+
+const (
+	// settleTime is long enough for all nodes of a calm fleet to have found their sources.
+	settleTime = 6 * time.Second
+	// deliveryBound is the time within which an acknowledged change is known at each node that is in touch.
+	deliveryBound = 3 * time.Second
+	// recoveryTime is the time after the end of a fault from which on a node counts as in touch again.
+	recoveryTime = 4 * time.Second
+)
+
+func TestFeedFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		n := f.nodes["n0-0"]
+		f.store.Put("a/1", []byte("x"))
+		f.store.Put("b/1", []byte("other"))
+		time.Sleep(settleTime)
+		f.store.Put("a/1", []byte("y"))
+		f.store.Put("a/2", []byte("z"))
+		remove(t, f.store, "a/1")
+		synctest.Wait()
+		n.expect(t, map[string]string{"a/2": "z"})
+	})
+}
+
+func TestFeedListsAgainAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 3)
+		f.store.Put("a/1", []byte("x"))
+		f.store.Put("a/2", []byte("x"))
+		time.Sleep(settleTime)
+		f.store.SetFaults(seamstandkv.Faults{SuppressWatches: true})
+		f.store.Put("a/1", []byte("y"))
+		remove(t, f.store, "a/2")
+		f.store.Compact()
+		f.store.SetFaults(seamstandkv.Faults{})
+		time.Sleep(deliveryBound)
+		for _, n := range f.all() {
+			n.expect(t, map[string]string{"a/1": "y"})
+		}
+	})
+}
+
+func TestFeedListsOnceTheStoreIsReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		f.store.SetFaults(seamstandkv.Faults{Down: true})
+		f.store.Put("a/1", []byte("x"))
+		time.Sleep(settleTime)
+		f.store.SetFaults(seamstandkv.Faults{})
+		time.Sleep(deliveryBound)
+		f.nodes["n0-0"].expect(t, map[string]string{"a/1": "x"})
+	})
+}
+
+// Of 200 nodes that start together, only the readers watch the store.
+func TestCallsGrowWithDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const domains, perDomain = 4, 50
+		f := newFleet(t, domains, perDomain)
+		time.Sleep(settleTime)
+		if got := f.sources()["store"]; got != domains*seamfeed.ReadersPerDomain {
+			t.Errorf("%d nodes follow the store, want %d", got, domains*seamfeed.ReadersPerDomain)
+		}
+		// Each node lists when it starts and once the others have registered.
+		if got := f.lists.Load(); got > 2*domains*perDomain {
+			t.Errorf("%d lists by %d nodes", got, domains*perDomain)
+		}
+		lists, watches := f.lists.Load(), f.watches.Load()
+		for i := range 60 {
+			f.store.Put("a/routes", fmt.Append(nil, i))
+			time.Sleep(time.Second)
+		}
+		if got := f.lists.Load() + f.watches.Load() - lists - watches; got != 0 {
+			t.Errorf("%d calls in a calm minute, want none", got)
+		}
+		f.expectEverywhere(t, "a/routes")
+	})
+}
+
+func TestSubscribersLeaveALostReader(t *testing.T) {
+	for name, lose := range map[string]func(n *node){
+		"stopped":                func(n *node) { n.stop() },
+		"cut off from nodes":     func(n *node) { n.networkCut.Store(true) },
+		"cut off from the store": func(n *node) { n.storeCut.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 12)
+				time.Sleep(settleTime)
+				lost := f.readers()[0]
+				lose(lost)
+				// The subscribers notice a reader that lost the store once its own calls have failed for a while.
+				time.Sleep(reachableFor)
+				f.store.Put("a/routes", []byte("x"))
+				time.Sleep(deliveryBound)
+				for _, n := range f.all() {
+					if n != lost && n.revision("a/routes") == 0 {
+						t.Errorf("%s does not know the change; its source is %s", n.peer.Name, n.feed.Status().Source)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestTablesReachSubscribers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 6)
+		time.Sleep(settleTime)
+		for _, n := range f.readers() {
+			n.feed.PublishTable(seamstore.Entry{Key: "table/calendar", Value: []byte("x"), Revision: 7})
+			n.feed.PublishTable(seamstore.Entry{Key: "table/calendar", Value: []byte("old"), Revision: 6})
+		}
+		synctest.Wait()
+		subscribers := 0
+		for _, n := range f.all() {
+			if n.feed.Subscribed() {
+				subscribers++
+				n.feed.RequestTables()
+				if got := n.tables["table/calendar"]; got != 7 {
+					t.Errorf("%s has the table at revision %d, want 7", n.peer.Name, got)
+				}
+			}
+		}
+		synctest.Wait()
+		wanted := 0
+		for _, n := range f.readers() {
+			wanted += n.wanted
+		}
+		if subscribers == 0 || wanted != subscribers {
+			t.Errorf("readers got %d requests for the tables from %d subscribers", wanted, subscribers)
+		}
+	})
+}
+
+// While the store is down for all nodes, few of them call it.
+func TestSubscribersDontCallAStoreThatIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 40
+		f := newFleet(t, 2, nodes/2)
+		time.Sleep(settleTime)
+		lists, watches := f.lists.Load(), f.watches.Load()
+		f.store.SetFaults(seamstandkv.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		// Each node may try the store itself once, before it knows that the store is down.
+		if got := f.lists.Load() + f.watches.Load() - lists - watches; got > 3*nodes {
+			t.Errorf("%d calls while the store was down, want at most %d", got, 3*nodes)
+		}
+		f.store.SetFaults(seamstandkv.Faults{})
+		time.Sleep(recoveryTime)
+		f.store.Put("a/routes", []byte("x"))
+		time.Sleep(deliveryBound)
+		f.expectEverywhere(t, "a/routes")
+	})
+}
+
+// A model: nodes are cut off, stopped and started and the store is down or forgets its history, at random. A change that the
+// store acknowledged is known within deliveryBound at each node in touch.
+func TestChangesReachAllNodesInTouch(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+		})
+	}
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	f := newFleet(t, 3, 20)
+	time.Sleep(settleTime)
+	storeDisturbedUntil := time.Now()
+	written := map[time.Time]int64{}
+	for range 120 {
+		time.Sleep(500 * time.Millisecond)
+		if random.IntN(3) == 0 {
+			storeDisturbedUntil = f.disturb(random, storeDisturbedUntil)
+		}
+		e, err := f.store.Get(t.Context(), seamstore.Takeover, "a/routes")
+		if err == nil {
+			f.store.Put("a/routes", []byte("x"))
+			written[time.Now()] = e.Revision
+		}
+		f.checkDelivery(t, written, storeDisturbedUntil)
+	}
+}
+
+// disturb starts a random fault.
+func (f *fleet) disturb(random *rand.Rand, storeDisturbedUntil time.Time) time.Time {
+	lasts := time.Duration(1+random.IntN(8)) * time.Second
+	nodes := f.all()
+	n := nodes[random.IntN(len(nodes))]
+	if readers := f.readers(); random.IntN(2) == 0 && len(readers) > 0 {
+		n = readers[random.IntN(len(readers))]
+	}
+	end := time.Now().Add(lasts)
+	switch random.IntN(8) {
+	case 0, 1:
+		n.disturb(end)
+		n.storeCut.Store(true)
+		time.AfterFunc(lasts, func() { n.storeCut.Store(false) })
+	case 2, 3:
+		n.disturb(end)
+		n.networkCut.Store(true)
+		time.AfterFunc(lasts, func() { n.networkCut.Store(false) })
+	case 4, 5:
+		n.stop()
+		f.start(n.peer.Name, n.peer.Domain).disturb(time.Now())
+	case 6:
+		f.store.Compact()
+	case 7:
+		f.store.SetFaults(seamstandkv.Faults{Down: true})
+		time.AfterFunc(lasts/2, func() { f.store.SetFaults(seamstandkv.Faults{}) })
+		storeDisturbedUntil = time.Now().Add(lasts / 2)
+	}
+	return storeDisturbedUntil
+}
+
+func (n *node) disturb(end time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if end.After(n.disturbedUntil) {
+		n.disturbedUntil = end
+	}
+}
+
+// checkDelivery checks the changes that were written deliveryBound ago or earlier.
+func (f *fleet) checkDelivery(t *testing.T, written map[time.Time]int64, storeDisturbedUntil time.Time) {
+	now := time.Now()
+	for at, previous := range written {
+		if now.Sub(at) < deliveryBound {
+			continue
+		}
+		delete(written, at)
+		for _, n := range f.all() {
+			n.mu.Lock()
+			disturbedUntil := n.disturbedUntil
+			n.mu.Unlock()
+			inTouch := at.Sub(disturbedUntil) > recoveryTime && at.Sub(storeDisturbedUntil) > recoveryTime
+			if got := n.revision("a/routes"); inTouch && got <= previous {
+				t.Errorf("%s is at revision %d %s after a write over revision %d; its source is %s",
+					n.peer.Name, got, now.Sub(at), previous, n.feed.Status().Source)
+			}
+		}
+	}
+}
+
+// readers returns the nodes that follow the store.
+func (f *fleet) readers() []*node {
+	var readers []*node
+	for _, n := range f.all() {
+		if !n.feed.Subscribed() {
+			readers = append(readers, n)
+		}
+	}
+	return readers
+}
+
+// expectEverywhere checks that all nodes know the latest revision of a key.
+func (f *fleet) expectEverywhere(t *testing.T, key string) {
+	t.Helper()
+	e, err := f.store.Get(t.Context(), seamstore.Takeover, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range f.all() {
+		if got := n.revision(key); got != e.Revision {
+			t.Errorf("%s knows %s at revision %d, want %d; its source is %s", n.peer.Name, key, got, e.Revision, n.feed.Status().Source)
+		}
+	}
+}
+
+// expect checks the node's copy, the registrations excepted.
+func (n *node) expect(t *testing.T, want map[string]string) {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	got := map[string]string{}
+	for key, e := range n.copy {
+		if e.Value != nil {
+			got[key] = string(e.Value)
+		}
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("copy of %s: %s", n.peer.Name, d)
+	}
+}
+
+func remove(t *testing.T, store *seamstandkv.Store, key string) {
+	t.Helper()
+	e, err := store.Get(t.Context(), seamstore.Takeover, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Delete(t.Context(), seamstore.Takeover, key, e.Revision); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/member/seamfeed/log.go
@@ -0,0 +1,166 @@
+package seamfeed
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"cardamomseam/internal/platform/seamstore"
+)
+
+// maxLogLength is the number of changes that a log keeps. A subscriber that is further behind gets a list.
+const maxLogLength = 4096
+
+// changeLog keeps a copy of the keys and the latest changes, from which the subscriptions are served. It is safe for
+// concurrent use.
+type changeLog struct {
+	mu      sync.Mutex
+	entries map[string]seamstore.Entry
+	tables  map[string]seamstore.Entry
+	changes []loggedChange
+	// first is the position of changes[0]; the position after the last change is first+len(changes).
+	first int64
+	// since is the revision from which on the log holds all changes of the keys other than the tables, and revision
+	// the one up to which it does.
+	since, revision int64
+	changed         chan struct{}
+}
+
+// loggedChange is a change of a key, or of an ownership table if table is set.
+type loggedChange struct {
+	seamstore.Change
+	table bool
+}
+
+func newChangeLog() *changeLog {
+	return &changeLog{entries: map[string]seamstore.Entry{}, tables: map[string]seamstore.Entry{}, changed: make(chan struct{})}
+}
+
+// reset replaces all entries by a complete list as of a revision.
+func (l *changeLog) reset(entries []seamstore.Entry, revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.entries)
+	for _, e := range entries {
+		l.entries[e.Key] = e
+	}
+	// All positions up to now become invalid, so that each subscription continues with a list.
+	l.first += int64(len(l.changes)) + 1
+	l.changes = nil
+	l.since, l.revision = revision, revision
+	l.signal()
+}
+
+// append adds changes of keys. revision is the one up to which all changes are known then.
+func (l *changeLog) append(changes []seamstore.Change, revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range changes {
+		if c.Deleted {
+			delete(l.entries, c.Key)
+		} else {
+			l.entries[c.Key] = c.Entry
+		}
+		l.add(loggedChange{Change: c})
+	}
+	l.revision = max(l.revision, revision)
+	if len(changes) > 0 {
+		// Without changes, the next heartbeat tells the revision: two nodes that still follow each other while
+		// their sources change must not answer each update at once.
+		l.signal()
+	}
+}
+
+// putTable adds an ownership table unless the known one is as new, and reports whether it did.
+func (l *changeLog) putTable(e seamstore.Entry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.Revision <= l.tables[e.Key].Revision {
+		return false
+	}
+	l.tables[e.Key] = e
+	l.add(loggedChange{Change: seamstore.Change{Entry: e}, table: true})
+	l.signal()
+	return true
+}
+
+func (l *changeLog) add(c loggedChange) {
+	if len(l.changes) == maxLogLength {
+		dropped := maxLogLength / 2
+		for _, old := range l.changes[:dropped] {
+			if !old.table {
+				l.since = max(l.since, old.Revision)
+			}
+		}
+		l.changes = slices.Clone(l.changes[dropped:])
+		l.first += int64(dropped)
+	}
+	l.changes = append(l.changes, c)
+}
+
+func (l *changeLog) signal() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// batch is what a subscription sends next.
+type batch struct {
+	changes []loggedChange
+	// list reports whether the changes are all entries instead of the latest changes.
+	list     bool
+	revision int64
+	// next is the position from which the subscription continues.
+	next int64
+	// changed is closed at the next change.
+	changed <-chan struct{}
+}
+
+// from returns the changes from a position on, or a list if the log no longer reaches back so far.
+func (l *changeLog) from(position int64) batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := batch{revision: l.revision, next: l.first + int64(len(l.changes)), changed: l.changed}
+	if position < l.first {
+		b.list = true
+		b.changes = l.all()
+		return b
+	}
+	b.changes = slices.Clone(l.changes[position-l.first:])
+	return b
+}
+
+// after returns the changes after a revision and all tables, or a list if the log does not reach back so far.
+func (l *changeLog) after(revision int64) batch {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := batch{revision: l.revision, next: l.first + int64(len(l.changes)), changed: l.changed}
+	if revision < l.since || revision > l.revision {
+		b.list = true
+		b.changes = l.all()
+		return b
+	}
+	b.changes = l.allTables()
+	for _, c := range l.changes {
+		if !c.table && c.Revision > revision {
+			b.changes = append(b.changes, c)
+		}
+	}
+	return b
+}
+
+// all returns all entries and tables. The caller holds mu.
+func (l *changeLog) all() []loggedChange {
+	changes := l.allTables()
+	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
+		changes = append(changes, loggedChange{Change: seamstore.Change{Entry: l.entries[key]}})
+	}
+	return changes
+}
+
+func (l *changeLog) allTables() []loggedChange {
+	var changes []loggedChange
+	for _, key := range slices.Sorted(maps.Keys(l.tables)) {
+		changes = append(changes, loggedChange{Change: seamstore.Change{Entry: l.tables[key]}, table: true})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/member/seamfeed/serve.go
@@ -0,0 +1,143 @@
+package seamfeed
+
+import (
+	"context"
+	"net"
+	"time"
+
+	wire "cardamomseam/internal/member/seamfeedwire"
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamframe"
+)
+
+const (
+	// heartbeatInterval is the longest time between two updates of a subscription.
+	heartbeatInterval = 500 * time.Millisecond
+	// servingWait is how long a new subscription waits until the node has read the store.
+	servingWait = time.Second
+	// maxUpdateBytes is the size of keys and values from which on an update is sent, in bytes.
+	maxUpdateBytes = 32 << 10
+)
+
+// ServeStream serves one subscription until it fails or the node no longer reads the store.
+func (f *Feed) ServeStream(ctx context.Context, _ seampeer.Peer, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	frames, release := seamframe.NewReader(conn)
+	conn.SetReadDeadline(time.Now().Add(writeTimeout))
+	ask := new(wire.Ask)
+	err := frames.ReadMessage(seamframe.FeedAsk, ask)
+	if err != nil || !f.awaitServing(ctx) {
+		release()
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	go func() {
+		defer release()
+		defer cancel()
+		f.receiveRequests(frames)
+	}()
+	f.send(ctx, conn, f.log.after(ask.GetRevision()))
+}
+
+// receiveRequests passes on a subscriber's requests for the ownership tables until the subscription ends.
+func (f *Feed) receiveRequests(frames *seamframe.Reader) {
+	for {
+		ask := new(wire.Ask)
+		if frames.ReadMessage(seamframe.FeedAsk, ask) != nil {
+			return
+		}
+		if ask.GetRead() {
+			f.handler.TablesWanted()
+		}
+	}
+}
+
+// awaitServing waits up to servingWait until subscribers are served, and reports whether they are.
+func (f *Feed) awaitServing(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, servingWait)
+	defer cancel()
+	for {
+		serving, changed := f.servingState()
+		if serving {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+func (f *Feed) servingState() (serving bool, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.serving, f.servingChanged
+}
+
+// send sends updates until the subscription fails or the node no longer reads the store.
+func (f *Feed) send(ctx context.Context, conn net.Conn, b batch) {
+	for {
+		if f.sendBatch(conn, b) != nil {
+			return
+		}
+		if !f.awaitChange(ctx, b.changed) {
+			return
+		}
+		b = f.log.from(b.next)
+	}
+}
+
+// awaitChange waits for a change or the next heartbeat, and reports whether the subscription goes on.
+func (f *Feed) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	serving, servingChanged := f.servingState()
+	if !serving {
+		return false
+	}
+	timer := time.NewTimer(heartbeatInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-servingChanged:
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// sendBatch sends a batch as one or more updates. Only the last one has the revision.
+func (f *Feed) sendBatch(conn net.Conn, b batch) error {
+	update := f.newUpdate(b)
+	size := 0
+	for _, c := range b.changes {
+		if size > maxUpdateBytes {
+			if err := writeUpdate(conn, update); err != nil {
+				return err
+			}
+			update, size = f.newUpdate(b), 0
+		}
+		update.Changes = append(update.Changes, &wire.Change{
+			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Table: c.table,
+		})
+		size += len(c.Key) + len(c.Value)
+	}
+	update.Revision = b.revision
+	return writeUpdate(conn, update)
+}
+
+func (f *Feed) newUpdate(b batch) *wire.Update {
+	now := time.Now()
+	return &wire.Update{
+		List: b.list,
+		Down: !f.network.StoreReachable(now),
+		Age:  now.Sub(f.network.LastContact()).Milliseconds(),
+	}
+}
+
+func writeUpdate(conn net.Conn, update *wire.Update) error {
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return seamframe.Write(conn, seamframe.FeedUpdate, update)
+}
--- /dev/null
+++ b/internal/member/seamfeed/subscribe.go
@@ -0,0 +1,136 @@
+package seamfeed
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	wire "cardamomseam/internal/member/seamfeedwire"
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/route/seamframe"
+)
+
+const (
+	// openTimeout bounds the opening of a subscription.
+	openTimeout = time.Second
+	// silenceTimeout is the time without a heartbeat after which a subscription is given up.
+	silenceTimeout = 4 * heartbeatInterval
+	// writeTimeout bounds one write to the other end of a subscription.
+	writeTimeout = 4 * time.Second
+	// anyStateTime is how long a node follows a reader that does not reach the store before it looks for another one.
+	anyStateTime = 5 * time.Second
+)
+
+// ReaderDownError reports that a reader does not reach the store.
+type ReaderDownError struct {
+	Reader string
+	// Age is the time since the store last answered the reader.
+	Age time.Duration
+}
+
+// Error names the reader and the time since its last contact.
+func (e *ReaderDownError) Error() string {
+	return "reader " + e.Reader + " has not reached the store for " + e.Age.String()
+}
+
+// followReader subscribes to a reader and applies its updates.
+func (f *Feed) followReader(ctx context.Context, source Source) error {
+	conn, err := f.open(ctx, source)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if err := sendAsk(conn, &wire.Ask{Revision: f.knownRevision()}); err != nil {
+		return err
+	}
+	requestCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.forwardRequests(requestCtx, conn)
+	return f.receive(conn, source)
+}
+
+func (f *Feed) open(ctx context.Context, source Source) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	return f.network.Open(ctx, source.Reader)
+}
+
+func sendAsk(conn net.Conn, ask *wire.Ask) error {
+	conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return seamframe.Write(conn, seamframe.FeedAsk, ask)
+}
+
+// forwardRequests sends the requests for the ownership tables. The subscription ends with an error if it cannot.
+func (f *Feed) forwardRequests(ctx context.Context, conn net.Conn) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.requests:
+		}
+		if err := sendAsk(conn, &wire.Ask{Read: true}); err != nil {
+			conn.Close()
+			return
+		}
+	}
+}
+
+// receive applies the updates of a subscription until it fails.
+func (f *Feed) receive(conn net.Conn, source Source) error {
+	frames, release := seamframe.NewReader(conn)
+	defer release()
+	started := time.Now()
+	var listed []seamstore.Entry
+	for {
+		now := time.Now()
+		conn.SetReadDeadline(now.Add(silenceTimeout))
+		update := new(wire.Update)
+		if err := frames.ReadMessage(seamframe.FeedUpdate, update); err != nil {
+			return errors.Wrapf(err, "subscription to %s", source)
+		}
+		now = time.Now()
+		age := time.Duration(update.GetAge()) * time.Millisecond
+		if update.GetDown() && (!source.AnyState || now.Sub(started) > anyStateTime) {
+			return &ReaderDownError{Reader: source.String(), Age: age}
+		}
+		f.setReaderContact(now.Add(-age))
+		changes := f.takeTables(now, update.GetChanges())
+		if !update.GetList() {
+			f.apply(now, changes, update.GetRevision())
+			continue
+		}
+		for _, c := range changes {
+			listed = append(listed, c.Entry)
+		}
+		if update.GetRevision() != 0 {
+			f.replace(now, listed, update.GetRevision())
+			listed = nil
+		}
+	}
+}
+
+func (f *Feed) setReaderContact(t time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readerContact = t
+}
+
+// takeTables applies the ownership tables among the changes and returns the other changes.
+func (f *Feed) takeTables(now time.Time, received []*wire.Change) []seamstore.Change {
+	changes := make([]seamstore.Change, 0, len(received))
+	for _, w := range received {
+		e := seamstore.Entry{Key: w.GetKey(), Value: w.GetValue(), Revision: w.GetRevision()}
+		if !w.GetTable() {
+			changes = append(changes, seamstore.Change{Entry: e, Deleted: w.GetDeleted()})
+			continue
+		}
+		if f.log.putTable(e) {
+			f.handler.PutTable(now, e)
+		}
+	}
+	return changes
+}
--- a/internal/member/seammembership/list.go
+++ b/internal/member/seammembership/list.go
@@ -28,6 +28,7 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
+	// view is the current snapshot; nil after a change, until the next call of View.
 	view    atomic.Pointer[View]
 	changed chan struct{}
 }
@@ -46,8 +47,6 @@
 	Members  map[string]Member
 	services map[string][]Member
 	holders  map[seamtable.Holder]Member
-	// timestamp is the time of the change that created the view.
-	timestamp time.Time
 }
 
 // ByService returns the members whose targets serve the service.
@@ -61,13 +60,23 @@
 
 // New returns an empty member list for the node named self.
 func New(self string, sink seamevent.Sink) *MemberList {
-	l := &MemberList{self: self, sink: sink, members: map[string]*memberState{}, changed: make(chan struct{})}
-	l.publish(time.Time{})
-	return l
+	return &MemberList{self: self, sink: sink, members: map[string]*memberState{}, changed: make(chan struct{})}
 }
 
 // View returns the current snapshot.
-func (l *MemberList) View() *View { return l.view.Load() }
+func (l *MemberList) View() *View {
+	if v := l.view.Load(); v != nil {
+		return v
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.view.Load(); v != nil {
+		return v
+	}
+	v := l.snapshot()
+	l.view.Store(v)
+	return v
+}
 
 // Changed returns a channel that is closed at the next change.
 func (l *MemberList) Changed() <-chan struct{} {
@@ -90,7 +99,7 @@
 		return
 	}
 	l.members[m.Peer.Name] = &memberState{Member: m}
-	l.publish(now)
+	l.publish()
 	if old == nil || old.Peer.Incarnation != m.Peer.Incarnation || !old.expiredAt.IsZero() || old.Member != m {
 		l.sink.Emit(now, seamevent.MemberJoined, seamevent.Fields{
 			"member": m.Peer.String(), "address": m.Peer.Address, "target": m.Target.Holder().String(), "service": m.Target.Service,
@@ -130,7 +139,7 @@
 	}
 	// Unless an entry in the store confirms it, the member is removed after GracePeriod.
 	l.members[m.Peer.Name] = &memberState{Member: m, expiredAt: now}
-	l.publish(now)
+	l.publish()
 }
 
 // RemoveExpired removes the members whose entries expired at least GracePeriod ago, unless they are known to be alive. It
@@ -148,17 +157,24 @@
 func (l *MemberList) remove(now time.Time, name string) {
 	m := l.members[name]
 	delete(l.members, name)
-	l.publish(now)
+	l.publish()
 	l.sink.Emit(now, seamevent.MemberLost, seamevent.Fields{"member": m.Peer.String(), "lapsed": m.expiredAt})
 }
 
-// publish creates a new view and signals the change. mu must be held.
-func (l *MemberList) publish(now time.Time) {
+// publish invalidates the snapshot and signals the change. The next call of View takes a new snapshot, so that many changes
+// at once cost one. mu must be held.
+func (l *MemberList) publish() {
+	l.view.Store(nil)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// snapshot returns a view of the members. mu must be held.
+func (l *MemberList) snapshot() *View {
 	v := &View{
-		Members:   make(map[string]Member, len(l.members)),
-		services:  map[string][]Member{},
-		holders:   map[seamtable.Holder]Member{},
-		timestamp: now,
+		Members:  make(map[string]Member, len(l.members)),
+		services: map[string][]Member{},
+		holders:  make(map[seamtable.Holder]Member, len(l.members)),
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.members)) {
 		m := l.members[name].Member
@@ -169,7 +185,5 @@
 		v.services[m.Target.Service] = append(v.services[m.Target.Service], m)
 		v.holders[m.Target.Holder()] = m
 	}
-	l.view.Store(v)
-	close(l.changed)
-	l.changed = make(chan struct{})
+	return v
 }
--- a/internal/member/seammembership/member.go
+++ b/internal/member/seammembership/member.go
@@ -39,6 +39,8 @@
 	Peer seampeer.Peer
 	// Leaving reports whether the node is shutting down.
 	Leaving bool
+	// Memory is the memory limit of the node, in MiB; 0 means none.
+	Memory int
 	// Target is the node's target; its ID is empty if there is none.
 	Target Target
 }
@@ -63,6 +65,7 @@
 		Region:      m.Peer.Region,
 		Domain:      m.Peer.Domain,
 		Leaving:     m.Leaving,
+		Memory:      int32(m.Memory),
 	}
 	if m.Target.ID != "" {
 		e.Target = &wire.Target{
@@ -110,6 +113,7 @@
 			Domain:      e.GetDomain(),
 		},
 		Leaving: e.GetLeaving(),
+		Memory:  int(e.GetMemory()),
 		Target: Target{
 			Service: t.GetService(),
 			ID:      t.GetId(),
--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -25,8 +25,8 @@
 	OnCallDuration func(call string, took time.Duration, err error)
 	// WatchTimeout returns the time without changes after which a watch is reopened.
 	WatchTimeout func() time.Duration
-	// ChangeBatchDelay returns how long a watch collects further changes after the first one.
-	ChangeBatchDelay func() time.Duration
+	// ChangeBatchDelay is how long a watch collects further changes after the first one.
+	ChangeBatchDelay time.Duration
 }
 
 // Targets receives the announcements of the node's target.
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cardamomseam/internal/member/seamannounce"
+	"cardamomseam/internal/member/seamfeed"
 	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/node/seamsetting"
@@ -19,7 +20,6 @@
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamholder"
-	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -54,7 +54,7 @@
 	members      *seammembership.MemberList
 	registration *seammembership.Registration
 	registry     *seamelection.Registry
-	mirror       *seammirror.Mirror
+	feed         *seamfeed.Feed
 	routes       *seamroutes.ActiveTable
 	rawRoutes    atomic.Pointer[rawRoutes]
 	targets      *seamannounce.Registry
@@ -140,6 +140,7 @@
 	n.sessions = sessions
 	c.Add(stop)
 	sessions.Register(seamsession.Sync, syncHandler{n})
+	sessions.Register(seamsession.Feed, n.feed)
 	sessions.Register(seamsession.Heartbeats, heartbeatHandler{n})
 	sessions.Register(seamsession.Resignations, resignationHandler{n})
 	return nil
--- a/internal/node/seamrouter/operator.go
+++ b/internal/node/seamrouter/operator.go
@@ -9,6 +9,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
+	"cardamomseam/internal/member/seamfeed"
 	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/own/seamtable"
 )
@@ -28,6 +29,8 @@
 	// Store reports whether the store is reachable, and StoreSince since when that has been so.
 	Store      bool      `json:"store"`
 	StoreSince time.Time `json:"storesince"`
+	// Feed tells where the node gets the changes of the store from, and how current they are.
+	Feed seamfeed.Status `json:"feed"`
 	// Routes is the revision of the routes in effect.
 	Routes  int64                   `json:"routes"`
 	Members []seammembership.Member `json:"members"`
@@ -61,6 +64,7 @@
 		Ready:      n.Ready(),
 		Store:      ok,
 		StoreSince: since,
+		Feed:       n.feed.Status(),
 		Routes:     n.routes.Revision(),
 		Leaders:    map[string]string{},
 		Tables:     map[string]Assignment{},
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
+	"cardamomseam/internal/member/seamfeed"
 	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/observe/seamstall"
 	"cardamomseam/internal/own/seamelection"
-	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/rule/seamroutes"
@@ -31,9 +31,7 @@
 	domainWatchInterval = 800 * time.Millisecond
 	// changeBatchDelay is how long a watch collects further changes after a change. Each reply to a watch counts
 	// as a call to the store.
-	changeBatchDelay = time.Second
-	// candidateBatchDelay replaces changeBatchDelay on the nodes that are the first candidates to succeed an assigner.
-	candidateBatchDelay = 400 * time.Millisecond
+	changeBatchDelay = 400 * time.Millisecond
 	// minWatchTimeout is the shortest time for which a watch stays open without changes.
 	minWatchTimeout = 200 * time.Millisecond
 	// maxWatchTimeout is the longest time for which a watch stays open without changes.
@@ -71,22 +69,36 @@
 	return h.lastChange, h.reachable && now.Sub(h.lastSuccess) < storeFreshFor
 }
 
+// mayBeReachable reports whether the store is reachable or no call has ended yet.
+func (h *storeHealth) mayBeReachable(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.known || h.reachable && now.Sub(h.lastSuccess) < storeFreshFor
+}
+
+// lastContact returns when a call last succeeded.
+func (h *storeHealth) lastContact() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastSuccess
+}
+
 func (n *Node) startStore(c *seamstart.Cleanups, _ Options) error {
 	store, stop := n.adapter.Store(StoreConfig{
 		Addresses:        n.settings.Store,
 		OnCallEnd:        n.onStoreCallEnd,
 		OnCallDuration:   n.recordStoreCall,
-		WatchTimeout:     n.watchTimeout,
-		ChangeBatchDelay: n.watchBatchDelay,
+		WatchTimeout:     watchTimeout,
+		ChangeBatchDelay: changeBatchDelay,
 	})
 	n.store = store
 	c.Add(stop)
 	n.members = seammembership.New(n.self.Name, n.sink)
 	n.registry = seamelection.NewRegistry(n.sink)
 	n.routes = seamroutes.NewActiveTable(n.sink)
-	n.registration = seammembership.NewRegistration(store, seammembership.Member{Peer: n.self}, n.sink)
+	n.registration = seammembership.NewRegistration(store, seammembership.Member{Peer: n.self, Memory: n.settings.Memory}, n.sink)
 	// One watch makes fewer store calls than separate watches for the routes and the other keys.
-	n.mirror = seammirror.New(store, n.adapter.WatchPrefix, storeReader{n}, n.sink)
+	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, &feedNetwork{node: n}, n.sink)
 	return nil
 }
 
@@ -113,7 +125,7 @@
 
 // startStoreSync starts the background tasks that exchange state with the store and with peers.
 func (n *Node) startStoreSync(c *seamstart.Cleanups, _ Options) error {
-	c.Add(seamstart.Background(n.mirror.Run))
+	c.Add(seamstart.Background(n.feed.Run))
 	c.Add(seamstart.Background(n.pollTables))
 	c.Add(seamstart.Background(n.registration.Run))
 	c.Add(seamstart.Background(n.sweep))
@@ -133,38 +145,21 @@
 	})
 }
 
-// watchTimeout returns the time after which a watch is reopened.
-func (n *Node) watchTimeout() time.Duration {
-	inDomain := 0
-	for _, m := range n.members.View().Members {
-		if m.Peer.Domain == n.self.Domain {
-			inDomain++
-		}
-	}
-	return jitteredWatchTimeout(inDomain, rand.Float64())
+// watchTimeout returns the time after which a reader reopens its watch.
+func watchTimeout() time.Duration {
+	return jitteredWatchTimeout(seamfeed.ReadersPerDomain, rand.Float64())
 }
 
-// jitteredWatchTimeout returns the time after which one of the given number of nodes in a failure domain reopens its
+// jitteredWatchTimeout returns the time after which one of the given number of readers in a failure domain reopens its
 // watch. A watch may report nothing although keys change. Nodes learn each other's revisions, so it is enough that
-// some node reopens its watch about every domainWatchInterval. A change ends all watches at the same moment;
-// random, in [0, 1), spreads the next reopenings uniformly over (nodes+1) * domainWatchInterval, so that the
+// some reader reopens its watch about every domainWatchInterval. A change ends all watches at the same moment;
+// random, in [0, 1), spreads the next reopenings uniformly over (readers+1) * domainWatchInterval, so that the
 // earliest of them is on average about domainWatchInterval away.
-func jitteredWatchTimeout(nodes int, random float64) time.Duration {
-	upper := min(time.Duration(max(nodes, 1)+1)*domainWatchInterval, maxWatchTimeout)
+func jitteredWatchTimeout(readers int, random float64) time.Duration {
+	upper := min(time.Duration(max(readers, 1)+1)*domainWatchInterval, maxWatchTimeout)
 	return max(time.Duration(random*float64(upper)), minWatchTimeout)
 }
 
-// watchBatchDelay returns how long a watch collects further changes after a change. The first candidates to
-// succeed an assigner use a shorter delay.
-func (n *Node) watchBatchDelay() time.Duration {
-	for _, e := range n.allElectors() {
-		if rank, _ := (knownPeers{n}).Rank(e.Service()); rank < seamelection.ImmediateCandidates {
-			return candidateBatchDelay
-		}
-	}
-	return changeBatchDelay
-}
-
 // storeReader applies the keys read from the store to the node's view.
 type storeReader struct {
 	node *Node
@@ -199,6 +194,12 @@
 	s.node.registry.Synced(now)
 }
 
+// PutTable applies an ownership table that a reader sent.
+func (s storeReader) PutTable(now time.Time, e seamstore.Entry) { s.node.registry.Put(now, e) }
+
+// TablesWanted triggers a current read of the tables for a subscriber.
+func (s storeReader) TablesWanted() { s.node.requestTableRead() }
+
 // rawRoutes are the routes in the operators' format.
 type rawRoutes struct {
 	value    []byte
--- a/internal/node/seamrouter/tables.go
+++ b/internal/node/seamrouter/tables.go
@@ -25,19 +25,31 @@
 	}
 }
 
-// pollTables polls the owner tables. It makes a current read if a request waits for a new owner because the known
-// one is lost, and a stale read otherwise.
+// pollTables keeps the owner tables up to date and passes them on to subscribers. A node that subscribes to a reader gets
+// them from there, and asks for a current read when a request waits for a new owner.
 func (n *Node) pollTables(ctx context.Context) {
-	current := true
+	current := false
 	for ctx.Err() == nil {
-		for _, e := range n.readTables(ctx, current) {
-			n.registry.Put(time.Now(), e)
+		switch {
+		case !n.feed.Subscribed():
+			n.updateTables(ctx, current)
+		case current:
+			n.feed.RequestTables()
 		}
 		seamwait.For(ctx, minReadInterval)
 		current = seamwait.ForWake(ctx, staleReadInterval-minReadInterval, n.tablesWanted)
 	}
 }
 
+// updateTables reads the tables. It makes a current read if a request waits for a new owner because the known one is lost,
+// and a stale read otherwise.
+func (n *Node) updateTables(ctx context.Context, current bool) {
+	for _, e := range n.readTables(ctx, current) {
+		n.registry.Put(time.Now(), e)
+		n.feed.PublishTable(e)
+	}
+}
+
 // readTables returns the tables, or nothing if the store is unreachable; the store's client logs the reason.
 // If a current read fails, it falls back to a stale one.
 func (n *Node) readTables(ctx context.Context, current bool) []seamstore.Entry {
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -33,6 +33,8 @@
 	InvariantBroken      = "invariant.broken"
 	RequestDone          = "request.done"
 	StoreCallFailed      = "store.missed"
+	FeedSource           = "feed.source"
+	FeedFailed           = "feed.failed"
 	MemberJoined         = "member.joined"
 	MemberExpired        = "member.lapsed"
 	MemberLost           = "member.lost"
--- a/internal/own/seamelection/elector_test.go
+++ b/internal/own/seamelection/elector_test.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/stand/seamstandkv"
 )
 
@@ -52,21 +53,33 @@
 	stop         func()
 }
 
-// reader is the handler that passes the entries of the store to a registry.
-type reader struct {
-	*seamelection.Registry
+// follow passes the entries of the store to a registry until ctx ends. It lists them again when changes were missed.
+func follow(ctx context.Context, store *seamstandkv.Store, registry *seamelection.Registry) {
+	mirror := seammirror.New(registry)
+	for seamwait.For(ctx, followInterval) {
+		entries, revision, err := store.List(ctx, seamstore.Configuration, "")
+		if err != nil {
+			continue
+		}
+		mirror.Replace(time.Now(), entries, revision)
+		registry.Synced(time.Now())
+		// Watch returns when ctx ends or changes were missed.
+		_ = store.Watch(ctx, "", revision, func(changes []seamstore.Change) { mirror.Apply(time.Now(), changes) })
+	}
 }
 
+// followInterval is the time between two lists by follow.
+const followInterval = 5 * time.Millisecond
+
 // newNode starts a node that uses the store.
 func newNode(t *testing.T, store *seamstandkv.Store, name string, incarnation uint64, rank int) *node {
 	t.Helper()
 	sink := seamevent.NewStream(name)
 	n := &node{self: seampeer.Peer{Name: name, Incarnation: incarnation, Address: "127.0.0.1:1"}, registry: seamelection.NewRegistry(sink), resignations: make(chan seamelection.Resignation, 8)}
 	n.elector = seamelection.New(service, n.self, store, n.registry, seamclock.NewClock(), peers{rank, n.resignations}, sink)
-	mirror := seammirror.New(store, "", reader{n.registry}, sink)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { mirror.Run(ctx) })
+	running.Go(func() { follow(ctx, store, n.registry) })
 	running.Go(func() { n.elector.Run(ctx) })
 	n.stop = sync.OnceFunc(func() {
 		cancel()
--- a/internal/platform/seammirror/mirror.go
+++ b/internal/platform/seammirror/mirror.go
@@ -1,32 +1,14 @@
-// Package seammirror keeps a local copy of the store's keys under a prefix. It lists the keys once, watches for
-// changes, and lists again when changes were missed.
+// Package seammirror keeps a local copy of the store's keys under a prefix. The copy takes lists and changes from any
+// source, in any order, and never goes back to an older revision of a key.
 package seammirror
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seamstore"
-	"cardamomseam/internal/platform/seamwait"
-)
-
-const (
-	// backoffInitial and backoffMax bound the delay after a failed list.
-	backoffInitial = 100 * time.Millisecond
-	backoffMax     = 1 * time.Second
 )
 
-// Store is the part of seamstore.Store that a mirror uses.
-type Store interface {
-	List(ctx context.Context, p seamstore.Priority, prefix string) ([]seamstore.Entry, int64, error)
-	Watch(ctx context.Context, prefix string, from int64, f func([]seamstore.Change)) error
-}
-
 // Handler receives the changes of a mirror. Calls are not concurrent.
 type Handler interface {
 	// Put is called for a key that was written or that a list found.
@@ -34,73 +16,25 @@
 	// Delete is called for a key that was deleted. timeUnknown is set if a list found the key missing,
 	// so that the time of the deletion is unknown.
 	Delete(now time.Time, key string, timeUnknown bool)
-	// Synced is called after each complete list.
-	Synced(now time.Time)
 }
 
 // Mirror is a local copy of the store's keys under a prefix. It is safe for concurrent use.
 type Mirror struct {
-	store   Store
-	prefix  string
 	handler Handler
-	sink    seamevent.Sink
 
 	mu sync.Mutex
-	// known holds the revision of each key. A deleted key keeps the revision of its deletion
+	// known holds the latest change of each key. A deleted key keeps the revision of its deletion
 	// until the next list.
-	known map[string]version
+	known map[string]seamstore.Change
 }
 
-// version is the last known revision of a key.
-type version struct {
-	revision int64
-	deleted  bool
-}
-
-// New returns a mirror that reports changes to handler.
-func New(store Store, prefix string, handler Handler, sink seamevent.Sink) *Mirror {
-	return &Mirror{store: store, prefix: prefix, handler: handler, sink: sink, known: map[string]version{}}
-}
-
-// Run keeps the copy up to date until ctx ends.
-func (m *Mirror) Run(ctx context.Context) {
-	for attempt := 0; ctx.Err() == nil; {
-		revision, err := m.list(ctx)
-		if err != nil {
-			attempt++
-			m.report("list", err)
-			seamwait.For(ctx, backoff(attempt))
-			continue
-		}
-		attempt = 0
-		m.watch(ctx, revision)
-	}
-}
-
-func backoff(attempt int) time.Duration {
-	bound := min(backoffInitial<<min(attempt-1, 8), backoffMax)
-	return bound/2 + rand.N(bound/2)
-}
-
-func (m *Mirror) report(call string, err error) {
-	m.sink.Emit(time.Now(), seamevent.StoreCallFailed, seamevent.Fields{"call": call, "prefix": m.prefix, "error": err.Error()})
-}
-
-// watch reports changes until ctx ends or changes were missed.
-func (m *Mirror) watch(ctx context.Context, revision int64) {
-	err := m.store.Watch(ctx, m.prefix, revision, func(changes []seamstore.Change) { m.apply(time.Now(), changes) })
-	var compacted *seamstore.CompactedError
-	if errors.As(err, &compacted) {
-		m.report("watch", err)
-	}
+// New returns an empty mirror that reports changes to handler.
+func New(handler Handler) *Mirror {
+	return &Mirror{handler: handler, known: map[string]seamstore.Change{}}
 }
 
-func (m *Mirror) list(ctx context.Context) (int64, error) {
-	entries, revision, err := m.store.List(ctx, seamstore.Configuration, m.prefix)
-	if err != nil {
-		return 0, err
-	}
-	now := time.Now()
+// Replace takes a complete list of the keys as of a revision. Keys that are known at a later revision are kept.
+func (m *Mirror) Replace(now time.Time, entries []seamstore.Entry, revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -108,39 +42,59 @@
 		listed[e.Key] = true
 		m.put(now, e)
 	}
-	for key, v := range m.known {
-		if listed[key] || v.revision > revision {
+	for key, c := range m.known {
+		if listed[key] || c.Revision > revision {
 			continue
 		}
 		delete(m.known, key)
-		if !v.deleted {
+		if !c.Deleted {
 			m.handler.Delete(now, key, true)
 		}
 	}
-	m.handler.Synced(now)
-	return revision, nil
 }
 
-func (m *Mirror) put(now time.Time, e seamstore.Entry) {
-	if e.Revision <= m.known[e.Key].revision {
-		return
+// Apply takes changes and returns those that were new.
+func (m *Mirror) Apply(now time.Time, changes []seamstore.Change) []seamstore.Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	applied := make([]seamstore.Change, 0, len(changes))
+	for _, c := range changes {
+		if c.Deleted && m.remove(now, c) || !c.Deleted && m.put(now, c.Entry) {
+			applied = append(applied, c)
+		}
 	}
-	m.known[e.Key] = version{revision: e.Revision}
-	m.handler.Put(now, e)
+	return applied
 }
 
-func (m *Mirror) apply(now time.Time, changes []seamstore.Change) {
+// Entries returns the entries of the copy, in no particular order.
+func (m *Mirror) Entries() []seamstore.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, c := range changes {
+	entries := make([]seamstore.Entry, 0, len(m.known))
+	for _, c := range m.known {
 		if !c.Deleted {
-			m.put(now, c.Entry)
-			continue
+			entries = append(entries, c.Entry)
 		}
-		if c.Revision <= m.known[c.Key].revision {
-			continue
-		}
-		m.known[c.Key] = version{revision: c.Revision, deleted: true}
-		m.handler.Delete(now, c.Key, false)
 	}
+	return entries
+}
+
+// put applies a written key and reports whether it was new. The caller holds mu.
+func (m *Mirror) put(now time.Time, e seamstore.Entry) bool {
+	if e.Revision <= m.known[e.Key].Revision {
+		return false
+	}
+	m.known[e.Key] = seamstore.Change{Entry: e}
+	m.handler.Put(now, e)
+	return true
+}
+
+// remove applies the deletion of a key and reports whether it was new. The caller holds mu.
+func (m *Mirror) remove(now time.Time, c seamstore.Change) bool {
+	if c.Revision <= m.known[c.Key].Revision {
+		return false
+	}
+	m.known[c.Key] = c
+	m.handler.Delete(now, c.Key, false)
+	return true
 }
--- a/internal/platform/seammirror/mirror_test.go
+++ b/internal/platform/seammirror/mirror_test.go
@@ -1,119 +1,96 @@
 package seammirror_test
 
 import (
-	"context"
 	"maps"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
-	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
-	"cardamomseam/internal/stand/seamstandkv"
 )
 
 // copyHandler builds a copy from the changes that a mirror reports.
 type copyHandler struct {
-	mu   sync.Mutex
 	copy map[string]string
+	// unknown counts the deletions at an unknown time.
+	unknown int
 }
 
-func (r *copyHandler) Put(_ time.Time, e seamstore.Entry) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.copy[e.Key] = string(e.Value)
-}
+func (r *copyHandler) Put(_ time.Time, e seamstore.Entry) { r.copy[e.Key] = string(e.Value) }
 
-func (r *copyHandler) Delete(_ time.Time, key string, _ bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *copyHandler) Delete(_ time.Time, key string, timeUnknown bool) {
 	delete(r.copy, key)
+	if timeUnknown {
+		r.unknown++
+	}
 }
 
-func (*copyHandler) Synced(time.Time) {}
-
-func (r *copyHandler) all() map[string]string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return maps.Clone(r.copy)
+func entry(key, value string, revision int64) seamstore.Entry {
+	return seamstore.Entry{Key: key, Value: []byte(value), Revision: revision}
 }
 
-// waitTimeout limits the wait for the expected copy.
-const waitTimeout = 10 * time.Second
-
-func (r *copyHandler) expect(t *testing.T, want map[string]string) {
-	t.Helper()
-	for end := time.Now().Add(waitTimeout); ; time.Sleep(5 * time.Millisecond) {
-		d := cmp.Diff(want, r.all())
-		if d == "" {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatal(d)
-		}
-	}
+func put(key, value string, revision int64) seamstore.Change {
+	return seamstore.Change{Entry: entry(key, value, revision)}
 }
 
-// follow runs a mirror and returns its store and the copy of the keys under a/.
-func follow(t *testing.T) (*seamstandkv.Store, *copyHandler) {
-	t.Helper()
-	store, stop := seamstandkv.New()
-	t.Cleanup(stop)
-	r := &copyHandler{copy: map[string]string{}}
-	m := seammirror.New(store, "a/", r, seamevent.NewStream("n"))
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { m.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
-	return store, r
+func deletion(key string, revision int64) seamstore.Change {
+	return seamstore.Change{Entry: seamstore.Entry{Key: key, Revision: revision}, Deleted: true}
 }
 
-func remove(t *testing.T, store *seamstandkv.Store, key string) {
-	t.Helper()
-	e, err := store.Get(context.Background(), seamstore.Takeover, key)
-	if err != nil {
-		t.Fatal(err)
+var now = time.Unix(1000, 0)
+
+func TestMirrorNeverGoesBack(t *testing.T) {
+	type step func(m *seammirror.Mirror)
+	apply := func(changes ...seamstore.Change) step {
+		return func(m *seammirror.Mirror) { m.Apply(now, changes) }
 	}
-	if err := store.Delete(context.Background(), seamstore.Takeover, key, e.Revision); err != nil {
-		t.Fatal(err)
+	replace := func(revision int64, entries ...seamstore.Entry) step {
+		return func(m *seammirror.Mirror) { m.Replace(now, entries, revision) }
+	}
+	for name, tt := range map[string]struct {
+		steps   []step
+		want    map[string]string
+		unknown int
+	}{
+		"changes in order":               {[]step{apply(put("a", "x", 1), put("a", "y", 2))}, map[string]string{"a": "y"}, 0},
+		"older change":                   {[]step{apply(put("a", "y", 2), put("a", "x", 1))}, map[string]string{"a": "y"}, 0},
+		"older change after deletion":    {[]step{apply(put("a", "x", 1), deletion("a", 3), put("a", "y", 2))}, map[string]string{}, 0},
+		"older deletion":                 {[]step{apply(put("a", "x", 3), deletion("a", 2))}, map[string]string{"a": "x"}, 0},
+		"list without a known key":       {[]step{apply(put("a", "x", 1)), replace(2)}, map[string]string{}, 1},
+		"older list without a known key": {[]step{apply(put("a", "x", 3)), replace(2)}, map[string]string{"a": "x"}, 0},
+		"older list with a deleted key":  {[]step{apply(put("a", "x", 1), deletion("a", 3)), replace(2, entry("a", "x", 1))}, map[string]string{}, 0},
+		"older list with an older value": {[]step{apply(put("a", "y", 3)), replace(2, entry("a", "x", 1))}, map[string]string{"a": "y"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &copyHandler{copy: map[string]string{}}
+			m := seammirror.New(r)
+			for _, s := range tt.steps {
+				s(m)
+			}
+			if d := cmp.Diff(tt.want, r.copy); d != "" {
+				t.Error(d)
+			}
+			if r.unknown != tt.unknown {
+				t.Errorf("%d deletions at an unknown time, want %d", r.unknown, tt.unknown)
+			}
+			entries := map[string]string{}
+			for _, e := range m.Entries() {
+				entries[e.Key] = string(e.Value)
+			}
+			if d := cmp.Diff(maps.Clone(r.copy), entries); d != "" {
+				t.Errorf("entries differ from the reported copy: %s", d)
+			}
+		})
 	}
 }
 
-func TestMirrorFollowsChanges(t *testing.T) {
-	store, r := follow(t)
-	store.Put("a/1", []byte("x"))
-	store.Put("b/1", []byte("other"))
-	r.expect(t, map[string]string{"a/1": "x"})
-	store.Put("a/1", []byte("y"))
-	store.Put("a/2", []byte("z"))
-	r.expect(t, map[string]string{"a/1": "y", "a/2": "z"})
-	remove(t, store, "a/1")
-	r.expect(t, map[string]string{"a/2": "z"})
-}
-
-func TestMirrorRelistsAfterCompaction(t *testing.T) {
-	store, r := follow(t)
-	store.Put("a/1", []byte("x"))
-	store.Put("a/2", []byte("x"))
-	r.expect(t, map[string]string{"a/1": "x", "a/2": "x"})
-	store.SetFaults(seamstandkv.Faults{SuppressWatches: true})
-	store.Put("a/1", []byte("y"))
-	remove(t, store, "a/2")
-	store.Compact()
-	store.SetFaults(seamstandkv.Faults{})
-	r.expect(t, map[string]string{"a/1": "y"})
-}
-
-func TestMirrorListsOnceStoreIsReachable(t *testing.T) {
-	store, r := follow(t)
-	store.SetFaults(seamstandkv.Faults{Down: true})
-	store.Put("a/1", []byte("x"))
-	store.SetFaults(seamstandkv.Faults{})
-	r.expect(t, map[string]string{"a/1": "x"})
+func TestApplyReturnsNewChanges(t *testing.T) {
+	m := seammirror.New(&copyHandler{copy: map[string]string{}})
+	m.Apply(now, []seamstore.Change{put("a", "x", 2)})
+	got := m.Apply(now, []seamstore.Change{put("a", "x", 2), put("b", "y", 3)})
+	if d := cmp.Diff([]seamstore.Change{put("b", "y", 3)}, got); d != "" {
+		t.Error(d)
+	}
 }
--- a/internal/route/seamframe/frame.go
+++ b/internal/route/seamframe/frame.go
@@ -20,7 +20,7 @@
 // Type is the type of a frame.
 type Type int32
 
-// Types of frames, named after the messages that they carry. A Chunk carries raw bytes of a body.
+// Types of frames, named after the messages that they carry, those of package seamfeedwire with the prefix Feed. A Chunk carries raw bytes of a body.
 const (
 	RequestHead Type = 1
 	RequestEnd  Type = 2
@@ -37,9 +37,11 @@
 	Reply       Type = 13
 	Told        Type = 14
 	Farewell    Type = 15
+	FeedAsk     Type = 16
+	FeedUpdate  Type = 17
 
 	// maxType is the highest type.
-	maxType = Farewell
+	maxType = FeedUpdate
 )
 
 const (
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -30,6 +30,8 @@
 	Sync Kind = 8
 	// Resignations announce that a node no longer assigns the keys of a service.
 	Resignations Kind = 9
+	// Feed streams carry the changes of the store from a reader to a subscriber.
+	Feed Kind = 10
 	// relayKind streams are relayed to another peer.
 	relayKind Kind = 5
 	// goAwayKind streams announce that the peer is shutting down.
