--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -32,7 +32,6 @@
 	RequestUnknown       = "request.unknown"
 	InvariantBroken      = "invariant.broken"
 	RequestDone          = "request.done"
-	StoreCallFailed      = "store.missed"
 	FeedSource           = "feed.source"
 	FeedFailed           = "feed.failed"
 	MemberJoined         = "member.joined"
--- a/internal/observe/seamlog/ratelimit.go
+++ b/internal/observe/seamlog/ratelimit.go
@@ -26,7 +26,7 @@
 		seamevent.RequestDone:          rate.NewLimiter(doneRate, doneBurst),
 		seamevent.RequestRefused:       rate.NewLimiter(failureRate, failureBurst),
 		seamevent.RequestUnknown:       rate.NewLimiter(failureRate, failureBurst),
-		seamevent.StoreCallFailed:      rate.NewLimiter(callRate, callBurst),
+		seamevent.FeedFailed:           rate.NewLimiter(callRate, callBurst),
 		seamevent.LeadershipCallFailed: rate.NewLimiter(callRate, callBurst),
 		seamevent.KeysFailed:           rate.NewLimiter(callRate, callBurst),
 		seamevent.RegistrationFailed:   rate.NewLimiter(callRate, callBurst),
