--- a/internal/member/seammembership/list.go
+++ b/internal/member/seammembership/list.go
@@ -49,8 +49,8 @@
 	holders  map[seamtable.Holder]Member
 }
 
-// ByService returns the members whose targets serve the service.
-func (v *View) ByService(service string) []Member { return v.services[service] }
+// Services returns the members by the service of their targets. It must not be changed.
+func (v *View) Services() map[string][]Member { return v.services }
 
 // ByHolder returns the member whose target is the given incarnation.
 func (v *View) ByHolder(h seamtable.Holder) (Member, bool) {
--- a/internal/member/seammembership/list_test.go
+++ b/internal/member/seammembership/list_test.go
@@ -39,7 +39,7 @@
 	list := seammembership.New("self", seamevent.NewStream("self"))
 	want := member("n1", 1)
 	list.Put(start, entry(t, want))
-	got := list.View().ByService("booker")
+	got := list.View().Services()["booker"]
 	if len(got) != 1 || got[0] != want {
 		t.Errorf("members of the service: %+v, want only n1", got)
 	}
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -58,7 +58,7 @@
 	expiresAt time.Time
 }
 
-func newTarget(t *testing.T, name, service string) *target {
+func newTarget(t testing.TB, name, service string) *target {
 	t.Helper()
 	g := &target{name: name, service: service, started: time.Now().UnixMilli()}
 	g.server = httptest.NewServer(g)
@@ -154,7 +154,7 @@
 
 // fleet is a set of nodes, each with its target, that share a store.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *seamstandkv.Store
 	nodes []*node
 
@@ -182,7 +182,7 @@
 )
 
 // freeAddress returns an unused loopback address.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range portCount {
 		port := minPort + rand.IntN(portCount)
@@ -202,7 +202,7 @@
 // assignedPorts are the ports that freeAddress has returned, which may not be bound yet.
 var assignedPorts sync.Map
 
-func newFleet(t *testing.T, services ...string) *fleet {
+func newFleet(t testing.TB, services ...string) *fleet {
 	t.Helper()
 	store, stop := seamstandkv.New()
 	t.Cleanup(stop)
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -49,9 +49,11 @@
 	sink      *seamlog.Log
 	ring      *seamtrace.Ring
 
-	store        seamstore.LeaseStore
-	health       storeHealth
-	members      *seammembership.MemberList
+	store   seamstore.LeaseStore
+	health  storeHealth
+	members *seammembership.MemberList
+	// candidates are those of the latest member list that a request has used.
+	candidates   atomic.Pointer[candidates]
 	registration *seammembership.Registration
 	registry     *seamelection.Registry
 	feed         *seamfeed.Feed
--- a/internal/route/seambalance/balancer.go
+++ b/internal/route/seambalance/balancer.go
@@ -37,8 +37,6 @@
 	overheadBytes = 1500
 	// lateUtility is the utility of a response after the objective; one within it has a utility of 1.
 	lateUtility = 0.2
-	// steepness is the exponent of the curve that gives the probability of completion in time.
-	steepness = 3.5
 	// sameDomainRTT, sameRegionRTT and crossRegionRTT are the assumed round-trip times to a node in the same
 	// failure domain, in the same region and in another region, in seconds.
 	sameDomainRTT  = 0.001
@@ -70,6 +68,10 @@
 
 	mu    sync.Mutex
 	nodes map[key]*node
+	// lookups holds the states of the candidates in each list passed to Pick, by the list's first element.
+	lookups map[*seampick.Candidate][]*node
+	// times is a buffer of Pick.
+	times []float64
 
 	ejections *metrics.Counter
 	crossings *metrics.Counter
@@ -90,32 +92,59 @@
 		cfg:       cfg,
 		self:      self,
 		nodes:     map[key]*node{},
+		lookups:   map[*seampick.Candidate][]*node{},
 		ejections: set.NewCounter("cardamomseam_choice_ejections_total"),
 		crossings: set.NewCounter("cardamomseam_choice_crossings_total"),
 	}
 }
 
 // Pick returns the candidate with the highest utility among those that are neither draining nor skipped.
-// Unreachable nodes are picked only if there is no other.
+// Unreachable nodes are picked only if there is no other. The elements of all must not change afterwards.
 func (b *Balancer) Pick(now time.Time, all []seampick.Candidate, q Query, skip func(seampeer.Peer) bool) (seampick.Candidate, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	median := b.medianServiceTime(all, q.Class)
-	var best seampick.Candidate
-	highest, found := math.Inf(-1), false
-	for _, candidate := range all {
+	nodes := b.findNodes(all)
+	median := b.medianServiceTime(nodes, q.Class)
+	best, highest := -1, math.Inf(-1)
+	for i := range all {
+		candidate := &all[i]
 		if candidate.Draining || skip != nil && skip(candidate.Peer) {
 			continue
 		}
-		u := b.utility(now, candidate, median, q) + b.cfg.Random()*maxJitter
+		u := b.utility(now, candidate, nodes[i], median, q) + b.cfg.Random()*maxJitter
 		if u > highest {
-			best, highest, found = candidate, u, true
+			best, highest = i, u
 		}
 	}
-	if found && best.Peer.Domain != b.self.Domain {
+	if best < 0 {
+		return seampick.Candidate{}, false
+	}
+	if all[best].Peer.Domain != b.self.Domain {
 		b.crossings.Inc()
 	}
-	return best, found
+	return all[best], true
+}
+
+// maxLookups is the number of lists of candidates whose states are kept.
+const maxLookups = 16
+
+// findNodes returns the state of each candidate, nil if there is none.
+func (b *Balancer) findNodes(all []seampick.Candidate) []*node {
+	if len(all) == 0 {
+		return nil
+	}
+	if nodes, ok := b.lookups[&all[0]]; ok && len(nodes) == len(all) {
+		return nodes
+	}
+	nodes := make([]*node, len(all))
+	for i := range all {
+		nodes[i] = b.nodes[keyOf(all[i].Peer)]
+	}
+	if len(b.lookups) >= maxLookups {
+		clear(b.lookups)
+	}
+	b.lookups[&all[0]] = nodes
+	return nodes
 }
 
 // unreachablePenalty is subtracted from the utility of an unreachable node.
@@ -123,25 +152,27 @@
 
 // medianServiceTime returns the median of the known service times of the class, in seconds. It is assumed for
 // targets without a known time, so that a new target gets its share and one slow target has no influence.
-func (b *Balancer) medianServiceTime(all []seampick.Candidate, class uint32) float64 {
-	var known []float64
-	for _, candidate := range all {
-		if n := b.nodes[keyOf(candidate.Peer)]; n != nil && n.classService[class].mean > 0 {
-			known = append(known, n.classService[class].mean)
+func (b *Balancer) medianServiceTime(nodes []*node, class uint32) float64 {
+	b.times = b.times[:0]
+	for _, n := range nodes {
+		if n == nil {
+			continue
+		}
+		if t := n.classService[class]; t.mean > 0 {
+			b.times = append(b.times, t.mean)
 		}
 	}
-	if len(known) == 0 {
+	if len(b.times) == 0 {
 		return defaultServiceTime
 	}
-	slices.Sort(known)
-	return known[(len(known)-1)/2]
+	slices.Sort(b.times)
+	return b.times[(len(b.times)-1)/2]
 }
 
-// utility estimates the utility of sending the request to the candidate, less the network cost. median is the
-// service time assumed for a target without a known one, in seconds.
-func (b *Balancer) utility(now time.Time, candidate seampick.Candidate, median float64, q Query) float64 {
-	n := b.nodes[keyOf(candidate.Peer)]
-	rtt, cost := b.networkCost(candidate.Peer, q)
+// utility estimates the utility of sending the request to the candidate, less the network cost. n is the candidate's
+// state, which may be nil. median is the service time assumed for a target without a known one, in seconds.
+func (b *Balancer) utility(now time.Time, candidate *seampick.Candidate, n *node, median float64, q Query) float64 {
+	rtt, cost := b.networkCost(&candidate.Peer, q)
 	latency := rtt + n.expectedLatency(now, candidate.Slots, q.Class, median)
 	prompt := completionProbability(latency, secondsOr(q.Objective, defaultObjective))
 	late := max(completionProbability(latency, secondsOr(q.Deadline, defaultDeadline))-prompt, 0)
@@ -153,10 +184,10 @@
 }
 
 // networkCost returns the round-trip time to a peer, in seconds, and the cost of sending the request.
-func (b *Balancer) networkCost(p seampeer.Peer, q Query) (rtt, cost float64) {
+func (b *Balancer) networkCost(p *seampeer.Peer, q Query) (rtt, cost float64) {
 	kilobytes := float64(overheadBytes+max(q.Bytes, 0)) / 1000
 	switch {
-	case p.Same(b.self):
+	case p.Domain == b.self.Domain && p.Same(b.self):
 		return 0, 0
 	case p.Domain == b.self.Domain:
 		return sameDomainRTT, 0
@@ -173,7 +204,10 @@
 	if limit <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Pow(mean/limit, steepness))
+	x := mean / limit
+	// The exponent 3.5 sets how steeply the probability falls around the limit. It is written out since math.Pow takes
+	// much longer, and this runs for each candidate.
+	return 1 / (1 + x*x*x*math.Sqrt(x))
 }
 
 func secondsOr(d time.Duration, fallback float64) float64 {
@@ -192,6 +226,7 @@
 		b.sweep(now)
 		n = newNode()
 		b.nodes[keyOf(peer)] = n
+		clear(b.lookups)
 	}
 	n.ownInFlight++
 	n.lastUsed = now
@@ -221,6 +256,7 @@
 	for k, n := range b.nodes {
 		if n.ownInFlight == 0 && now.Sub(n.lastUsed) > nodeTTL {
 			delete(b.nodes, k)
+			clear(b.lookups)
 		}
 	}
 }
--- a/internal/route/seambalance/node.go
+++ b/internal/route/seambalance/node.go
@@ -106,7 +106,7 @@
 
 // successRate returns the share of requests that the target serves.
 func (n *node) successRate(now time.Time) float64 {
-	if n == nil {
+	if n == nil || n.failureRate == 0 {
 		return 1
 	}
 	return 1 - n.failureRate*decay(now.Sub(n.failureRateAt), failureDecay)
