Start no request in place of one that a shutdown cancels

A request whose slot came free by a cancellation was started and then cancelled, so that its caller got 502 (may have run) where 503 (has not run) was true. Now the egress stops starting requests when the ingress cancels. The test drained only the ingress; it now tells the egress as the node does.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -11,6 +11,7 @@
 
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamelection"
+	"cardamomseam/internal/route/seamingress"
 )
 
 // sessionLeaveTimeout bounds the wait until other nodes have stopped using their sessions with this one.
@@ -20,7 +21,8 @@
 	n.sink.Emit(started, seamevent.NodeDraining, seamevent.Fields{"inflight": n.egress.InFlight()})
 	n.draining.Store(true)
 	if limit, ok := ctx.Deadline(); ok {
-		n.egress.SetShutdownDeadline(limit)
+		// When the ingress cancels what is in flight, a request that waits must not be started in place of one that ends.
+		n.egress.SetShutdownDeadline(limit.Add(-seamingress.FinalResponseMargin))
 	}
 	n.runner.NodeStopping()
 	n.withdrawElectors()
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -378,6 +378,10 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
+			if deadline, _ := ctx.Deadline(); tt.local {
+				// As the node does that drains its ingress and its egress.
+				back.egress.SetShutdownDeadline(deadline.Add(-seamingress.FinalResponseMargin))
+			}
 			if err := front.server.Drain(ctx, 10*time.Millisecond); err != nil {
 				t.Error(err)
 			}
--- a/internal/route/seamingress/shutdown.go
+++ b/internal/route/seamingress/shutdown.go
@@ -9,9 +9,9 @@
 	"cardamomseam/internal/route/seamoutcome"
 )
 
-// finalResponseMargin is the time before the drain deadline at which requests in flight are canceled, so that
+// FinalResponseMargin is the time before the drain deadline at which requests in flight are canceled, so that
 // their callers still get a response.
-const finalResponseMargin = 350 * time.Millisecond
+const FinalResponseMargin = 350 * time.Millisecond
 
 // errShuttingDown is the cancellation cause of requests in flight when the node shuts down.
 var errShuttingDown = errors.New("node is shutting down")
@@ -38,14 +38,14 @@
 	}
 }
 
-// cancelBefore cancels the requests in flight finalResponseMargin before the deadline of ctx. The returned function
+// cancelBefore cancels the requests in flight FinalResponseMargin before the deadline of ctx. The returned function
 // stops the timer.
 func (s shutdown) cancelBefore(ctx context.Context) (stop func()) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return func() {}
 	}
-	timer := time.AfterFunc(time.Until(deadline.Add(-finalResponseMargin)), s.cancel)
+	timer := time.AfterFunc(time.Until(deadline.Add(-FinalResponseMargin)), s.cancel)
 	return func() { timer.Stop() }
 }
 
