--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -43,10 +43,10 @@
 	Open(ctx context.Context, reader seampeer.Peer) (net.Conn, error)
 }
 
-// Handler receives the changes from a feed. Calls are not concurrent.
+// Handler receives the changes from a feed. Put, Delete and Synced are not called concurrently.
 type Handler interface {
 	seammirror.Handler
-	// Synced is called after each complete list.
+	// Synced is called after each complete list, except one after which the node still waits for others to register.
 	Synced(now time.Time)
 	// PutTable is called for an ownership table that a reader sent.
 	PutTable(now time.Time, e seamstore.Entry)
--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -134,11 +134,11 @@
 
 func (f *Feed) newUpdate(b batch) *wire.Update {
 	now := time.Now()
-	return &wire.Update{
-		List: b.list,
-		Down: !f.network.StoreReachable(now),
-		Age:  now.Sub(f.network.LastContact()).Milliseconds(),
+	update := &wire.Update{List: b.list, Down: !f.network.StoreReachable(now)}
+	if contact := f.network.LastContact(); !contact.IsZero() {
+		update.Age = now.Sub(contact).Milliseconds()
 	}
+	return update
 }
 
 func writeUpdate(conn net.Conn, update *wire.Update) error {
