Follow a reader of another domain while the second one is avoided

A node whose second reader had failed followed one reader for the 3 s for which the other is avoided, and that one was cut off from the store meanwhile, which it tells after its own calls have failed. Ruled out: load (the model's time is virtual). Now a reader of another domain takes the place. A list is now passed on as the changes that it brings, and a node that becomes a reader leaves its second one at once.

--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -80,9 +80,11 @@
 	settled bool
 
 	// applying is held while changes are applied, so that the mirror and the log take them in the same order. It guards
-	// the two fields below.
+	// the three fields below.
 	applying sync.Mutex
 	revision int64
+	// logged is whether the log has got the first complete list.
+	logged bool
 	// listed is whether the copy is complete, so that changes can be followed without another list.
 	listed bool
 
@@ -93,6 +95,8 @@
 	// serving is whether subscribers are served, and servingChanged is closed when that changes.
 	serving        bool
 	servingChanged chan struct{}
+	// sourceChanged is closed when source changes.
+	sourceChanged chan struct{}
 	// readerContact is when the store last answered the reader in use.
 	readerContact time.Time
 	// known is a copy of revision.
@@ -112,6 +116,7 @@
 		requests:       make(chan struct{}, 1),
 		selector:       NewSelector(),
 		servingChanged: make(chan struct{}),
+		sourceChanged:  make(chan struct{}),
 	}
 }
 
@@ -224,6 +229,10 @@
 	f.mu.Lock()
 	changed := f.source != s
 	f.source = s
+	if changed {
+		close(f.sourceChanged)
+		f.sourceChanged = make(chan struct{})
+	}
 	f.mu.Unlock()
 	if !s.FromStore() {
 		f.setServing(false)
@@ -259,8 +268,10 @@
 func (f *Feed) followUntil(ctx context.Context, stop func(now time.Time, v View) bool, source Source) error {
 	followCtx, cancel := context.WithCancel(ctx)
 	var checking sync.WaitGroup
+	changed := f.sourceChange()
 	checking.Go(func() {
-		for seamwait.For(followCtx, checkInterval) {
+		for seamwait.Until(followCtx, checkInterval, changed) {
+			changed = f.sourceChange()
 			if f.check(stop) {
 				cancel()
 			}
@@ -275,6 +286,13 @@
 	return err
 }
 
+// sourceChange returns a channel that is closed when the source changes.
+func (f *Feed) sourceChange() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sourceChanged
+}
+
 func (f *Feed) check(stop func(now time.Time, v View) bool) bool {
 	now := time.Now()
 	v := f.network.View(now)
@@ -337,10 +355,17 @@
 func (f *Feed) replace(now time.Time, entries []seamstore.Entry, revision int64) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	f.mirror.Replace(now, entries, revision)
+	changes := f.mirror.Replace(now, entries, revision)
 	f.listed = true
 	f.advance(revision)
-	f.log.reset(f.mirror.Entries(), f.revision)
+	if f.logged {
+		// Subscribers get the difference only, so that two nodes that still follow each other while their sources change don't
+		// send each other lists without end.
+		f.log.append(changes, f.revision)
+	} else {
+		f.log.reset(f.mirror.Entries(), f.revision)
+		f.logged = true
+	}
 	f.handler.Synced(now)
 }
 
--- a/internal/member/seamfeed/log.go
+++ b/internal/member/seamfeed/log.go
@@ -36,7 +36,7 @@
 	return &changeLog{entries: map[string]seamstore.Entry{}, tables: map[string]seamstore.Entry{}, changed: make(chan struct{})}
 }
 
-// reset replaces all entries by a complete list as of a revision.
+// reset starts the log with a complete list as of a revision.
 func (l *changeLog) reset(entries []seamstore.Entry, revision int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/member/seamfeed/selector.go
+++ b/internal/member/seamfeed/selector.go
@@ -97,13 +97,17 @@
 	return Source{Reader: local[0].Peer, AnyState: true}
 }
 
-// SelectBackup returns another reader of the failure domain to follow beside a reader; false if there is none.
+// SelectBackup returns a second reader to follow beside a reader: another one of the failure domain if it is usable, else one
+// of another domain; false if there is none.
 func (s *Selector) SelectBackup(now time.Time, v View, current Source) (Source, bool) {
 	if current.FromStore() {
 		return Source{}, false
 	}
 	local := withoutNode(withoutNode(Readers(v.Candidates, v.Self.Domain), v.Self.Name), current.Reader.Name)
 	reader, ok := s.firstUsable(now, local)
+	if !ok {
+		reader, ok = s.firstUsable(now, withoutNode(remoteReaders(v), current.Reader.Name))
+	}
 	return Source{Reader: reader}, ok
 }
 
--- a/internal/member/seamfeed/selector_test.go
+++ b/internal/member/seamfeed/selector_test.go
@@ -132,3 +132,19 @@
 		})
 	}
 }
+
+func TestBackupIsAnotherReader(t *testing.T) {
+	current := seamfeed.Source{Reader: candidate("ost-1-n0", "ost-1", 0).Peer}
+	v := seamfeed.View{Self: candidate("ost-1-n3", "ost-1", 0).Peer, Candidates: twoDomains(), StoreReachable: true}
+	s := seamfeed.NewSelector()
+	if got, ok := s.SelectBackup(start, v, current); !ok || got.Reader.Name != "ost-1-n1" {
+		t.Errorf("backup is %s, want ost-1-n1", got)
+	}
+	s.Failed(start, "ost-1-n1", 0)
+	if got, ok := s.SelectBackup(start, v, current); !ok || got.Reader.Domain != "ost-2" {
+		t.Errorf("backup is %s, want a reader of ost-2 while ost-1-n1 is avoided", got)
+	}
+	if got, ok := s.SelectBackup(start, v, seamfeed.Source{}); ok {
+		t.Errorf("backup of the store is %s, want none", got)
+	}
+}
--- a/internal/own/seamassign/hotload_test.go
+++ b/internal/own/seamassign/hotload_test.go
@@ -17,15 +17,17 @@
 
 // The load of a large service: 115 targets of three speeds, 1,850 requests a second.
 const (
-	loadTargets  = 115
-	loadRate     = 1850.0
-	loadSlots    = 10
-	meanWork     = 240 * time.Millisecond
-	loadStep     = 5 * time.Millisecond
-	beatInterval = 300 * time.Millisecond
+	loadTargets           = 115
+	loadRate              = 1850.0
+	loadSlots             = 10
+	meanWork              = 240 * time.Millisecond
+	loadStep              = 5 * time.Millisecond
+	loadHeartbeatInterval = 300 * time.Millisecond
 	// messageDelay is the time of a message between the assigner and a node, writeDelay that of a write to the store.
 	messageDelay = 13 * time.Millisecond
 	writeDelay   = 30 * time.Millisecond
+	// chunkUtilization is the part of a target's capacity that the requests for one reported chunk take.
+	chunkUtilization = 0.15
 	// ownerWait is how long a request waits for a new owner of its key.
 	ownerWait = 400 * time.Millisecond
 	// objective is the time within which a request must be served.
@@ -48,16 +50,16 @@
 
 // loadTarget is one target with its queue.
 type loadTarget struct {
-	holder   seamtable.Holder
-	speed    float64
-	usage    *seamusage.Usage
-	running  []runningRequest
-	queue    []loadRequest
-	ranges   []seamtable.Range
-	release  []seamtable.Range
-	released []seamassign.Released
-	revision int64
-	nextBeat time.Duration
+	holder        seamtable.Holder
+	speed         float64
+	usage         *seamusage.Usage
+	running       []runningRequest
+	queue         []loadRequest
+	ranges        []seamtable.Range
+	release       []seamtable.Range
+	released      []seamassign.Released
+	revision      int64
+	nextHeartbeat time.Duration
 	// service is the mean time of a request, in seconds.
 	service float64
 }
@@ -94,11 +96,11 @@
 	m.assigner = seamassign.New(seamassign.DefaultConfig(), loadInstant(0), self, seamclock.Instant{}, seamtable.Table{Service: "calendar"}, 0)
 	for i := range loadTargets {
 		target := &loadTarget{
-			holder:   seamtable.Holder{Target: fmt.Sprintf("t%03d", i), Born: 1, Address: fmt.Sprintf("10.0.0.%d:80", i)},
-			speed:    []float64{0.6, 1, 1.4}[i%3],
-			usage:    seamusage.New(),
-			nextBeat: time.Duration(m.random.Int64N(int64(beatInterval))),
-			service:  meanWork.Seconds(),
+			holder:        seamtable.Holder{Target: fmt.Sprintf("t%03d", i), Born: 1, Address: fmt.Sprintf("10.0.0.%d:80", i)},
+			speed:         []float64{0.6, 1, 1.4}[i%3],
+			usage:         seamusage.New(),
+			nextHeartbeat: time.Duration(m.random.Int64N(int64(loadHeartbeatInterval))),
+			service:       meanWork.Seconds(),
 		}
 		m.targets = append(m.targets, target)
 		m.owners[target.holder] = target
@@ -117,9 +119,9 @@
 		m.arrive()
 		for _, target := range m.targets {
 			m.work(target)
-			if m.now >= target.nextBeat {
-				target.nextBeat = m.now + beatInterval
-				m.beat(target)
+			if m.now >= target.nextHeartbeat {
+				target.nextHeartbeat = m.now + loadHeartbeatInterval
+				m.heartbeat(target)
 			}
 		}
 		m.retryWaiting()
@@ -222,15 +224,15 @@
 		}
 		target.released = append(target.released, seamassign.Released{Span: r.Span, Fence: r.Fence, Handover: "state"})
 		m.moved += r.Len()
-		m.beat(target)
+		m.heartbeat(target)
 		return true
 	})
 }
 
-// beat sends a heartbeat and applies the reply.
-func (m *loadModel) beat(target *loadTarget) {
+// heartbeat sends a heartbeat and applies the reply.
+func (m *loadModel) heartbeat(target *loadTarget) {
 	load := seamtable.Load{Concurrency: float64(len(target.running) + len(target.queue)), MaxConcurrency: loadSlots, ServiceTime: target.service}
-	load.Chunks, load.Rate = target.usage.Chunks(loadTime(m.now), target.ranges, 0.15*load.Capacity())
+	load.Chunks, load.Rate = target.usage.Chunks(loadTime(m.now), target.ranges, chunkUtilization*load.Capacity())
 	hb := seamassign.Heartbeat{
 		Epoch: m.assigner.Epoch(), Holder: target.holder, Node: seampeer.Peer{Name: target.holder.Target}, Revision: target.revision,
 		State: seamassign.Ready, Released: slices.Clone(target.released), Load: load,
--- a/internal/platform/seammirror/mirror.go
+++ b/internal/platform/seammirror/mirror.go
@@ -33,14 +33,18 @@
 	return &Mirror{handler: handler, known: map[string]seamstore.Change{}}
 }
 
-// Replace takes a complete list of the keys as of a revision. Keys that are known at a later revision are kept.
-func (m *Mirror) Replace(now time.Time, entries []seamstore.Entry, revision int64) {
+// Replace takes a complete list of the keys as of a revision, and returns the changes that were new. Keys that are known at
+// a later revision are kept. A key that is missing counts as deleted at the list's revision.
+func (m *Mirror) Replace(now time.Time, entries []seamstore.Entry, revision int64) []seamstore.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var changes []seamstore.Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
-		m.put(now, e)
+		if m.put(now, e) {
+			changes = append(changes, seamstore.Change{Entry: e})
+		}
 	}
 	for key, c := range m.known {
 		if listed[key] || c.Revision > revision {
@@ -48,9 +52,11 @@
 		}
 		delete(m.known, key)
 		if !c.Deleted {
+			changes = append(changes, seamstore.Change{Entry: seamstore.Entry{Key: key, Revision: revision}, Deleted: true})
 			m.handler.Delete(now, key, true)
 		}
 	}
+	return changes
 }
 
 // Apply takes changes and returns those that were new.
