Take back the change that asks a busy former owner less often

The former owner is the first to know the new one, so that asking it less often leaves requests without an owner for the 0.4 s that they wait. Ruled out as the only cause of refused lookups: load by such questions.

--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -56,10 +56,6 @@
 	retries   int
 	// ownerWaitEnd is the time at which the wait for a change of owner times out; zero if the request has not waited.
 	ownerWaitEnd time.Time
-	// ownerChecks is the number of checks for a new owner so far, and refusedBy the node that last refused the request
-	// because its owner changes.
-	ownerChecks int
-	refusedBy   seampeer.Peer
 	// bodyRequested is closed, and set to nil, when the node requests a body that was not sent with the head.
 	bodyRequested chan struct{}
 	// streamEmpty is true if no data follows the last response on its stream.
--- a/internal/route/seamingress/ownerwait.go
+++ b/internal/route/seamingress/ownerwait.go
@@ -17,8 +17,7 @@
 	// ownerRecheckInterval is the mean interval between checks for a new owner.
 	ownerRecheckInterval = 25 * time.Millisecond
 	// moveWaitTimeout and moveRecheckInterval replace defaultOwnerWaitTimeout and ownerRecheckInterval if the ingress is
-	// notified of owner changes. The interval doubles with each check, since the former owner of a hot key may be
-	// overloaded.
+	// notified of owner changes.
 	moveWaitTimeout     = 400 * time.Millisecond
 	moveRecheckInterval = 80 * time.Millisecond
 	// lossWaitTimeout replaces moveWaitTimeout if the owner's node is unreachable: its replacement
@@ -38,12 +37,10 @@
 	if x.ownerWaitEnd.IsZero() && !x.startOwnerWait(now, end.Reason) {
 		return 0, false
 	}
-	wait = x.ownerRecheckDelay(now)
+	wait = x.ingress.ownerRecheckDelay()
 	if now.Add(wait).After(x.ownerWaitEnd) || !x.hasTime(wait) {
 		return 0, false
 	}
-	x.ownerChecks++
-	x.refusedBy = to
 	x.redirects, x.excluded = 0, nil
 	x.hint = end.Owner
 	if end.Owner.Address == to.Address {
@@ -58,11 +55,7 @@
 	if last == nil {
 		return false
 	}
-	refusedBy := seampeer.Peer{}
-	if n := len(x.excluded); n > 0 {
-		refusedBy = x.excluded[n-1]
-	}
-	wait, retry := x.planOwnerWait(*last, refusedBy)
+	wait, retry := x.planOwnerWait(*last, seampeer.Peer{})
 	return retry && x.pause(ctx, wait)
 }
 
@@ -105,41 +98,21 @@
 	}
 }
 
-// ownerRecheckDelay returns the delay until the next check for an owner, with jitter if owners are polled. The last check
-// is at the end of the wait.
-func (x *exchange) ownerRecheckDelay(now time.Time) time.Duration {
-	if x.ingress.cfg.OwnersChanged == nil {
-		return ownerRecheckInterval/2 + rand.N(ownerRecheckInterval)
-	}
-	wait := moveRecheckInterval << x.ownerChecks
-	if left := x.ownerWaitEnd.Sub(now); left >= moveRecheckInterval {
-		return min(wait, left)
+// ownerRecheckDelay returns the delay until the next check for an owner, with jitter if owners are polled.
+func (i *Ingress) ownerRecheckDelay() time.Duration {
+	if i.cfg.OwnersChanged != nil {
+		return moveRecheckInterval
 	}
-	return wait
+	return ownerRecheckInterval/2 + rand.N(ownerRecheckInterval)
 }
 
-// pause waits before the next attempt. A wait for an owner ends early when another owner of the key is known. It reports
-// false if ctx is done.
+// pause waits before the next attempt. A wait for an owner ends early when owners change. It reports false if ctx
+// is done.
 func (x *exchange) pause(ctx context.Context, wait time.Duration) bool {
 	if x.ingress.cfg.OwnersChanged == nil || x.ownerWaitEnd.IsZero() || wait <= 0 {
 		return seamwait.For(ctx, wait)
 	}
-	end := time.Now().Add(wait)
-	for {
-		changed := x.ingress.cfg.OwnersChanged()
-		if x.ownerReplaced() {
-			return ctx.Err() == nil
-		}
-		if !seamwait.ForWake(ctx, time.Until(end), changed) {
-			return ctx.Err() == nil
-		}
-	}
-}
-
-// ownerReplaced reports whether another owner of the key is known than the node that last refused the request.
-func (x *exchange) ownerReplaced() bool {
-	p, ok := x.ingress.directory.Owner(x.service, x.head.GetSlot())
-	return ok && p.Address != x.refusedBy.Address
+	return seamwait.Until(ctx, wait, x.ingress.cfg.OwnersChanged())
 }
 
 // endOwnerWait ends the wait for an owner, if the request has waited for one.
