Send the table of a large service only to the holders that it concerns

At some 20 kB a table that is 2.3 MB a write, 0.9 s on a link of 20 Mbit/s, and a wave of moves makes several writes a second: leases, releases and new owners wait behind them. A reply to a heartbeat repeats what an update that was not sent says.

--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,8 +138,12 @@
 	return nil
 }
 
+// maxBroadcastBytes is the size of the tables sent to all holders after one write, in bytes. Above it, a holder whose keys
+// have not changed gets none: the tables of a large service would fill the link of the assigner's node.
+const maxBroadcastBytes = 64 << 10
+
 // notifyHolders sends each connected holder its current ranges if the version differs from the published one, and returns
-// the version that is published now.
+// the version that is published now. In a large service only those get them whose ranges or releases have changed.
 func (e *Elector) notifyHolders(published seamassign.Version) seamassign.Version {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -154,9 +159,10 @@
 		e.logFailure("encode", err)
 		return published
 	}
+	broadcast := len(table)*len(e.streams) <= maxBroadcastBytes
 	for s := range e.streams {
 		r, ok := e.assigner.Update(s.holder())
-		if !ok {
+		if !ok || !s.updateDue(r) && !broadcast {
 			continue
 		}
 		reply := seamassign.ReplyToWire(0, r)
@@ -173,11 +179,23 @@
 	conn    net.Conn
 	replies chan *wire.Reply
 
+	// sentRanges and sentRelease are those of the last update.
+	sentRanges, sentRelease []seamtable.Range
+
 	mu sync.Mutex
 	// lastHolder is the holder of the last heartbeat.
 	lastHolder seamtable.Holder
 }
 
+// updateDue reports whether an update differs from the last one, and records it.
+func (s *heartbeatStream) updateDue(r seamassign.Reply) bool {
+	if slices.Equal(s.sentRanges, r.Ranges) && slices.Equal(s.sentRelease, r.Release) {
+		return false
+	}
+	s.sentRanges, s.sentRelease = r.Ranges, r.Release
+	return true
+}
+
 func (s *heartbeatStream) holder() seamtable.Holder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
