--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -72,51 +71,34 @@
 	handler Handler
 	network Network
 	sink    seamevent.Sink
-	mirror  *seammirror.Mirror
-	log     *changeLog
+	replica *replica
 	// requests is signalled when the subscription should ask for the tables.
 	requests chan struct{}
 	// settled is whether the node has waited for the other nodes of its failure domain. It is used by Run only.
 	settled bool
 
-	// applying is held while changes are applied, so that the mirror and the log take them in the same order. It guards
-	// the three fields below.
-	applying sync.Mutex
-	revision int64
-	// logged is whether the log has got the first complete list.
-	logged bool
-	// listed is whether the copy is complete, so that changes can be followed without another list.
-	listed bool
-
 	// mu guards the fields below.
 	mu       sync.Mutex
 	selector *Selector
 	source   Source
-	// serving is whether subscribers are served, and servingChanged is closed when that changes.
-	serving        bool
-	servingChanged chan struct{}
 	// sourceChanged is closed when source changes.
 	sourceChanged chan struct{}
 	// readerContact is when the store last answered the reader in use.
 	readerContact time.Time
-	// known is a copy of revision.
-	known int64
 }
 
 // New returns a feed of the keys under the prefix.
 func New(store Store, prefix string, handler Handler, network Network, sink seamevent.Sink) *Feed {
 	return &Feed{
-		store:          store,
-		prefix:         prefix,
-		handler:        handler,
-		network:        network,
-		sink:           sink,
-		mirror:         seammirror.New(handler),
-		log:            newChangeLog(),
-		requests:       make(chan struct{}, 1),
-		selector:       NewSelector(),
-		servingChanged: make(chan struct{}),
-		sourceChanged:  make(chan struct{}),
+		store:         store,
+		prefix:        prefix,
+		handler:       handler,
+		network:       network,
+		sink:          sink,
+		replica:       newReplica(handler),
+		requests:      make(chan struct{}, 1),
+		selector:      NewSelector(),
+		sourceChanged: make(chan struct{}),
 	}
 }
 
@@ -138,10 +120,10 @@
 			continue
 		}
 		f.failed(now, source, err)
-		if source.FromStore() || source.AnyState {
+		if source.FromStore() || source.AllowDown {
 			// These sources are selected again although they failed.
+			seamwait.Jittered(ctx, min(backoffInitial<<min(attempt, 8), backoffMax))
 			attempt++
-			seamwait.For(ctx, backoff(attempt))
 		}
 	}
 }
@@ -188,12 +170,6 @@
 	f.selector.Failed(now, source.Reader.Name, now.Sub(since))
 }
 
-// backoff returns the delay after the given number of failed lists, jittered.
-func backoff(attempt int) time.Duration {
-	bound := min(backoffInitial<<min(attempt-1, 8), backoffMax)
-	return bound/2 + rand.N(bound/2)
-}
-
 // Status returns where the feed gets the changes from and how current they are.
 func (f *Feed) Status() Status {
 	f.mu.Lock()
@@ -202,7 +178,7 @@
 	if f.source.FromStore() {
 		contact = f.network.LastContact()
 	}
-	return Status{Source: f.source.String(), Revision: f.known, Contact: contact}
+	return Status{Source: f.source.String(), Revision: f.replica.revision.Load(), Contact: contact}
 }
 
 // Subscribed reports whether the feed follows a reader, which also sends the ownership tables.
@@ -222,7 +198,7 @@
 
 // PublishTable sends an ownership table to the subscribers, unless they have one as new.
 func (f *Feed) PublishTable(e seamstore.Entry) {
-	f.log.putTable(e)
+	f.replica.log.putTable(e)
 }
 
 func (f *Feed) setSource(s Source) {
@@ -234,24 +210,11 @@
 		f.sourceChanged = make(chan struct{})
 	}
 	f.mu.Unlock()
-	if !s.FromStore() {
-		f.setServing(false)
-	}
 	if changed {
 		f.report(s, nil)
 	}
 }
 
-func (f *Feed) setServing(serving bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.serving != serving {
-		f.serving = serving
-		close(f.servingChanged)
-		f.servingChanged = make(chan struct{})
-	}
-}
-
 // report logs the source in use, or why it was left.
 func (f *Feed) report(s Source, err error) {
 	status := f.Status()
@@ -311,18 +274,17 @@
 // followStore lists the keys unless they are known, and watches them. It returns nil if the changes since the last
 // known revision must be listed again.
 func (f *Feed) followStore(ctx context.Context) error {
-	if f.knownRevision() == 0 {
+	if f.replica.resumeFrom() == 0 {
 		if err := f.list(ctx); err != nil {
 			return err
 		}
 	}
-	f.setServing(true)
-	err := f.store.Watch(ctx, f.prefix, f.knownRevision(), func(changes []seamstore.Change) {
-		f.apply(time.Now(), changes, latestRevision(changes))
+	err := f.store.Watch(ctx, f.prefix, f.replica.resumeFrom(), func(changes []seamstore.Change) {
+		f.replica.apply(time.Now(), changes, latestRevision(changes))
 	})
 	var compacted *seamstore.CompactedError
 	if errors.As(err, &compacted) {
-		f.requireList()
+		f.replica.requireList()
 		f.report(Source{}, err)
 		return nil
 	}
@@ -338,43 +300,17 @@
 	}
 	now := time.Now()
 	if f.settled {
-		f.replace(now, entries, revision)
+		f.replica.replace(now, entries, revision)
 		return nil
 	}
 	f.settled = true
-	f.mirror.Replace(now, entries, revision)
-	if v := f.network.View(now); len(Readers(v.Candidates, v.Self.Domain)) > 1 {
-		f.replace(now, entries, revision)
-		return nil
-	}
-	seamwait.For(ctx, settleTime)
-	return f.list(ctx)
-}
-
-// replace takes a complete list as of a revision.
-func (f *Feed) replace(now time.Time, entries []seamstore.Entry, revision int64) {
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	changes := f.mirror.Replace(now, entries, revision)
-	f.listed = true
-	f.advance(revision)
-	if f.logged {
-		// Subscribers get the difference only, so that two nodes that still follow each other while their sources change don't
-		// send each other lists without end.
-		f.log.append(changes, f.revision)
-	} else {
-		f.log.reset(f.mirror.Entries(), f.revision)
-		f.logged = true
+	f.replica.preview(now, entries, revision)
+	if v := f.network.View(now); len(Readers(v.Candidates, v.Self.Domain)) <= 1 {
+		seamwait.For(ctx, settleTime)
+		return f.list(ctx)
 	}
-	f.handler.Synced(now)
-}
-
-// apply takes changes, after which all changes up to the revision are known.
-func (f *Feed) apply(now time.Time, changes []seamstore.Change, revision int64) {
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	f.advance(revision)
-	f.log.append(f.mirror.Apply(now, changes), revision)
+	f.replica.replace(now, entries, revision)
+	return nil
 }
 
 func latestRevision(changes []seamstore.Change) int64 {
@@ -384,28 +320,3 @@
 	}
 	return revision
 }
-
-// advance records that all changes up to the revision are known. The caller holds applying.
-func (f *Feed) advance(revision int64) {
-	f.revision = max(f.revision, revision)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.known = f.revision
-}
-
-// knownRevision returns the revision up to which all changes are known; 0 if the copy is not complete.
-func (f *Feed) knownRevision() int64 {
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	if !f.listed {
-		return 0
-	}
-	return f.revision
-}
-
-// requireList makes the feed list all keys before it follows changes again.
-func (f *Feed) requireList() {
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	f.listed = false
-}
--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -30,8 +30,11 @@
 		f.store.Put("a/1", []byte("x"))
 		f.store.Put("b/1", []byte("other"))
 		time.Sleep(settleTime)
+		n.expect(t, map[string]string{"a/1": "x"})
 		f.store.Put("a/1", []byte("y"))
 		f.store.Put("a/2", []byte("z"))
+		synctest.Wait()
+		n.expect(t, map[string]string{"a/1": "y", "a/2": "z"})
 		remove(t, f.store, "a/1")
 		synctest.Wait()
 		n.expect(t, map[string]string{"a/2": "z"})
@@ -44,6 +47,9 @@
 		f.store.Put("a/1", []byte("x"))
 		f.store.Put("a/2", []byte("x"))
 		time.Sleep(settleTime)
+		for _, n := range f.all() {
+			n.expect(t, map[string]string{"a/1": "x", "a/2": "x"})
+		}
 		f.store.SetFaults(seamstandkv.Faults{SuppressWatches: true})
 		f.store.Put("a/1", []byte("y"))
 		remove(t, f.store, "a/2")
--- a/internal/member/seamfeed/log.go
+++ b/internal/member/seamfeed/log.go
@@ -11,11 +11,13 @@
 // maxLogLength is the number of changes that a log keeps. A subscriber that is further behind gets a list.
 const maxLogLength = 4096
 
-// changeLog keeps a copy of the keys and the latest changes, from which the subscriptions are served. It is safe for
+// changeLog keeps the latest changes, from which the subscriptions are served. It is safe for
 // concurrent use.
 type changeLog struct {
+	// entries returns all present entries, which may be newer than the latest change.
+	entries func() []seamstore.Entry
+
 	mu      sync.Mutex
-	entries map[string]seamstore.Entry
 	tables  map[string]seamstore.Entry
 	changes []loggedChange
 	// first is the position of changes[0]; the position after the last change is first+len(changes).
@@ -23,7 +25,9 @@
 	// since is the revision from which on the log holds all changes of the keys other than the tables, and revision
 	// the one up to which it does.
 	since, revision int64
-	changed         chan struct{}
+	// listed is whether the log has got a complete list.
+	listed  bool
+	changed chan struct{}
 }
 
 // loggedChange is a change of a key, or of an ownership table if table is set.
@@ -32,23 +36,38 @@
 	table bool
 }
 
-func newChangeLog() *changeLog {
-	return &changeLog{entries: map[string]seamstore.Entry{}, tables: map[string]seamstore.Entry{}, changed: make(chan struct{})}
+func newChangeLog(entries func() []seamstore.Entry) *changeLog {
+	return &changeLog{entries: entries, tables: map[string]seamstore.Entry{}, changed: make(chan struct{})}
+}
+
+// list records a complete list as of a revision. The log starts with the first one; of later ones it takes the changes that
+// they brought, so that two nodes that still follow each other while their sources change don't send each other lists
+// without end.
+func (l *changeLog) list(changes []seamstore.Change, revision int64) {
+	if l.start(revision) {
+		return
+	}
+	l.append(changes, revision)
 }
 
-// reset starts the log with a complete list as of a revision.
-func (l *changeLog) reset(entries []seamstore.Entry, revision int64) {
+// start starts the log at a revision, and reports false if it has started before.
+func (l *changeLog) start(revision int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.entries)
-	for _, e := range entries {
-		l.entries[e.Key] = e
+	if l.listed {
+		return false
 	}
-	// All positions up to now become invalid, so that each subscription continues with a list.
-	l.first += int64(len(l.changes)) + 1
-	l.changes = nil
+	l.listed = true
 	l.since, l.revision = revision, revision
 	l.signal()
+	return true
+}
+
+// started reports whether the log can serve subscriptions, and returns a channel that is closed at the next change.
+func (l *changeLog) started() (started bool, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listed, l.changed
 }
 
 // append adds changes of keys. revision is the one up to which all changes are known then.
@@ -56,11 +75,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range changes {
-		if c.Deleted {
-			delete(l.entries, c.Key)
-		} else {
-			l.entries[c.Key] = c.Entry
-		}
 		l.add(loggedChange{Change: c})
 	}
 	l.revision = max(l.revision, revision)
@@ -159,8 +173,8 @@
 // all returns all entries and tables. The caller holds mu.
 func (l *changeLog) all() []loggedChange {
 	changes := l.allTables()
-	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
-		changes = append(changes, loggedChange{Change: seamstore.Change{Entry: l.entries[key]}})
+	for _, e := range l.entries() {
+		changes = append(changes, loggedChange{Change: seamstore.Change{Entry: e}})
 	}
 	return changes
 }
--- a/internal/member/seamfeed/selector.go
+++ b/internal/member/seamfeed/selector.go
@@ -28,8 +28,8 @@
 // Source is where a node gets the changes from: the store if Reader is zero, and that reader otherwise.
 type Source struct {
 	Reader seampeer.Peer
-	// AnyState accepts a reader that does not reach the store, since no better source is known.
-	AnyState bool
+	// AllowDown accepts a reader that does not reach the store, since no better source is known.
+	AllowDown bool
 }
 
 // FromStore reports whether the source is the store itself.
@@ -94,7 +94,7 @@
 	if isReader || len(local) == 0 {
 		return Source{}
 	}
-	return Source{Reader: local[0].Peer, AnyState: true}
+	return Source{Reader: local[0].Peer, AllowDown: true}
 }
 
 // SelectBackup returns a second reader to follow beside a reader: another one of the failure domain if it is usable, else one
--- a/internal/member/seamfeed/selector_test.go
+++ b/internal/member/seamfeed/selector_test.go
@@ -56,14 +56,14 @@
 		reachable bool
 		failed    []string
 		want      []string
-		anyState  bool
+		allowDown bool
 	}{
 		"reader":                                {self: local, reachable: true, want: []string{"store"}},
 		"other node":                            {self: "ost-1-n3", reachable: true, want: []string{local, other}},
 		"one reader failed":                     {self: "ost-1-n3", reachable: true, failed: []string{local}, want: []string{other}},
 		"both readers failed":                   {self: "ost-1-n3", reachable: true, failed: []string{local, other}, want: []string{"store"}},
 		"both failed, store out of reach":       {self: "ost-1-n3", failed: []string{local, other}, want: []string{remote + "0", remote + "1"}},
-		"all failed, store out of reach":        {self: "ost-1-n3", failed: []string{local, other, remote + "0", remote + "1"}, want: []string{local, other}, anyState: true},
+		"all failed, store out of reach":        {self: "ost-1-n3", failed: []string{local, other, remote + "0", remote + "1"}, want: []string{local, other}, allowDown: true},
 		"reader without the store":              {self: local, want: []string{other}},
 		"reader without the store, all failed":  {self: local, failed: []string{other, remote + "0", remote + "1"}, want: []string{"store"}},
 		"failed reader is used again afterward": {self: "ost-1-n3", reachable: true, failed: nil, want: []string{local, other}},
@@ -75,8 +75,8 @@
 			}
 			v := seamfeed.View{Self: candidate(tt.self, "ost-1", 0).Peer, Candidates: twoDomains(), StoreReachable: tt.reachable}
 			got := s.Select(start.Add(time.Second), v)
-			if got.AnyState != tt.anyState {
-				t.Errorf("any state %t, want %t", got.AnyState, tt.anyState)
+			if got.AllowDown != tt.allowDown {
+				t.Errorf("allow down %t, want %t", got.AllowDown, tt.allowDown)
 			}
 			name := "store"
 			if !got.FromStore() {
--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -38,7 +38,7 @@
 		defer cancel()
 		f.receiveRequests(frames)
 	}()
-	f.send(ctx, conn, f.log.after(ask.GetRevision()))
+	f.send(ctx, conn, f.replica.log.after(ask.GetRevision()))
 }
 
 // receiveRequests passes on a subscriber's requests for the ownership tables until the subscription ends.
@@ -54,29 +54,25 @@
 	}
 }
 
-// awaitServing waits up to servingWait until subscribers are served, and reports whether they are.
+// awaitServing waits up to servingWait until the node reads the store and knows all keys, and reports whether it does.
 func (f *Feed) awaitServing(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, servingWait)
 	defer cancel()
 	for {
-		serving, changed := f.servingState()
-		if serving {
+		sourceChanged := f.sourceChange()
+		started, changed := f.replica.log.started()
+		if started && !f.Subscribed() {
 			return true
 		}
 		select {
 		case <-ctx.Done():
 			return false
+		case <-sourceChanged:
 		case <-changed:
 		}
 	}
 }
 
-func (f *Feed) servingState() (serving bool, changed <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.serving, f.servingChanged
-}
-
 // send sends updates until the subscription fails or the node no longer reads the store.
 func (f *Feed) send(ctx context.Context, conn net.Conn, b batch) {
 	for {
@@ -86,20 +82,20 @@
 		if !f.awaitChange(ctx, b.changed) {
 			return
 		}
-		b = f.log.from(b.next)
+		b = f.replica.log.from(b.next)
 	}
 }
 
 // awaitChange waits for a change or the next heartbeat, and reports whether the subscription goes on.
 func (f *Feed) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
-	serving, servingChanged := f.servingState()
-	if !serving {
+	sourceChanged := f.sourceChange()
+	if f.Subscribed() {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-servingChanged:
+	case <-sourceChanged:
 		return false
 	case <-changed:
 		return true
@@ -109,7 +105,7 @@
 // sendHeartbeats wakes all subscriptions together once in a heartbeatInterval until ctx ends, which takes less processor
 // time than a timer for each.
 func (f *Feed) sendHeartbeats(ctx context.Context) {
-	seamwait.Every(ctx, heartbeatInterval, func(time.Time) { f.log.wake() })
+	seamwait.Every(ctx, heartbeatInterval, func(time.Time) { f.replica.log.wake() })
 }
 
 // sendBatch sends a batch as one or more updates. Only the last one has the revision.
--- a/internal/member/seamfeed/subscribe.go
+++ b/internal/member/seamfeed/subscribe.go
@@ -19,8 +19,8 @@
 	silenceTimeout = 3 * heartbeatInterval
 	// writeTimeout bounds one write to the other end of a subscription.
 	writeTimeout = 4 * time.Second
-	// anyStateTime is how long a node follows a reader that does not reach the store before it looks for another one.
-	anyStateTime = 5 * time.Second
+	// allowDownTime is how long a node follows a reader that does not reach the store before it looks for another one.
+	allowDownTime = 5 * time.Second
 )
 
 // ReaderDownError reports that a reader does not reach the store.
@@ -44,7 +44,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	if err := sendAsk(conn, &wire.Ask{Revision: f.knownRevision()}); err != nil {
+	if err := sendAsk(conn, &wire.Ask{Revision: f.replica.resumeFrom()}); err != nil {
 		return err
 	}
 	requestCtx, cancel := context.WithCancel(ctx)
@@ -94,20 +94,20 @@
 		}
 		now = time.Now()
 		age := time.Duration(update.GetAge()) * time.Millisecond
-		if update.GetDown() && (!source.AnyState || now.Sub(started) > anyStateTime) {
+		if update.GetDown() && (!source.AllowDown || now.Sub(started) > allowDownTime) {
 			return &ReaderDownError{Reader: source.String(), Age: age}
 		}
 		f.setReaderContact(now.Add(-age))
 		changes := f.takeTables(now, update.GetChanges())
 		if !update.GetList() {
-			f.apply(now, changes, update.GetRevision())
+			f.replica.apply(now, changes, update.GetRevision())
 			continue
 		}
 		for _, c := range changes {
 			listed = append(listed, c.Entry)
 		}
 		if update.GetRevision() != 0 {
-			f.replace(now, listed, update.GetRevision())
+			f.replica.replace(now, listed, update.GetRevision())
 			listed = nil
 		}
 	}
@@ -128,7 +128,7 @@
 			changes = append(changes, seamstore.Change{Entry: e, Deleted: w.GetDeleted()})
 			continue
 		}
-		if f.log.putTable(e) {
+		if f.replica.log.putTable(e) {
 			f.handler.PutTable(now, e)
 		}
 	}
--- /dev/null
+++ b/internal/node/seamrouter/candidates.go
@@ -0,0 +1,48 @@
+package seamrouter
+
+import (
+	"cardamomseam/internal/member/seamfeed"
+	"cardamomseam/internal/member/seammembership"
+	"cardamomseam/internal/route/seampick"
+)
+
+// candidates are the nodes to choose from, made from one view of the members.
+type candidates struct {
+	view *seammembership.View
+	// byService are the nodes whose targets serve a service.
+	byService map[string][]seampick.Candidate
+	// readers are the other nodes that may read the store for their failure domain.
+	readers []seamfeed.Candidate
+}
+
+// currentCandidates returns the candidates by the current view of the members. The result is the same until that changes.
+func (n *Node) currentCandidates() *candidates {
+	view := n.members.View()
+	known := n.candidates.Load()
+	if known == nil || known.view != view {
+		known = n.newCandidates(view)
+		n.candidates.Store(known)
+	}
+	return known
+}
+
+func (n *Node) newCandidates(view *seammembership.View) *candidates {
+	c := &candidates{view: view, byService: map[string][]seampick.Candidate{}}
+	for service, members := range view.Services() {
+		list := make([]seampick.Candidate, 0, len(members))
+		for _, m := range members {
+			list = append(list, seampick.Candidate{
+				Peer:     directory{n}.withoutIncarnation(m.Peer),
+				Slots:    m.Target.Slots,
+				Draining: m.Leaving || m.Target.Leaving || m.Target.Down,
+			})
+		}
+		c.byService[service] = list
+	}
+	for _, m := range view.Members {
+		if m.Peer.Name != n.self.Name && !m.Leaving {
+			c.readers = append(c.readers, seamfeed.Candidate{Peer: m.Peer, Capacity: m.Memory})
+		}
+	}
+	return c
+}
--- a/internal/node/seamrouter/feed.go
+++ b/internal/node/seamrouter/feed.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"net"
-	"sync"
+	"slices"
 	"time"
 
 	"cardamomseam/internal/member/seamfeed"
-	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamsession"
 )
@@ -15,52 +14,28 @@
 // feedNetwork gives the feed the node's view of the other nodes and connects it to them.
 type feedNetwork struct {
 	node *Node
-
-	mu sync.Mutex
-	// members is the member list from which candidates was made.
-	members    *seammembership.View
-	candidates []seamfeed.Candidate
 }
 
 // View returns the live nodes that are not shutting down, and whether the store is reachable. A node that shuts down is not
 // among the candidates, so that its subscribers turn to another reader.
-func (f *feedNetwork) View(now time.Time) seamfeed.View {
-	v := seamfeed.View{Self: f.node.self, Candidates: f.knownCandidates(), StoreReachable: f.StoreReachable(now)}
+func (f feedNetwork) View(now time.Time) seamfeed.View {
+	v := seamfeed.View{Self: f.node.self, Candidates: f.node.currentCandidates().readers, StoreReachable: f.StoreReachable(now)}
 	if !f.node.draining.Load() {
-		v.Candidates = append(v.Candidates, seamfeed.Candidate{Peer: f.node.self, Capacity: f.node.settings.Memory})
+		v.Candidates = append(slices.Clip(v.Candidates), seamfeed.Candidate{Peer: f.node.self, Capacity: f.node.settings.Memory})
 	}
 	return v
 }
 
-// knownCandidates returns the candidates other than this node.
-func (f *feedNetwork) knownCandidates() []seamfeed.Candidate {
-	members := f.node.members.View()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.members == members {
-		return f.candidates
-	}
-	f.members = members
-	f.candidates = make([]seamfeed.Candidate, 0, len(members.Members))
-	for _, m := range members.Members {
-		if m.Peer.Name != f.node.self.Name && !m.Leaving {
-			f.candidates = append(f.candidates, seamfeed.Candidate{Peer: m.Peer, Capacity: m.Memory})
-		}
-	}
-	f.candidates = f.candidates[:len(f.candidates):len(f.candidates)]
-	return f.candidates
-}
-
 // StoreReachable reports whether this node's own calls reach the store. A node that has made no call yet assumes so.
-func (f *feedNetwork) StoreReachable(now time.Time) bool {
+func (f feedNetwork) StoreReachable(now time.Time) bool {
 	return f.node.health.mayBeReachable(now)
 }
 
 // LastContact returns when the store last answered a call of this node.
-func (f *feedNetwork) LastContact() time.Time { return f.node.health.lastContact() }
+func (f feedNetwork) LastContact() time.Time { return f.node.health.lastContact() }
 
 // Open opens a subscription to a reader. The reader may have restarted since it registered.
-func (f *feedNetwork) Open(ctx context.Context, reader seampeer.Peer) (net.Conn, error) {
+func (f feedNetwork) Open(ctx context.Context, reader seampeer.Peer) (net.Conn, error) {
 	reader.Incarnation = 0
 	return f.node.sessions.Open(ctx, reader, seamsession.Feed)
 }
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -52,7 +52,7 @@
 	store   seamstore.LeaseStore
 	health  storeHealth
 	members *seammembership.MemberList
-	// candidates are those of the latest member list that a request has used.
+	// candidates are those of the latest view of the members that was used.
 	candidates   atomic.Pointer[candidates]
 	registration *seammembership.Registration
 	registry     *seamelection.Registry
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cardamomseam/internal/member/seamannounce"
-	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/node/seamstart"
@@ -132,35 +131,7 @@
 
 // Candidates returns the nodes whose targets serve the service. The result is the same slice until the members change.
 func (d directory) Candidates(service string) []seampick.Candidate {
-	view := d.node.members.View()
-	known := d.node.candidates.Load()
-	if known == nil || known.view != view {
-		known = d.newCandidates(view)
-		d.node.candidates.Store(known)
-	}
-	return known.byService[service]
-}
-
-// candidates are the candidates of each service, made from one view of the members.
-type candidates struct {
-	view      *seammembership.View
-	byService map[string][]seampick.Candidate
-}
-
-func (d directory) newCandidates(view *seammembership.View) *candidates {
-	c := &candidates{view: view, byService: map[string][]seampick.Candidate{}}
-	for service, members := range view.Services() {
-		list := make([]seampick.Candidate, 0, len(members))
-		for _, m := range members {
-			list = append(list, seampick.Candidate{
-				Peer:     d.withoutIncarnation(m.Peer),
-				Slots:    m.Target.Slots,
-				Draining: m.Leaving || m.Target.Leaving || m.Target.Down,
-			})
-		}
-		c.byService[service] = list
-	}
-	return c
+	return d.node.currentCandidates().byService[service]
 }
 
 // startServers starts the HTTP servers for announcements, health checks and operators.
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -66,14 +66,19 @@
 func (h *storeHealth) reachableSince(now time.Time) (since time.Time, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lastChange, h.reachable && now.Sub(h.lastSuccess) < storeFreshFor
+	return h.lastChange, h.isReachable(now)
+}
+
+// isReachable reports whether the last call reached the store and one has succeeded lately. The caller holds mu.
+func (h *storeHealth) isReachable(now time.Time) bool {
+	return h.reachable && now.Sub(h.lastSuccess) < storeFreshFor
 }
 
 // mayBeReachable reports whether the store is reachable or no call has ended yet.
 func (h *storeHealth) mayBeReachable(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.known || h.reachable && now.Sub(h.lastSuccess) < storeFreshFor
+	return !h.known || h.isReachable(now)
 }
 
 // lastContact returns when a call last succeeded.
@@ -98,7 +103,7 @@
 	n.routes = seamroutes.NewActiveTable(n.sink)
 	n.registration = seammembership.NewRegistration(store, seammembership.Member{Peer: n.self, Memory: n.settings.Memory}, n.sink)
 	// One watch makes fewer store calls than separate watches for the routes and the other keys.
-	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, &feedNetwork{node: n}, n.sink)
+	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, feedNetwork{n}, n.sink)
 	return nil
 }
 
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -13,109 +13,6 @@
 	"cardamomseam/internal/own/seamtable"
 )
 
-// Config holds the time limits and thresholds of an assigner.
-type Config struct {
-	// Lease is the duration of a lease while the store is reachable, counted from the time at which the node sent the
-	// heartbeat.
-	Lease time.Duration
-	// Margin is a safety margin added to the end of a holder's lease before its keys are reassigned.
-	Margin time.Duration
-	// MaxClockDrift is the fraction by which another machine's clock may run slow.
-	MaxClockDrift float64
-	// MaxStoreOutage is how long an assigner keeps granting leases without reaching the store.
-	MaxStoreOutage time.Duration
-	// LongLeaseDelay is the length of a store outage after which leases may last longer than Lease, up to MaxLongLease.
-	// Holders then keep working if the assigner stops too: no successor can be elected without the store.
-	LongLeaseDelay time.Duration
-	// MaxLongLease is the maximum duration of a lease during a store outage.
-	MaxLongLease time.Duration
-	// SettleDelay is the time without a new target after which keys are assigned for the first time.
-	SettleDelay time.Duration
-	// SettleTimeout bounds the wait for further targets before the first assignment.
-	SettleTimeout time.Duration
-	// BalanceInterval is the time between two checks of the load balance.
-	BalanceInterval time.Duration
-	// MaxBalanceMoves is the maximum number of concurrent moves planned to balance the load.
-	MaxBalanceMoves int
-	// MaxEvacuationLoad is the fraction of the other targets' capacity that may be in use after they have
-	// taken over the keys of the target of a restarting node.
-	MaxEvacuationLoad float64
-	// MoveTimeout is the time after which a move is cancelled if its source has not released the keys.
-	MoveTimeout time.Duration
-}
-
-// DefaultConfig returns the default configuration.
-func DefaultConfig() Config {
-	return Config{
-		Lease:             2 * time.Second,
-		Margin:            100 * time.Millisecond,
-		MaxClockDrift:     0.02,
-		MaxStoreOutage:    10 * time.Second,
-		LongLeaseDelay:    1200 * time.Millisecond,
-		MaxLongLease:      6 * time.Second,
-		SettleDelay:       700 * time.Millisecond,
-		SettleTimeout:     3 * time.Second,
-		BalanceInterval:   150 * time.Millisecond,
-		MaxBalanceMoves:   128,
-		MaxEvacuationLoad: 0.7,
-		MoveTimeout:       6 * time.Second,
-	}
-}
-
-// State is the state of a holder as its node reports it.
-type State string
-
-// States of a holder.
-const (
-	// Ready means that the target accepts keys.
-	Ready State = "ready"
-	// Leaving means that the target is shutting down; its keys are moved to other targets.
-	Leaving State = "leaving"
-	// Stopping means that the node restarts while the target keeps running; its keys are moved if the
-	// other targets have capacity for them.
-	Stopping State = "stopping"
-	// Dead means that the target's process has exited; it holds no keys.
-	Dead State = "dead"
-)
-
-// Released reports that a holder has released a span that it held under a fencing token.
-type Released struct {
-	seamtable.Span
-	Fence uint64
-	// Handover is the state that the target returned with the keys.
-	Handover string
-}
-
-// Heartbeat is the periodic report of a holder's node.
-type Heartbeat struct {
-	// Epoch is the highest epoch that the node has accepted.
-	Epoch  uint64
-	Holder seamtable.Holder
-	// Node is the reporting node.
-	Node seampeer.Peer
-	// Revision is the table revision of the node's list of ranges.
-	Revision int64
-	State    State
-	// NoEarlierGrants reports that this incarnation of the target holds no keys that were granted to
-	// an earlier incarnation at its address.
-	NoEarlierGrants bool
-	Released        []Released
-	Load            seamtable.Load
-}
-
-// Reply answers a heartbeat.
-type Reply struct {
-	Epoch uint64
-	// Lease is the duration of the lease on the ranges, counted from the time at which the heartbeat was sent.
-	Lease    time.Duration
-	Revision int64
-	// Changed reports whether Ranges is the complete new list; if false, the holder keeps its list.
-	Changed bool
-	Ranges  []seamtable.Range
-	// Release lists the ranges that the holder should release.
-	Release []seamtable.Range
-}
-
 // holder is the assigner's state of one holder in the current epoch.
 type holder struct {
 	state State
@@ -208,58 +105,6 @@
 	return a
 }
 
-// predecessor is an earlier assigner, some of whose leases may still be valid.
-type predecessor struct {
-	seamtable.Assigner
-	// resigned reports that it grants no more leases, and that those it granted expire before leaseEnd.
-	resigned bool
-	leaseEnd seamclock.Instant
-}
-
-// Predecessors returns the earlier assigners that are not known to have resigned, or whose leases may outlast one of
-// Config.Lease granted now.
-func (a *Assigner) Predecessors() []seamtable.Assigner {
-	list := make([]seamtable.Assigner, 0, len(a.predecessors)+1)
-	for _, p := range a.predecessors {
-		list = append(list, p.Assigner)
-	}
-	return list
-}
-
-// PredecessorResigned records that an assigner grants no more leases, and that those it granted expire before leaseEnd.
-func (a *Assigner) PredecessorResigned(now seamclock.Instant, resigned seamtable.Assigner, leaseEnd seamclock.Instant) {
-	for i := range a.predecessors {
-		if p := &a.predecessors[i]; resigned.Covers(p.Assigner) {
-			p.resigned, p.leaseEnd = true, leaseEnd
-		}
-	}
-	a.prunePredecessors(now)
-}
-
-// prunePredecessors removes the resigned predecessors whose leases end no later than one of Config.Lease granted now:
-// every successor waits that long anyway. Once all predecessors have resigned, their lease ends bound the time
-// that this assigner waits before it reassigns the keys of holders that have not accepted its epoch.
-func (a *Assigner) prunePredecessors(now seamclock.Instant) {
-	end := now.Add(a.cfg.MaxRemoteDuration(a.cfg.Lease))
-	a.predecessors = slices.DeleteFunc(a.predecessors, func(p predecessor) bool {
-		return p.resigned && seamclock.MaxElapsed(p.leaseEnd, end) <= 0
-	})
-	if assigners := append(a.Predecessors(), a.self); !slices.Equal(assigners, a.desired.Assigners) {
-		// The table is written without them: a successor that found them there would wait for their leases again.
-		a.desired.Assigners = assigners
-		a.dirty = true
-	}
-	for _, p := range a.predecessors {
-		if !p.resigned {
-			return
-		}
-		end = seamclock.Later(end, p.leaseEnd)
-	}
-	if seamclock.MinElapsed(a.predecessorLeaseEnd, end) > 0 {
-		a.predecessorLeaseEnd = end
-	}
-}
-
 // ConfirmLeadership records that the store confirmed the leadership in answer to a call sent at the given time.
 func (a *Assigner) ConfirmLeadership(sent seamclock.Instant) { a.leadershipConfirmed = sent }
 
@@ -365,12 +210,6 @@
 	return Version{Revision: a.revision, Moves: a.plannedMoves}
 }
 
-// MaxRemoteDuration returns an upper bound on the time that passes here while another machine measures d: d, the
-// clock drift and Margin.
-func (c Config) MaxRemoteDuration(d time.Duration) time.Duration {
-	return d + time.Duration(float64(d)*c.MaxClockDrift) + c.Margin
-}
-
 // leasedRanges returns the ranges that belong to the holder both in the stored and in the desired table.
 func (a *Assigner) leasedRanges(h seamtable.Holder) []seamtable.Range {
 	var list []seamtable.Range
--- a/internal/route/seamegress/client_test.go
+++ b/internal/route/seamegress/client_test.go
@@ -28,19 +28,8 @@
 	responses chan string
 }
 
-func (s *scriptedTarget) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		s.accepted.Add(1)
-		go s.serveConn(c)
-	}
-}
-
 func (s *scriptedTarget) serveConn(c net.Conn) {
-	defer c.Close()
+	s.accepted.Add(1)
 	r := bufio.NewReader(c)
 	for {
 		if _, err := http.ReadRequest(r); err != nil {
@@ -55,20 +44,43 @@
 	}
 }
 
-func newScriptedTarget(t *testing.T) (*seamegress.Egress, *scriptedTarget) {
+// listen serves connections with the function until the test ends, and returns the address.
+func listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &scriptedTarget{responses: make(chan string, 8)}
-	go s.serve(l)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// newEgressAt returns an egress in front of a target at the address. capacity limits both its requests and its connections.
+func newEgressAt(t *testing.T, address string, capacity int) *seamegress.Egress {
+	t.Helper()
 	clock := seamclock.NewClock()
-	target := announcedTarget{Service: "booker", Name: "t", Address: l.Addr().String(), MaxConcurrency: 4, Connections: 4}
+	target := announcedTarget{Service: "booker", Name: "t", Address: address, MaxConcurrency: capacity, Connections: capacity}
 	e, closeEgress := seamegress.New(seamegress.Config{}, self, grantingOwners{clock, time.Minute}, target, clock, seamsketch.NewUsage(16, time.Minute, time.Minute), metrics.NewSet(), seamevent.NewStream("back"))
 	t.Cleanup(closeEgress)
-	return e, s
+	return e
+}
+
+func newScriptedTarget(t *testing.T) (*seamegress.Egress, *scriptedTarget) {
+	t.Helper()
+	s := &scriptedTarget{responses: make(chan string, 8)}
+	return newEgressAt(t, listen(t, s.serveConn), 4), s
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nroom"
--- a/internal/route/seamegress/endless_test.go
+++ b/internal/route/seamegress/endless_test.go
@@ -9,11 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
-	"cardamomseam/internal/observe/seamevent"
-	"cardamomseam/internal/own/seamclock"
-	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
 )
@@ -29,18 +24,7 @@
 	closed chan struct{}
 }
 
-func (s *endlessTarget) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go s.serveConn(c)
-	}
-}
-
 func (s *endlessTarget) serveConn(c net.Conn) {
-	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
 		if _, err := http.ReadRequest(r); err != nil {
@@ -71,18 +55,8 @@
 
 func newEndlessTarget(t *testing.T, start, unit string) (*seamegress.Egress, *endlessTarget) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	s := &endlessTarget{start: start, unit: unit, closed: make(chan struct{})}
-	go s.serve(l)
-	clock := seamclock.NewClock()
-	target := announcedTarget{Service: "booker", Name: "t", Address: l.Addr().String(), MaxConcurrency: 1, Connections: 2}
-	e, closeEgress := seamegress.New(seamegress.Config{}, self, grantingOwners{clock, time.Minute}, target, clock, seamsketch.NewUsage(16, time.Minute, time.Minute), metrics.NewSet(), seamevent.NewStream("back"))
-	t.Cleanup(closeEgress)
-	return e, s
+	return newEgressAt(t, listen(t, s.serveConn), 1), s
 }
 
 // A target may send bytes that are no answer without end. The node stops reading after a bounded number of bytes, closes the
