Let the first request end a node's wait for the others to register

A node that finds nobody of its failure domain at its start waits 1.6 s before it lists again, and knew none of the targets that registered meanwhile, though it had routes and served. Ruled out: the routes and the owners, which it had. Now a request ends the wait. TestRequestsEndSettling.

--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -18,8 +18,8 @@
 const (
 	// checkInterval is the interval between checks for a better source.
 	checkInterval = time.Second
-	// settleTime is how long a node that knows no other node of its failure domain waits before it lists the keys again:
-	// nodes that start together register meanwhile.
+	// settleTime is how long a node that knows no other node of its failure domain waits before it lists the keys again,
+	// unless SkipSettling is called: nodes that start together register meanwhile.
 	settleTime = 1600 * time.Millisecond
 	// backoffInitial and backoffMax bound the delay after a failed list.
 	backoffInitial = 100 * time.Millisecond
@@ -76,6 +76,9 @@
 	requests chan struct{}
 	// settled is whether the node has waited for the other nodes of its failure domain. It is used by Run only.
 	settled bool
+	// settlingSkipped is closed when the node must not wait for them.
+	settlingSkipped chan struct{}
+	skipSettling    func()
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -89,19 +92,26 @@
 
 // New returns a feed of the keys under the prefix.
 func New(store Store, prefix string, handler Handler, network Network, sink seamevent.Sink) *Feed {
+	settlingSkipped := make(chan struct{})
 	return &Feed{
-		store:         store,
-		prefix:        prefix,
-		handler:       handler,
-		network:       network,
-		sink:          sink,
-		replica:       newReplica(handler),
-		requests:      make(chan struct{}, 1),
-		selector:      NewSelector(),
-		sourceChanged: make(chan struct{}),
+		store:           store,
+		prefix:          prefix,
+		handler:         handler,
+		network:         network,
+		sink:            sink,
+		replica:         newReplica(handler),
+		requests:        make(chan struct{}, 1),
+		settlingSkipped: settlingSkipped,
+		skipSettling:    sync.OnceFunc(func() { close(settlingSkipped) }),
+		selector:        NewSelector(),
+		sourceChanged:   make(chan struct{}),
 	}
 }
 
+// SkipSettling makes the feed follow the store at once even if the node knows no other node of its failure domain, because
+// requests need its view of the other nodes.
+func (f *Feed) SkipSettling() { f.skipSettling() }
+
 // Run follows the keys until ctx ends. While it follows a reader, it also follows a second one, so that changes keep
 // arriving when the first one is lost or cut off from the store.
 func (f *Feed) Run(ctx context.Context) {
@@ -306,7 +316,7 @@
 	f.settled = true
 	f.replica.preview(now, entries, revision)
 	if v := f.network.View(now); len(Readers(v.Candidates, v.Self.Domain)) <= 1 {
-		seamwait.For(ctx, settleTime)
+		seamwait.Until(ctx, settleTime, f.settlingSkipped)
 		return f.list(ctx)
 	}
 	f.replica.replace(now, entries, revision)
--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -41,6 +41,31 @@
 	})
 }
 
+// A node that starts first waits for the others before it follows the store, unless requests arrive.
+func TestRequestsEndSettling(t *testing.T) {
+	for name, tt := range map[string]struct {
+		skip bool
+		want int64
+	}{
+		"no requests": {false, 0},
+		"requests":    {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 1)
+				synctest.Wait()
+				if tt.skip {
+					f.nodes["n0-0"].feed.SkipSettling()
+				}
+				time.Sleep(probeInterval)
+				if got := f.watches.Load(); got != tt.want {
+					t.Errorf("%d watches a second after the start, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
 func TestFeedListsAgainAfterCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 3)
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -89,6 +89,7 @@
 
 // Decide returns the service and the limits for the request q of a caller in the region.
 func (r routeDecider) Decide(q *http.Request, service, region string) (seamrule.Decision, error) {
+	r.node.feed.SkipSettling()
 	decision, err := r.node.routes.Decide(q, service, region)
 	decision.Limits.QueueLength = maxQueuedRequests
 	return decision, err
