Give up a silent reader before a change is overdue

Their subscribers gave the second one up after silenceTimeout, 3 s, the bound for a change itself: whether the change arrived before or after the check at 37.0 s was a matter of order. Ruled out: the order of changes (the copy never went back), and a backup that was not opened (both readers were followed).

A subscription is now given up after 2.5 s without a heartbeat. TestSubscribersLeaveTwoLostReaders failed before.

--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -150,6 +150,26 @@
 	}
 }
 
+// Both readers of a failure domain are lost within a second, just after their heartbeats.
+func TestSubscribersLeaveTwoLostReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 12)
+		time.Sleep(settleTime)
+		readers := f.readers()
+		readers[0].networkCut.Store(true)
+		time.Sleep(probeInterval)
+		synctest.Wait()
+		readers[1].networkCut.Store(true)
+		f.store.Put("a/routes", []byte("x"))
+		time.Sleep(deliveryBound - time.Millisecond)
+		for _, n := range f.all() {
+			if n.revision("a/routes") == 0 {
+				t.Errorf("%s does not know the change; its source is %s", n.peer.Name, n.feed.Status().Source)
+			}
+		}
+	})
+}
+
 func TestTablesReachSubscribers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 6)
--- a/internal/member/seamfeed/subscribe.go
+++ b/internal/member/seamfeed/subscribe.go
@@ -15,8 +15,9 @@
 const (
 	// openTimeout bounds the opening of a subscription.
 	openTimeout = time.Second
-	// silenceTimeout is the time without a heartbeat after which a subscription is given up.
-	silenceTimeout = 3 * heartbeatInterval
+	// silenceTimeout is the time without a heartbeat after which a subscription is given up. If both readers of a failure
+	// domain are lost at once, it is also the time without changes.
+	silenceTimeout = 5 * heartbeatInterval / 2
 	// writeTimeout bounds one write to the other end of a subscription.
 	writeTimeout = 4 * time.Second
 	// allowDownTime is how long a node follows a reader that does not reach the store before it looks for another one.
