Start the drain of a test once a request runs

TestEgressDrainInterruptsNoRequest failed once beside load ("outcomes map[refused:200]"): it started the drain 100 ms after the first request, and no request had reached the target by then. On the code before: 5 of 125 plays failed beside load (load average 18 to 30 on 6 cores, with the race detector). Now the test waits until a request runs, so that each play has one that must not be interrupted: 0 of 125 beside the same load.

--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -288,7 +288,10 @@
 }
 
 func TestEgressDrainInterruptsNoRequest(t *testing.T) {
+	running := make(chan struct{})
+	signalRunning := sync.OnceFunc(func() { close(running) })
 	front, back := pair(t, func(w http.ResponseWriter, _ *http.Request) {
+		signalRunning()
 		time.Sleep(30 * time.Millisecond)
 		fmt.Fprint(w, "whole")
 	})
@@ -303,7 +306,7 @@
 		}
 		wg.Wait()
 	}()
-	time.Sleep(100 * time.Millisecond)
+	<-running
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	if err := back.egress.Drain(ctx); err != nil {
