Notice callers that close a connection with requests in line, and give them whole last answers

Causes, each shown by a test on raw connections that failed first: - The HTTP library watches a connection for its end with a read of one byte. Once the next request of the caller has arrived, that read has ended and nothing notices a close: the running request went on to its own end at the target (two requests in two segments, closed or reset; fifty in fifty segments). One request, and several in one segment, were cancelled before, too. - A response that closes the connection (asked for by the caller, or a planned stop) was followed by close(2) with requests unread, which resets the connection: the caller lost 2.9 of 4 MB that it had not received. Ruled out by tests that passed before: responses out of order (50 requests, with and without keys), requests behind a broken body, unbounded reading ahead.

Now an epoll instance reports hang-ups of callers' connections (seamnet.Hangups), also with unread data, and ends the context of the connection's requests: the running one is cancelled and those behind it are refused without reaching a target. A connection that is closed with unread data stops sending, discards what arrives until the caller closes or is silent for 0.3 s (5 s at most), and then closes. A planned stop waits for these. The ingress opens its listener itself, since package rest has no way to wrap connections.

--- a/internal/route/seamingress/callerconn.go
+++ b/internal/route/seamingress/callerconn.go
@@ -3,12 +3,25 @@
 import (
 	"context"
 	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/platform/seamnet"
 )
 
+const (
+	// lingerTimeout bounds the time for which a closed connection discards what its caller still sends.
+	lingerTimeout = 5 * time.Second
+	// lingerIdleTimeout is the time without data in either direction after which it is closed earlier.
+	lingerIdleTimeout = 300 * time.Millisecond
+	// lingerBufferBytes is the size of the reads that discard, in bytes.
+	lingerBufferBytes = 4 << 10
+)
+
 // connKey is the context key of the caller's connection.
 type connKey struct{}
 
@@ -20,21 +33,91 @@
 // callerDisconnected reports whether the caller has closed or reset its connection. The HTTP library detects this
 // only while a handler runs: after a pause, a process reads requests whose callers disconnected long before.
 func callerDisconnected(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
 	c, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return false
+	return ok && seamnet.HungUp(c)
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	*net.TCPListener
+	// lingering are the connections that were closed and still discard data.
+	lingering sync.WaitGroup
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{TCPConn: c, lingering: &l.lingering, release: func() {}}, nil
+}
+
+// callerConn is the connection of a caller. If it is closed while requests are unread, it first discards them: the kernel
+// would reset the connection, and the caller could lose the response that it is still receiving.
+type callerConn struct {
+	*net.TCPConn
+	lingering *sync.WaitGroup
+	// release ends the watch for the caller's close.
+	release func()
+	closed  atomic.Bool
+}
+
+// watch returns a context for the connection's requests that ends when the caller closes the connection. The HTTP library
+// does not notice this while requests behind the running one are unread.
+func (c *callerConn) watch(ctx context.Context, hangups *seamnet.Hangups) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	forget := hangups.Watch(c.TCPConn, cancel)
+	c.release = func() {
+		forget()
+		cancel()
+	}
+	return ctx
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	c.release()
+	if seamnet.Unread(c.TCPConn) == 0 {
+		return c.TCPConn.Close()
 	}
-	disconnected := false
-	seamnet.WithFD(c, func(fd int) { disconnected = peerClosed(fd) })
-	return disconnected
+	err := c.CloseWrite()
+	c.lingering.Go(c.linger)
+	return err
 }
 
-// peerClosed reports whether the peer has closed or reset the connection. It peeks, and consumes no data.
-func peerClosed(fd int) bool {
-	var next [1]byte
-	n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if err == nil {
-		return n == 0
+// linger discards what the caller sends until it has closed the connection, or neither sends nor acknowledges anything
+// for lingerIdleTimeout.
+func (c *callerConn) linger() {
+	defer c.TCPConn.Close()
+	stop := time.AfterFunc(lingerTimeout, func() { _ = c.TCPConn.Close() })
+	defer stop.Stop()
+	discarded := make([]byte, lingerBufferBytes)
+	for unacknowledged := seamnet.Unacknowledged(c.TCPConn); ; {
+		_ = c.SetReadDeadline(time.Now().Add(lingerIdleTimeout))
+		n, err := c.TCPConn.Read(discarded)
+		if err == nil && n > 0 {
+			continue
+		}
+		before := unacknowledged
+		unacknowledged = seamnet.Unacknowledged(c.TCPConn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || unacknowledged == 0 || unacknowledged == before {
+			return
+		}
 	}
-	return err != unix.EAGAIN && err != unix.EINTR
 }
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -26,14 +26,19 @@
 	"cardamomseam/internal/rule/seamrule"
 )
 
-// fakeRules returns the same decision for every request.
+// fakeRules returns the same decision for every request, except that keyed decides, if set, which ones have a key.
 type fakeRules struct {
 	decision seamrule.Decision
+	keyed    func(r *http.Request) bool
 	err      error
 }
 
-func (f *fakeRules) Decide(*http.Request, string, string) (seamrule.Decision, error) {
-	return f.decision, f.err
+func (f *fakeRules) Decide(r *http.Request, _, _ string) (seamrule.Decision, error) {
+	d := f.decision
+	if f.keyed != nil {
+		d.Keyed = f.keyed(r)
+	}
+	return d, f.err
 }
 
 // fakeDirectory returns fixed candidates and one owner for all slots.
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -5,7 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +14,7 @@
 	"github.com/zeromicro/go-zero/core/trace"
 	"github.com/zeromicro/go-zero/rest"
 
+	"cardamomseam/internal/platform/seamnet"
 	"cardamomseam/internal/platform/seamwait"
 )
 
@@ -31,9 +32,10 @@
 type Server struct {
 	ingress       *Ingress
 	http          *http.Server
+	listener      *callerListener
 	listenerDrain listenerDrain
-	address       net.Addr
-	stopped       chan error
+	hangups       *seamnet.Hangups
+	closeHangups  func()
 }
 
 // router passes every method and path to one handler.
@@ -64,15 +66,26 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "creating the HTTP server")
 	}
-	s := &Server{ingress: i, stopped: make(chan error, 1), listenerDrain: listenerDrain{newConns: map[net.Conn]time.Time{}}}
-	listening := make(chan net.Addr, 1)
-	go s.start(server, listening)
-	select {
-	case s.address = <-listening:
-		return s, nil
-	case err := <-s.stopped:
+	hangups, closeHangups, err := seamnet.NewHangups()
+	if err != nil {
 		return nil, err
 	}
+	listener, err := net.Listen("tcp", i.cfg.Address)
+	if err != nil {
+		closeHangups()
+		return nil, errors.Wrap(err, "listening for callers")
+	}
+	s := &Server{
+		ingress:       i,
+		listener:      &callerListener{TCPListener: listener.(*net.TCPListener)},
+		listenerDrain: listenerDrain{listener: listener, newConns: map[net.Conn]time.Time{}},
+		hangups:       hangups,
+		closeHangups:  sync.OnceFunc(closeHangups),
+	}
+	started := make(chan *http.Server)
+	go s.run(server, started)
+	s.http = <-started
+	return s, nil
 }
 
 // serverConfig returns the configuration of package rest for the address. Everything in the package that could
@@ -98,36 +111,35 @@
 	}, nil
 }
 
-// start runs the server until it is shut down. A panic is reported to stopped, because package rest panics if it
-// can't listen.
-func (s *Server) start(server *rest.Server, listening chan<- net.Addr) {
-	defer func() {
-		if r := recover(); r != nil {
-			s.stopped <- errors.Newf("HTTP server: %v", r)
-		}
-	}()
-	var once atomic.Bool
+// run serves until the server is shut down.
+func (s *Server) run(server *rest.Server, started chan<- *http.Server) {
 	server.StartWithOpts(func(h *http.Server) {
 		h.ReadHeaderTimeout = readHeaderTimeout
 		h.ReadTimeout, h.WriteTimeout = 0, 0
 		h.IdleTimeout = idleConnTimeout
 		h.ConnState = s.listenerDrain.connStateChanged
-		h.ConnContext = WithConn
+		h.ConnContext = s.connContext
 		h.MaxHeaderBytes = s.ingress.cfg.MaxHeaderBytes + headerBytesMargin
-		h.BaseContext = func(l net.Listener) context.Context {
-			if !once.Swap(true) {
-				s.http = h
-				s.listenerDrain.listener = l
-				listening <- l.Addr()
-			}
-			return context.Background()
+		started <- h
+		// Package rest opens listeners of its own only: its call, which follows, ends at once because the server is
+		// shut down by then.
+		if err := h.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = h.Close()
 		}
 	})
 }
 
+// connContext returns the context of the requests of a caller's connection.
+func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*callerConn); ok {
+		ctx = conn.watch(ctx, s.hangups)
+	}
+	return WithConn(ctx, c)
+}
+
 // Address returns the address on which the server listens.
 func (s *Server) Address() string {
-	return s.address.String()
+	return s.listener.Addr().String()
 }
 
 // Drain shuts the server down. For the grace time it keeps serving and asks callers to close their
@@ -139,8 +151,10 @@
 	seamwait.For(ctx, grace)
 	s.listenerDrain.drain(ctx)
 	defer s.ingress.shutdown.cancelBefore(ctx)()
+	defer s.closeHangups()
 	err := s.http.Shutdown(ctx)
 	if err == nil {
+		s.awaitLingering(ctx)
 		return nil
 	}
 	if s.ingress.inFlight.Load() == 0 {
@@ -150,7 +164,21 @@
 	return errors.Wrap(errors.CombineErrors(err, s.http.Close()), "connections were closed with requests in flight")
 }
 
+// awaitLingering waits until ctx ends for connections that still discard data.
+func (s *Server) awaitLingering(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.listener.lingering.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // Close closes all connections immediately.
 func (s *Server) Close() error {
+	defer s.closeHangups()
 	return s.http.Close()
 }
