Look up the assigner's ranges by holder, and tick it when there is something to do

The assigner's calls to the store timed out, also before any traffic, three nodes took its office in turn, and the table was written once a second or less. A second of heartbeats of 115 holders took 0.21 s of processor time at rest, 0.51 s with 12 ranges each, and 20 s while 14 targets left, on machines of 0.16 cores: it ticked with each heartbeat, and a tick compared all ranges, moves and holders with each other (plannedLoad alone took three quarters). Ruled out for the calls that timed out at rest: the link (115 ranges, no tables on the way).

Now the ranges are indexed by holder, planned changes are summed up once, keys of leaving targets are distributed only if some don't move yet, and a heartbeat wakes the writer only if the table must be written (else each 50 ms).

--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -47,7 +47,8 @@
 	stored   seamtable.Table
 	revision int64
 	// desired is the table that the store should hold.
-	desired seamtable.Table
+	desired                   seamtable.Table
+	storedIndex, desiredIndex rangeIndex
 	// dirty reports whether desired differs from the last written table.
 	dirty bool
 	// writing reports whether a write is in progress.
@@ -177,7 +178,7 @@
 	a.extendLease(now, h, r.Lease)
 	list := a.leasedRanges(hb.Holder)
 	// The holder's list may contain keys that it is about to lose but still owns in the stored table.
-	withdrawn := countKeys(list) != countKeys(a.stored.RangesOf(hb.Holder))
+	withdrawn := countKeys(list) != countKeys(a.storedRanges(hb.Holder))
 	if hb.Revision != a.revision || hb.Epoch != a.epoch || withdrawn {
 		r.Changed, r.Ranges = true, list
 	}
@@ -210,35 +211,10 @@
 	return Version{Revision: a.revision, Moves: a.plannedMoves}
 }
 
-// leasedRanges returns the ranges that belong to the holder both in the stored and in the desired table.
-func (a *Assigner) leasedRanges(h seamtable.Holder) []seamtable.Range {
-	var list []seamtable.Range
-	for _, r := range a.stored.RangesOf(h) {
-		for _, desired := range a.desired.RangesOf(h) {
-			if desired.Fence != r.Fence || !desired.Overlaps(r.Span) {
-				continue
-			}
-			common := r
-			common.Span = seamtable.Span{From: max(r.From, desired.From), To: min(r.To, desired.To)}
-			list = append(list, common)
-		}
-	}
-	return list
-}
-
-// countKeys returns the number of keys in the ranges.
-func countKeys(ranges []seamtable.Range) int {
-	n := 0
-	for _, r := range ranges {
-		n += r.Len()
-	}
-	return n
-}
-
 func (a *Assigner) pendingReleases(h seamtable.Holder) []seamtable.Range {
 	var list []seamtable.Range
-	for _, m := range a.moves {
-		if m.source == h {
+	for i := range a.moves {
+		if m := &a.moves[i]; m.source == h {
 			list = append(list, seamtable.Range{Span: m.Span, Holder: h, Fence: m.fence})
 		}
 	}
@@ -251,22 +227,22 @@
 	if !a.ownsSpan(h, r) {
 		return
 	}
-	a.desired.Unassign(r.Span)
+	a.unassign(r.Span)
 	a.dirty = true
 	done, planned := a.removeMove(h, r.Span)
 	if planned && a.acceptsKeys(done.destination) {
-		a.desired.Assign(r.Span, done.destination, r.Handover)
+		a.assign(r.Span, done.destination, r.Handover)
 		a.arrivals = append(a.arrivals, arrival{holder: done.destination, rate: done.rate, at: now})
 		return
 	}
 	for _, assignment := range seamtable.Distribute([]seamtable.Span{r.Span}, a.candidates(now, h), nil) {
-		a.desired.Assign(assignment.Span, assignment.Holder, r.Handover)
+		a.assign(assignment.Span, assignment.Holder, r.Handover)
 	}
 }
 
 // ownsSpan reports whether the desired table assigns the whole span to the holder under the released fence.
 func (a *Assigner) ownsSpan(h seamtable.Holder, r Released) bool {
-	for _, o := range a.desired.RangesOf(h) {
+	for _, o := range a.desiredRanges(h) {
 		if o.Fence == r.Fence && o.From <= r.From && o.To >= r.To {
 			return true
 		}
@@ -300,7 +276,7 @@
 		return
 	}
 	a.desired.Nodes[h] = node
-	if len(a.desired.RangesOf(h)) > 0 {
+	if len(a.desiredRanges(h)) > 0 {
 		a.dirty = true
 	}
 }
@@ -319,12 +295,15 @@
 	if known := a.holders[h]; known != nil {
 		a.orphanedLoad = append(a.orphanedLoad, known.load.Chunks...)
 	}
-	if len(a.desired.UnassignHolder(h)) > 0 {
+	if a.unassignHolder(h) {
 		a.dirty = true
 	}
 	a.moves = slices.DeleteFunc(a.moves, func(m move) bool { return m.source == h })
 }
 
+// WritePending reports whether the table in the store should be replaced.
+func (a *Assigner) WritePending() bool { return a.dirty }
+
 // PendingWrite returns the table to write if the store's table still has the given
 // revision, or false if there is nothing to write. After a call that returned true,
 // the caller reports the outcome with WriteSucceeded, WriteFailed or WriteUncertain.
@@ -339,7 +318,7 @@
 // WriteSucceeded records that the table was written.
 func (a *Assigner) WriteSucceeded(t seamtable.Table, revision int64) {
 	a.writing = false
-	a.stored, a.revision = t, revision
+	a.setStored(t, revision)
 }
 
 // WriteFailed records that a write had no effect and must be retried.
@@ -355,7 +334,7 @@
 		return false
 	}
 	a.writing, a.dirty = false, true
-	a.stored, a.revision = found, revision
+	a.setStored(found, revision)
 	if found.Epoch != a.epoch {
 		a.adoptTable(now, found)
 	}
@@ -366,6 +345,7 @@
 func (a *Assigner) adoptTable(now seamclock.Instant, found seamtable.Table) {
 	nodes := a.desired.Nodes
 	a.desired = found.Clone()
+	a.desiredIndex.reset()
 	a.desired.Epoch = a.epoch
 	if a.desired.Nodes == nil {
 		a.desired.Nodes = map[seamtable.Holder]seampeer.Peer{}
--- a/internal/own/seamassign/balance.go
+++ b/internal/own/seamassign/balance.go
@@ -27,22 +27,55 @@
 	}
 }
 
-// plannedLoad returns the given load of a holder as it will be after the planned moves. The chunks of keys that are moving
-// are left out. Keys that moved to the holder lately count by what its reports do not show yet.
-func (a *Assigner) plannedLoad(now seamclock.Instant, h seamtable.Holder, load seamtable.Load) seamtable.Load {
-	for _, m := range a.moves {
-		switch h {
-		case m.source:
-			load.Rate = max(load.Rate-m.rate, 0)
-			load.Chunks = slices.DeleteFunc(slices.Clone(load.Chunks), func(c seamtable.Chunk) bool { return c.Overlaps(m.Span) })
-		case m.destination:
-			load.Rate += m.rate
+// plannedChange is the difference between the reported load of a holder and its load after the planned moves.
+type plannedChange struct {
+	// leaving are the moves away from the holder, whose chunks are left out.
+	leaving []*move
+	// added is the rate of the moves to the holder.
+	added float64
+	// arrived are the completed moves to it, which count by what its reports do not show yet.
+	arrived []*arrival
+}
+
+// plannedChanges returns the changes of all holders that have any.
+func (a *Assigner) plannedChanges() map[seamtable.Holder]*plannedChange {
+	changes := map[seamtable.Holder]*plannedChange{}
+	of := func(h seamtable.Holder) *plannedChange {
+		if changes[h] == nil {
+			changes[h] = &plannedChange{}
 		}
+		return changes[h]
 	}
-	for _, r := range a.arrivals {
-		if r.holder == h {
-			load.Rate += r.rate * r.unreported(now)
-		}
+	for i := range a.moves {
+		m := &a.moves[i]
+		source := of(m.source)
+		source.leaving = append(source.leaving, m)
+		of(m.destination).added += m.rate
+	}
+	for i := range a.arrivals {
+		r := &a.arrivals[i]
+		holder := of(r.holder)
+		holder.arrived = append(holder.arrived, r)
+	}
+	return changes
+}
+
+// apply returns the load after the changes; c may be nil.
+func (c *plannedChange) apply(now seamclock.Instant, load seamtable.Load) seamtable.Load {
+	if c == nil {
+		return load
+	}
+	for _, m := range c.leaving {
+		load.Rate -= m.rate
+	}
+	load.Rate = max(load.Rate, 0) + c.added
+	if len(c.leaving) > 0 {
+		load.Chunks = slices.DeleteFunc(slices.Clone(load.Chunks), func(chunk seamtable.Chunk) bool {
+			return slices.ContainsFunc(c.leaving, func(m *move) bool { return chunk.Overlaps(m.Span) })
+		})
+	}
+	for _, r := range c.arrived {
+		load.Rate += r.rate * r.unreported(now)
 	}
 	return load
 }
@@ -62,7 +95,7 @@
 )
 
 // unreported returns the fraction of the rate that the holder's reports do not contain yet.
-func (r arrival) unreported(now seamclock.Instant) float64 {
+func (r *arrival) unreported(now seamclock.Instant) float64 {
 	return math.Exp(-seamclock.MinElapsed(now, r.at).Seconds() / reportDelay.Seconds())
 }
 
@@ -90,7 +123,7 @@
 func (a *Assigner) shareWithNewHolder(now seamclock.Instant, candidates []seamtable.Candidate) bool {
 	for _, c := range candidates {
 		due := seamclock.MinElapsed(now, a.holders[c.Holder].firstSeen) >= newHolderDelay
-		if !due || len(a.desired.RangesOf(c.Holder)) > 0 || a.isDestination(c.Holder) {
+		if !due || len(a.desiredRanges(c.Holder)) > 0 || a.isDestination(c.Holder) {
 			continue
 		}
 		busiest, ok := a.busiest(candidates)
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -43,24 +43,13 @@
 		}
 	}
 	for h, known := range a.holders {
-		if seamclock.MinElapsed(now, known.leaseEnd) >= 0 && len(a.desired.RangesOf(h)) == 0 {
+		if seamclock.MinElapsed(now, known.leaseEnd) >= 0 && len(a.desiredRanges(h)) == 0 {
 			delete(a.holders, h)
 			delete(a.desired.Nodes, h)
 		}
 	}
 }
 
-// holdersWithKeys returns each holder of keys in the desired table once.
-func (a *Assigner) holdersWithKeys() []seamtable.Holder {
-	var list []seamtable.Holder
-	for _, r := range a.desired.Ranges {
-		if !slices.Contains(list, r.Holder) {
-			list = append(list, r.Holder)
-		}
-	}
-	return list
-}
-
 // leaseEndOf returns the latest time at which the holder may still use its keys.
 func (a *Assigner) leaseEndOf(h seamtable.Holder) seamclock.Instant {
 	known := a.holders[h]
@@ -87,25 +76,31 @@
 // valid lease. Their load includes the planned moves.
 func (a *Assigner) candidates(now seamclock.Instant, excluded seamtable.Holder) []seamtable.Candidate {
 	var list []seamtable.Candidate
+	planned := a.plannedChanges()
 	for h, known := range a.holders {
 		leased := seamclock.MinElapsed(now, known.leaseEnd) < 0
 		if h != excluded && known.state == Ready && leased {
-			list = append(list, seamtable.Candidate{Holder: h, Load: a.plannedLoad(now, h, known.load)})
+			list = append(list, seamtable.Candidate{Holder: h, Load: planned[h].apply(now, known.load)})
 		}
 	}
-	slices.SortFunc(list, func(x, y seamtable.Candidate) int { return cmp.Compare(x.Holder.String(), y.Holder.String()) })
+	slices.SortFunc(list, func(x, y seamtable.Candidate) int {
+		return cmp.Or(cmp.Compare(x.Holder.Target, y.Holder.Target), cmp.Compare(x.Holder.Born, y.Holder.Born))
+	})
 	return list
 }
 
 // assignFreeKeys assigns the keys that have no holder.
 func (a *Assigner) assignFreeKeys(now seamclock.Instant) {
 	free := a.desired.FreeSpans()
+	if len(free) == 0 || !a.startupSettled(now) {
+		return
+	}
 	candidates := a.candidates(now, seamtable.Holder{})
-	if len(free) == 0 || len(candidates) == 0 || !a.startupSettled(now) {
+	if len(candidates) == 0 {
 		return
 	}
 	for _, assignment := range seamtable.Distribute(free, candidates, a.orphanedLoad) {
-		a.desired.Assign(assignment.Span, assignment.Holder, "")
+		a.assign(assignment.Span, assignment.Holder, "")
 	}
 	a.orphanedLoad = nil
 	a.dirty = true
@@ -128,12 +123,29 @@
 		if known.state != Leaving && known.state != Stopping {
 			continue
 		}
+		spans := a.spansToEvacuate(h)
+		if len(spans) == 0 {
+			continue
+		}
 		candidates := a.candidates(now, h)
 		if len(candidates) == 0 || known.state == Stopping && !a.hasCapacity(known.load, candidates) {
 			continue
 		}
-		a.evacuateHolder(now, h, candidates)
+		for _, assignment := range seamtable.Distribute(spans, candidates, known.load.Chunks) {
+			a.planMove(now, seamtable.Move{Span: assignment.Span, From: h, To: assignment.Holder})
+		}
+	}
+}
+
+// spansToEvacuate returns the keys of a holder that are not moving yet.
+func (a *Assigner) spansToEvacuate(h seamtable.Holder) []seamtable.Span {
+	var spans []seamtable.Span
+	for _, r := range a.leasedRanges(h) {
+		if !a.isMoving(r.Span) {
+			spans = append(spans, r.Span)
+		}
 	}
+	return spans
 }
 
 // hasCapacity reports whether the load of the candidates stays within MaxEvacuationLoad of their capacity after they
@@ -147,25 +159,14 @@
 	return demand <= a.cfg.MaxEvacuationLoad*capacity
 }
 
-// evacuateHolder plans to distribute the keys of a holder that are not moving yet among the candidates.
-func (a *Assigner) evacuateHolder(now seamclock.Instant, h seamtable.Holder, candidates []seamtable.Candidate) {
-	var spans []seamtable.Span
-	for _, r := range a.leasedRanges(h) {
-		if !a.isMoving(r.Span) {
-			spans = append(spans, r.Span)
-		}
-	}
-	if len(spans) == 0 {
-		return
-	}
-	for _, assignment := range seamtable.Distribute(spans, candidates, a.holders[h].load.Chunks) {
-		a.planMove(now, seamtable.Move{Span: assignment.Span, From: h, To: assignment.Holder})
-	}
-}
-
 // isMoving reports whether a planned move overlaps the span.
 func (a *Assigner) isMoving(s seamtable.Span) bool {
-	return slices.ContainsFunc(a.moves, func(m move) bool { return m.Overlaps(s) })
+	for i := range a.moves {
+		if a.moves[i].Overlaps(s) {
+			return true
+		}
+	}
+	return false
 }
 
 // planMove splits a move at the boundaries of the source's ranges, since each has its own fencing token, and adds the
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -235,7 +235,6 @@
 	for heartbeat := first; ; {
 		s.setHolder(seamtable.HolderFromWire(heartbeat.GetHolder()))
 		s.push(e.handleHeartbeat(from, heartbeat))
-		e.wakeWriter()
 		var err error
 		if heartbeat, err = next(); err != nil {
 			return
@@ -284,5 +283,9 @@
 		// Another node has been elected since.
 		return &wire.Reply{Number: w.GetNumber()}
 	}
-	return seamassign.ReplyToWire(w.GetNumber(), e.assigner.Heartbeat(e.clock.Now(), heartbeat))
+	reply := e.assigner.Heartbeat(e.clock.Now(), heartbeat)
+	if e.assigner.WritePending() {
+		e.wakeWriter()
+	}
+	return seamassign.ReplyToWire(w.GetNumber(), reply)
 }
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -127,6 +127,15 @@
 	return ranges
 }
 
+// RangesByHolder returns the ranges of each holder, in the order of their keys.
+func (t Table) RangesByHolder() map[Holder][]Range {
+	ranges := map[Holder][]Range{}
+	for _, r := range t.Ranges {
+		ranges[r.Holder] = append(ranges[r.Holder], r)
+	}
+	return ranges
+}
+
 // FreeSpans returns the spans of keys that are assigned to no holder.
 func (t Table) FreeSpans() []Span {
 	var free []Span
