Send the table of a large service only to the nodes that pass it on

Cause: above 64 kB for all, an update was sent only to holders that it concerns, but with the whole table; while many keys move that is nearly each holder and each write: 20 writes a second of a table of 575 ranges are 90 MB in the model, 2.5 MB fit a link of 20 Mbit/s. Above the limit only nodes that read the store for others get the table now, at most each 0.4 s, and they pass it on to their subscribers at once. Heartbeats tell which nodes these are (a new optional field: older nodes get no table then, and read it). TestTablesOfALargeServiceFitTheLink failed before.

--- a/internal/node/seamrouter/ownership.go
+++ b/internal/node/seamrouter/ownership.go
@@ -21,6 +21,7 @@
 	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamsession"
 	"cardamomseam/internal/rule/seamroutes"
@@ -153,7 +154,10 @@
 	return epoch, ok || ranLongEnough
 }
 
-// TableReceived records a table that the assigner sent, possibly before the store returns it.
+// Reader reports whether this node passes ownership tables on to subscribers.
+func (c assignerClient) Reader() bool { return !c.node.feed.Subscribed() }
+
+// TableReceived records a table that the assigner sent, possibly before the store returns it, and passes it on.
 func (c assignerClient) TableReceived(service string, table []byte, revision int64) {
 	t, err := seamtable.Decode(table)
 	if err != nil {
@@ -161,6 +165,7 @@
 		return
 	}
 	c.node.registry.ObserveTable(service, seamelection.VersionedTable{Table: t, Revision: revision})
+	c.node.feed.PublishTable(seamstore.Entry{Key: seamelection.TablePrefix + service, Value: table, Revision: revision})
 }
 
 // ownerHints adds to a NotOwnerError the address of the node that owns the key according to the table.
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -26,7 +26,7 @@
 func (e *Elector) writeLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var published seamassign.Version
+	var published publication
 	for {
 		select {
 		case <-ctx.Done():
@@ -42,7 +42,7 @@
 			}
 			seamwait.For(ctx, tickInterval)
 		}
-		published = e.notifyHolders(published)
+		e.notifyHolders(time.Now(), &published)
 	}
 }
 
@@ -138,40 +138,72 @@
 	return nil
 }
 
-// maxBroadcastBytes is the size of the tables sent to all holders after one write, in bytes. Above it, a holder whose keys
-// have not changed gets none: the tables of a large service would fill the link of the assigner's node.
-const maxBroadcastBytes = 64 << 10
+const (
+	// maxBroadcastBytes is the size of the tables sent to all holders after one write, in bytes. Above it, only readers get
+	// the table, and a holder whose keys have not changed gets no update: the tables of a large service would fill the
+	// link of the assigner's node.
+	maxBroadcastBytes = 64 << 10
+	// tableInterval is the minimum time between two tables that readers get above maxBroadcastBytes.
+	tableInterval = 400 * time.Millisecond
+)
+
+// publication is what the holders were sent last.
+type publication struct {
+	version seamassign.Version
+	// tableRevision is the revision of the last table, and tableSent the time at which it was sent.
+	tableRevision int64
+	tableSent     time.Time
+}
+
+// tableDue reports whether a table of the revision is due, and records it. broadcast means that all holders get it.
+func (p *publication) tableDue(now time.Time, revision int64, broadcast bool) bool {
+	if revision == p.tableRevision || !broadcast && now.Sub(p.tableSent) < tableInterval {
+		return false
+	}
+	p.tableRevision, p.tableSent = revision, now
+	return true
+}
 
-// notifyHolders sends each connected holder its current ranges if the version differs from the published one, and returns
-// the version that is published now. In a large service only those get them whose ranges or releases have changed.
-func (e *Elector) notifyHolders(published seamassign.Version) seamassign.Version {
+// notifyHolders sends each connected holder its current ranges if the version differs from the published one, and the table
+// if it is due. In a large service only those get an update whose ranges or releases have changed.
+func (e *Elector) notifyHolders(now time.Time, p *publication) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.assigner == nil {
-		return published
+		return
 	}
 	version := e.assigner.Version()
-	if version == published {
-		return published
+	if version == p.version && version.Revision == p.tableRevision {
+		return
 	}
 	table, err := seamtable.Encode(e.assigner.Table())
 	if err != nil {
 		e.logFailure("encode", err)
-		return published
+		return
 	}
 	broadcast := len(table)*len(e.streams) <= maxBroadcastBytes
+	tableDue := p.tableDue(now, version.Revision, broadcast)
+	p.version = version
 	for s := range e.streams {
-		r, ok := e.assigner.Update(s.holder())
-		if !ok || !s.updateDue(r) && !broadcast {
-			continue
-		}
-		reply := seamassign.ReplyToWire(0, r)
-		if version.Revision != published.Revision {
-			reply.Table = table
-		}
-		s.push(reply)
+		e.notifyHolder(s, table, tableDue && (broadcast || s.reader()), broadcast)
 	}
-	return version
+}
+
+// notifyHolder sends an update to a holder, with the table if withTable is set. Unless all holders get one, it leaves out
+// an update that brings nothing new.
+func (e *Elector) notifyHolder(s *heartbeatStream, table []byte, withTable, broadcast bool) {
+	r, ok := e.assigner.Update(s.holder())
+	if !ok {
+		return
+	}
+	if !s.updateDue(r) && !withTable && !broadcast {
+		return
+	}
+	reply := seamassign.ReplyToWire(0, r)
+	if withTable {
+		reply.Table = table
+	}
+	s.push(reply)
 }
 
 // heartbeatStream is the stream on which the node of one holder sends heartbeats.
@@ -183,8 +215,9 @@
 	sentRanges, sentRelease []seamtable.Range
 
 	mu sync.Mutex
-	// lastHolder is the holder of the last heartbeat.
+	// lastHolder is the holder of the last heartbeat, and passesOn whether its node passes tables on to others.
 	lastHolder seamtable.Holder
+	passesOn   bool
 }
 
 // updateDue reports whether an update differs from the last one, and records it.
@@ -202,10 +235,19 @@
 	return s.lastHolder
 }
 
-func (s *heartbeatStream) setHolder(h seamtable.Holder) {
+// reader reports whether the holder's node passes tables on to others.
+func (s *heartbeatStream) reader() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.passesOn
+}
+
+// received records the sender of a heartbeat.
+func (s *heartbeatStream) received(heartbeat *wire.Beat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastHolder = h
+	s.lastHolder = seamtable.HolderFromWire(heartbeat.GetHolder())
+	s.passesOn = heartbeat.GetReader()
 }
 
 // push queues a reply. If the queue is full, the reply is dropped: the reply to the next heartbeat repeats its ranges and
@@ -233,7 +275,7 @@
 	}()
 	go s.write(ctx)
 	for heartbeat := first; ; {
-		s.setHolder(seamtable.HolderFromWire(heartbeat.GetHolder()))
+		s.received(heartbeat)
 		s.push(e.handleHeartbeat(from, heartbeat))
 		var err error
 		if heartbeat, err = next(); err != nil {
--- a/internal/own/seamelection/serve_test.go
+++ b/internal/own/seamelection/serve_test.go
@@ -1,11 +1,16 @@
 package seamelection_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/own/seamassign"
+	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamtable"
+	wire "cardamomseam/internal/own/seamtablewire"
 )
 
 // While many keys move between other holders, the table is written again and again. A holder whose own keys stay
@@ -31,3 +36,65 @@
 		}
 	}
 }
+
+// While most keys of a large service move, the table is written many times a second. What its assigner sends must fit the
+// link of a small machine, and the nodes that pass tables on must get the last one.
+func TestTablesOfALargeServiceFitTheLink(t *testing.T) {
+	const (
+		holders, readers = 115, 18
+		rangesEach       = 5
+		writes           = 20
+		writeInterval    = 50 * time.Millisecond
+		// linkBytes is what a link of 20 Mbit/s carries in a second.
+		linkBytes = 20e6 / 8
+	)
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) seamclock.Instant { return seamclock.Instant{Mono: d, Wall: d} }
+	table := seamtable.Table{Service: "calendar", Epoch: 1, Nodes: map[seamtable.Holder]seampeer.Peer{}}
+	var heartbeats []*wire.Beat
+	const width = seamtable.Keys / (holders * rangesEach)
+	for i := range uint32(holders) {
+		h := seamtable.Holder{Target: fmt.Sprintf("i-%010d", i), Born: 1792134933169, Address: fmt.Sprintf("10.0.0.%d:8080", i)}
+		table.Nodes[h] = seampeer.Peer{Name: fmt.Sprintf("sidecar-superior-a-%d", i), Incarnation: 1792134932065830, Address: h.Address, Region: "superior", Domain: "superior-a"}
+		for n := range uint32(rangesEach) {
+			from := (i*rangesEach + n) * width
+			table.Assign(seamtable.Span{From: from, To: from + width - 1}, h, "")
+		}
+		heartbeat := seamassign.HeartbeatToWire("calendar", 1, seamassign.Heartbeat{Epoch: 1 << 16, Holder: h, Node: table.Nodes[h], State: seamassign.Ready})
+		heartbeat.Reader = i < readers
+		heartbeats = append(heartbeats, heartbeat)
+	}
+	self := seamtable.Assigner{Name: "assigner", Incarnation: 1, Epoch: 1 << 16}
+	a := seamassign.New(seamassign.DefaultConfig(), at(0), self, seamclock.Instant{}, table, 1)
+	leader := seamelection.NewLeader(a, heartbeats)
+	for _, hb := range heartbeats {
+		a.Heartbeat(at(0), seamassign.HeartbeatFromWire(hb))
+	}
+	sent, revision := 0, int64(1)
+	tables := make([]int64, holders)
+	record := func(bytes int, got []int64) {
+		sent += bytes
+		for i, r := range got {
+			tables[i] = max(tables[i], r)
+		}
+	}
+	for n := range writes {
+		written := table.Clone()
+		written.Epoch = self.Epoch
+		for i := range written.Ranges {
+			written.Ranges[i].Fence += uint64((n + 1) * len(written.Ranges))
+		}
+		revision++
+		a.WriteUncertain(at(0), written, revision)
+		record(leader.Notify(now.Add(time.Duration(n) * writeInterval)))
+	}
+	if sent > linkBytes {
+		t.Errorf("%d bytes were sent in a second, want at most %.0f", sent, linkBytes)
+	}
+	record(leader.Notify(now.Add(2 * time.Second)))
+	for i, got := range tables {
+		if i < readers && got != revision {
+			t.Errorf("reader %d got the table at revision %d, want %d", i, got, revision)
+		}
+	}
+}
--- a/internal/own/seamholder/heartbeat.go
+++ b/internal/own/seamholder/heartbeat.go
@@ -76,7 +76,9 @@
 		}
 		sent := sentHeartbeat{number: number, sentAt: r.clock.Now(), holder: h, dead: heartbeat.State == seamassign.Dead}
 		conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-		if err := seamframe.Write(conn, seamframe.Beat, seamassign.HeartbeatToWire(service, number, heartbeat)); err != nil {
+		beat := seamassign.HeartbeatToWire(service, number, heartbeat)
+		beat.Reader = r.assigner.Reader()
+		if err := seamframe.Write(conn, seamframe.Beat, beat); err != nil {
 			return
 		}
 		pending = append(pending, sent)
--- a/internal/own/seamholder/runner.go
+++ b/internal/own/seamholder/runner.go
@@ -76,6 +76,8 @@
 	// if none. It returns false as long as none was read and an assigner that was superseded before this incarnation
 	// started may still grant leases.
 	ConfirmedEpoch(service string) (epoch uint64, ok bool)
+	// Reader reports whether the node passes ownership tables on to others.
+	Reader() bool
 	// TableReceived receives the ownership table that the assigner sent.
 	TableReceived(service string, table []byte, revision int64)
 }
--- a/internal/own/seamholder/runner_test.go
+++ b/internal/own/seamholder/runner_test.go
@@ -36,6 +36,7 @@
 
 func (fakeAssigner) Redirected(string, *wire.Office)               {}
 func (fakeAssigner) ConfirmedEpoch(string) (epoch uint64, ok bool) { return 1, true }
+func (fakeAssigner) Reader() bool                                  { return false }
 func (fakeAssigner) TableReceived(string, []byte, int64)           {}
 
 // acceptingTarget records the granted ranges and accepts every order at once.
