Write the table of a service at most each 60 ms

A write now waits until 60 ms after the one before it and covers what was released meanwhile. The first write after a pause is not delayed.

--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -19,22 +19,33 @@
 	"cardamomseam/internal/route/seamframe"
 )
 
-// writeTimeout bounds the write of one reply.
-const writeTimeout = 500 * time.Millisecond
+const (
+	// writeTimeout bounds the write of one reply.
+	writeTimeout = 500 * time.Millisecond
+	// tableWriteInterval is the minimum time between two writes of the table, so that a write covers many releases while
+	// many keys move.
+	tableWriteInterval = 60 * time.Millisecond
+)
 
 // writeLoop ticks the assigner, writes its table to the store and sends changes to the holders.
 func (e *Elector) writeLoop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	var published publication
+	var lastWrite time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-e.wake:
+			seamwait.For(ctx, time.Until(lastWrite.Add(tableWriteInterval)))
+		}
+		wrote, err := e.tick(ctx)
+		if wrote {
+			lastWrite = time.Now()
 		}
-		if err := e.tick(ctx); err != nil {
+		if err != nil {
 			e.logFailure("table", err)
 			var superseded *supersededError
 			if errors.As(err, &superseded) {
@@ -46,13 +57,13 @@
 	}
 }
 
-// tick advances the assigner and writes the table if it changed.
-func (e *Elector) tick(ctx context.Context) error {
+// tick advances the assigner and writes the table if it changed. It reports whether it wrote it.
+func (e *Elector) tick(ctx context.Context) (wrote bool, err error) {
 	e.mu.Lock()
 	now := e.clock.Now()
 	if !e.authorizedLocked() {
 		e.mu.Unlock()
-		return nil
+		return false, nil
 	}
 	for _, predecessor := range e.assigner.Predecessors() {
 		if expiresAt, ok := e.registry.ResignationExpiry(e.service, predecessor); ok {
@@ -63,9 +74,9 @@
 	table, revision, ok := e.assigner.PendingWrite()
 	e.mu.Unlock()
 	if !ok {
-		return nil
+		return false, nil
 	}
-	return e.writeTable(ctx, table, revision)
+	return true, e.writeTable(ctx, table, revision)
 }
 
 // writeTable writes the table to the store and resolves the outcome of a write that got no answer.
