Leave a key that overloads each target where it is

Ruled out: chunks that are too coarse (the range had been cut down to that key). A chunk that would overload its destination by itself now moves only to a target of 1.5 times the capacity; its neighbours move away as before.

--- a/internal/own/seamtable/plan.go
+++ b/internal/own/seamtable/plan.go
@@ -18,6 +18,8 @@
 	// minMoveGain is the minimum fraction of the utilization gap between two targets that a move must close, after
 	// deduction of the cost of moving the keys.
 	minMoveGain = 0.15
+	// minCapacityRatio is the minimum ratio between the capacities of two targets at which keys move that overload both.
+	minCapacityRatio = 1.5
 )
 
 // Load is the measured load of one holder.
@@ -306,7 +308,8 @@
 }
 
 // hottestChunk returns the chunk with the most requests for each key whose move leaves the destination clearly less busy
-// than the source. It is used where each chunk alone would fill the destination above the fill level.
+// than the source. It is used where each chunk alone would fill the destination above the fill level. A chunk that would
+// overload it, such as a single hot key, moves only to a much faster target: its requests wait while it moves.
 func hottestChunk(from, to *plannedCandidate) (chunkRun, bool) {
 	best, found := chunkRun{}, false
 	for i, c := range from.chunks {
@@ -315,6 +318,10 @@
 		if gain < minUtilizationGap || c.Rate*from.utilizationPerRate() < minMoveGain+keysCost(c.Span) {
 			continue
 		}
+		overloads := c.Rate*to.utilizationPerRate() >= 1
+		if overloads && to.Capacity() < minCapacityRatio*from.Capacity() {
+			continue
+		}
 		if !found || c.Rate/float64(c.Len()) > best.Rate/float64(best.Len()) {
 			best, found = chunkRun{Chunk: c, first: i, last: i}, true
 		}
