Don't ask a full owner again before it has room

No other target may run such a request, and the refusal tells when room is expected. A keyed request is now refused at once, with that time, if it is beyond the longest back-off.

--- a/internal/route/seamingress/export_test.go
+++ b/internal/route/seamingress/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamoutcome"
 )
 
@@ -24,3 +25,11 @@
 
 // MaxOwnerWaiters is the limit on the number of requests that wait for an owner.
 const MaxOwnerWaiters = maxOwnerWaiters
+
+// SpendsRetry reports whether a request that may be retried once spends the retry after the end of an attempt.
+func SpendsRetry(i *Ingress, keyed bool, end seamoutcome.End) bool {
+	x := &exchange{ingress: i, deadline: time.Now().Add(time.Minute)}
+	x.decision.Keyed, x.decision.Limits.Retries = keyed, 1
+	_, retry := x.spendRetry(end, seampeer.Peer{}, i.cfg.Budget("booker"))
+	return retry
+}
--- a/internal/route/seamingress/retry.go
+++ b/internal/route/seamingress/retry.go
@@ -44,7 +44,7 @@
 // spendRetry takes a retry from the rule's limit and from the service's retry budget, if both have one left and the
 // deadline allows it. It returns the back-off before the retry.
 func (x *exchange) spendRetry(end seamoutcome.End, to seampeer.Peer, budget Budget) (wait time.Duration, retry bool) {
-	if x.retries >= x.decision.Limits.Retries {
+	if x.retries >= x.decision.Limits.Retries || x.ownerFull(end) {
 		return 0, false
 	}
 	wait = max(seamretry.Backoff(x.retries), min(end.RetryAfter, seamretry.MaxBackoff))
@@ -63,6 +63,13 @@
 	return wait, true
 }
 
+// ownerFull reports whether the owner of the key has said that it will have no room within the longest back-off. No other
+// target may run the request.
+func (x *exchange) ownerFull(end seamoutcome.End) bool {
+	full := end.Reason == seamoutcome.Late || end.Reason == seamoutcome.Full
+	return x.decision.Keyed && full && end.RetryAfter > seamretry.MaxBackoff
+}
+
 // mayRetry reports whether another attempt is safe after one with this end.
 func (x *exchange) mayRetry(end seamoutcome.End) bool {
 	if x.responder.started || !x.body.replayable() {
