Don't tell callers of an overloaded key to come back soon

The queue now counts the requests of each key. If those of one key alone are 1.5 times what the target can serve, it tells them to come back after 5 s, longer than most callers wait; other keys of the target, which move away, are told as before.

--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -18,6 +18,8 @@
 	Deadline  time.Time
 	// Pinned means that no other target may run the request.
 	Pinned bool
+	// Key is the key of a pinned request.
+	Key uint32
 }
 
 // Verdict is the result of a Request.
@@ -57,11 +59,12 @@
 	running      int
 	waiting      []*waiter
 	serviceTimes serviceTimes
+	keyRates     keyRates
 }
 
 // NewQueue returns a Queue for a target with the given number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, serviceTimes: newServiceTimes()}
+	return &Queue{slots: slots, serviceTimes: newServiceTimes(), keyRates: newKeyRates()}
 }
 
 // Resize changes the number of slots.
@@ -102,6 +105,7 @@
 // request that is decided now.
 func (q *Queue) Submit(now time.Time, id uint64, r Request) []Decision {
 	w := newWaiter(id, r)
+	q.countKey(now, r)
 	if d, refused := q.evaluate(now, w); refused {
 		return []Decision{d}
 	}
@@ -115,9 +119,19 @@
 // Forecast reports whether a request would be refused now, and with which verdict, without queueing it.
 func (q *Queue) Forecast(now time.Time, r Request) (v Verdict, refused bool) {
 	d, refused := q.evaluate(now, newWaiter(0, r))
+	if refused {
+		// It is not submitted.
+		q.countKey(now, r)
+	}
 	return d.Verdict, refused
 }
 
+func (q *Queue) countKey(now time.Time, r Request) {
+	if r.Pinned {
+		q.keyRates.count(now, r.Key)
+	}
+}
+
 // hasFreeSlot reports whether a request that arrives now runs immediately.
 func (q *Queue) hasFreeSlot() bool { return len(q.waiting) == 0 && q.running < q.slots }
 
@@ -125,7 +139,7 @@
 // its deadline, and a late one that would delay others.
 func (q *Queue) evaluate(now time.Time, w *waiter) (d Decision, refused bool) {
 	if !q.canMeetDeadline(now, w, 0) {
-		return q.refuse(w, q.waitBehind(len(q.waiting))), true
+		return q.refuse(now, w, q.waitBehind(len(q.waiting))), true
 	}
 	if q.hasFreeSlot() {
 		return Decision{}, false
@@ -133,7 +147,7 @@
 	wait := q.waitBehind(q.countAhead(w))
 	w.late = !q.canMeetObjective(now, w, wait)
 	if w.late && (q.saturated() || !q.hasRoomForLate(w) || !q.canMeetDeadline(now, w, q.waitBehind(len(q.waiting)))) {
-		return q.refuse(w, wait), true
+		return q.refuse(now, w, wait), true
 	}
 	return Decision{}, false
 }
@@ -175,10 +189,24 @@
 	return Decision{ID: w.id, Verdict: Verdict{Admitted: true}}
 }
 
-func (*Queue) refuse(w *waiter, after time.Duration) Decision {
+// refuse refuses a request for which a slot is expected after the given time.
+func (q *Queue) refuse(now time.Time, w *waiter, after time.Duration) Decision {
+	if q.keyOverloaded(now, w) {
+		after = max(after, overloadedRetryAfter)
+	}
 	return Decision{ID: w.id, Verdict: Verdict{Reason: seamoutcome.Late, RetryAfter: max(after, minRetryAfter)}}
 }
 
+// keyOverloaded reports whether the requests for the waiter's key alone are far more than the target can serve. Moving other
+// keys away does not help then.
+func (q *Queue) keyOverloaded(now time.Time, w *waiter) bool {
+	if !w.Pinned || q.serviceTimes.mean <= 0 {
+		return false
+	}
+	capacity := float64(q.slots) / q.serviceTimes.mean
+	return q.keyRates.perSecond(now, w.Key) >= overloadFactor*capacity
+}
+
 // canMeetObjective reports whether a request that starts after wait is expected to meet its objective.
 func (q *Queue) canMeetObjective(now time.Time, w *waiter, wait time.Duration) bool {
 	return !now.Add(wait + q.typicalServiceTime(w)).After(w.Objective)
@@ -282,7 +310,7 @@
 		becameLate := !w.late && !q.canMeetObjective(now, w, 0)
 		w.late = w.late || becameLate
 		if becameLate && (q.saturated() || !q.hasRoomForLate(w)) || !q.canMeetDeadline(now, w, 0) {
-			decisions = append(decisions, q.refuse(w, q.waitBehind(len(q.waiting))))
+			decisions = append(decisions, q.refuse(now, w, q.waitBehind(len(q.waiting))))
 			continue
 		}
 		remaining = append(remaining, w)
--- a/internal/route/seamegress/admission.go
+++ b/internal/route/seamegress/admission.go
@@ -73,6 +73,7 @@
 		Objective: a.objective,
 		Deadline:  a.deadline,
 		Pinned:    a.head.GetKeyed(),
+		Key:       a.head.GetSlot(),
 	}
 }
 
