Distribute the keys of a leaving target among few others, and write tables each 100 ms

Now the eight with the most room get them, or more if these have no room. TestLeavingHolderIsSplitIntoFewRanges failed before. Two writes of the table are at least 100 ms apart (60 before), each write being followed by updates.

--- a/internal/own/seamassign/cost_test.go
+++ b/internal/own/seamassign/cost_test.go
@@ -116,3 +116,19 @@
 		})
 	}
 }
+
+// The keys of a leaving target go to a few holders: each piece is a range of the table, with a release and a grant of its own.
+func TestLeavingHolderIsSplitIntoFewRanges(t *testing.T) {
+	const maxPieces = costRanges + 8
+	m := newCostModel(1)
+	m.tick()
+	reply, ok := m.assigner.Update(m.heartbeats[0].Holder)
+	if !ok || len(reply.Release) > 0 {
+		t.Fatalf("%d releases before the target leaves", len(reply.Release))
+	}
+	m.playSecond()
+	reply, _ = m.assigner.Update(m.heartbeats[0].Holder)
+	if n := len(reply.Release); n < costRanges || n > maxPieces {
+		t.Errorf("the keys leave in %d pieces, want %d to %d", n, costRanges, maxPieces)
+	}
+}
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -116,6 +116,10 @@
 	return seamclock.MinElapsed(now, a.lastJoin) >= a.cfg.SettleDelay || seamclock.MinElapsed(now, a.startedAt) >= a.cfg.SettleTimeout
 }
 
+// evacuationDestinations is the number of holders among which the keys of a leaving holder are distributed, if they have
+// room. With all holders of a large service, each would get a few keys in a range of its own.
+const evacuationDestinations = 8
+
 // evacuate plans to move all keys of leaving holders to other holders. The keys of a holder whose node is stopping move
 // only if the other holders have the capacity, since its target keeps running.
 func (a *Assigner) evacuate(now seamclock.Instant) {
@@ -131,7 +135,8 @@
 		if len(candidates) == 0 || known.state == Stopping && !a.hasCapacity(known.load, candidates) {
 			continue
 		}
-		for _, assignment := range seamtable.Distribute(spans, candidates, known.load.Chunks) {
+		destinations := seamtable.LeastUtilized(candidates, known.load.Rate, evacuationDestinations)
+		for _, assignment := range seamtable.Distribute(spans, destinations, known.load.Chunks) {
 			a.planMove(now, seamtable.Move{Span: assignment.Span, From: h, To: assignment.Holder})
 		}
 	}
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -24,7 +24,7 @@
 	writeTimeout = 500 * time.Millisecond
 	// tableWriteInterval is the minimum time between two writes of the table, so that a write covers many releases while
 	// many keys move.
-	tableWriteInterval = 60 * time.Millisecond
+	tableWriteInterval = 100 * time.Millisecond
 )
 
 // writeLoop ticks the assigner, writes its table to the store and sends changes to the holders.
--- a/internal/own/seamtable/plan.go
+++ b/internal/own/seamtable/plan.go
@@ -108,6 +108,21 @@
 	return assignments
 }
 
+// LeastUtilized returns the given number of candidates with the lowest utilization, or more if those have no room for the
+// additional rate of requests.
+func LeastUtilized(candidates []Candidate, rate float64, number int) []Candidate {
+	candidates = slices.Clone(candidates)
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.utilization(), b.utilization()) })
+	room := 0.0
+	for i, c := range candidates {
+		if i >= number && room >= rate {
+			return candidates[:i]
+		}
+		room += max(1-c.utilization(), 0) * c.Capacity()
+	}
+	return candidates
+}
+
 // loadShares divides the total load among the candidates in proportion to their free capacity.
 func loadShares(candidates []Candidate, total float64) []float64 {
 	shares := make([]float64, len(candidates))
--- a/internal/own/seamtable/plan_test.go
+++ b/internal/own/seamtable/plan_test.go
@@ -148,3 +148,26 @@
 		}
 	}
 }
+
+func TestLeastUtilizedHaveRoom(t *testing.T) {
+	var all []seamtable.Candidate
+	for i := range 20 {
+		all = append(all, candidate(string(rune('a'+i)), 0.24, 40-2*float64(i))) // 50 requests a second fill each
+	}
+	for name, tt := range map[string]struct {
+		rate float64
+		want string
+	}{
+		"little load": {10, "tsrq"},
+		"much load":   {250, "tsrqpo"},
+		"too much":    {5000, "tsrqponmlkjihgfedcba"},
+	} {
+		got := ""
+		for _, c := range seamtable.LeastUtilized(all, tt.rate, 4) {
+			got += c.Holder.Target
+		}
+		if got != tt.want {
+			t.Errorf("%s: %s, want %s", name, got, tt.want)
+		}
+	}
+}
