Ask the owner of an overloaded key only now and then

Ruled out: the queue (its refusals were at once) and the link. An ingress that was refused for an overloaded key (a Retry-After beyond 3 s) now refuses its requests for that key itself, with the same delay, for 0.5 s, doubling to 2 s with each such refusal in a row; a served request ends that. TestOwnerOfAnOverloadedKeyIsNotAskedForEachRequest: without it, it is asked 800 times.

--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -78,6 +78,9 @@
 		if !ok {
 			return x.endWithoutNode(last)
 		}
+		if end, overloaded := x.overloaded(); overloaded {
+			return x.finalEnd(end)
+		}
 		end := x.attempt(ctx, to)
 		wait, retry := x.nextAttempt(end, to, budget)
 		if !retry || !x.pause(ctx, wait) {
@@ -88,6 +91,16 @@
 	}
 }
 
+// overloaded returns the refusal of a request whose key is overloaded, and false for other requests.
+func (x *exchange) overloaded() (seamoutcome.End, bool) {
+	if !x.decision.Keyed {
+		return seamoutcome.End{}, false
+	}
+	return x.ingress.overloads.refusal(time.Now(), x.serviceKey())
+}
+
+func (x *exchange) serviceKey() serviceKey { return serviceKey{x.service, x.head.GetSlot()} }
+
 // recordUncertainty is called before a retry. It stores the end of the last attempt if that attempt may have run.
 func (x *exchange) recordUncertainty(end seamoutcome.End) {
 	switch end.Outcome {
@@ -146,6 +159,9 @@
 	}
 	end = endForCaller(ctx, end)
 	x.reportEnd(to, end, left)
+	if x.decision.Keyed {
+		i.overloads.observe(time.Now(), x.serviceKey(), end)
+	}
 	x.attempts = append(x.attempts, attemptRecord{
 		Node:    to.String(),
 		Reason:  string(end.Reason),
--- a/internal/route/seamingress/export_test.go
+++ b/internal/route/seamingress/export_test.go
@@ -33,3 +33,20 @@
 	_, retry := x.spendRetry(end, seampeer.Peer{}, i.cfg.Budget("booker"))
 	return retry
 }
+
+// Overloads are the overloaded keys of an ingress.
+type Overloads struct{ overloads *overloads }
+
+// NewOverloads returns an empty set of overloaded keys.
+func NewOverloads() Overloads { return Overloads{newOverloads()} }
+
+// Asks reports whether the owner of a key is asked.
+func (o Overloads) Asks(now time.Time, slot uint32) bool {
+	_, refused := o.overloads.refusal(now, serviceKey{"booker", slot})
+	return !refused
+}
+
+// Observe records the end of an attempt at the owner of a key.
+func (o Overloads) Observe(now time.Time, slot uint32, end seamoutcome.End) {
+	o.overloads.observe(now, serviceKey{"booker", slot}, end)
+}
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -132,6 +132,7 @@
 	stats     *stats
 	draining  atomic.Bool
 	shutdown  shutdown
+	overloads *overloads
 	// inFlight is the number of requests without a response.
 	inFlight atomic.Int64
 	// ownerWaiters is the number of requests that wait for a change of owner.
@@ -164,6 +165,7 @@
 		events:    sink,
 		stats:     newStats(set),
 		shutdown:  newShutdown(),
+		overloads: newOverloads(),
 	}
 }
 
