Distribute the keys of a lost target among few others, too

Now 8 of the least loaded get the keys of a holder's mean share, more if these have no room, and all of them if all keys are free, as at the start.

--- a/internal/own/seamassign/cost_test.go
+++ b/internal/own/seamassign/cost_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// The keys of a leaving target go to a few holders: each piece is a range of the table, with a release and a grant of its own.
-func TestLeavingHolderIsSplitIntoFewRanges(t *testing.T) {
+// The keys of a target that leaves or is lost go to a few holders: each piece is a range of the table, with a release and a grant of its own.
+func TestKeysOfAHolderAreSplitIntoFewRanges(t *testing.T) {
 	const maxPieces = costRanges + 8
 	m := newCostModel(1)
 	m.tick()
@@ -131,4 +131,10 @@
 	if n := len(reply.Release); n < costRanges || n > maxPieces {
 		t.Errorf("the keys leave in %d pieces, want %d to %d", n, costRanges, maxPieces)
 	}
+	before := len(m.assigner.Table().Ranges)
+	m.heartbeats[1].State = seamassign.Dead
+	m.playSecond()
+	if n := len(m.assigner.Table().Ranges) - before; n < 0 || n > maxPieces-costRanges {
+		t.Errorf("the keys of a lost target make %d more ranges, want at most %d", n, maxPieces-costRanges)
+	}
 }
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -99,13 +99,32 @@
 	if len(candidates) == 0 {
 		return
 	}
-	for _, assignment := range seamtable.Distribute(free, candidates, a.orphanedLoad) {
+	destinations := seamtable.LeastUtilized(candidates, totalRate(a.orphanedLoad), destinationsOf(free, len(candidates)))
+	for _, assignment := range seamtable.Distribute(free, destinations, a.orphanedLoad) {
 		a.assign(assignment.Span, assignment.Holder, "")
 	}
 	a.orphanedLoad = nil
 	a.dirty = true
 }
 
+// destinationsOf returns the number of holders among which free keys are distributed: destinationsPerHolder for each mean
+// share of a holder.
+func destinationsOf(free []seamtable.Span, holders int) int {
+	keys := 0
+	for _, s := range free {
+		keys += s.Len()
+	}
+	return destinationsPerHolder * max(1, keys*holders/seamtable.Keys)
+}
+
+func totalRate(chunks []seamtable.Chunk) float64 {
+	rate := 0.0
+	for _, c := range chunks {
+		rate += c.Rate
+	}
+	return rate
+}
+
 // startupSettled reports whether free keys may be assigned. The first assignment of a service waits until no target has
 // joined for SettleDelay, but at most until SettleTimeout after the start of the epoch, so that targets that start together
 // share the keys.
@@ -116,9 +135,9 @@
 	return seamclock.MinElapsed(now, a.lastJoin) >= a.cfg.SettleDelay || seamclock.MinElapsed(now, a.startedAt) >= a.cfg.SettleTimeout
 }
 
-// evacuationDestinations is the number of holders among which the keys of a leaving holder are distributed, if they have
-// room. With all holders of a large service, each would get a few keys in a range of its own.
-const evacuationDestinations = 8
+// destinationsPerHolder is the number of holders among which the keys of one holder that leaves or is lost are distributed,
+// if they have room. With all holders of a large service, each would get a few keys in a range of its own.
+const destinationsPerHolder = 8
 
 // evacuate plans to move all keys of leaving holders to other holders. The keys of a holder whose node is stopping move
 // only if the other holders have the capacity, since its target keeps running.
@@ -135,7 +154,7 @@
 		if len(candidates) == 0 || known.state == Stopping && !a.hasCapacity(known.load, candidates) {
 			continue
 		}
-		destinations := seamtable.LeastUtilized(candidates, known.load.Rate, evacuationDestinations)
+		destinations := seamtable.LeastUtilized(candidates, known.load.Rate, destinationsPerHolder)
 		for _, assignment := range seamtable.Distribute(spans, destinations, known.load.Chunks) {
 			a.planMove(now, seamtable.Move{Span: assignment.Span, From: h, To: assignment.Holder})
 		}
