Send tables once a second, and only by the first of a node's two readers

An assigner that keeps up writes the table ten times a second. Readers got it each 0.4 s and both readers of each node sent it on: five tables of some 60 kB a second for each of 295 nodes, most with 0.16 cores and 20 Mbit/s. Not shown: that this is what kept the version from that node; its log was not kept. Now the assigner sends the table to readers once a second, and the second reader of a node sends it none. Requests for a current read go to the first one only. TestSecondReaderSendsNoTables failed before.

--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +11,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cardamomseam/internal/member/seamfeed"
+	wire "cardamomseam/internal/member/seamfeedwire"
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/stand/seamstandkv"
 )
 
@@ -200,6 +204,50 @@
 	})
 }
 
+// A subscriber follows two readers. The second one must not send it the tables, which are large, once more.
+func TestSecondReaderSendsNoTables(t *testing.T) {
+	for _, noTables := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, 1)
+			time.Sleep(settleTime)
+			reader := f.nodes["n0-0"]
+			near, far := net.Pipe()
+			f.serving.Go(func() {
+				defer far.Close()
+				reader.feed.ServeStream(f.ctx, seampeer.Peer{Name: "subscriber"}, far)
+			})
+			defer near.Close()
+			if err := seamframe.Write(near, seamframe.FeedAsk, &wire.Ask{NoTables: noTables}); err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				reader.feed.PublishTable(seamstore.Entry{Key: "table/calendar", Value: []byte("x"), Revision: 7})
+				f.store.Put("a/routes", []byte("x"))
+			}()
+			frames, release := seamframe.NewReader(near)
+			defer release()
+			tables, routes := 0, 0
+			for routes == 0 {
+				update := new(wire.Update)
+				if err := frames.ReadMessage(seamframe.FeedUpdate, update); err != nil {
+					t.Fatal(err)
+				}
+				for _, c := range update.GetChanges() {
+					if c.GetTable() {
+						tables++
+					}
+					if c.GetKey() == "a/routes" {
+						routes++
+					}
+				}
+			}
+			if (tables > 0) == noTables {
+				t.Errorf("no tables asked for: %t; got %d", noTables, tables)
+			}
+		})
+	}
+}
+
 // While the store is down for all nodes, few of them call it.
 func TestSubscribersDontCallAStoreThatIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/member/seamfeed/log.go
+++ b/internal/member/seamfeed/log.go
@@ -137,6 +137,11 @@
 	changed <-chan struct{}
 }
 
+// omitTables removes the ownership tables.
+func (b *batch) omitTables() {
+	b.changes = slices.DeleteFunc(b.changes, func(c loggedChange) bool { return c.table })
+}
+
 // from returns the changes from a position on, or a list if the log no longer reaches back so far.
 func (l *changeLog) from(position int64) batch {
 	l.mu.Lock()
--- a/internal/member/seamfeed/selector.go
+++ b/internal/member/seamfeed/selector.go
@@ -30,6 +30,8 @@
 	Reader seampeer.Peer
 	// AllowDown accepts a reader that does not reach the store, since no better source is known.
 	AllowDown bool
+	// Backup is true for a second reader, which sends no ownership tables.
+	Backup bool
 }
 
 // FromStore reports whether the source is the store itself.
@@ -108,7 +110,7 @@
 	if !ok {
 		reader, ok = s.firstUsable(now, withoutNode(remoteReaders(v), current.Reader.Name))
 	}
-	return Source{Reader: reader}, ok
+	return Source{Reader: reader, Backup: true}, ok
 }
 
 // ShouldSwitch reports whether the node should leave a source that works.
--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -38,7 +38,7 @@
 		defer cancel()
 		f.receiveRequests(frames)
 	}()
-	f.send(ctx, conn, f.replica.log.after(ask.GetRevision()))
+	f.send(ctx, conn, f.replica.log.after(ask.GetRevision()), !ask.GetNoTables())
 }
 
 // receiveRequests passes on a subscriber's requests for the ownership tables until the subscription ends.
@@ -74,8 +74,11 @@
 }
 
 // send sends updates until the subscription fails or the node no longer reads the store.
-func (f *Feed) send(ctx context.Context, conn net.Conn, b batch) {
+func (f *Feed) send(ctx context.Context, conn net.Conn, b batch, tables bool) {
 	for {
+		if !tables {
+			b.omitTables()
+		}
 		if f.sendBatch(conn, b) != nil {
 			return
 		}
--- a/internal/member/seamfeed/subscribe.go
+++ b/internal/member/seamfeed/subscribe.go
@@ -45,12 +45,14 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	if err := sendAsk(conn, &wire.Ask{Revision: f.replica.resumeFrom()}); err != nil {
+	if err := sendAsk(conn, &wire.Ask{Revision: f.replica.resumeFrom(), NoTables: source.Backup}); err != nil {
 		return err
 	}
 	requestCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go f.forwardRequests(requestCtx, conn)
+	if !source.Backup {
+		go f.forwardRequests(requestCtx, conn)
+	}
 	return f.receive(conn, source)
 }
 
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -155,7 +155,7 @@
 	// link of the assigner's node.
 	maxBroadcastBytes = 64 << 10
 	// tableInterval is the minimum time between two tables that readers get above maxBroadcastBytes.
-	tableInterval = 400 * time.Millisecond
+	tableInterval = time.Second
 )
 
 // publication is what the holders were sent last.
