--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -39,8 +39,8 @@
 			return
 		case <-ticker.C:
 		case <-e.wake:
-			seamwait.For(ctx, time.Until(lastWrite.Add(tableWriteInterval)))
 		}
+		seamwait.For(ctx, time.Until(lastWrite.Add(tableWriteInterval)))
 		wrote, err := e.tick(ctx)
 		if wrote {
 			lastWrite = time.Now()
