--- a/internal/own/seamassign/assigner_test.go
+++ b/internal/own/seamassign/assigner_test.go
@@ -78,7 +78,7 @@
 
 func (s *harness) keysOf(h seamtable.Holder) int {
 	n := 0
-	for _, r := range s.stored.RangesOf(h) {
+	for _, r := range s.stored.RangesByHolder()[h] {
 		n += r.Len()
 	}
 	return n
@@ -156,7 +156,7 @@
 	if s.keysOf(firstIncarnation("a")) != 0 {
 		t.Errorf("the leaving target still holds %d keys", s.keysOf(firstIncarnation("a")))
 	}
-	for _, o := range s.stored.RangesOf(firstIncarnation("b")) {
+	for _, o := range s.stored.RangesByHolder()[firstIncarnation("b")] {
 		// Fences 1 and 2 belong to the first assignment, which had no handover.
 		if o.Fence > 2 && o.Handover != "state" {
 			t.Errorf("range %+v lacks the handover state", o)
@@ -407,7 +407,7 @@
 		t.Fatal("superseded by an earlier epoch")
 	}
 	table, revision, _ := a.PendingWrite()
-	if revision != 2 || len(table.RangesOf(firstIncarnation("a"))) != 1 {
+	if revision != 2 || len(table.RangesByHolder()[firstIncarnation("a")]) != 1 {
 		t.Errorf("pending write of %+v at revision %d", table, revision)
 	}
 }
--- a/internal/own/seamelection/serve_test.go
+++ b/internal/own/seamelection/serve_test.go
@@ -55,7 +55,7 @@
 	const width = seamtable.Keys / (holders * rangesEach)
 	for i := range uint32(holders) {
 		h := seamtable.Holder{Target: fmt.Sprintf("i-%010d", i), Born: 1792134933169, Address: fmt.Sprintf("10.0.0.%d:8080", i)}
-		table.Nodes[h] = seampeer.Peer{Name: fmt.Sprintf("sidecar-superior-a-%d", i), Incarnation: 1792134932065830, Address: h.Address, Region: "superior", Domain: "superior-a"}
+		table.Nodes[h] = seampeer.Peer{Name: fmt.Sprintf("node-of-calendar-%d", i), Incarnation: 1792134932065830, Address: h.Address, Region: "ost", Domain: "ost-1"}
 		for n := range uint32(rangesEach) {
 			from := (i*rangesEach + n) * width
 			table.Assign(seamtable.Span{From: from, To: from + width - 1}, h, "")
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -116,17 +116,6 @@
 	return t.Ranges[i], true
 }
 
-// RangesOf returns the ranges of the holder.
-func (t Table) RangesOf(h Holder) []Range {
-	var ranges []Range
-	for _, r := range t.Ranges {
-		if r.Holder == h {
-			ranges = append(ranges, r)
-		}
-	}
-	return ranges
-}
-
 // RangesByHolder returns the ranges of each holder, in the order of their keys.
 func (t Table) RangesByHolder() map[Holder][]Range {
 	ranges := map[Holder][]Range{}
@@ -175,17 +164,9 @@
 	t.Ranges = kept
 }
 
-// UnassignHolder removes all ranges of the holder and returns their spans.
-func (t *Table) UnassignHolder(h Holder) []Span {
-	var dropped []Span
-	t.Ranges = slices.DeleteFunc(t.Ranges, func(r Range) bool {
-		if r.Holder == h {
-			dropped = append(dropped, r.Span)
-			return true
-		}
-		return false
-	})
-	return dropped
+// UnassignHolder removes all ranges of the holder.
+func (t *Table) UnassignHolder(h Holder) {
+	t.Ranges = slices.DeleteFunc(t.Ranges, func(r Range) bool { return r.Holder == h })
 }
 
 // Assign assigns a span to the holder under a new fencing token. The span must be free.
--- a/internal/route/seamadmit/keyrates.go
+++ b/internal/route/seamadmit/keyrates.go
@@ -8,11 +8,12 @@
 	// overloadFactor times the rate that the target can serve is the request rate of a key from which on it counts as
 	// overloaded: the queue stays full, whoever comes back.
 	overloadFactor = 1.5
-	// overloadedRetryAfter is the delay before a retry that a caller is given for an overloaded key. It is longer than most
-	// callers wait: a request that came back earlier would be refused again, or take the place of another one.
-	overloadedRetryAfter = 5 * time.Second
 )
 
+// OverloadedRetryAfter is the delay before a retry that a caller is given for an overloaded key. It is longer than most
+// callers wait: a request that came back earlier would be refused again, or take the place of another one.
+const OverloadedRetryAfter = 5 * time.Second
+
 // keyRates counts the recent requests of each key.
 type keyRates struct {
 	// started is the start of the window in which current counts; previous has the counts of the window before it.
--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -192,7 +192,7 @@
 // refuse refuses a request for which a slot is expected after the given time.
 func (q *Queue) refuse(now time.Time, w *waiter, after time.Duration) Decision {
 	if q.keyOverloaded(now, w) {
-		after = max(after, overloadedRetryAfter)
+		after = max(after, OverloadedRetryAfter)
 	}
 	return Decision{ID: w.id, Verdict: Verdict{Reason: seamoutcome.Late, RetryAfter: max(after, minRetryAfter)}}
 }
--- a/internal/route/seamingress/overload.go
+++ b/internal/route/seamingress/overload.go
@@ -4,13 +4,11 @@
 	"sync"
 	"time"
 
+	"cardamomseam/internal/route/seamadmit"
 	"cardamomseam/internal/route/seamoutcome"
 )
 
 const (
-	// overloadRetryAfter is the delay before a retry from which on the refusal of a key's owner means that the key is
-	// overloaded. Shorter ones say when a slot is expected.
-	overloadRetryAfter = 3 * time.Second
 	// minOverloadPause and maxOverloadPause bound the time for which an overloaded key's requests are refused without
 	// asking its owner. The time doubles with each such refusal by the owner in a row.
 	minOverloadPause = 500 * time.Millisecond
@@ -63,7 +61,7 @@
 	defer o.mu.Unlock()
 	known, ok := o.keys[key]
 	switch {
-	case end.Reason == seamoutcome.Late && end.RetryAfter >= overloadRetryAfter:
+	case end.Reason == seamoutcome.Late && end.RetryAfter >= seamadmit.OverloadedRetryAfter:
 		if !ok && len(o.keys) >= maxOverloadedKeys {
 			clear(o.keys)
 		}
--- a/internal/route/seamingress/overload_test.go
+++ b/internal/route/seamingress/overload_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cardamomseam/internal/route/seamadmit"
 	"cardamomseam/internal/route/seamingress"
 	"cardamomseam/internal/route/seamoutcome"
 )
@@ -26,7 +27,7 @@
 		known[i] = seamingress.NewOverloads()
 	}
 	overloaded := seamoutcome.NewRefused(seamoutcome.Late, "")
-	overloaded.RetryAfter = 5 * time.Second
+	overloaded.RetryAfter = seamadmit.OverloadedRetryAfter
 	asked, admitted, first := 0, 0, 0
 	for n := range rate * seconds {
 		at := time.Duration(n) * time.Second / rate
@@ -68,13 +69,13 @@
 		slot uint32
 		want bool
 	}{
-		"overloaded":          {[]seamoutcome.End{refused(seamoutcome.Late, 5*time.Second)}, 7, false},
-		"another key":         {[]seamoutcome.End{refused(seamoutcome.Late, 5*time.Second)}, 8, true},
+		"overloaded":          {[]seamoutcome.End{refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter)}, 7, false},
+		"another key":         {[]seamoutcome.End{refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter)}, 8, true},
 		"slot expected":       {[]seamoutcome.End{refused(seamoutcome.Late, time.Second)}, 7, true},
-		"owner changes":       {[]seamoutcome.End{refused(seamoutcome.Owner, 5*time.Second)}, 7, true},
-		"served again":        {[]seamoutcome.End{refused(seamoutcome.Late, 5*time.Second), {Outcome: seamoutcome.Done}}, 7, true},
-		"refused once more":   {[]seamoutcome.End{refused(seamoutcome.Late, 5*time.Second), refused(seamoutcome.Late, 5*time.Second)}, 7, false},
-		"late, then no owner": {[]seamoutcome.End{refused(seamoutcome.Late, 5*time.Second), refused(seamoutcome.Owner, 0)}, 7, false},
+		"owner changes":       {[]seamoutcome.End{refused(seamoutcome.Owner, seamadmit.OverloadedRetryAfter)}, 7, true},
+		"served again":        {[]seamoutcome.End{refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter), {Outcome: seamoutcome.Done}}, 7, true},
+		"refused once more":   {[]seamoutcome.End{refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter), refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter)}, 7, false},
+		"late, then no owner": {[]seamoutcome.End{refused(seamoutcome.Late, seamadmit.OverloadedRetryAfter), refused(seamoutcome.Owner, 0)}, 7, false},
 	} {
 		o := seamingress.NewOverloads()
 		for _, end := range tt.ends {
