--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -68,7 +68,7 @@
 
 func (g *target) address() string { return g.server.Listener.Addr().String() }
 
-// ServeHTTP runs a request if the target holds its key.
+// ServeHTTP runs a request if the target holds its key. The query parameter "work" sets how long it runs.
 func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key, err := strconv.ParseUint(r.Header.Get(seamheader.Slot), 10, 32)
 	if g.service == keyedService && (err != nil || !g.has(uint32(key))) {
@@ -79,9 +79,19 @@
 	g.mu.Lock()
 	g.runs++
 	g.mu.Unlock()
+	if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		time.Sleep(work)
+	}
 	_, _ = io.WriteString(w, g.name) // fails only if the caller has disconnected
 }
 
+// runCount returns the number of requests that the target has begun to run.
+func (g *target) runCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.runs
+}
+
 func (g *target) has(key uint32) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
