Log what ended a lost attempt: silent sessions, cut requests, the answer to voiding

A request whose end another node did not report has the same detail (EOF) whether that node stopped, its session was closed by a failed probe, or its process was killed. Now a session that a probe closes leaves peer.down with call probe, the time without a byte and the open streams; node.drained says how many requests were in flight at its target when the limit cut them; an attempt has what voiding it gave. No change of behaviour.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -29,6 +29,7 @@
 	// Heartbeats to the assigner and grants to the target continue until no request is in flight.
 	err := errors.Wrap(n.server.Drain(ctx, n.stop.Load().Notice), "callers' requests are in flight")
 	err = errors.CombineErrors(err, errors.Wrap(n.egress.Drain(ctx), "requests are in flight at the target"))
+	inFlight := n.egress.InFlight()
 	n.stopRunner()
 	n.stopElectors(ctx)
 	leaving, cancel := context.WithTimeout(ctx, sessionLeaveTimeout)
@@ -36,7 +37,7 @@
 	n.sessions.Shutdown(leaving)
 	fields := seamevent.Fields{"took": time.Since(started).String()}
 	if err != nil {
-		fields["cut"] = err.Error()
+		fields["cut"], fields["inflight"] = err.Error(), inFlight
 	}
 	n.sink.Emit(time.Now(), seamevent.NodeDrained, fields)
 	return err
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -10,6 +10,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seambalance"
+	"cardamomseam/internal/route/seamdedup"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamroutewire"
@@ -62,6 +63,8 @@
 	streamEmpty bool
 	// unknownEnd is the end of an earlier attempt that may have run; nil if there is none.
 	unknownEnd *seamoutcome.End
+	// voidState is the result of voiding the current attempt; empty if that was not tried.
+	voidState seamdedup.State
 }
 
 // run makes attempts until one ends the request, or until a retry is unsafe or not allowed.
@@ -145,6 +148,7 @@
 // attempt makes one attempt at the node, reports its end to the load balancer and returns it.
 func (x *exchange) attempt(ctx context.Context, to seampeer.Peer) seamoutcome.End {
 	x.responder.reset(to.Name)
+	x.voidState = ""
 	x.head.Attempt = rand.Uint64()
 	x.head.Whole = x.body.fullyBuffered
 	start := time.Now()
@@ -165,6 +169,7 @@
 	x.attempts = append(x.attempts, attemptRecord{
 		Node:    to.String(),
 		Reason:  string(end.Reason),
+		Void:    string(x.voidState),
 		At:      start.Sub(x.arrivedAt),
 		Took:    time.Since(start),
 		Wait:    end.QueueWait,
--- a/internal/route/seamingress/log.go
+++ b/internal/route/seamingress/log.go
@@ -16,6 +16,8 @@
 	Reason string        `json:"reason,omitempty"`
 	At     time.Duration `json:"at"`
 	Took   time.Duration `json:"took"`
+	// Void is the state that the node reported when it was asked to void the attempt.
+	Void string `json:"void,omitempty"`
 	// Wait is the queueing delay and Service the mean service time that the node reported for its target.
 	Wait    time.Duration `json:"wait,omitempty"`
 	Service time.Duration `json:"service,omitempty"`
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -299,9 +299,16 @@
 }
 
 // void voids an attempt at the incarnation of the node that received it, and reports whether the attempt has
-// not run and never will. It retries until the node or a different incarnation answers, for at
-// most voidTimeout and not beyond the deadline.
+// not run and never will.
 func (x *exchange) void(ctx context.Context, receiver seampeer.Peer, sent sentAttempt) bool {
+	x.voidState = x.requestVoid(ctx, receiver, sent)
+	x.ingress.stats.countVoid(x.voidState)
+	return x.voidState == seamdedup.Voided
+}
+
+// requestVoid asks the node to void the attempt and returns the state that it reports. It retries until the node or a
+// different incarnation answers, for at most voidTimeout and not beyond the deadline.
+func (x *exchange) requestVoid(ctx context.Context, receiver seampeer.Peer, sent sentAttempt) seamdedup.State {
 	ctx, cancel := context.WithTimeout(ctx, min(voidTimeout, time.Until(x.deadline)))
 	defer cancel()
 	for n := 0; ; n++ {
@@ -311,12 +318,10 @@
 		}
 		var stale *seamsession.StalePeerError
 		if err == nil || errors.As(err, &stale) {
-			x.ingress.stats.countVoid(state)
-			return state == seamdedup.Voided
+			return state
 		}
 		if !seamwait.For(ctx, seamretry.Backoff(n)) {
-			x.ingress.stats.countVoid(seamdedup.Unknown)
-			return false
+			return seamdedup.Unknown
 		}
 	}
 }
--- a/internal/route/seamsession/pool_test.go
+++ b/internal/route/seamsession/pool_test.go
@@ -26,9 +26,10 @@
 }
 
 type testNode struct {
-	pool  *seamsession.Pool
-	peer  seampeer.Peer
-	close func()
+	pool   *seamsession.Pool
+	peer   seampeer.Peer
+	events *seamevent.Stream
+	close  func()
 }
 
 func newTestNode(t testing.TB, name string, cfg seamsession.Config) *testNode {
@@ -41,13 +42,14 @@
 		cfg.Listener = l
 	}
 	peer := seampeer.Peer{Name: name, Incarnation: 5, Address: cfg.Listener.Addr().String(), Region: "ost"}
-	pool, closePool, err := seamsession.New(cfg, peer, metrics.NewSet(), seamevent.NewStream(name))
+	events := seamevent.NewStream(name)
+	pool, closePool, err := seamsession.New(cfg, peer, metrics.NewSet(), events)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(closePool)
 	pool.Register(seamsession.Rules, echoHandler{})
-	return &testNode{pool: pool, peer: peer, close: closePool}
+	return &testNode{pool: pool, peer: peer, events: events, close: closePool}
 }
 
 // roundTrip sends text to a peer and returns the reply.
--- a/internal/route/seamsession/probe.go
+++ b/internal/route/seamsession/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seamwait"
 )
 
@@ -20,14 +21,14 @@
 func (p *Pool) probeSessions(ctx context.Context) {
 	seamwait.Every(ctx, probeInterval, func(now time.Time) {
 		for _, s := range p.allSessions() {
-			s.probe(now)
+			s.probe(now, p.events)
 		}
 	})
 }
 
 // probe pings the peer if nothing has arrived recently, and closes the session if nothing arrives before the ping
 // fails. Bytes of any kind keep the session open: over a slow link, the pong may be queued behind other data.
-func (s *session) probe(now time.Time) {
+func (s *session) probe(now time.Time, events seamevent.Sink) {
 	before := s.lastReceived()
 	if now.Sub(before) < probeAfterSilence || s.mux.IsClosed() || !s.inUse() || s.probing.Swap(true) {
 		return
@@ -35,11 +36,25 @@
 	go func() {
 		defer s.probing.Store(false)
 		if _, err := s.mux.Ping(); err != nil && s.lastReceived().Equal(before) {
-			s.close()
+			s.closeAsSilent(time.Now(), err, events)
 		}
 	}()
 }
 
+// closeAsSilent closes the session after a failed probe, and logs that unless the session had already ended.
+func (s *session) closeAsSilent(now time.Time, cause error, events seamevent.Sink) {
+	if !s.mux.IsClosed() {
+		events.Emit(now, seamevent.PeerDown, seamevent.Fields{
+			"peer":    s.peer.String(),
+			"call":    "probe",
+			"error":   cause.Error(),
+			"silent":  now.Sub(s.lastReceived()).Milliseconds(),
+			"streams": s.mux.NumStreams(),
+		})
+	}
+	s.close()
+}
+
 // lastReceived returns the time at which bytes last arrived from the peer.
 func (s *session) lastReceived() time.Time {
 	return time.Unix(0, s.conn.lastReceived.Load())
--- a/internal/route/seamsession/probe_test.go
+++ b/internal/route/seamsession/probe_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/route/seamsession"
 )
 
@@ -84,3 +85,25 @@
 		}
 	}
 }
+
+func TestSessionClosedAsSilentIsLogged(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newTestNode(t, "a", seamsession.Config{LazyProbes: true, ProbeTimeout: 100 * time.Millisecond})
+	b := newTestNode(t, "b", seamsession.Config{Listener: pongDroppingListener{l}, KeepaliveInterval: time.Hour})
+	conn, err := a.pool.Open(t.Context(), b.peer, seamsession.Rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Minute))
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the silent session was not closed")
+	}
+	recent := a.events.Recent()
+	if len(recent) != 1 || recent[0].Name != seamevent.PeerDown || recent[0].Fields["call"] != "probe" || recent[0].Fields["streams"] != 1 {
+		t.Errorf("got events %+v, want one of the failed probe with one stream", recent)
+	}
+}
