Start nothing that the node's planned stop may cut

What callers saw: 502 for a booking at which its target was at work. The booking was sent through a node that runs on (or that stops much later); the node beside the target was near the end of its own stop.

Cause: a node that stops serves requests of other nodes until its own callers are served, up to the limit (5.4 s), and started a request if twice the mean service time was left. Now a request starts after the notice (2.2 s) only if its deadline lies before the limit, so that it ends by itself, or if it may be repeated and has a key, since no other node may serve that. Others are refused, in the queue at the end of the notice already; they have not run, and the node that asked takes another target at once, without a retry.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -11,6 +11,7 @@
 
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamelection"
+	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
 )
 
@@ -22,7 +23,10 @@
 	n.draining.Store(true)
 	if limit, ok := ctx.Deadline(); ok {
 		// When the ingress cancels what is in flight, a request that waits must not be started in place of one that ends.
-		n.egress.SetShutdownDeadline(limit.Add(-seamingress.FinalResponseMargin))
+		n.egress.PlanStop(seamegress.StopPlan{
+			NoticeEnd: started.Add(n.stop.Load().Notice),
+			Limit:     limit.Add(-seamingress.FinalResponseMargin),
+		})
 	}
 	n.runner.NodeStopping()
 	n.withdrawElectors()
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -85,20 +85,17 @@
 // runWhenAdmitted waits until the target has capacity for the request, and then runs it.
 func (c *call) runWhenAdmitted(ctx context.Context, grant *seamgrant.Grant) seamoutcome.End {
 	c.countKey()
-	waiting, stop := c.cancelOnSlotMove(ctx, grant)
+	waiting, stop := c.waitContext(ctx, grant)
 	defer c.releaseBody()
 	if end := c.bufferBody(waiting); end != nil {
 		stop()
 		return *end
 	}
 	v := c.egress.limiter.admit(waiting, time.Now(), c.admissionRequest())
-	moved := errors.Is(context.Cause(waiting), errSlotMoved)
+	cause := context.Cause(waiting)
 	stop()
-	if !v.Admitted && moved {
-		return c.egress.redirect(ctx, c.head, seamoutcome.NewRefused(seamoutcome.Owner, errSlotMoved.Error()))
-	}
 	if !v.Admitted {
-		return *admissionRefusal(v)
+		return c.endOfWait(ctx, cause, v)
 	}
 	p := &permit{limiter: c.egress.limiter, head: c.head, start: time.Now()}
 	defer p.release(false, false)
@@ -117,6 +114,29 @@
 	return c.run(ctx, grant, p)
 }
 
+// waitContext returns the context of the wait for admission, which ends early if the slot moves or if the node is about to
+// stop, and a function that releases it.
+func (c *call) waitContext(ctx context.Context, grant *seamgrant.Grant) (context.Context, func()) {
+	ctx, stopMoveWatch := c.cancelOnSlotMove(ctx, grant)
+	ctx, stopNoticeWatch := c.cancelOnNoticeEnd(ctx)
+	return ctx, func() {
+		stopNoticeWatch()
+		stopMoveWatch()
+	}
+}
+
+// endOfWait returns the refusal of a request that was not admitted; cause is that of the wait's context.
+func (c *call) endOfWait(ctx context.Context, cause error, v seamlimit.Verdict) seamoutcome.End {
+	switch {
+	case errors.Is(cause, errNodeStopping):
+		return *refusal(seamoutcome.Draining, errNodeStopping.Error())
+	case errors.Is(cause, errSlotMoved):
+		return c.egress.redirect(ctx, c.head, seamoutcome.NewRefused(seamoutcome.Owner, errSlotMoved.Error()))
+	default:
+		return *admissionRefusal(v)
+	}
+}
+
 func admissionRefusal(v seamlimit.Verdict) *seamoutcome.End {
 	end := refusal(v.Reason, "the request was not admitted to the target")
 	end.RetryAfter = v.RetryAfter
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamroutewire"
@@ -54,22 +56,45 @@
 	e.refusingUnkeyed = true
 }
 
-// minTimeBeforeShutdown is the least time that a request must have before the node's shutdown deadline.
-const minTimeBeforeShutdown = 300 * time.Millisecond
-
-// SetShutdownDeadline sets the latest time at which the node stops. Requests that may not end before it are refused.
-func (e *Egress) SetShutdownDeadline(deadline time.Time) {
+// PlanStop sets the times of the node's planned stop. Requests that the stop may cut are refused, those in the queue
+// at the end of the notice.
+func (e *Egress) PlanStop(p StopPlan) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.shutdownDeadline = deadline
+	e.stopPlan = p
+	e.noticeTimer.Reset(time.Until(p.NoticeEnd))
 }
 
-// stopsBeforeCompletion reports whether the node may stop before a request with this mean duration ends.
-// It allows twice the mean.
-func (e *Egress) stopsBeforeCompletion(now time.Time, meanDuration time.Duration) bool {
+// mayStart reports whether the request may be started before the planned stop of the node.
+func (c *call) mayStart(now time.Time) bool {
+	e := c.egress
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.shutdownDeadline.IsZero() && now.Add(max(2*meanDuration, minTimeBeforeShutdown)).After(e.shutdownDeadline)
+	plan := e.stopPlan
+	e.mu.Unlock()
+	return plan.MayStart(now, StartingRequest{
+		Deadline:        c.admissionRequest().deadline,
+		MeanServiceTime: e.limiter.meanServiceTime(c.head),
+		OwnerOnly:       c.head.GetKeyed(),
+		Idempotent:      c.head.GetIdempotent(),
+	})
+}
+
+// errNodeStopping ends the wait for admission of a request that the stop of the node may cut.
+var errNodeStopping = errors.New("the node stops before the request is expected to end")
+
+// cancelOnNoticeEnd returns a context that is canceled at the end of the notice of a planned stop if the request may no
+// longer be started then, and a function that releases the context.
+func (c *call) cancelOnNoticeEnd(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.egress.noticeEnded, func() {
+		if !c.mayStart(time.Now()) {
+			cancel(errNodeStopping)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // Drain refuses new requests from now on and waits until those in flight have ended.
@@ -106,8 +131,8 @@
 	if a, ok := e.target.Current(); ok && a.Name == c.announced.Name && a.Leaving && !e.withinHandoverGrace(c.head, a, now) {
 		return refusal(seamoutcome.Draining, "the target is leaving")
 	}
-	if e.stopsBeforeCompletion(now, e.limiter.meanServiceTime(c.head)) {
-		return refusal(seamoutcome.Draining, "the node stops before the request is expected to end")
+	if !c.mayStart(now) {
+		return refusal(seamoutcome.Draining, errNodeStopping.Error())
 	}
 	return nil
 }
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -117,14 +118,16 @@
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
 	refusingUnkeyed, draining bool
-	// shutdownDeadline is the latest time at which the node stops; zero if it is not shutting down.
-	shutdownDeadline time.Time
-	inFlight         int
+	stopPlan                  StopPlan
+	inFlight                  int
 	// leavingTarget is the incarnation of the target that is leaving, since leavingSince.
 	leavingTarget string
 	leavingSince  time.Time
 	// idle is closed when the egress is draining and no request is in flight.
 	idle chan struct{}
+	// noticeEnded is canceled by noticeTimer at the end of the notice of a planned stop.
+	noticeEnded context.Context
+	noticeTimer *time.Timer
 }
 
 // New returns an egress and a function that closes its connections to the target.
@@ -158,7 +161,12 @@
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.dedup.Len()) })
-	return e, e.pools.close
+	ctx, cancel := context.WithCancel(context.Background())
+	e.noticeEnded, e.noticeTimer = ctx, time.AfterFunc(math.MaxInt64, cancel)
+	return e, func() {
+		e.noticeTimer.Stop()
+		e.pools.close()
+	}
 }
 
 func newAdmission(cfg Config, set *metrics.Set) admission {
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -174,11 +174,15 @@
 	if end := run(1); end.Outcome != seamoutcome.Done {
 		t.Fatalf("got %+v", end)
 	}
-	e.SetShutdownDeadline(time.Now().Add(time.Hour))
+	planStop := func(in time.Duration) {
+		limit := time.Now().Add(in)
+		e.PlanStop(seamegress.StopPlan{NoticeEnd: limit, Limit: limit})
+	}
+	planStop(time.Hour)
 	if end := run(2); end.Outcome != seamoutcome.Done {
 		t.Errorf("got %+v long before the shutdown deadline", end)
 	}
-	e.SetShutdownDeadline(time.Now().Add(150 * time.Millisecond))
+	planStop(150 * time.Millisecond)
 	if end := run(3); end.Outcome != seamoutcome.Refused || end.Reason != seamoutcome.Draining {
 		t.Errorf("got %+v right before the shutdown deadline", end)
 	}
