Show that a stopping ingress starts requests elsewhere that it cancels (fails)

Callers of a node that stops get 502 (unknown, lost), although their requests could have been answered 503 without a run: the node starts them at another node shortly before, or right after, it cancels everything in flight (FinalResponseMargin before its limit), and the run is cut.

Cause: only the egress knows the time of the cancellation (SetShutdownDeadline); the ingress does not. exchange.run makes an attempt at another node whatever time is left until shutdown.cancelBefore fires, and head.Left tells that node the time until the deadline of the caller, so that its queue also starts the request at any time. Four ways are shown: a slot becomes free at the other node, a slow body becomes complete before or after the cancellation, and a key has an owner again. After the cancellation, an attempt is still made, since Sessions.Open ignores an ended context if there is a session: the caller gets 502 even though mostly nothing runs. At the own target the gate refuses these.

A further retry of an idempotent request takes the same path (exchange.run, nextAttempt); it has no case here.

--- a/internal/route/seamingress/shutdown_test.go
+++ b/internal/route/seamingress/shutdown_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"cardamomseam/internal/route/seamingress"
 )
 
 // send sends a request to the node in the background. The status of its answer follows on the channel, 0 without one.
@@ -71,3 +74,88 @@
 		})
 	}
 }
+
+// sendWithHeldBody sends a request whose body is complete once finish is called.
+func sendWithHeldBody(t *testing.T, n *node) (status <-chan int, finish func()) {
+	t.Helper()
+	body, rest := io.Pipe()
+	answered := make(chan int, 1)
+	go func() {
+		r, _ := http.NewRequest(http.MethodPost, n.url("/book"), body)
+		r.ContentLength = 2
+		answered <- do(t, r).status
+	}()
+	write := func() {
+		if _, err := rest.Write([]byte("x")); err != nil {
+			t.Errorf("sending the body: %v", err)
+		}
+	}
+	write()
+	return answered, write
+}
+
+func TestStoppingNodeStartsNothingElsewhereThatItCancels(t *testing.T) {
+	const (
+		limit = 850 * time.Millisecond
+		work  = 400 * time.Millisecond
+		// cancelAt is the time after SIGTERM at which the node cancels what is in flight.
+		cancelAt = limit - seamingress.FinalResponseMargin
+	)
+	for _, tt := range []struct {
+		name string
+		// at is the time after SIGTERM at which the request could start.
+		at    time.Duration
+		keyed bool
+		send  func(t *testing.T, front, back *node) (status <-chan int, start func())
+	}{
+		{"a slot is free shortly before", 0, false, func(t *testing.T, front, back *node) (<-chan int, func()) {
+			back.directory.candidates = front.directory.candidates
+			back.target.announced.MaxConcurrency = 1
+			_ = send(t, back, http.MethodPost)
+			awaitInFlight(back, 1)
+			return send(t, front, http.MethodPost), func() {}
+		}},
+		{"its body is complete shortly before", cancelAt - 100*time.Millisecond, false, func(t *testing.T, front, _ *node) (<-chan int, func()) {
+			return sendWithHeldBody(t, front)
+		}},
+		{"its body is complete shortly after", cancelAt + 100*time.Millisecond, false, func(t *testing.T, front, _ *node) (<-chan int, func()) {
+			return sendWithHeldBody(t, front)
+		}},
+		{"its key has an owner again shortly before", cancelAt - 100*time.Millisecond, true, func(t *testing.T, front, back *node) (<-chan int, func()) {
+			front.directory.owner = back.peer
+			back.owners.refuseNext(back.peer.Address, 1<<20)
+			return send(t, front, http.MethodPost), func() { back.owners.refuseNext("", 0) }
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var runs, cut atomic.Int32
+			front, back := pair(t, func(_ http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body) // the HTTP library notices a close only once the body is read
+				select {
+				case <-time.After(work):
+				case <-r.Context().Done():
+					cut.Add(1)
+				}
+			})
+			front.rules.decision.Limits.DeadlineMillis = 5000
+			if status := <-send(t, front, http.MethodPost); status != http.StatusOK {
+				t.Fatalf("status %d before the stop", status)
+			}
+			front.rules.decision.Keyed = tt.keyed
+			answered, start := tt.send(t, front, back)
+			time.Sleep(20 * time.Millisecond)
+			timer := time.AfterFunc(tt.at, start)
+			defer timer.Stop()
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			_ = front.server.Drain(ctx, 10*time.Millisecond) // an error means that callers got no response, as the status tells
+			status := <-answered
+			time.Sleep(20 * time.Millisecond)
+			if status != http.StatusServiceUnavailable && status != http.StatusOK || cut.Load() != 0 {
+				t.Errorf("status %d, want 503 or 200: about 100 ms from its cancellations a stopping node sent a request to another node, where a run takes %v; %d runs were cut", status, work, cut.Load())
+			}
+		})
+	}
+}
