Show that an idle egress reports requests in flight (fails)

The log of a node that stops at its limit says that requests are in flight at its target although none is (node.drained with cut and inflight 0), which misleads whoever looks for what a stop has cut.

Cause: Egress.Drain selects between idle and the end of ctx; where both are ready, select chooses at random. The node calls it with an ended ctx whenever its callers took until the limit. Seen first in the output of TestReloadedStopLimitBoundsTheStop.

--- a/internal/route/seamegress/drain_test.go
+++ b/internal/route/seamegress/drain_test.go
@@ -61,3 +61,18 @@
 		t.Errorf("a request that got its grant 50 ms before the node stops ended with %q after %d runs, want a refusal: the stop cuts longer ones and their callers get 502", end.Reason, lateRuns.Load())
 	}
 }
+
+func TestDrainOfAnIdleEgressReportsNoRequestsInFlight(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	failed := 0
+	for range 50 {
+		e, _ := newEgress(t, time.Minute, nil, nil)
+		if e.Drain(ctx) != nil {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of 50 drains at the end of the time reported requests in flight; there were none, and the node logs that it cut some", failed)
+	}
+}
