Check the stop of node and target again right before the first byte

A request with a key whose grant is renewed after the wait for a slot, or one that waits for a connection, passed the check of the stop first and was started up to 2 s later, 50 ms before the stop in the test: its caller gets 502 if the run takes longer. The gate, which every request passes right before its first byte, now asks for the stop and the handover grace, too.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -258,6 +258,7 @@
 		idempotent: c.head.GetIdempotent(),
 		grant:      grant,
 		deadline:   c.deadline,
+		mayStart:   func() bool { return c.shutdownRefusal(time.Now()) == nil },
 	}
 }
 
--- a/internal/route/seamegress/gate.go
+++ b/internal/route/seamegress/gate.go
@@ -30,6 +30,8 @@
 	// deadline is the deadline of the request. It is checked in addition to ctx, whose timer may
 	// fire late after a pause of the process.
 	deadline seamclock.Instant
+	// mayStart reports whether the request may still be started: neither the target nor the node stops before its end.
+	mayStart func() bool
 	// isMismatched reports whether a response belongs to another request; nil means that none does.
 	isMismatched func(*http.Response) bool
 
@@ -77,6 +79,8 @@
 		return seamoutcome.Expired
 	case g.ctx.Err() != nil:
 		return seamoutcome.Gone
+	case !g.mayStart():
+		return seamoutcome.Draining
 	case g.idempotent:
 		return ""
 	case g.started:
--- a/internal/route/seamegress/stopplan_test.go
+++ b/internal/route/seamegress/stopplan_test.go
@@ -12,7 +12,7 @@
 func TestStopPlanAllowsOnlyRequestsThatTheStopDoesNotCut(t *testing.T) {
 	const mean = 200 * time.Millisecond
 	start := time.Unix(1000, 0)
-	after := func(d time.Duration) time.Time { return start.Add(d) }
+	after := start.Add
 	plan := seamegress.StopPlan{NoticeEnd: after(2 * time.Second), Limit: after(5 * time.Second)}
 	late := after(9 * time.Second)
 	for _, tt := range []struct {
