Refuse by what a run needs instead of by the notice, and report what a stop cuts

Now a request that must not be repeated needs 2 s, or six mean service times, before the limit (five sixths of the stop instead of two fifths), and one that may be repeated the two mean service times that it needed before: if the stop cuts it, another node runs it. For that the node that sent it must be told: until now, what was in flight at the limit ended with the session, and the node that had sent it asked for up to 1 s whether it ran. So the egress cancels at the time at which the ingress cancels, and reports each request.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -23,10 +23,7 @@
 	n.draining.Store(true)
 	if limit, ok := ctx.Deadline(); ok {
 		// When the ingress cancels what is in flight, a request that waits must not be started in place of one that ends.
-		n.egress.PlanStop(seamegress.StopPlan{
-			NoticeEnd: started.Add(n.stop.Load().Notice),
-			Limit:     limit.Add(-seamingress.FinalResponseMargin),
-		})
+		n.egress.PlanStop(seamegress.StopPlan{Limit: limit.Add(-seamingress.FinalResponseMargin)})
 	}
 	n.runner.NodeStopping()
 	n.withdrawElectors()
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -118,9 +118,9 @@
 // stop, and a function that releases it.
 func (c *call) waitContext(ctx context.Context, grant *seamgrant.Grant) (context.Context, func()) {
 	ctx, stopMoveWatch := c.cancelOnSlotMove(ctx, grant)
-	ctx, stopNoticeWatch := c.cancelOnNoticeEnd(ctx)
+	ctx, stopWatch := c.cancelBeforeStop(ctx)
 	return ctx, func() {
-		stopNoticeWatch()
+		stopWatch()
 		stopMoveWatch()
 	}
 }
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -56,13 +56,14 @@
 	e.refusingUnkeyed = true
 }
 
-// PlanStop sets the times of the node's planned stop. Requests that the stop may cut are refused, those in the queue
-// at the end of the notice.
+// PlanStop sets the time of the node's planned stop. Requests that the stop may cut are refused from then on, also those that
+// wait for admission. At the limit, those in flight are canceled, so that the nodes that sent them are told.
 func (e *Egress) PlanStop(p StopPlan) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopPlan = p
-	e.noticeTimer.Reset(time.Until(p.NoticeEnd))
+	e.refusalTimer.Reset(time.Until(p.refusalTime()))
+	e.limitTimer.Reset(time.Until(p.Limit))
 }
 
 // mayStart reports whether the request may be started before the planned stop of the node.
@@ -74,19 +75,31 @@
 	return plan.MayStart(now, StartingRequest{
 		Deadline:        c.admissionRequest().deadline,
 		MeanServiceTime: e.limiter.meanServiceTime(c.head),
-		OwnerOnly:       c.head.GetKeyed(),
 		Idempotent:      c.head.GetIdempotent(),
 	})
 }
 
+// errStopped is the cancellation cause of requests in flight at the limit of a planned stop.
+var errStopped = errors.New("the node has stopped")
+
+// cancelAtStop returns a context that is canceled at the limit of a planned stop, and a function that releases the context.
+func (e *Egress) cancelAtStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.stopped, func() { cancel(errStopped) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // errNodeStopping ends the wait for admission of a request that the stop of the node may cut.
 var errNodeStopping = errors.New("the node stops before the request is expected to end")
 
-// cancelOnNoticeEnd returns a context that is canceled at the end of the notice of a planned stop if the request may no
-// longer be started then, and a function that releases the context.
-func (c *call) cancelOnNoticeEnd(ctx context.Context) (context.Context, func()) {
+// cancelBeforeStop returns a context that is canceled before a planned stop of the node if the request may no longer be
+// started then, and a function that releases the context.
+func (c *call) cancelBeforeStop(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.egress.noticeEnded, func() {
+	stop := context.AfterFunc(c.egress.stopping, func() {
 		if !c.mayStart(time.Now()) {
 			cancel(errNodeStopping)
 		}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -125,9 +125,12 @@
 	leavingSince  time.Time
 	// idle is closed when the egress is draining and no request is in flight.
 	idle chan struct{}
-	// noticeEnded is canceled by noticeTimer at the end of the notice of a planned stop.
-	noticeEnded context.Context
-	noticeTimer *time.Timer
+	// stopping is canceled by refusalTimer at the refusal time of a planned stop.
+	stopping     context.Context
+	refusalTimer *time.Timer
+	// stopped is canceled by limitTimer at the limit of a planned stop.
+	stopped    context.Context
+	limitTimer *time.Timer
 }
 
 // New returns an egress and a function that closes its connections to the target.
@@ -161,14 +164,21 @@
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.dedup.Len()) })
-	ctx, cancel := context.WithCancel(context.Background())
-	e.noticeEnded, e.noticeTimer = ctx, time.AfterFunc(math.MaxInt64, cancel)
+	e.stopping, e.refusalTimer = timedContext()
+	e.stopped, e.limitTimer = timedContext()
 	return e, func() {
-		e.noticeTimer.Stop()
+		e.refusalTimer.Stop()
+		e.limitTimer.Stop()
 		e.pools.close()
 	}
 }
 
+// timedContext returns a context and the timer that cancels it, which is not set yet.
+func timedContext() (context.Context, *time.Timer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return ctx, time.AfterFunc(math.MaxInt64, cancel)
+}
+
 func newAdmission(cfg Config, set *metrics.Set) admission {
 	if cfg.AdmitByObjective {
 		return objectiveAdmission{seamadmit.New(set)}
@@ -212,6 +222,8 @@
 	if timeout <= 0 {
 		return seamoutcome.NewRefused(seamoutcome.Expired, "the deadline passed before the request reached the node")
 	}
+	ctx, release := e.cancelAtStop(ctx)
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	announced, end := e.currentTarget(head)
--- a/internal/route/seamegress/stopplan.go
+++ b/internal/route/seamegress/stopplan.go
@@ -2,13 +2,18 @@
 
 import "time"
 
-// minTimeBeforeStop is the least time that a request must have before the node stops.
-const minTimeBeforeStop = 300 * time.Millisecond
+const (
+	// minTimeBeforeStop is the least time that a request must have before the node stops.
+	minTimeBeforeStop = 300 * time.Millisecond
+	// minTimeOfUnrepeatable is that time for a request that must not be repeated. Some run for many times the mean.
+	minTimeOfUnrepeatable = 2 * time.Second
+	// meansBeforeStop and meansOfUnrepeatable are the least numbers of mean service times in these times.
+	meansBeforeStop     = 2
+	meansOfUnrepeatable = 6
+)
 
-// StopPlan holds the times of a planned stop of the node. The zero value means that no stop is planned.
+// StopPlan holds the time of a planned stop of the node. The zero value means that no stop is planned.
 type StopPlan struct {
-	// NoticeEnd is the time until which requests are started that may be cut if they run for far longer than usual.
-	NoticeEnd time.Time
 	// Limit is the time at which the node cancels what is in flight.
 	Limit time.Time
 }
@@ -18,20 +23,23 @@
 	Deadline time.Time
 	// MeanServiceTime is the mean duration of such requests; 0 if unknown.
 	MeanServiceTime time.Duration
-	// OwnerOnly means that no other node may serve the request.
-	OwnerOnly bool
 	// Idempotent requests may be repeated if the stop cuts them.
 	Idempotent bool
 }
 
-// MayStart reports whether the request may be started at the given time. The mean service time alone does not protect a
-// request that may run at another node or must not be repeated: some requests run for many times the mean.
+// MayStart reports whether the request may be started at the given time. The stop cuts no request whose deadline lies before
+// it. Of the others, one that may be repeated needs the time in which most end, and one that must not be repeated the time
+// in which nearly all do.
 func (p StopPlan) MayStart(now time.Time, r StartingRequest) bool {
 	if p.Limit.IsZero() || !r.Deadline.After(p.Limit) {
 		return true
 	}
-	if now.Add(max(2*r.MeanServiceTime, minTimeBeforeStop)).After(p.Limit) {
-		return false
+	needed := max(meansOfUnrepeatable*r.MeanServiceTime, minTimeOfUnrepeatable)
+	if r.Idempotent {
+		needed = max(meansBeforeStop*r.MeanServiceTime, minTimeBeforeStop)
 	}
-	return !now.After(p.NoticeEnd) || r.OwnerOnly && r.Idempotent
+	return !now.Add(needed).After(p.Limit)
 }
+
+// refusalTime returns the time from which requests that must not be repeated are refused, unless they end before the stop.
+func (p StopPlan) refusalTime() time.Time { return p.Limit.Add(-minTimeOfUnrepeatable) }
