--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -121,8 +121,11 @@
 	case <-e.idle:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	if e.InFlight() == 0 {
+		return nil
+	}
+	return ctx.Err()
 }
 
 // withinHandoverGrace reports whether a target that is leaving may still run the request:
