--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -11,8 +11,8 @@
 
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamelection"
-	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seamstop"
 )
 
 // sessionLeaveTimeout bounds the wait until other nodes have stopped using their sessions with this one.
@@ -23,7 +23,7 @@
 	n.draining.Store(true)
 	if limit, ok := ctx.Deadline(); ok {
 		// When the ingress cancels what is in flight, a request that waits must not be started in place of one that ends.
-		n.egress.PlanStop(seamegress.StopPlan{Limit: limit.Add(-seamingress.FinalResponseMargin)})
+		n.egress.PlanStop(seamstop.Plan{Limit: limit.Add(-seamingress.FinalResponseMargin)})
 	}
 	n.runner.NodeStopping()
 	n.withdrawElectors()
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -9,6 +9,7 @@
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamroutewire"
+	"cardamomseam/internal/route/seamstop"
 )
 
 // beginRequest counts a request as in flight, or reports false if the node refuses it.
@@ -58,11 +59,11 @@
 
 // PlanStop sets the time of the node's planned stop. Requests that the stop may cut are refused from then on, also those that
 // wait for admission. At the limit, those in flight are canceled, so that the nodes that sent them are told.
-func (e *Egress) PlanStop(p StopPlan) {
+func (e *Egress) PlanStop(p seamstop.Plan) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopPlan = p
-	e.refusalTimer.Reset(time.Until(p.refusalTime()))
+	e.refusalTimer.Reset(time.Until(p.RefusalTime()))
 	e.limitTimer.Reset(time.Until(p.Limit))
 }
 
@@ -72,7 +73,7 @@
 	e.mu.Lock()
 	plan := e.stopPlan
 	e.mu.Unlock()
-	return plan.MayStart(now, StartingRequest{
+	return plan.MayStart(now, seamstop.Request{
 		Deadline:        c.admissionRequest().deadline,
 		MeanServiceTime: e.limiter.meanServiceTime(c.head),
 		Idempotent:      c.head.GetIdempotent(),
--- a/internal/route/seamegress/drain_test.go
+++ b/internal/route/seamegress/drain_test.go
@@ -18,6 +18,7 @@
 	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamstop"
 )
 
 // slowOwners grants every slot, from the second time on after a wait, as while a grant is renewed late.
@@ -53,7 +54,7 @@
 	t.Cleanup(closeEgress)
 	deadline := time.Now().Add(beforeShutdown)
 	shutdown.Store(deadline.UnixNano())
-	e.PlanStop(seamegress.StopPlan{Limit: deadline})
+	e.PlanStop(seamstop.Plan{Limit: deadline})
 	h := upload(1, 4)
 	h.Keyed = true
 	end := e.Run(t.Context(), h, strings.NewReader("body"), &discard{header: http.Header{}})
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -27,6 +27,7 @@
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/route/seamspan"
+	"cardamomseam/internal/route/seamstop"
 )
 
 // Owners grants the authority to serve a slot.
@@ -118,7 +119,7 @@
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
 	refusingUnkeyed, draining bool
-	stopPlan                  StopPlan
+	stopPlan                  seamstop.Plan
 	inFlight                  int
 	// leavingTarget is the incarnation of the target that is leaving, since leavingSince.
 	leavingTarget string
--- a/internal/route/seamegress/egress_test.go
+++ b/internal/route/seamegress/egress_test.go
@@ -30,6 +30,7 @@
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamroutewire"
+	"cardamomseam/internal/route/seamstop"
 )
 
 var self = seampeer.Peer{Name: "back", Incarnation: 3}
@@ -176,7 +177,7 @@
 	}
 	planStop := func(in time.Duration) {
 		limit := time.Now().Add(in)
-		e.PlanStop(seamegress.StopPlan{Limit: limit})
+		e.PlanStop(seamstop.Plan{Limit: limit})
 	}
 	planStop(time.Hour)
 	if end := run(2); end.Outcome != seamoutcome.Done {
--- /dev/null
+++ b/internal/route/seamegress/stop_test.go
@@ -0,0 +1,61 @@
+package seamegress_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamstop"
+)
+
+func TestQueuedRequestIsRefusedOnceTheStopWouldCutIt(t *testing.T) {
+	release := make(chan struct{})
+	e := newBufferingEgress(t, 0, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	run := func(attempt uint64) seamoutcome.End {
+		return e.Run(t.Context(), upload(attempt, 0), nil, &discard{header: http.Header{}})
+	}
+	slots := e.Load().Slots
+	for i := range slots {
+		go run(uint64(i + 1))
+	}
+	for e.Load().Running < slots {
+		time.Sleep(time.Millisecond)
+	}
+	queued := make(chan seamoutcome.End, 1)
+	go func() { queued <- run(100) }()
+	for e.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	e.PlanStop(seamstop.Plan{Limit: now.Add(2050 * time.Millisecond)})
+	select {
+	case end := <-queued:
+		if end.Outcome != seamoutcome.Refused || end.Reason != seamoutcome.Draining {
+			t.Errorf("got %+v, want a refusal because the node is draining", end)
+		}
+	case <-time.After(time.Second):
+		t.Error("a request that will not be started still waits 1 s later")
+	}
+}
+
+func TestRunningRequestIsReportedWhenTheStopCutsIt(t *testing.T) {
+	release := make(chan struct{})
+	e := newBufferingEgress(t, 0, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	ended := make(chan seamoutcome.End, 1)
+	go func() { ended <- e.Run(t.Context(), upload(1, 0), nil, &discard{header: http.Header{}}) }()
+	for e.Load().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.PlanStop(seamstop.Plan{Limit: time.Now().Add(50 * time.Millisecond)})
+	select {
+	case end := <-ended:
+		if end.Outcome != seamoutcome.Unknown || end.Reason != seamoutcome.Cancelled {
+			t.Errorf("got %+v, want a report that the node canceled the request", end)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the node that sent the request is not told that the stop cuts it, and waits for its end")
+	}
+}
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -18,7 +18,6 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/route/seamcall"
-	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamingress"
@@ -26,6 +25,7 @@
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/route/seamsession"
+	"cardamomseam/internal/route/seamstop"
 	"cardamomseam/internal/rule/seamrule"
 )
 
@@ -384,7 +384,7 @@
 			defer cancel()
 			if deadline, _ := ctx.Deadline(); tt.local {
 				// As the node does that drains its ingress and its egress.
-				back.egress.PlanStop(seamegress.StopPlan{Limit: deadline.Add(-seamingress.FinalResponseMargin)})
+				back.egress.PlanStop(seamstop.Plan{Limit: deadline.Add(-seamingress.FinalResponseMargin)})
 			}
 			if err := front.server.Drain(ctx, 10*time.Millisecond); err != nil {
 				t.Error(err)
--- a/internal/route/seamegress/stopplan.go
+++ b/internal/route/seamstop/plan.go
@@ -1,4 +1,5 @@
-package seamegress
+// Package seamstop decides which requests a node still starts before its planned stop.
+package seamstop
 
 import "time"
 
@@ -12,14 +13,14 @@
 	meansOfUnrepeatable = 6
 )
 
-// StopPlan holds the time of a planned stop of the node. The zero value means that no stop is planned.
-type StopPlan struct {
+// Plan holds the time of a planned stop of the node. The zero value means that no stop is planned.
+type Plan struct {
 	// Limit is the time at which the node cancels what is in flight.
 	Limit time.Time
 }
 
-// StartingRequest describes a request that is about to be started at the target.
-type StartingRequest struct {
+// Request describes a request that is about to be started.
+type Request struct {
 	Deadline time.Time
 	// MeanServiceTime is the mean duration of such requests; 0 if unknown.
 	MeanServiceTime time.Duration
@@ -30,7 +31,7 @@
 // MayStart reports whether the request may be started at the given time. The stop cuts no request whose deadline lies before
 // it. Of the others, one that may be repeated needs the time in which most end, and one that must not be repeated the time
 // in which nearly all do.
-func (p StopPlan) MayStart(now time.Time, r StartingRequest) bool {
+func (p Plan) MayStart(now time.Time, r Request) bool {
 	if p.Limit.IsZero() || !r.Deadline.After(p.Limit) {
 		return true
 	}
@@ -41,5 +42,5 @@
 	return !now.Add(needed).After(p.Limit)
 }
 
-// refusalTime returns the time from which requests that must not be repeated are refused, unless they end before the stop.
-func (p StopPlan) refusalTime() time.Time { return p.Limit.Add(-minTimeOfUnrepeatable) }
+// RefusalTime returns the time from which requests that must not be repeated are refused, unless they end before the stop.
+func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-minTimeOfUnrepeatable) }
