Let a stopping ingress tell the truth about requests at other nodes, and start none there that it cancels

A node that stops cancelled its callers' requests at other nodes by dropping their streams: (1) one that waited in the other node's queue, and never ran, got 502 (may have run) instead of 503, and did not come back; (2) a free slot, a complete body or a new owner shortly before the cancellation started a request that was then cut: 502. Now a cancelled attempt closes only its own side of the stream, upon which the other node cancels the request and reports whether it ran (0.2 s at most). 2 s before the cancellation the ingress voids what must not be repeated and has not started elsewhere, and it makes no attempts from then on that its stop would cut; the rule is that of the egress (seamstop). Callers get 503 and come back elsewhere. TestDrainAnswersRequestsItCancels now waits until its requests run at the target; it counted accepted ones, of which the stop refuses those that have not started, as it should. It is as strict: the reasons and statuses that it wants are the same.

--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -81,6 +81,9 @@
 		if !ok {
 			return x.endWithoutNode(last)
 		}
+		if end, stopping := x.stopRefusal(); stopping {
+			return x.finalEnd(end)
+		}
 		if end, overloaded := x.overloaded(); overloaded {
 			return x.finalEnd(end)
 		}
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -131,7 +131,7 @@
 	events    seamevent.Sink
 	stats     *stats
 	draining  atomic.Bool
-	shutdown  shutdown
+	shutdown  *shutdown
 	overloads *overloads
 	// inFlight is the number of requests without a response.
 	inFlight atomic.Int64
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -364,7 +364,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			release := make(chan struct{})
 			defer close(release)
-			front, back := pair(t, func(http.ResponseWriter, *http.Request) { <-release })
+			var running atomic.Int32
+			front, back := pair(t, func(http.ResponseWriter, *http.Request) {
+				running.Add(1)
+				<-release
+			})
 			if tt.local {
 				front = back
 				front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
@@ -377,7 +381,7 @@
 					results <- do(t, r)
 				}()
 			}
-			for back.egress.InFlight() < 2 {
+			for back.egress.InFlight() < 2 || int(running.Load()) < min(2, tt.slots) {
 				time.Sleep(time.Millisecond)
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -148,6 +148,7 @@
 // still in flight when ctx ended; their connections are closed.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.draining.Store(true)
+	defer s.ingress.shutdown.planStop(ctx)()
 	seamwait.For(ctx, grace)
 	s.listenerDrain.drain(ctx)
 	defer s.ingress.shutdown.cancelBefore(ctx)()
--- a/internal/route/seamingress/shutdown.go
+++ b/internal/route/seamingress/shutdown.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/route/seamdedup"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamroutewire"
+	"cardamomseam/internal/route/seamstop"
 )
 
 // FinalResponseMargin is the time before the drain deadline at which requests in flight are canceled, so that
@@ -16,20 +22,58 @@
 // errShuttingDown is the cancellation cause of requests in flight when the node shuts down.
 var errShuttingDown = errors.New("node is shutting down")
 
+// cancelReportTimeout bounds the wait for another node's report on a request that this node has canceled there.
+const cancelReportTimeout = 200 * time.Millisecond
+
 // shutdown cancels the requests in flight shortly before the node stops.
 type shutdown struct {
 	ctx    context.Context
 	cancel context.CancelFunc
+	// refusing is canceled by refuse at the refusal time of the planned stop.
+	refusing context.Context
+	refuse   context.CancelFunc
+	plan     atomic.Pointer[seamstop.Plan]
+}
+
+func newShutdown() *shutdown {
+	s := &shutdown{}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.refusing, s.refuse = context.WithCancel(context.Background())
+	s.plan.Store(&seamstop.Plan{})
+	return s
+}
+
+// planStop plans the stop by the deadline of ctx. The returned function stops the timer of the refusals.
+func (s *shutdown) planStop(ctx context.Context) (stop func()) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	plan := seamstop.Plan{Limit: deadline.Add(-FinalResponseMargin)}
+	s.plan.Store(&plan)
+	timer := time.AfterFunc(time.Until(plan.RefusalTime()), s.refuse)
+	return func() { timer.Stop() }
+}
+
+// mayStart reports whether the planned stop leaves enough time to run the request.
+func (s *shutdown) mayStart(now time.Time, x *exchange) bool {
+	return s.plan.Load().MayStart(now, seamstop.Request{Deadline: x.deadline, Idempotent: x.head.GetIdempotent()})
 }
 
-func newShutdown() shutdown {
-	ctx, cancel := context.WithCancel(context.Background())
-	return shutdown{ctx: ctx, cancel: cancel}
+// errNodeStopping is the reason why a request is not started.
+const errNodeStopping = "the node stops before the request is expected to end"
+
+// stopRefusal returns the refusal of a request that the planned stop would cut, and false for other requests.
+func (x *exchange) stopRefusal() (seamoutcome.End, bool) {
+	if x.ingress.shutdown.mayStart(time.Now(), x) {
+		return seamoutcome.End{}, false
+	}
+	return seamoutcome.NewRefused(seamoutcome.Draining, errNodeStopping), true
 }
 
 // bind derives a context from the caller's that is also canceled, with the cause errShuttingDown, when the node
 // shuts down. The returned function releases the context.
-func (s shutdown) bind(caller context.Context) (context.Context, func()) {
+func (s *shutdown) bind(caller context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(caller)
 	stop := context.AfterFunc(s.ctx, func() { cancel(errShuttingDown) })
 	return ctx, func() {
@@ -40,7 +84,7 @@
 
 // cancelBefore cancels the requests in flight FinalResponseMargin before the deadline of ctx. The returned function
 // stops the timer.
-func (s shutdown) cancelBefore(ctx context.Context) (stop func()) {
+func (s *shutdown) cancelBefore(ctx context.Context) (stop func()) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return func() {}
@@ -68,3 +112,41 @@
 	}
 	return end
 }
+
+// cancelAttempt ends an attempt at another node whose context has ended. If this node shuts down, the other node is told by
+// the end of the request's side of the stream and reports whether the request ran.
+func cancelAttempt(ctx context.Context, conn net.Conn) {
+	if !errors.Is(context.Cause(ctx), errShuttingDown) {
+		conn.SetDeadline(time.Unix(1, 0))
+		return
+	}
+	conn.SetReadDeadline(time.Now().Add(cancelReportTimeout))
+	conn.Close()
+}
+
+// withdrawBeforeStop withdraws an attempt at another node at the refusal time of a planned stop, if it was not started by
+// then and must not be repeated. The returned function ends that, and waits until a withdrawal in progress has ended.
+func (x *exchange) withdrawBeforeStop(ctx context.Context, conn net.Conn, at seampeer.Peer, void *seamroutewire.Void) (release func()) {
+	s := x.ingress.shutdown
+	if x.head.GetIdempotent() {
+		return func() {}
+	}
+	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
+	done := make(chan struct{})
+	stop := context.AfterFunc(s.refusing, func() {
+		defer close(done)
+		if s.mayStart(time.Now(), x) {
+			return
+		}
+		if state, err := x.sendVoid(ctx, at, void); err == nil && state == seamdedup.Voided {
+			conn.SetReadDeadline(time.Now().Add(cancelReportTimeout))
+			conn.Close()
+		}
+	})
+	return func() {
+		cancel()
+		if !stop() {
+			<-done
+		}
+	}
+}
