Give peers time to leave the sessions of a node that stops at its limit

Cause: the 0.3 s in which peers are told to leave the sessions were part of the limit, and nothing of them was left when callers' requests had taken it all.

--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -33,7 +33,8 @@
 	inFlight := n.egress.InFlight()
 	n.stopRunner()
 	n.stopElectors(ctx)
-	leaving, cancel := context.WithTimeout(ctx, sessionLeaveTimeout)
+	// Also after the limit: a request that a peer sends until it leaves the session would be lost.
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), sessionLeaveTimeout)
 	defer cancel()
 	n.sessions.Shutdown(leaving)
 	fields := seamevent.Fields{"took": time.Since(started).String()}
