Start the handover grace of a leaving target when it announces that it leaves

The grace period of 1.5 s, in which a leaving target still serves keys that were not handed over, started with the first request that the egress saw afterwards: after a quiet second, requests were started up to 1.5 s past its end, at a target that may exit during them. It now starts with the announcement, for each incarnation of the target.

--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -76,6 +76,7 @@
 	}
 	n.runner.SetIncarnation(incarnation)
 	if a.Leaving {
+		n.egress.TargetLeaving(time.Now(), a)
 		n.runner.TargetStopping()
 	}
 }
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -129,15 +129,33 @@
 	return ctx.Err()
 }
 
+// incarnation identifies one run of a target.
+type incarnation struct {
+	name    string
+	started int64
+}
+
+// TargetLeaving starts the handover grace period of a target that announced that it is leaving, unless it has started.
+func (e *Egress) TargetLeaving(now time.Time, a seamtarget.Announcement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startHandoverGrace(now, a)
+}
+
+// startHandoverGrace starts the handover grace period of the target unless it has started. The caller holds mu.
+func (e *Egress) startHandoverGrace(now time.Time, a seamtarget.Announcement) {
+	leaving := incarnation{a.Name, a.Started}
+	if e.leavingTarget != leaving {
+		e.leavingTarget, e.leavingSince = leaving, now
+	}
+}
+
 // withinHandoverGrace reports whether a target that is leaving may still run the request:
-// for a grace period it serves the slots that were not handed over yet. The period starts
-// with the first call for this incarnation of the target.
+// for a grace period it serves the slots that were not handed over yet.
 func (e *Egress) withinHandoverGrace(head *seamroutewire.RequestHead, a seamtarget.Announcement, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leavingTarget != a.Name {
-		e.leavingTarget, e.leavingSince = a.Name, now
-	}
+	e.startHandoverGrace(now, a)
 	return head.GetKeyed() && now.Sub(e.leavingSince) < e.cfg.HandoverGrace
 }
 
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -122,7 +122,7 @@
 	stopPlan                  seamstop.Plan
 	inFlight                  int
 	// leavingTarget is the incarnation of the target that is leaving, since leavingSince.
-	leavingTarget string
+	leavingTarget incarnation
 	leavingSince  time.Time
 	// idle is closed when the egress is draining and no request is in flight.
 	idle chan struct{}
