--- a/cmd/cardamomseam/serve.go
+++ b/cmd/cardamomseam/serve.go
@@ -59,7 +59,7 @@
 	go node.WatchSettings(ctx, file, reload)
 	<-ctx.Done()
 	cancel() // restores the default handling: a second signal terminates the process immediately
-	drainCtx, cancelDrain := context.WithTimeout(context.Background(), settings.Stop.Limit)
+	drainCtx, cancelDrain := context.WithTimeout(context.Background(), node.StopLimit())
 	defer cancelDrain()
 	return errors.Wrap(node.Drain(drainCtx), "drain")
 }
--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -18,6 +18,9 @@
 // sessionLeaveTimeout bounds the wait until other nodes have stopped using their sessions with this one.
 const sessionLeaveTimeout = 300 * time.Millisecond
 
+// StopLimit returns the time limit of a planned stop by the current settings.
+func (n *Node) StopLimit() time.Duration { return n.stop.Load().Limit }
+
 func (n *Node) drain(ctx context.Context, started time.Time) error {
 	n.sink.Emit(started, seamevent.NodeDraining, seamevent.Fields{"inflight": n.egress.InFlight()})
 	n.draining.Store(true)
