--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -23,6 +23,8 @@
 	OnCallEnd func(call string, err error)
 	// OnCallDuration is called with the duration of each call.
 	OnCallDuration func(call string, took time.Duration, err error)
+	// OnEraChange is called when the store has come back from a copy, with its eras before and after; may be nil.
+	OnEraChange func(before, after int64)
 	// WatchTimeout returns the time without changes after which a watch is reopened.
 	WatchTimeout func() time.Duration
 	// ChangeBatchDelay is how long a watch collects further changes after the first one.
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -93,6 +93,7 @@
 		Addresses:        n.settings.Store,
 		OnCallEnd:        n.onStoreCallEnd,
 		OnCallDuration:   n.recordStoreCall,
+		OnEraChange:      n.onStoreRestored,
 		WatchTimeout:     watchTimeout,
 		ChangeBatchDelay: changeBatchDelay,
 	})
@@ -119,6 +120,13 @@
 	n.sink.Emit(now, seamevent.StoreUp, seamevent.Fields{"call": call})
 }
 
+// onStoreRestored logs that the store has come back from a copy. revision is the one up to which this node knew all changes.
+func (n *Node) onStoreRestored(before, after int64) {
+	now := time.Now()
+	n.metricSet.GetOrCreateCounter("cardamomseam_store_restored_total").Inc()
+	n.sink.Emit(now, seamevent.StoreRestored, seamevent.Fields{"from": before, "era": after, "revision": n.feed.Status().Revision})
+}
+
 func (n *Node) recordStoreCall(call string, took time.Duration, err error) {
 	result := "done"
 	if err != nil {
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -28,6 +28,7 @@
 	AuditWrite           = "audit.write"
 	StoreDown            = "store.down"
 	StoreUp              = "store.up"
+	StoreRestored        = "store.restored"
 	RequestRefused       = "request.refused"
 	RequestUnknown       = "request.unknown"
 	InvariantBroken      = "invariant.broken"
