--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -47,6 +47,8 @@
 	service string
 	started int64
 	server  *httptest.Server
+	// onRun, if set, is called when a run begins. The function it returns is called when the run ends.
+	onRun func(target string, r *http.Request) (ended func())
 
 	mu     sync.Mutex
 	grants []grantedRange
@@ -58,11 +60,11 @@
 	expiresAt time.Time
 }
 
-func newTarget(t testing.TB, name, service string) *target {
-	t.Helper()
-	g := &target{name: name, service: service, started: time.Now().UnixMilli()}
+func (f *fleet) newTarget(name, service string) *target {
+	f.t.Helper()
+	g := &target{name: name, service: service, started: time.Now().UnixMilli(), onRun: f.onRun}
 	g.server = httptest.NewServer(g)
-	t.Cleanup(g.server.Close)
+	f.t.Cleanup(g.server.Close)
 	return g
 }
 
@@ -79,6 +81,9 @@
 	g.mu.Lock()
 	g.runs++
 	g.mu.Unlock()
+	if g.onRun != nil {
+		defer g.onRun(g.name, r)()
+	}
 	if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
 		time.Sleep(work)
 	}
@@ -167,6 +172,9 @@
 	t     testing.TB
 	store *seamstandkv.Store
 	nodes []*node
+	// stopSettings and onRun apply to the nodes and targets that are added.
+	stopSettings seamsetting.Stop
+	onRun        func(target string, r *http.Request) (ended func())
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -216,7 +224,9 @@
 	t.Helper()
 	store, stop := seamstandkv.New()
 	t.Cleanup(stop)
-	f := &fleet{t: t, store: store, targets: map[string]*target{}}
+	f := &fleet{t: t, store: store, targets: map[string]*target{}, stopSettings: seamsetting.Stop{
+		Notice: 100 * time.Millisecond, Limit: 5 * time.Second, Linger: time.Second,
+	}}
 	f.writeRoutes(1)
 	for i, service := range services {
 		f.add(fmt.Sprintf("n%d", i), service)
@@ -250,12 +260,12 @@
 // addWith starts a node with a target. The node uses the given store, or the fleet's store if that is nil.
 func (f *fleet) addWith(name, service string, store seamstore.LeaseStore) *node {
 	f.t.Helper()
-	n := &node{target: newTarget(f.t, "t-"+name, service), store: store, settings: seamsetting.Router{
+	n := &node{target: f.newTarget("t-"+name, service), store: store, settings: seamsetting.Router{
 		Name: name, Region: "ost", Domain: "ost-1",
 		Listen: freeAddress(f.t), Ingress: freeAddress(f.t), Announce: freeAddress(f.t), Health: freeAddress(f.t), Metrics: freeAddress(f.t),
 		Store: []string{"127.0.0.1:1"},
 		Retry: seamsetting.Retry{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-		Stop:  seamsetting.Stop{Notice: 100 * time.Millisecond, Limit: 5 * time.Second, Linger: time.Second},
+		Stop:  f.stopSettings,
 		Log:   seamsetting.Log{Level: "info", Format: "json"},
 	}}
 	f.mu.Lock()
