Show that the stream of a withdrawn request is reused (fails)

The withdrawal closes its side of the stream, the other node reports Gone, and sendRemote releases the stream for reuse, since ctx has not ended. The next request to that node gets the closed stream: 502 (lost: stream closed) for an idempotent one without a retry left.

--- /dev/null
+++ b/internal/route/seamingress/withdraw_test.go
@@ -0,0 +1,42 @@
+package seamingress_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/route/seamingress"
+)
+
+func TestStreamOfWithdrawnRequestIsNotReused(t *testing.T) {
+	var runs atomic.Int32
+	ended := make(chan struct{})
+	front, back := pair(t, func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) == 1 {
+			<-ended
+		}
+	})
+	back.directory.candidates = front.directory.candidates
+	back.target.announced.MaxConcurrency = 1
+	for _, n := range []*node{front, back} {
+		n.rules.decision.Limits.DeadlineMillis = 5000
+	}
+	first := send(t, back, http.MethodPost)
+	awaitInFlight(back, 1)
+	queued := send(t, front, http.MethodPost)
+	awaitInFlight(back, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second+seamingress.FinalResponseMargin+50*time.Millisecond)
+	defer cancel()
+	go func() { _ = front.server.Drain(ctx, time.Second) }() // the callers' answers are checked
+	if status := <-queued; status != http.StatusServiceUnavailable {
+		t.Errorf("status %d for a request that the stopping node withdrew; want 503", status)
+	}
+	close(ended)
+	<-first
+	r, _ := http.NewRequest(http.MethodGet, front.url("/book"), nil)
+	if res := do(t, r); res.status != http.StatusOK {
+		t.Errorf("status %d for a request that follows a withdrawn one to the same node: %s; want 200", res.status, res.body)
+	}
+}
