--- a/internal/route/seamingress/withdraw_test.go
+++ b/internal/route/seamingress/withdraw_test.go
@@ -40,3 +40,29 @@
 		t.Errorf("status %d for a request that follows a withdrawn one to the same node: %s; want 200", res.status, res.body)
 	}
 }
+
+func TestRequestThatWaitedLongElsewhereIsWithdrawnAtOnce(t *testing.T) {
+	const untilCancel = time.Second
+	for _, waited := range []time.Duration{100 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(waited.String(), func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			front, back, release := busyPair(t, &runs)
+			first := send(t, back, http.MethodPost)
+			awaitInFlight(back, 1)
+			queued := send(t, front, http.MethodPost)
+			awaitInFlight(back, 2)
+			time.Sleep(waited)
+			ctx, cancel := context.WithTimeout(t.Context(), untilCancel+seamingress.FinalResponseMargin)
+			defer cancel()
+			start := time.Now()
+			go func() { _ = front.server.Drain(ctx, 10*time.Millisecond) }() // the caller's answer is checked
+			status, took := <-queued, time.Since(start)
+			release()
+			<-first
+			if status != http.StatusServiceUnavailable || took > untilCancel/2 {
+				t.Errorf("status %d after %v for a request that had waited %v at another node when its own node was to withdraw it; want 503 at once", status, took.Round(time.Millisecond), waited)
+			}
+		})
+	}
+}
