--- a/internal/route/seamingress/withdraw_test.go
+++ b/internal/route/seamingress/withdraw_test.go
@@ -66,3 +66,40 @@
 		})
 	}
 }
+
+func TestStoppingNodeStartsNoIdempotentRequestElsewhereThatItCancels(t *testing.T) {
+	var runs, cut atomic.Int32
+	ended := make(chan struct{})
+	front, back := pair(t, func(_ http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			<-ended
+			return
+		}
+		select {
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+			cut.Add(1)
+		}
+	})
+	back.directory.candidates = front.directory.candidates
+	back.target.announced.MaxConcurrency = 1
+	for _, n := range []*node{front, back} {
+		n.rules.decision.Limits.DeadlineMillis = 8000
+	}
+	first := send(t, back, http.MethodPost)
+	awaitInFlight(back, 1)
+	queued := send(t, front, http.MethodGet)
+	awaitInFlight(back, 2)
+	// The slot is free 100 ms before the node cancels what is in flight.
+	timer := time.AfterFunc(400*time.Millisecond, func() { close(ended) })
+	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond+seamingress.FinalResponseMargin)
+	defer cancel()
+	_ = front.server.Drain(ctx, 10*time.Millisecond) // the caller's answer is checked
+	status := <-queued
+	<-first
+	time.Sleep(20 * time.Millisecond)
+	if status != http.StatusServiceUnavailable || cut.Load() != 0 {
+		t.Errorf("status %d for a request that waited at another node until 100 ms before its own node canceled it, %d runs were cut; want 503 and none", status, cut.Load())
+	}
+}
