--- a/internal/route/seamingress/withdraw_test.go
+++ b/internal/route/seamingress/withdraw_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seamsession"
 )
 
 func TestStreamOfWithdrawnRequestIsNotReused(t *testing.T) {
@@ -103,3 +106,26 @@
 		t.Errorf("status %d for a request that waited at another node until 100 ms before its own node canceled it, %d runs were cut; want 503 and none", status, cut.Load())
 	}
 }
+
+// hangingHandler answers nothing until the stream's session ends.
+type hangingHandler struct{}
+
+// ServeStream waits for the end of the stream.
+func (hangingHandler) ServeStream(ctx context.Context, _ seampeer.Peer, _ net.Conn) { <-ctx.Done() }
+
+func TestAnswerIsNotHeldUntilAWithdrawalEnds(t *testing.T) {
+	const work = 300 * time.Millisecond
+	front, back := pair(t, func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
+	front.rules.decision.Limits.DeadlineMillis = 8000
+	back.pool.Register(seamsession.Void, hangingHandler{})
+	start := time.Now()
+	answer := send(t, front, http.MethodPost)
+	awaitInFlight(back, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	go func() { _ = front.server.Drain(ctx, 10*time.Millisecond) }() // the caller's answer is checked
+	status, took := <-answer, time.Since(start)
+	if status != http.StatusOK || took > 2*work {
+		t.Errorf("status %d after %v for a request that ran for %v while its node waited for the answer to its withdrawal; want 200 at once", status, took.Round(time.Millisecond), work)
+	}
+}
