--- a/internal/node/seamrouter/drain.go
+++ b/internal/node/seamrouter/drain.go
@@ -25,7 +25,7 @@
 	n.sink.Emit(started, seamevent.NodeDraining, seamevent.Fields{"inflight": n.egress.InFlight()})
 	n.draining.Store(true)
 	if limit, ok := ctx.Deadline(); ok {
-		// When the ingress cancels what is in flight, a request that waits must not be started in place of one that ends.
+		// The egress cancels what is in flight at the same time as the ingress.
 		n.egress.PlanStop(seamstop.Plan{Limit: limit.Add(-seamingress.FinalResponseMargin)})
 	}
 	n.runner.NodeStopping()
--- a/internal/node/seamrouter/stop_test.go
+++ b/internal/node/seamrouter/stop_test.go
@@ -58,7 +58,7 @@
 	time.Sleep(500 * time.Millisecond)
 	for range 7 {
 		callers.Go(func() {
-			a, err := f.send(entry, http.MethodPost, "/book/2?work=2100ms", "")
+			a, err := f.send(entry, http.MethodPost, "/book/2?work=2600ms", "")
 			if err != nil || a.status != http.StatusOK {
 				t.Errorf("a request sent to a running node while another node stops: status %d, %q, %v; want 200", a.status, a.body, err)
 			}
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -57,8 +57,8 @@
 	e.refusingUnkeyed = true
 }
 
-// PlanStop sets the time of the node's planned stop. Requests that the stop may cut are refused from then on, also those that
-// wait for admission. At the limit, those in flight are canceled, so that the nodes that sent them are told.
+// PlanStop plans the stop of the node. Requests that the stop would cut are refused, at the refusal time also those that wait for
+// admission. At the limit, those in flight are canceled, so that the nodes that sent them are told.
 func (e *Egress) PlanStop(p seamstop.Plan) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -81,7 +81,7 @@
 }
 
 // errStopped is the cancellation cause of requests in flight at the limit of a planned stop.
-var errStopped = errors.New("the node has stopped")
+var errStopped = errors.New("the node stops")
 
 // cancelAtStop returns a context that is canceled at the limit of a planned stop, and a function that releases the context.
 func (e *Egress) cancelAtStop(ctx context.Context) (context.Context, func()) {
--- a/internal/route/seamegress/drain_test.go
+++ b/internal/route/seamegress/drain_test.go
@@ -37,17 +37,22 @@
 }
 
 func TestRequestThatWaitsForItsGrantIsNotStartedShortlyBeforeShutdown(t *testing.T) {
-	const beforeShutdown = 400 * time.Millisecond
+	const (
+		beforeShutdown = 2400 * time.Millisecond
+		grantWait      = 500 * time.Millisecond
+		// lateAfter is the time from which on a run would be cut: less than 2 s before the node stops.
+		lateAfter = 450 * time.Millisecond
+	)
 	var lateRuns atomic.Int32
 	var shutdown atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		if time.Now().UnixNano() > shutdown.Load()-int64(beforeShutdown)/2 {
+		if time.Now().UnixNano() > shutdown.Load()-int64(beforeShutdown-lateAfter) {
 			lateRuns.Add(1)
 		}
 	}))
 	t.Cleanup(server.Close)
 	clock := seamclock.NewClock()
-	owners := &slowOwners{grantingOwners: grantingOwners{clock, time.Minute}, wait: beforeShutdown - 50*time.Millisecond}
+	owners := &slowOwners{grantingOwners: grantingOwners{clock, time.Minute}, wait: grantWait}
 	target := announcedTarget{Service: "booker", Name: "t", Address: server.Listener.Addr().String(), MaxConcurrency: 1}
 	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
 	e, closeEgress := seamegress.New(seamegress.Config{AdmitByObjective: true, BodyBufferBytes: 1 << 20}, self, owners, target, clock, keys, metrics.NewSet(), seamevent.NewStream("back"))
@@ -59,7 +64,7 @@
 	h.Keyed = true
 	end := e.Run(t.Context(), h, strings.NewReader("body"), &discard{header: http.Header{}})
 	if end.Reason != seamoutcome.Draining || lateRuns.Load() != 0 {
-		t.Errorf("a request that got its grant 50 ms before the node stops ended with %q after %d runs, want a refusal: the stop cuts longer ones and their callers get 502", end.Reason, lateRuns.Load())
+		t.Errorf("a request that got its grant 1.9 s before the node stops ended with %q after %d runs, want a refusal: the stop cuts longer ones and their callers get 502", end.Reason, lateRuns.Load())
 	}
 }
 
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -77,14 +77,14 @@
 	}
 	conn.SetDeadline(x.deadline.Add(responseGrace))
 	stop := context.AfterFunc(ctx, func() { cancelAttempt(ctx, conn) })
-	release := x.withdrawBeforeStop(ctx, conn, at, x.voidRequest(at, sentAttempt{time.Now(), time.Until(x.deadline)}))
+	release := x.withdrawBeforeStop(ctx, conn, at)
 	end, err := x.call(ctx, conn)
-	release()
+	withdrawn := release()
 	notCancelled := stop()
 	if err != nil {
 		return end, at, &lostError{At: at, Cause: err}
 	}
-	reusable = notCancelled && x.body.fullyBuffered && x.streamEmpty
+	reusable = notCancelled && !withdrawn && x.body.fullyBuffered && x.streamEmpty
 	return end, at, nil
 }
 
@@ -314,7 +314,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(voidTimeout, time.Until(x.deadline)))
 	defer cancel()
 	for n := 0; ; n++ {
-		state, err := x.sendVoid(ctx, receiver, x.voidRequest(receiver, sent))
+		state, err := x.sendVoid(ctx, receiver, sent)
 		if err == nil && sent.left(time.Now()) < -seamdedup.Retention {
 			state = seamdedup.Unknown
 		}
@@ -328,18 +328,14 @@
 	}
 }
 
-// voidRequest returns the request to void the current attempt.
-func (x *exchange) voidRequest(receiver seampeer.Peer, sent sentAttempt) *seamroutewire.Void {
-	return &seamroutewire.Void{
+// sendVoid sends one request to void the attempt, and returns the state that the node reports.
+func (x *exchange) sendVoid(ctx context.Context, receiver seampeer.Peer, sent sentAttempt) (seamdedup.State, error) {
+	request := &seamroutewire.Void{
 		Id:      x.head.GetId(),
 		Attempt: x.head.GetAttempt(),
 		Peer:    seamsession.PeerToWire(receiver),
 		Left:    sent.left(time.Now()).Milliseconds(),
 	}
-}
-
-// sendVoid sends one request to void an attempt, and returns the state that the node reports.
-func (x *exchange) sendVoid(ctx context.Context, receiver seampeer.Peer, request *seamroutewire.Void) (seamdedup.State, error) {
 	if receiver.Same(x.ingress.self) {
 		return x.ingress.local.Void(request), nil
 	}
@@ -354,6 +350,7 @@
 	defer conn.Close()
 	limit, _ := ctx.Deadline()
 	conn.SetDeadline(limit)
+	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
 	if err := seamframe.Write(conn, seamframe.Void, request); err != nil {
 		return seamdedup.Unknown, err
 	}
--- a/internal/route/seamingress/shutdown.go
+++ b/internal/route/seamingress/shutdown.go
@@ -11,7 +11,6 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamdedup"
 	"cardamomseam/internal/route/seamoutcome"
-	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/route/seamstop"
 )
 
@@ -25,7 +24,7 @@
 // cancelReportTimeout bounds the wait for another node's report on a request that this node has canceled there.
 const cancelReportTimeout = 200 * time.Millisecond
 
-// shutdown cancels the requests in flight shortly before the node stops.
+// shutdown refuses and withdraws the requests that a planned stop would cut, and cancels those in flight shortly before it.
 type shutdown struct {
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,15 +59,15 @@
 	return s.plan.Load().MayStart(now, seamstop.Request{Deadline: x.deadline, Idempotent: x.head.GetIdempotent()})
 }
 
-// errNodeStopping is the reason why a request is not started.
-const errNodeStopping = "the node stops before the request is expected to end"
+// stoppingDetail tells why a request is not started.
+const stoppingDetail = "the node stops before the request is expected to end"
 
 // stopRefusal returns the refusal of a request that the planned stop would cut, and false for other requests.
 func (x *exchange) stopRefusal() (seamoutcome.End, bool) {
 	if x.ingress.shutdown.mayStart(time.Now(), x) {
 		return seamoutcome.End{}, false
 	}
-	return seamoutcome.NewRefused(seamoutcome.Draining, errNodeStopping), true
+	return seamoutcome.NewRefused(seamoutcome.Draining, stoppingDetail), true
 }
 
 // bind derives a context from the caller's that is also canceled, with the cause errShuttingDown, when the node
@@ -125,28 +124,45 @@
 }
 
 // withdrawBeforeStop withdraws an attempt at another node at the refusal time of a planned stop, if it was not started by
-// then and must not be repeated. The returned function ends that, and waits until a withdrawal in progress has ended.
-func (x *exchange) withdrawBeforeStop(ctx context.Context, conn net.Conn, at seampeer.Peer, void *seamroutewire.Void) (release func()) {
-	s := x.ingress.shutdown
+// then and is not idempotent. The returned function ends that and reports whether the attempt was withdrawn.
+func (x *exchange) withdrawBeforeStop(ctx context.Context, conn net.Conn, at seampeer.Peer) (release func() (withdrawn bool)) {
 	if x.head.GetIdempotent() {
-		return func() {}
+		return func() bool { return false }
 	}
-	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
-	stop := context.AfterFunc(s.refusing, func() {
+	withdrawn := false
+	stop := context.AfterFunc(x.ingress.shutdown.refusing, func() {
 		defer close(done)
-		if s.mayStart(time.Now(), x) {
-			return
-		}
-		if state, err := x.sendVoid(ctx, at, void); err == nil && state == seamdedup.Voided {
-			conn.SetReadDeadline(time.Now().Add(cancelReportTimeout))
-			conn.Close()
-		}
+		withdrawn = x.withdraw(ctx, conn, at)
 	})
-	return func() {
+	return func() bool {
 		cancel()
-		if !stop() {
-			<-done
+		if stop() {
+			return false
 		}
+		<-done
+		return withdrawn
 	}
 }
+
+// withdraw voids the current attempt if the planned stop would cut it, and then ends its stream, so that the other node
+// reports its end. It reports whether it did.
+func (x *exchange) withdraw(ctx context.Context, conn net.Conn, at seampeer.Peer) bool {
+	if x.ingress.shutdown.mayStart(time.Now(), x) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, voidTimeout)
+	defer cancel()
+	state, err := x.sendVoid(ctx, at, sentAttempt{time.Now(), time.Until(x.deadline)})
+	if err != nil {
+		return false
+	}
+	x.ingress.stats.countVoid(state)
+	if state != seamdedup.Voided {
+		return false
+	}
+	conn.SetReadDeadline(time.Now().Add(cancelReportTimeout))
+	conn.Close()
+	return true
+}
--- a/internal/route/seamstop/plan.go
+++ b/internal/route/seamstop/plan.go
@@ -6,11 +6,11 @@
 const (
 	// minTimeBeforeStop is the least time that a request must have before the node stops.
 	minTimeBeforeStop = 300 * time.Millisecond
-	// minTimeOfUnrepeatable is that time for a request that must not be repeated. Some run for many times the mean.
-	minTimeOfUnrepeatable = 2 * time.Second
-	// meansBeforeStop and meansOfUnrepeatable are the least numbers of mean service times in these times.
-	meansBeforeStop     = 2
-	meansOfUnrepeatable = 6
+	// minTimeOfNonIdempotent is that time for a request that is not idempotent. Some run for many times the mean.
+	minTimeOfNonIdempotent = 2 * time.Second
+	// serviceTimes and serviceTimesOfNonIdempotent are the least numbers of mean service times in these times.
+	serviceTimes                = 2
+	serviceTimesOfNonIdempotent = 6
 )
 
 // Plan holds the time of a planned stop of the node. The zero value means that no stop is planned.
@@ -29,18 +29,19 @@
 }
 
 // MayStart reports whether the request may be started at the given time. The stop cuts no request whose deadline lies before
-// it. Of the others, one that may be repeated needs the time in which most end, and one that must not be repeated the time
-// in which nearly all do.
+// it. Of the others, an idempotent one needs twice the mean service time: if the stop cuts it, another node may run it. One that
+// is not idempotent needs several times the mean.
 func (p Plan) MayStart(now time.Time, r Request) bool {
 	if p.Limit.IsZero() || !r.Deadline.After(p.Limit) {
 		return true
 	}
-	needed := max(meansOfUnrepeatable*r.MeanServiceTime, minTimeOfUnrepeatable)
+	needed := max(serviceTimesOfNonIdempotent*r.MeanServiceTime, minTimeOfNonIdempotent)
 	if r.Idempotent {
-		needed = max(meansBeforeStop*r.MeanServiceTime, minTimeBeforeStop)
+		needed = max(serviceTimes*r.MeanServiceTime, minTimeBeforeStop)
 	}
 	return !now.Add(needed).After(p.Limit)
 }
 
-// RefusalTime returns the time from which requests that must not be repeated are refused, unless they end before the stop.
-func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-minTimeOfUnrepeatable) }
+// RefusalTime returns the latest time at which a request that is not idempotent is started, unless its deadline lies before the
+// limit.
+func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-minTimeOfNonIdempotent) }
