--- a/cmd/cardamomseam/serve_test.go
+++ b/cmd/cardamomseam/serve_test.go
@@ -61,7 +61,9 @@
 	time.Sleep(300 * time.Millisecond)
 	start := time.Now()
 	stop()
-	<-stopped
+	if err := <-stopped; err != nil {
+		t.Logf("the stop ended with: %v", err) // the unfinished request may count as one in flight
+	}
 	if took := time.Since(start); took > limit+time.Second {
 		t.Errorf("the stop took %v after a reload of stop.limit: %v: a process that is killed then cuts the requests that run, and their callers get nothing", took.Round(time.Millisecond), limit)
 	}
