Wait in a test until the target runs the request that must not be cut

Trace: it waited for an admitted request, which had not been sent yet; since the check right before the first byte refuses it, as it should, with "not run". The test now waits until the target has the request; it checks the same. 30 of 30 with the race detector.

--- a/internal/route/seamegress/change_test.go
+++ b/internal/route/seamegress/change_test.go
@@ -26,9 +26,10 @@
 		"service":          func(a *seamtarget.Announcement) { a.Service = "other" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			release := make(chan struct{})
+			running, release := make(chan struct{}), make(chan struct{})
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.Method == http.MethodPost {
+					close(running)
 					<-release
 				}
 				_, _ = io.WriteString(w, "whole")
@@ -41,9 +42,7 @@
 			t.Cleanup(closeEgress)
 			first := make(chan seamoutcome.End, 1)
 			go func() { first <- run(e, request(1, http.MethodPost)) }()
-			for e.Load().Running == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			<-running
 			target.mu.Lock()
 			change(&target.a)
 			target.mu.Unlock()
