Show by a failing test that a large configuration is late at nodes that don't read the store

Six nodes of one failure domain; two of them read the store, the links of the others to it have 100 KiB/s left.

--- /dev/null
+++ b/internal/node/seamrouter/bigconfig_test.go
@@ -0,0 +1,147 @@
+package seamrouter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/platform/seamstore"
+	"cardamomseam/internal/platform/seamwait"
+	"cardamomseam/internal/rule/seamroutes"
+	"cardamomseam/internal/stand/seamstandkv"
+)
+
+const (
+	// inForceBound is the time within which an acknowledged configuration is in force at each node.
+	inForceBound = 3 * time.Second
+	// crowdedLink is what a full link leaves for the calls of a node to the store, in bytes per second.
+	crowdedLink = 100 << 10
+	// maxDocumentBytes is the size of the largest value that the store accepts.
+	maxDocumentBytes = 1 << 20
+)
+
+// linkStore is the fleet's store behind a node's own link.
+type linkStore struct {
+	*seamstandkv.Store
+	// bytesPerSecond is the capacity of the link; 0 means that it is unlimited.
+	bytesPerSecond atomic.Int64
+}
+
+// List implements seamstore.Store.
+func (s *linkStore) List(ctx context.Context, p seamstore.Priority, prefix string) ([]seamstore.Entry, int64, error) {
+	entries, revision, err := s.Store.List(ctx, p, prefix)
+	size := 0
+	for _, e := range entries {
+		size += len(e.Value)
+	}
+	s.transfer(ctx, size)
+	return entries, revision, err
+}
+
+// Watch implements seamstore.Store.
+func (s *linkStore) Watch(ctx context.Context, prefix string, from int64, f func([]seamstore.Change)) error {
+	return s.Store.Watch(ctx, prefix, from, func(changes []seamstore.Change) {
+		size := 0
+		for _, c := range changes {
+			size += len(c.Value)
+		}
+		s.transfer(ctx, size)
+		f(changes)
+	})
+}
+
+// transfer waits for as long as the link takes to carry size bytes.
+func (s *linkStore) transfer(ctx context.Context, size int) {
+	if rate := s.bytesPerSecond.Load(); rate > 0 {
+		seamwait.For(ctx, time.Duration(size)*time.Second/time.Duration(rate))
+	}
+}
+
+// writeManyRoutes writes routes that make up a document of nearly size bytes, and returns a path of the last one.
+func (f *fleet) writeManyRoutes(revision int64, size int) string {
+	f.t.Helper()
+	d := f.routes(revision)
+	value, path := f.encodeRoutes(d), "/book/x"
+	for i := 0; ; i++ {
+		prefix := fmt.Sprintf("/r%d-%05d/", revision, i)
+		d.Routes = append(d.Routes, seamroutes.Route{
+			Name: prefix, Host: "visits.example", Prefix: prefix, Services: []seamroutes.WeightedService{{Service: plainService, Weight: 1}}, MaxAttempts: 2, Timeout: 5 * time.Second,
+		})
+		if i%100 != 0 {
+			continue
+		}
+		longer := f.encodeRoutes(d)
+		if len(longer) > size {
+			f.store.Put(routesKey, value)
+			return path
+		}
+		value, path = longer, prefix+"x"
+	}
+}
+
+func (f *fleet) encodeRoutes(d seamroutes.Document) []byte {
+	f.t.Helper()
+	value, err := json.Marshal(d)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return value
+}
+
+// newReaderFleet starts nodes of one failure domain. Only the links between the store and the nodes that read it for the others
+// have room.
+func newReaderFleet(t *testing.T, nodes int) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	for i := range nodes {
+		f.addWith(fmt.Sprintf("n%d", i), plainService, &linkStore{Store: f.store})
+	}
+	f.await("two readers of the store", func() bool {
+		readers := 0
+		for _, n := range f.nodes {
+			if n.State(time.Now()).Feed.Source == "store" {
+				readers++
+			}
+		}
+		return readers == 2
+	})
+	for _, n := range f.nodes {
+		if n.State(time.Now()).Feed.Source != "store" {
+			n.store.(*linkStore).bytesPerSecond.Store(crowdedLink)
+		}
+	}
+	return f
+}
+
+// checkInForce fails the test unless each node serves the path within inForceBound of the given time.
+func (f *fleet) checkInForce(since time.Time, path string) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		for {
+			res, err := f.send(n, http.MethodGet, path, "")
+			if err == nil && res.status == http.StatusOK {
+				break
+			}
+			if elapsed := time.Since(since); elapsed > inForceBound {
+				f.t.Errorf("%s: a route is not in force %v after its acknowledgement: status %d, %v", n.settings.Name, elapsed.Round(time.Millisecond), res.status, err)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func TestLargeConfigurationIsInForceAtNodesThatDontReadTheStore(t *testing.T) {
+	for _, size := range []int{64 << 10, maxDocumentBytes} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			f := newReaderFleet(t, 6)
+			acknowledged := time.Now()
+			path := f.writeManyRoutes(2, size)
+			f.checkInForce(acknowledged, path)
+		})
+	}
+}
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -107,7 +107,13 @@
 
 // writeRoutes writes the routes to the store with the given revision.
 func (f *fleet) writeRoutes(revision int64) {
-	d := seamroutes.Document{
+	f.t.Helper()
+	f.store.Put(routesKey, f.encodeRoutes(f.routes(revision)))
+}
+
+// routes returns the routes that all tests share.
+func (f *fleet) routes(revision int64) seamroutes.Document {
+	return seamroutes.Document{
 		Revision: revision,
 		Routes: []seamroutes.Route{
 			{Name: "slots", Host: "visits.example", Prefix: "/slots/", Services: []seamroutes.WeightedService{{Service: keyedService, Weight: 1}}, MaxAttempts: 2, Idempotent: true, Timeout: 5 * time.Second},
@@ -115,11 +121,6 @@
 		},
 		Services: []seamroutes.Service{{Name: keyedService, Keyed: true}, {Name: plainService}},
 	}
-	value, err := json.Marshal(d)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.store.Put(routesKey, value)
 }
 
 // add starts a node with a target.
