Send large values between nodes in pieces

Callers got 404 for a route that had been acknowledged more than 3 s before.

Cause: the store accepts a value of 1 MB, a message between two nodes carries 256 KiB. A larger configuration could go neither to a subscriber nor to a node that asked for it; the sender dropped the error, the receiver saw EOF and turned to the store over a link that was full. Class: an object that is accepted at one place and can't be carried at the next, without a word.

A value above 16 KiB now goes as a manifest, the digests of pieces that are cut at positions which depend on the content. The response to a node that can't read the store is a sequence of small messages (members, tables), and the nodes that name a newer revision are remembered while a request runs.

--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -40,6 +40,8 @@
 	// LastContact returns when the store last answered a call of this node.
 	LastContact() time.Time
 	Open(ctx context.Context, reader seampeer.Peer) (net.Conn, error)
+	// OpenPieces opens a stream on which a node serves pieces of large values.
+	OpenPieces(ctx context.Context, from seampeer.Peer) (net.Conn, error)
 }
 
 // Handler receives the changes from a feed. Put, Delete and Synced are not called concurrently.
@@ -72,6 +74,7 @@
 	network Network
 	sink    seamevent.Sink
 	replica *replica
+	fetches *fetches
 	// requests is signalled when the subscription should ask for the tables.
 	requests chan struct{}
 	// settled is whether the node has waited for the other nodes of its failure domain. It is used by Run only.
@@ -93,13 +96,15 @@
 // New returns a feed of the keys under the prefix.
 func New(store Store, prefix string, handler Handler, network Network, sink seamevent.Sink) *Feed {
 	settlingSkipped := make(chan struct{})
+	replica := newReplica(handler)
 	return &Feed{
 		store:           store,
 		prefix:          prefix,
 		handler:         handler,
 		network:         network,
 		sink:            sink,
-		replica:         newReplica(handler),
+		replica:         replica,
+		fetches:         newFetches(replica, network, sink),
 		requests:        make(chan struct{}, 1),
 		settlingSkipped: settlingSkipped,
 		skipSettling:    sync.OnceFunc(func() { close(settlingSkipped) }),
@@ -118,6 +123,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.runBackup(ctx) })
 	running.Go(func() { f.sendHeartbeats(ctx) })
+	running.Go(func() { f.fetches.run(ctx) })
 	defer running.Wait()
 	for attempt := 0; ctx.Err() == nil; {
 		now := time.Now()
@@ -310,7 +316,7 @@
 	}
 	now := time.Now()
 	if f.settled {
-		f.replica.replace(now, entries, revision)
+		f.replica.replace(now, entries, revision, revision)
 		return nil
 	}
 	f.settled = true
@@ -319,7 +325,7 @@
 		seamwait.Until(ctx, settleTime, f.settlingSkipped)
 		return f.list(ctx)
 	}
-	f.replica.replace(now, entries, revision)
+	f.replica.replace(now, entries, revision, revision)
 	return nil
 }
 
--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -123,7 +123,7 @@
 		if got := f.lists.Load() + f.watches.Load() - lists - watches; got != 0 {
 			t.Errorf("%d calls in a calm minute, want none", got)
 		}
-		f.expectEverywhere(t, "a/routes")
+		f.expectEverywhere(t)
 	})
 }
 
@@ -264,7 +264,7 @@
 		time.Sleep(recoveryTime)
 		f.store.Put("a/routes", []byte("x"))
 		time.Sleep(deliveryBound)
-		f.expectEverywhere(t, "a/routes")
+		f.expectEverywhere(t)
 	})
 }
 
@@ -279,9 +279,10 @@
 	return readers
 }
 
-// expectEverywhere checks that all nodes know the latest revision of a key.
-func (f *fleet) expectEverywhere(t *testing.T, key string) {
+// expectEverywhere checks that all nodes know the latest revision of the routes.
+func (f *fleet) expectEverywhere(t *testing.T) {
 	t.Helper()
+	const key = "a/routes"
 	e, err := f.store.Get(t.Context(), seamstore.Takeover, key)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/member/seamfeed/fleet_test.go
+++ b/internal/member/seamfeed/fleet_test.go
@@ -57,11 +57,17 @@
 	stop  func()
 	// storeCut and networkCut cut the node off from the store and from the other nodes.
 	storeCut, networkCut atomic.Bool
+	// bytesPerSecond is the capacity of each of the node's connections; 0 means that it is unlimited.
+	bytesPerSecond atomic.Int64
+	// received counts the bytes that other nodes have sent to this one.
+	received atomic.Int64
 
 	mu     sync.Mutex
 	copy   map[string]seamstore.Entry
 	tables map[string]int64
 	wanted int
+	// known are the keys of nodes that the node knows before it has read the store.
+	known []string
 	// lastContact is when a call last reached the store.
 	lastContact time.Time
 	// disturbedUntil is the end of the latest fault at this node.
@@ -158,7 +164,7 @@
 	v := seamfeed.View{Self: n.peer, Candidates: []seamfeed.Candidate{{Peer: n.peer}}, StoreReachable: n.StoreReachable(now)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for key := range n.copy {
+	for _, key := range append(slices.Collect(maps.Keys(n.copy)), n.known...) {
 		id, ok := strings.CutPrefix(key, nodePrefix)
 		domain, name, _ := strings.Cut(id, "/")
 		if ok && name != n.peer.Name {
@@ -184,22 +190,35 @@
 
 // Open implements seamfeed.Network.
 func (n *node) Open(_ context.Context, reader seampeer.Peer) (net.Conn, error) {
-	to := n.fleet.node(reader.Name)
+	return n.open(reader, func(to *node, conn net.Conn) { to.feed.ServeStream(n.fleet.ctx, n.peer, conn) })
+}
+
+// OpenPieces implements seamfeed.Network.
+func (n *node) OpenPieces(_ context.Context, from seampeer.Peer) (net.Conn, error) {
+	return n.open(from, func(to *node, conn net.Conn) { to.feed.PieceServer().ServeStream(n.fleet.ctx, n.peer, conn) })
+}
+
+// open connects the node to another one, which serves the connection.
+func (n *node) open(peer seampeer.Peer, serve func(to *node, conn net.Conn)) (net.Conn, error) {
+	to := n.fleet.node(peer.Name)
 	if to == nil || to.networkCut.Load() || n.networkCut.Load() {
 		return nil, errCut
 	}
 	local, remote := net.Pipe()
 	n.fleet.serving.Go(func() {
 		defer remote.Close()
-		to.feed.ServeStream(n.fleet.ctx, n.peer, &link{Conn: remote, ends: []*node{n, to}})
+		serve(to, &link{Conn: remote, ends: []*node{n, to}, sent: &n.received})
 	})
-	return &link{Conn: local, ends: []*node{n, to}}, nil
+	return &link{Conn: local, ends: []*node{n, to}, sent: new(atomic.Int64)}, nil
 }
 
-// link is a connection that delivers nothing while one of its ends is cut off.
+// link is a connection that delivers nothing while one of its ends is cut off, and as many bytes a second as the slower of
+// them may receive.
 type link struct {
 	net.Conn
 	ends []*node
+	// sent counts the bytes that were sent over this end.
+	sent *atomic.Int64
 }
 
 // Write implements net.Conn.
@@ -208,7 +227,11 @@
 		if n.networkCut.Load() {
 			return len(p), nil
 		}
+		if rate := n.bytesPerSecond.Load(); rate > 0 {
+			time.Sleep(time.Duration(len(p)) * time.Second / time.Duration(rate))
+		}
 	}
+	l.sent.Add(int64(len(p)))
 	return l.Conn.Write(p)
 }
 
@@ -273,6 +296,10 @@
 func (s nodeStore) Watch(ctx context.Context, prefix string, from int64, f func([]seamstore.Change)) error {
 	s.fleet.watches.Add(1)
 	for ctx.Err() == nil {
+		if s.storeCut.Load() {
+			seamwait.For(ctx, retryInterval)
+			continue
+		}
 		reachable, cancel := context.WithCancel(ctx)
 		go func() {
 			for !s.storeCut.Load() && seamwait.For(reachable, retryInterval/4) {
--- a/internal/member/seamfeed/log.go
+++ b/internal/member/seamfeed/log.go
@@ -98,6 +98,13 @@
 	return true
 }
 
+// tableRevision returns the revision of the latest known version of an ownership table; 0 if none is known.
+func (l *changeLog) tableRevision(key string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tables[key].Revision
+}
+
 func (l *changeLog) add(c loggedChange) {
 	if len(l.changes) == maxLogLength {
 		dropped := maxLogLength / 2
--- a/internal/member/seamfeed/model_test.go
+++ b/internal/member/seamfeed/model_test.go
@@ -27,20 +27,30 @@
 	time.Sleep(settleTime)
 	storeDisturbedUntil := time.Now()
 	written := map[time.Time]int64{}
-	for range 120 {
+	for i := range 120 {
 		time.Sleep(500 * time.Millisecond)
 		if random.IntN(3) == 0 {
 			storeDisturbedUntil = f.disturb(random, storeDisturbedUntil)
 		}
 		e, err := f.store.Get(t.Context(), seamstore.Takeover, "a/routes")
 		if err == nil {
-			f.store.Put("a/routes", []byte("x"))
+			f.store.Put("a/routes", document(random, i))
 			written[time.Now()] = e.Revision
 		}
 		f.checkDelivery(t, written, storeDisturbedUntil)
 	}
 }
 
+// document returns a short value or, in two of three cases, one that is sent in pieces.
+func document(random *rand.Rand, version int) []byte {
+	lines := random.IntN(3) * 700
+	value := fmt.Appendf(nil, "version %d\n", version)
+	for i := range lines {
+		value = fmt.Appendf(value, "route %d of %d to service %d\n", i, lines, i*i%7919)
+	}
+	return value
+}
+
 // disturb starts a random fault.
 func (f *fleet) disturb(random *rand.Rand, storeDisturbedUntil time.Time) time.Time {
 	lasts := time.Duration(1+random.IntN(8)) * time.Second
--- a/internal/member/seamfeed/replica.go
+++ b/internal/member/seamfeed/replica.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"cardamomseam/internal/member/seampiece"
 	"cardamomseam/internal/platform/seammirror"
 	"cardamomseam/internal/platform/seamstore"
 )
@@ -14,6 +15,7 @@
 	handler Handler
 	mirror  *seammirror.Mirror
 	log     *changeLog
+	pieces  *seampiece.Cache
 	// revision is the one up to which all changes are known. It changes while mu is held.
 	revision atomic.Int64
 
@@ -25,16 +27,18 @@
 
 func newReplica(handler Handler) *replica {
 	mirror := seammirror.New(handler)
-	return &replica{handler: handler, mirror: mirror, log: newChangeLog(mirror.Entries)}
+	return &replica{handler: handler, mirror: mirror, log: newChangeLog(mirror.Entries), pieces: seampiece.NewCache()}
 }
 
-// replace takes a complete list as of a revision.
-func (r *replica) replace(now time.Time, entries []seamstore.Entry, revision int64) {
+// replace takes a complete list as of a revision. All changes up to known are known then: it is less than revision if values
+// in the list have not arrived yet.
+func (r *replica) replace(now time.Time, entries []seamstore.Entry, revision, known int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changes := r.mirror.Replace(now, entries, revision)
+	r.splitLarge(changes)
 	r.complete = true
-	r.advance(revision)
+	r.advance(known)
 	r.log.list(changes, r.revision.Load())
 	r.handler.Synced(now)
 }
@@ -43,7 +47,7 @@
 func (r *replica) preview(now time.Time, entries []seamstore.Entry, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mirror.Replace(now, entries, revision)
+	r.splitLarge(r.mirror.Replace(now, entries, revision))
 }
 
 // apply takes changes, after which all changes up to the revision are known.
@@ -51,7 +55,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.advance(revision)
-	r.log.append(r.mirror.Apply(now, changes), revision)
+	applied := r.mirror.Apply(now, changes)
+	r.splitLarge(applied)
+	r.log.append(applied, revision)
+}
+
+// splitLarge keeps the pieces of large values, of which later versions share most.
+func (r *replica) splitLarge(changes []seamstore.Change) {
+	for _, c := range changes {
+		if isLarge(c.Value) {
+			r.pieces.Add(c.Key, c.Value)
+		}
+	}
+}
+
+// revisionOf returns the revision at which a key is known; 0 if it is not.
+func (r *replica) revisionOf(key string) int64 { return r.mirror.Revision(key) }
+
+// applyValue takes a large value whose pieces have arrived.
+func (r *replica) applyValue(now time.Time, e seamstore.Entry, table bool) {
+	if !table {
+		r.apply(now, []seamstore.Change{{Entry: e}}, 0)
+		return
+	}
+	if r.log.putTable(e) {
+		r.handler.PutTable(now, e)
+	}
 }
 
 // advance records that all changes up to the revision are known. The caller holds mu.
--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -5,8 +5,13 @@
 	"net"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	wire "cardamomseam/internal/member/seamfeedwire"
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/member/seampiece"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamframe"
 )
@@ -18,10 +23,33 @@
 	servingWait = time.Second
 	// maxUpdateBytes is the size of keys and values from which on an update is sent, in bytes.
 	maxUpdateBytes = 32 << 10
+	// maxInlineBytes is the size of the largest value that an update carries itself, in bytes. Of a larger one it carries the
+	// manifest. An update thus stays below seamframe.MaxMessageSize, and a new version of a large value costs a node only the
+	// pieces that it lacks.
+	maxInlineBytes = 16 << 10
 )
 
+// isLarge reports whether a value is sent in pieces.
+func isLarge(value []byte) bool { return len(value) > maxInlineBytes }
+
+// PieceServer returns the server of the pieces of the large values that this node knows.
+func (f *Feed) PieceServer() seampiece.Server {
+	return seampiece.Server{Cache: f.replica.pieces, OnFailure: func(to seampeer.Peer, err error) {
+		f.sink.Emit(time.Now(), seamevent.FeedUnsent, seamevent.Fields{"peer": to.String(), "call": "pieces", "error": err.Error()})
+	}}
+}
+
+// ChangeToWire returns the message for a change. A large value is replaced by its manifest.
+func (f *Feed) ChangeToWire(c seamstore.Change) *wire.Change {
+	w := &wire.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
+	if isLarge(c.Value) {
+		w.Value, w.Manifest = nil, seampiece.ManifestToWire(f.replica.pieces.Add(c.Key, c.Value))
+	}
+	return w
+}
+
 // ServeStream serves one subscription until it fails or the node no longer reads the store.
-func (f *Feed) ServeStream(ctx context.Context, _ seampeer.Peer, conn net.Conn) {
+func (f *Feed) ServeStream(ctx context.Context, to seampeer.Peer, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	frames, release := seamframe.NewReader(conn)
@@ -38,7 +66,10 @@
 		defer cancel()
 		f.receiveRequests(frames)
 	}()
-	f.send(ctx, conn, f.replica.log.after(ask.GetRevision()), !ask.GetNoTables())
+	err = f.send(ctx, conn, f.replica.log.after(ask.GetRevision()), !ask.GetNoTables())
+	if err != nil && ctx.Err() == nil {
+		f.sink.Emit(time.Now(), seamevent.FeedUnsent, seamevent.Fields{"peer": to.String(), "call": "feed", "error": err.Error()})
+	}
 }
 
 // receiveRequests passes on a subscriber's requests for the ownership tables until the subscription ends.
@@ -73,17 +104,17 @@
 	}
 }
 
-// send sends updates until the subscription fails or the node no longer reads the store.
-func (f *Feed) send(ctx context.Context, conn net.Conn, b batch, tables bool) {
+// send sends updates until the subscription fails or the node no longer reads the store, in which case it returns nil.
+func (f *Feed) send(ctx context.Context, conn net.Conn, b batch, tables bool) error {
 	for {
 		if !tables {
 			b.omitTables()
 		}
-		if f.sendBatch(conn, b) != nil {
-			return
+		if err := f.sendBatch(conn, b); err != nil {
+			return err
 		}
 		if !f.awaitChange(ctx, b.changed) {
-			return
+			return nil
 		}
 		b = f.replica.log.from(b.next)
 	}
@@ -122,10 +153,10 @@
 			}
 			update, size = f.newUpdate(b), 0
 		}
-		update.Changes = append(update.Changes, &wire.Change{
-			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, Table: c.table,
-		})
-		size += len(c.Key) + len(c.Value)
+		change := f.ChangeToWire(c.Change)
+		change.Table = c.table
+		update.Changes = append(update.Changes, change)
+		size += proto.Size(change)
 	}
 	update.Revision = b.revision
 	return writeUpdate(conn, update)
--- a/internal/member/seamfeed/subscribe.go
+++ b/internal/member/seamfeed/subscribe.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	wire "cardamomseam/internal/member/seamfeedwire"
+	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamframe"
 )
@@ -101,16 +102,16 @@
 			return &ReaderDownError{Reader: source.String(), Age: age}
 		}
 		f.setReaderContact(now.Add(-age))
-		changes := f.takeTables(now, update.GetChanges())
+		changes := f.takeTables(now, f.takeLarge(now, source.Reader, update.GetChanges()))
 		if !update.GetList() {
-			f.replica.apply(now, changes, update.GetRevision())
+			f.replica.apply(now, changes, f.fetches.knownUpTo(update.GetRevision()))
 			continue
 		}
 		for _, c := range changes {
 			listed = append(listed, c.Entry)
 		}
 		if update.GetRevision() != 0 {
-			f.replica.replace(now, listed, update.GetRevision())
+			f.replica.replace(now, listed, update.GetRevision(), f.fetches.knownUpTo(update.GetRevision()))
 			listed = nil
 		}
 	}
@@ -122,6 +123,18 @@
 	f.readerContact = t
 }
 
+// takeLarge fetches the values of which manifests came, and returns the changes. Those whose value has not arrived have revision 0:
+// they keep a key that the node knows at an earlier revision.
+func (f *Feed) takeLarge(now time.Time, from seampeer.Peer, received []*wire.Change) []*wire.Change {
+	for i, w := range received {
+		if w.GetManifest() != nil {
+			f.Offer(now, from, w)
+			received[i] = &wire.Change{Key: w.GetKey(), Table: w.GetTable()}
+		}
+	}
+	return received
+}
+
 // takeTables applies the ownership tables among the changes and returns the other changes.
 func (f *Feed) takeTables(now time.Time, received []*wire.Change) []seamstore.Change {
 	changes := make([]seamstore.Change, 0, len(received))
--- a/internal/node/seamrouter/feed.go
+++ b/internal/node/seamrouter/feed.go
@@ -34,8 +34,18 @@
 // LastContact returns when the store last answered a call of this node.
 func (f feedNetwork) LastContact() time.Time { return f.node.health.lastContact() }
 
-// Open opens a subscription to a reader. The reader may have restarted since it registered.
+// Open opens a subscription to a reader.
 func (f feedNetwork) Open(ctx context.Context, reader seampeer.Peer) (net.Conn, error) {
-	reader.Incarnation = 0
-	return f.node.sessions.Open(ctx, reader, seamsession.Feed)
+	return f.open(ctx, reader, seamsession.Feed)
+}
+
+// OpenPieces opens a stream on which a node serves pieces of large values.
+func (f feedNetwork) OpenPieces(ctx context.Context, from seampeer.Peer) (net.Conn, error) {
+	return f.open(ctx, from, seamsession.Pieces)
+}
+
+// open opens a stream to a node, which may have restarted since it registered.
+func (f feedNetwork) open(ctx context.Context, to seampeer.Peer, k seamsession.Kind) (net.Conn, error) {
+	to.Incarnation = 0
+	return f.node.sessions.Open(ctx, to, k)
 }
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -58,7 +58,7 @@
 	registry     *seamelection.Registry
 	feed         *seamfeed.Feed
 	routes       *seamroutes.ActiveTable
-	rawRoutes    atomic.Pointer[rawRoutes]
+	routesEntry  atomic.Pointer[routesEntry]
 	targets      *seamannounce.Registry
 	runner       *seamholder.Runner
 	// stopRunner stops the grants to the target and the heartbeats to the assigner.
@@ -72,10 +72,9 @@
 	electors   map[string]*seamelection.Elector
 	draining   atomic.Bool
 	// retry and stop are the settings that can be reloaded at run time.
-	retry atomic.Pointer[seamsetting.Retry]
-	stop  atomic.Pointer[seamsetting.Stop]
-	// newerRoutesPeer receives a peer that has newer routes than this node.
-	newerRoutesPeer chan seampeer.Peer
+	retry       atomic.Pointer[seamsetting.Retry]
+	stop        atomic.Pointer[seamsetting.Stop]
+	newerRoutes *newerRoutes
 	// tablesWanted is signalled when a request waits for a new owner because the known one is lost.
 	tablesWanted chan struct{}
 }
@@ -94,14 +93,14 @@
 			Region:      s.Region,
 			Domain:      s.Domain,
 		},
-		clock:           clock,
-		started:         clock.Now(),
-		metricSet:       metrics.NewSet(),
-		stream:          seamevent.NewStream(s.Name),
-		ring:            o.Ring,
-		electors:        map[string]*seamelection.Elector{},
-		newerRoutesPeer: make(chan seampeer.Peer, 1),
-		tablesWanted:    make(chan struct{}, 1),
+		clock:        clock,
+		started:      clock.Now(),
+		metricSet:    metrics.NewSet(),
+		stream:       seamevent.NewStream(s.Name),
+		ring:         o.Ring,
+		electors:     map[string]*seamelection.Elector{},
+		newerRoutes:  newNewerRoutes(),
+		tablesWanted: make(chan struct{}, 1),
 	}
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
@@ -143,6 +142,7 @@
 	c.Add(stop)
 	sessions.Register(seamsession.Sync, syncHandler{n})
 	sessions.Register(seamsession.Feed, n.feed)
+	sessions.Register(seamsession.Pieces, n.feed.PieceServer())
 	sessions.Register(seamsession.Heartbeats, heartbeatHandler{n})
 	sessions.Register(seamsession.Resignations, resignationHandler{n})
 	return nil
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -182,7 +182,7 @@
 func (s storeReader) Put(now time.Time, e seamstore.Entry) {
 	switch {
 	case e.Key == s.node.adapter.RulesKey:
-		s.node.applyRoutes(now, e.Value, fmt.Sprintf("store revision %d", e.Revision))
+		s.node.applyRoutes(now, e)
 	case strings.HasPrefix(e.Key, seammembership.KeyPrefix):
 		s.node.members.Put(now, e)
 	default:
@@ -213,15 +213,17 @@
 // TablesWanted triggers a current read of the tables for a subscriber.
 func (s storeReader) TablesWanted() { s.node.requestTableRead() }
 
-// rawRoutes are the routes in the operators' format.
-type rawRoutes struct {
-	value    []byte
-	revision int64
+// routesEntry is the entry of the store from which the routes in effect were decoded.
+type routesEntry struct {
+	seamstore.Entry
+	// document is the revision of the routes.
+	document int64
 }
 
 // applyRoutes puts routes into effect if they are valid and newer than the current ones.
-func (n *Node) applyRoutes(now time.Time, value []byte, from string) {
-	d, err := n.adapter.DecodeRoutes(value)
+func (n *Node) applyRoutes(now time.Time, e seamstore.Entry) {
+	from := fmt.Sprintf("store revision %d", e.Revision)
+	d, err := n.adapter.DecodeRoutes(e.Value)
 	if err != nil {
 		n.sink.Emit(now, seamevent.RoutesRefused, seamevent.Fields{"from": from, "error": err.Error()})
 		return
@@ -229,7 +231,7 @@
 	if n.routes.Apply(now, d, from) != nil {
 		return // Apply has logged the reason
 	}
-	if old := n.rawRoutes.Load(); old == nil || old.revision < d.Revision {
-		n.rawRoutes.Store(&rawRoutes{value: value, revision: d.Revision})
+	if old := n.routesEntry.Load(); old == nil || old.document < d.Revision {
+		n.routesEntry.Store(&routesEntry{Entry: e, document: d.Revision})
 	}
 }
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -4,31 +4,34 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	wire "cardamomseam/internal/member/seamentrywire"
+	feedwire "cardamomseam/internal/member/seamfeedwire"
 	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamtable"
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamsession"
 )
 
 const (
-	// firstByteTimeout bounds the wait for the first byte of a peer's response, which echoes the request.
-	firstByteTimeout = 500 * time.Millisecond
-	// responseTimeout bounds the whole response, because many routes can take long over a slow link.
-	responseTimeout = 3 * time.Second
+	// messageTimeout bounds the wait for each message of a peer's response. The whole response may take longer over a slow link.
+	messageTimeout = 1500 * time.Millisecond
 	// syncRetryInterval is the interval at which a node without routes requests the full state.
 	syncRetryInterval = 250 * time.Millisecond
 	// storeCatchUpDelay is how long to wait for the store to deliver a revision that a peer reported
 	// before requesting it from the peer.
 	storeCatchUpDelay = 300 * time.Millisecond
+	// membersPerMessage is the number of members in one message of a response.
+	membersPerMessage = 100
 )
 
 // syncRequest is the first byte of a sync stream and selects what the peer returns.
@@ -43,12 +46,8 @@
 
 // onRoutesRevision schedules a refresh of the routes if the peer has a newer revision.
 func (n *Node) onRoutesRevision(revision int64, peer seampeer.Peer) {
-	if revision <= n.routes.Revision() {
-		return
-	}
-	select {
-	case n.newerRoutesPeer <- peer:
-	default:
+	if revision > n.routes.Revision() {
+		n.newerRoutes.add(revision, peer)
 	}
 }
 
@@ -63,19 +62,22 @@
 		}
 		select {
 		case <-ctx.Done():
-		case peer := <-n.newerRoutesPeer:
-			n.refreshRoutes(ctx, peer)
+		case <-n.newerRoutes.added:
+			n.refreshRoutes(ctx)
 		}
 	}
 }
 
-// refreshRoutes fetches the routes from the given peer unless the store delivers them within storeCatchUpDelay.
+// refreshRoutes requests the routes from the nodes that have newer ones, unless they arrive within storeCatchUpDelay.
 // The watch stays open: its reply may be in transit.
-func (n *Node) refreshRoutes(ctx context.Context, peer seampeer.Peer) {
-	before := n.routes.Revision()
+func (n *Node) refreshRoutes(ctx context.Context) {
 	seamwait.For(ctx, storeCatchUpDelay)
-	if n.routes.Revision() == before {
-		n.syncFrom(ctx, peer, routesOnly)
+	revision, peers := n.newerRoutes.latest()
+	for _, p := range peers {
+		if n.routes.Revision() >= revision {
+			return
+		}
+		n.syncFrom(ctx, p, routesOnly)
 	}
 }
 
@@ -91,16 +93,45 @@
 
 // syncFrom requests the full state or the routes from a peer and merges the response into this node's view.
 func (n *Node) syncFrom(ctx context.Context, peer seampeer.Peer, request syncRequest) {
-	ctx, cancel := context.WithTimeout(ctx, responseTimeout)
+	if err := n.receiveState(ctx, peer, request); err != nil {
+		n.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"peer": peer.String(), "call": "sync", "error": err.Error()})
+	}
+}
+
+// receiveState requests state from a peer and merges each message of the response as it arrives.
+func (n *Node) receiveState(ctx context.Context, peer seampeer.Peer, request syncRequest) error {
+	openCtx, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
-	state, err := n.requestState(ctx, peer, request)
+	conn, err := n.sessions.Open(openCtx, peer, seamsession.Sync)
 	if err != nil {
-		n.sink.Emit(time.Now(), seamevent.PeerDown, seamevent.Fields{"peer": peer.String(), "call": "sync", "error": err.Error()})
-		return
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	conn.SetWriteDeadline(time.Now().Add(messageTimeout))
+	if _, err := conn.Write([]byte{byte(request)}); err != nil {
+		return err
+	}
+	reader, done := seamframe.NewReader(conn)
+	defer done()
+	for {
+		conn.SetReadDeadline(time.Now().Add(messageTimeout))
+		state := new(wire.Told)
+		if err := reader.ReadMessage(seamframe.Told, state); err != nil {
+			return err
+		}
+		n.merge(time.Now(), peer, state)
+		if state.GetLast() {
+			return nil
+		}
 	}
-	now := time.Now()
-	if len(state.GetRules()) > 0 {
-		n.applyRoutes(now, state.GetRules(), "node "+peer.Name)
+}
+
+// merge merges a message of a peer's response into this node's view. Large routes and tables are fetched in the background.
+func (n *Node) merge(now time.Time, peer seampeer.Peer, state *wire.Told) {
+	if state.GetRoutes() != nil {
+		n.feed.Offer(now, peer, state.GetRoutes())
 	}
 	for _, e := range state.GetMembers() {
 		if m, err := seammembership.MemberFromWire(e); err == nil {
@@ -115,35 +146,11 @@
 		}
 		n.registry.AddResignation(resignation)
 	}
-	for _, entry := range state.GetTables() {
-		if table, err := seamtable.Decode(entry.GetValue()); err == nil {
-			n.registry.ObserveTable(entry.GetService(), seamelection.VersionedTable{Table: table, Revision: entry.GetRevision()})
-		}
+	for _, table := range state.GetTables() {
+		n.feed.Offer(now, peer, table)
 	}
 }
 
-func (n *Node) requestState(ctx context.Context, peer seampeer.Peer, request syncRequest) (*wire.Told, error) {
-	conn, err := n.sessions.Open(ctx, peer, seamsession.Sync)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	deadline, _ := ctx.Deadline()
-	conn.SetDeadline(time.Now().Add(firstByteTimeout))
-	if _, err := conn.Write([]byte{byte(request)}); err != nil {
-		return nil, err
-	}
-	first := make([]byte, 1)
-	if _, err := io.ReadFull(conn, first); err != nil {
-		return nil, err
-	}
-	conn.SetDeadline(deadline)
-	reader, done := seamframe.NewReader(conn)
-	defer done()
-	state := new(wire.Told)
-	return state, reader.ReadMessage(seamframe.Told, state)
-}
-
 // syncHandler serves the sync requests of other nodes.
 type syncHandler struct {
 	node *Node
@@ -151,42 +158,69 @@
 
 // ServeStream responds to one sync request.
 func (h syncHandler) ServeStream(_ context.Context, _ seampeer.Peer, conn net.Conn) {
-	conn.SetDeadline(time.Now().Add(responseTimeout))
+	conn.SetReadDeadline(time.Now().Add(messageTimeout))
 	first := make([]byte, 1)
 	if _, err := io.ReadFull(conn, first); err != nil {
 		h.logFailure(err)
 		return
 	}
-	// The byte is echoed at once: the requesting node waits only firstByteTimeout for it, but longer for the rest.
-	if _, err := conn.Write(first); err != nil {
-		h.logFailure(err)
-		return
+	for _, state := range h.response(syncRequest(first[0])) {
+		conn.SetWriteDeadline(time.Now().Add(messageTimeout))
+		if err := seamframe.Write(conn, seamframe.Told, state); err != nil {
+			h.logFailure(err)
+			return
+		}
 	}
+}
+
+// response returns the messages that answer a request, each of which is small.
+func (h syncHandler) response(request syncRequest) []*wire.Told {
 	state := &wire.Told{}
-	if raw := h.node.rawRoutes.Load(); raw != nil {
-		state.Rules = raw.value
+	if e := h.node.routesEntry.Load(); e != nil {
+		state.Routes = h.node.feed.ChangeToWire(seamstore.Change{Entry: e.Entry})
 	}
-	if syncRequest(first[0]) == fullState {
-		h.addState(state)
-	}
-	if err := seamframe.Write(conn, seamframe.Told, state); err != nil {
-		h.logFailure(err)
+	messages := []*wire.Told{state}
+	if request == fullState {
+		messages = append(messages, h.memberMessages()...)
+		messages = append(messages, h.tableMessages()...)
+		messages = append(messages, h.resignationMessage())
 	}
+	messages[len(messages)-1].Last = true
+	return messages
 }
 
-// addState adds the members, tables and resignations that this node knows to the response.
-func (h syncHandler) addState(state *wire.Told) {
+// memberMessages returns the members that this node knows.
+func (h syncHandler) memberMessages() []*wire.Told {
+	var members []*wire.Entry
 	for _, m := range h.node.members.View().Members {
-		state.Members = append(state.Members, seammembership.MemberToWire(m))
+		members = append(members, seammembership.MemberToWire(m))
+	}
+	var messages []*wire.Told
+	for part := range slices.Chunk(members, membersPerMessage) {
+		messages = append(messages, &wire.Told{Members: part})
 	}
+	return messages
+}
+
+// tableMessages returns the ownership tables that this node knows, one in each message.
+func (h syncHandler) tableMessages() []*wire.Told {
+	var messages []*wire.Told
 	for service, t := range h.node.registry.Tables() {
 		value, err := seamtable.Encode(t.Table)
 		if err != nil {
 			h.logFailure(err) // the response still contains the rest
 			continue
 		}
-		state.Tables = append(state.Tables, &wire.Kept{Service: service, Value: value, Revision: t.Revision})
+		change := h.node.feed.ChangeToWire(seamstore.Change{Entry: seamstore.Entry{Key: seamelection.TablePrefix + service, Value: value, Revision: t.Revision}})
+		change.Table = true
+		messages = append(messages, &wire.Told{Tables: []*feedwire.Change{change}})
 	}
+	return messages
+}
+
+// resignationMessage returns the resignations that this node knows.
+func (h syncHandler) resignationMessage() *wire.Told {
+	state := &wire.Told{}
 	for _, f := range h.node.registry.Resignations() {
 		value, err := proto.Marshal(f.ToWire(h.node.clock.Now()))
 		if err != nil {
@@ -195,6 +229,7 @@
 		}
 		state.Farewells = append(state.Farewells, value)
 	}
+	return state
 }
 
 // logFailure logs an error that occurred while serving a sync request.
--- a/internal/platform/seammirror/mirror.go
+++ b/internal/platform/seammirror/mirror.go
@@ -72,6 +72,13 @@
 	return applied
 }
 
+// Revision returns the revision of the latest known change of a key; 0 if none is known.
+func (m *Mirror) Revision(key string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known[key].Revision
+}
+
 // Entries returns the entries of the copy, in no particular order.
 func (m *Mirror) Entries() []seamstore.Entry {
 	m.mu.Lock()
--- a/internal/route/seamframe/frame.go
+++ b/internal/route/seamframe/frame.go
@@ -20,7 +20,7 @@
 // Type is the type of a frame.
 type Type int32
 
-// Types of frames, named after the messages that they carry, those of package seamfeedwire with the prefix Feed. A Chunk carries raw bytes of a body.
+// Types of frames, named after the messages that they carry, Ask and Update of package seamfeedwire with the prefix Feed. A Chunk carries raw bytes of a body.
 const (
 	RequestHead Type = 1
 	RequestEnd  Type = 2
@@ -39,9 +39,11 @@
 	Farewell    Type = 15
 	FeedAsk     Type = 16
 	FeedUpdate  Type = 17
+	PieceAsk    Type = 18
+	Piece       Type = 19
 
 	// maxType is the highest type.
-	maxType = FeedUpdate
+	maxType = Piece
 )
 
 const (
--- a/internal/route/seamframe/frame_test.go
+++ b/internal/route/seamframe/frame_test.go
@@ -82,7 +82,7 @@
 
 func TestBadFrames(t *testing.T) {
 	for name, p := range map[string][]byte{
-		"unknown type":     {0x92, 0x01, 0}, // one above the highest type
+		"unknown type":     {0xa2, 0x01, 0}, // one above the highest type
 		"wrong wire type":  {0x08, 1},
 		"unterminated tag": bytes.Repeat([]byte{0xff}, 16),
 		"chunk too long":   {0x2a, 0xff, 0xff, 0xff, 0x7f},
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -32,6 +32,8 @@
 	Resignations Kind = 9
 	// Feed streams carry the changes of the store from a reader to a subscriber.
 	Feed Kind = 10
+	// Pieces streams carry the pieces of large values.
+	Pieces Kind = 11
 	// relayKind streams are relayed to another peer.
 	relayKind Kind = 5
 	// goAwayKind streams announce that the peer is shutting down.
