--- a/internal/member/seamfeed/large_test.go
+++ b/internal/member/seamfeed/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,6 +136,34 @@
 	})
 }
 
+func TestOvertakenVersionsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const versions = 100
+		f := newFleet(t, 1, 3)
+		time.Sleep(settleTime)
+		f.store.Put("a/routes", routesOf(0, maxStoreValue))
+		time.Sleep(deliveryBound)
+		f.store.Compact()
+		before := heapBytes()
+		for i := range versions {
+			f.store.Put("a/routes", routesOf(i+1, maxStoreValue))
+			f.store.Compact()
+			time.Sleep(time.Second)
+		}
+		f.expectEverywhere(t)
+		if got := heapBytes() - before; got > versions*maxStoreValue/2 {
+			t.Errorf("three nodes keep %d bytes more after %d versions of %d bytes", got, versions, maxStoreValue)
+		}
+	})
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // A node that starts anew gets the value in pieces as well, and a node that already has a version gets a list that names it.
 func TestRestartedNodeGetsLargeValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/member/seamfeed/log.go
+++ b/internal/member/seamfeed/log.go
@@ -34,6 +34,14 @@
 type loggedChange struct {
 	seamstore.Change
 	table bool
+	// overtaken means that a later change of the same key is in the log and that this one is not sent any more.
+	overtaken bool
+}
+
+// mayBeOvertaken reports whether only the latest one of such changes of a key matters. A log that kept all versions of large
+// values would fill the memory.
+func (c loggedChange) mayBeOvertaken() bool {
+	return c.table || isLarge(c.Value)
 }
 
 func newChangeLog(entries func() []seamstore.Entry) *changeLog {
@@ -106,6 +114,7 @@
 }
 
 func (l *changeLog) add(c loggedChange) {
+	l.overtake(c)
 	if len(l.changes) == maxLogLength {
 		dropped := maxLogLength / 2
 		for _, old := range l.changes[:dropped] {
@@ -119,6 +128,18 @@
 	l.changes = append(l.changes, c)
 }
 
+// overtake drops the value of an earlier change that the given one overtakes.
+func (l *changeLog) overtake(by loggedChange) {
+	for i := len(l.changes) - 1; i >= 0; i-- {
+		c := &l.changes[i]
+		if c.Key != by.Key || c.table != by.table || !c.mayBeOvertaken() {
+			continue
+		}
+		c.overtaken, c.Value = true, nil
+		return
+	}
+}
+
 // wake ends the wait of all subscriptions for a change.
 func (l *changeLog) wake() {
 	l.mu.Lock()
@@ -159,7 +180,11 @@
 		b.changes = l.all()
 		return b
 	}
-	b.changes = slices.Clone(l.changes[position-l.first:])
+	for _, c := range l.changes[position-l.first:] {
+		if !c.overtaken {
+			b.changes = append(b.changes, c)
+		}
+	}
 	return b
 }
 
@@ -175,7 +200,7 @@
 	}
 	b.changes = l.allTables()
 	for _, c := range l.changes {
-		if !c.table && c.Revision > revision {
+		if !c.table && !c.overtaken && c.Revision > revision {
 			b.changes = append(b.changes, c)
 		}
 	}
