Answer 404 only by routes that are known to be current

Callers got 404 for routes that had been acknowledged more than 3 s before, from nodes that other nodes' responses had told of a newer revision: a node answered by what it had, however old that was.

Cause: what a node took for current was the time of any answered call (renewals count), and a missing route was decided without asking. Now a path without a route is decided by routes that are known to be complete up to 1 s before the request: by the store's own answers to watches at a node that reads it (the call was sent then; without changes, its wait is over), else by a list of changes without a wait; a subscriber asks its readers, which answer when they know. One check serves all callers of a node, the readers share those of their subscribers. A value that was announced and has not arrived counts as unknown. If there is no answer within 1 s, or half of the caller's time, the caller gets 503 with Retry-After and the reason; if the store has not been reached for 10 s, 404 as before.

TestAddedRouteIsNeverAnsweredWith404AfterItsBound and TestPathWithoutARouteIsTriedAgainWhileItIsNotKnownWhetherRoutesAreCurrent failed on (404 in each case) and pass.

--- a/internal/member/seamfeed/feed.go
+++ b/internal/member/seamfeed/feed.go
@@ -30,6 +30,7 @@
 type Store interface {
 	List(ctx context.Context, p seamstore.Priority, prefix string) ([]seamstore.Entry, int64, error)
 	Watch(ctx context.Context, prefix string, from int64, f func([]seamstore.Change)) error
+	seamstore.ChangeLister
 }
 
 // Network gives a feed its view of the other nodes and connects it to them.
@@ -75,6 +76,7 @@
 	sink    seamevent.Sink
 	replica *replica
 	fetches *fetches
+	checks  *checks
 	// requests is signalled when the subscription should ask for the tables.
 	requests chan struct{}
 	// settled is whether the node has waited for the other nodes of its failure domain. It is used by Run only.
@@ -105,6 +107,7 @@
 		sink:            sink,
 		replica:         replica,
 		fetches:         newFetches(replica, network, sink),
+		checks:          newChecks(),
 		requests:        make(chan struct{}, 1),
 		settlingSkipped: settlingSkipped,
 		skipSettling:    sync.OnceFunc(func() { close(settlingSkipped) }),
@@ -310,6 +313,7 @@
 // list reads all keys. A node that knows no other node of its failure domain then waits once and lists again, because
 // nodes that start together don't know each other yet.
 func (f *Feed) list(ctx context.Context) error {
+	started := time.Now()
 	entries, revision, err := f.store.List(ctx, seamstore.Configuration, f.prefix)
 	if err != nil {
 		return err
@@ -317,6 +321,7 @@
 	now := time.Now()
 	if f.settled {
 		f.replica.replace(now, entries, revision, revision)
+		f.checks.confirm(started)
 		return nil
 	}
 	f.settled = true
@@ -326,6 +331,7 @@
 		return f.list(ctx)
 	}
 	f.replica.replace(now, entries, revision, revision)
+	f.checks.confirm(started)
 	return nil
 }
 
--- a/internal/member/seamfeed/feed_test.go
+++ b/internal/member/seamfeed/feed_test.go
@@ -144,7 +144,7 @@
 				f.store.Put("a/routes", []byte("x"))
 				time.Sleep(deliveryBound)
 				for _, n := range f.all() {
-					if n != lost && n.revision("a/routes") == 0 {
+					if n != lost && n.routesRevision() == 0 {
 						t.Errorf("%s does not know the change; its source is %s", n.peer.Name, n.feed.Status().Source)
 					}
 				}
@@ -166,7 +166,7 @@
 		f.store.Put("a/routes", []byte("x"))
 		time.Sleep(deliveryBound - time.Millisecond)
 		for _, n := range f.all() {
-			if n.revision("a/routes") == 0 {
+			if n.routesRevision() == 0 {
 				t.Errorf("%s does not know the change; its source is %s", n.peer.Name, n.feed.Status().Source)
 			}
 		}
@@ -288,7 +288,7 @@
 		t.Fatal(err)
 	}
 	for _, n := range f.all() {
-		if got := n.revision(key); got != e.Revision {
+		if got := n.routesRevision(); got != e.Revision {
 			t.Errorf("%s knows %s at revision %d, want %d; its source is %s", n.peer.Name, key, got, e.Revision, n.feed.Status().Source)
 		}
 	}
--- a/internal/member/seamfeed/fetch.go
+++ b/internal/member/seamfeed/fetch.go
@@ -226,9 +226,37 @@
 	defer f.mu.Unlock()
 	if f.byKey[x.key] == x {
 		delete(f.byKey, x.key)
+		close(x.ended)
 	}
 }
 
+// await waits until no value of a key other than a table is being fetched.
+func (f *fetches) await(ctx context.Context) error {
+	for {
+		x := f.unfinished()
+		if x == nil {
+			return nil
+		}
+		select {
+		case <-x.ended:
+		case <-ctx.Done():
+			return &UnfinishedError{Key: x.key, Revision: x.revision}
+		}
+	}
+}
+
+// unfinished returns a value that is being fetched and is no table; nil if there is none.
+func (f *fetches) unfinished() *fetch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.byKey {
+		if !x.table {
+			return x
+		}
+	}
+	return nil
+}
+
 // report logs why a value did not arrive.
 func (f *fetches) report(now time.Time, from seampeer.Peer, key string, revision int64, err error) {
 	f.sink.Emit(now, seamevent.FeedFetchFailed, seamevent.Fields{"key": key, "revision": revision, "from": from.String(), "error": err.Error()})
--- a/internal/member/seamfeed/fleet_test.go
+++ b/internal/member/seamfeed/fleet_test.go
@@ -38,8 +38,8 @@
 type fleet struct {
 	t     *testing.T
 	store *seamstandkv.Store
-	// lists and watches count the calls to the store.
-	lists, watches atomic.Int64
+	// lists, watches and changeLists count the calls to the store.
+	lists, watches, changeLists atomic.Int64
 
 	ctx context.Context
 	// serving are the streams that nodes serve.
@@ -269,11 +269,11 @@
 	n.wanted++
 }
 
-// revision returns the revision at which the node knows a key; 0 if it doesn't.
-func (n *node) revision(key string) int64 {
+// routesRevision returns the revision at which the node knows the routes; 0 if it doesn't.
+func (n *node) routesRevision() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.copy[key].Revision
+	return n.copy["a/routes"].Revision
 }
 
 // nodeStore is the store as one node reaches it.
@@ -292,6 +292,15 @@
 	return entries, revision, err
 }
 
+// Changes implements seamfeed.Store.
+func (s nodeStore) Changes(ctx context.Context, prefix string, from int64) ([]seamstore.Change, int64, error) {
+	s.fleet.changeLists.Add(1)
+	if s.storeCut.Load() {
+		return nil, 0, errCut
+	}
+	return s.fleet.store.Changes(ctx, prefix, from)
+}
+
 // Watch implements seamfeed.Store.
 func (s nodeStore) Watch(ctx context.Context, prefix string, from int64, f func([]seamstore.Change)) error {
 	s.fleet.watches.Add(1)
--- a/internal/member/seamfeed/large_test.go
+++ b/internal/member/seamfeed/large_test.go
@@ -185,7 +185,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if d := cmp.Diff(e.Revision, restarted.revision("a/routes")); d != "" {
+		if d := cmp.Diff(e.Revision, restarted.routesRevision()); d != "" {
 			t.Errorf("a node that can't read the store: %s", d)
 		}
 	})
--- a/internal/member/seamfeed/model_test.go
+++ b/internal/member/seamfeed/model_test.go
@@ -103,7 +103,7 @@
 			disturbedUntil := n.disturbedUntil
 			n.mu.Unlock()
 			inTouch := at.Sub(disturbedUntil) > recoveryTime && at.Sub(storeDisturbedUntil) > recoveryTime
-			if got := n.revision("a/routes"); inTouch && got <= previous {
+			if got := n.routesRevision(); inTouch && got <= previous {
 				t.Errorf("%s is at revision %d %s after a write over revision %d; its source is %s",
 					n.peer.Name, got, now.Sub(at), previous, n.feed.Status().Source)
 			}
--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,19 +63,33 @@
 		return
 	}
 	conn.SetReadDeadline(time.Time{})
+	s := &served{conn: conn, tables: !ask.GetNoTables(), answered: make(chan struct{}, 1)}
 	go func() {
 		defer release()
 		defer cancel()
-		f.receiveRequests(frames)
+		f.receiveRequests(ctx, frames, s)
 	}()
-	err = f.send(ctx, conn, f.replica.log.after(ask.GetRevision()), !ask.GetNoTables())
+	err = f.send(ctx, s, f.replica.log.after(ask.GetRevision()))
 	if err != nil && ctx.Err() == nil {
 		f.sink.Emit(time.Now(), seamevent.FeedUnsent, seamevent.Fields{"peer": to.String(), "call": "feed", "error": err.Error()})
 	}
 }
 
-// receiveRequests passes on a subscriber's requests for the ownership tables until the subscription ends.
-func (f *Feed) receiveRequests(frames *seamframe.Reader) {
+// served is a subscription that this node serves.
+type served struct {
+	conn net.Conn
+	// tables is whether the subscriber gets the ownership tables.
+	tables bool
+	// checked and unchecked are the numbers of the latest checks that succeeded and failed.
+	checked, unchecked atomic.Uint64
+	// answered is signalled when one of them has changed.
+	answered chan struct{}
+}
+
+// receiveRequests passes on a subscriber's requests for the ownership tables and makes its checks until the subscription ends.
+func (f *Feed) receiveRequests(ctx context.Context, frames *seamframe.Reader, s *served) {
+	var checking sync.WaitGroup
+	defer checking.Wait()
 	for {
 		ask := new(wire.Ask)
 		if frames.ReadMessage(seamframe.FeedAsk, ask) != nil {
@@ -82,6 +98,22 @@
 		if ask.GetRead() {
 			f.handler.TablesWanted()
 		}
+		if number := ask.GetCheck(); number > 0 {
+			checking.Go(func() { f.answerCheck(ctx, s, number) })
+		}
+	}
+}
+
+// answerCheck makes a check for a subscriber.
+func (f *Feed) answerCheck(ctx context.Context, s *served, number uint64) {
+	result := &s.checked
+	if f.Subscribed() || f.Confirm(ctx, time.Now().Add(-maxReaderAge)) != nil {
+		result = &s.unchecked
+	}
+	result.Store(max(number, result.Load()))
+	select {
+	case s.answered <- struct{}{}:
+	default:
 	}
 }
 
@@ -105,23 +137,26 @@
 }
 
 // send sends updates until the subscription fails or the node no longer reads the store, in which case it returns nil.
-func (f *Feed) send(ctx context.Context, conn net.Conn, b batch, tables bool) error {
+func (f *Feed) send(ctx context.Context, s *served, b batch) error {
+	checked := uint64(0)
 	for {
-		if !tables {
+		if !s.tables {
 			b.omitTables()
 		}
-		if err := f.sendBatch(conn, b); err != nil {
+		if err := f.sendBatch(s, b, checked); err != nil {
 			return err
 		}
-		if !f.awaitChange(ctx, b.changed) {
+		if !f.awaitChange(ctx, s, b.changed) {
 			return nil
 		}
+		// What the check has found is in the batch that is taken after it.
+		checked = s.checked.Load()
 		b = f.replica.log.from(b.next)
 	}
 }
 
-// awaitChange waits for a change or the next heartbeat, and reports whether the subscription goes on.
-func (f *Feed) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+// awaitChange waits for a change, the answer to a check or the next heartbeat, and reports whether the subscription goes on.
+func (f *Feed) awaitChange(ctx context.Context, s *served, changed <-chan struct{}) bool {
 	sourceChanged := f.sourceChange()
 	if f.Subscribed() {
 		return false
@@ -131,6 +166,8 @@
 		return false
 	case <-sourceChanged:
 		return false
+	case <-s.answered:
+		return true
 	case <-changed:
 		return true
 	}
@@ -142,13 +179,13 @@
 	seamwait.Every(ctx, heartbeatInterval, func(time.Time) { f.replica.log.wake() })
 }
 
-// sendBatch sends a batch as one or more updates. Only the last one has the revision.
-func (f *Feed) sendBatch(conn net.Conn, b batch) error {
+// sendBatch sends a batch as one or more updates. Only the last one has the revision and the answers to checks.
+func (f *Feed) sendBatch(s *served, b batch, checked uint64) error {
 	update := f.newUpdate(b)
 	size := 0
 	for _, c := range b.changes {
 		if size > maxUpdateBytes {
-			if err := writeUpdate(conn, update); err != nil {
+			if err := writeUpdate(s.conn, update); err != nil {
 				return err
 			}
 			update, size = f.newUpdate(b), 0
@@ -158,8 +195,8 @@
 		update.Changes = append(update.Changes, change)
 		size += proto.Size(change)
 	}
-	update.Revision = b.revision
-	return writeUpdate(conn, update)
+	update.Revision, update.Checked, update.Unchecked = b.revision, checked, s.unchecked.Load()
+	return writeUpdate(s.conn, update)
 }
 
 func (f *Feed) newUpdate(b batch) *wire.Update {
--- a/internal/member/seamfeed/subscribe.go
+++ b/internal/member/seamfeed/subscribe.go
@@ -51,10 +51,10 @@
 	}
 	requestCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !source.Backup {
-		go f.forwardRequests(requestCtx, conn)
-	}
-	return f.receive(conn, source)
+	checks, remove := f.checks.subscribe()
+	defer remove()
+	go f.forwardRequests(requestCtx, conn, source, checks)
+	return f.receive(conn, source, checks)
 }
 
 func (f *Feed) open(ctx context.Context, source Source) (net.Conn, error) {
@@ -68,15 +68,23 @@
 	return seamframe.Write(conn, seamframe.FeedAsk, ask)
 }
 
-// forwardRequests sends the requests for the ownership tables. The subscription ends with an error if it cannot.
-func (f *Feed) forwardRequests(ctx context.Context, conn net.Conn) {
+// forwardRequests sends the checks, and the requests for the ownership tables unless the reader is a second one. The subscription
+// ends with an error if it cannot.
+func (f *Feed) forwardRequests(ctx context.Context, conn net.Conn, source Source, checks checkChannel) {
+	requests := f.requests
+	if source.Backup {
+		requests = nil
+	}
 	for {
+		ask := new(wire.Ask)
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.requests:
+		case <-requests:
+			ask.Read = true
+		case ask.Check = <-checks:
 		}
-		if err := sendAsk(conn, &wire.Ask{Read: true}); err != nil {
+		if err := sendAsk(conn, ask); err != nil {
 			conn.Close()
 			return
 		}
@@ -84,7 +92,7 @@
 }
 
 // receive applies the updates of a subscription until it fails.
-func (f *Feed) receive(conn net.Conn, source Source) error {
+func (f *Feed) receive(conn net.Conn, source Source, checks checkChannel) error {
 	frames, release := seamframe.NewReader(conn)
 	defer release()
 	started := time.Now()
@@ -102,19 +110,28 @@
 			return &ReaderDownError{Reader: source.String(), Age: age}
 		}
 		f.setReaderContact(now.Add(-age))
-		changes := f.takeTables(now, f.takeLarge(now, source.Reader, update.GetChanges()))
-		if !update.GetList() {
-			f.replica.apply(now, changes, f.fetches.knownUpTo(update.GetRevision()))
-			continue
-		}
-		for _, c := range changes {
-			listed = append(listed, c.Entry)
-		}
-		if update.GetRevision() != 0 {
-			f.replica.replace(now, listed, update.GetRevision(), f.fetches.knownUpTo(update.GetRevision()))
-			listed = nil
-		}
+		listed = f.take(now, source, update, listed)
+		f.checks.answered(checks, update.GetChecked(), update.GetUnchecked())
+	}
+}
+
+// take applies an update. listed are the entries of the earlier parts of a list; it returns those that the next update
+// continues.
+func (f *Feed) take(now time.Time, source Source, update *wire.Update, listed []seamstore.Entry) []seamstore.Entry {
+	changes := f.takeTables(now, f.takeLarge(now, source.Reader, update.GetChanges()))
+	known := f.fetches.knownUpTo(update.GetRevision())
+	if !update.GetList() {
+		f.replica.apply(now, changes, known)
+		return nil
+	}
+	for _, c := range changes {
+		listed = append(listed, c.Entry)
+	}
+	if update.GetRevision() == 0 {
+		return listed
 	}
+	f.replica.replace(now, listed, update.GetRevision(), known)
+	return nil
 }
 
 func (f *Feed) setReaderContact(t time.Time) {
--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -25,6 +25,9 @@
 	OnCallDuration func(call string, took time.Duration, err error)
 	// OnEraChange is called when the store has come back from a copy, with its eras before and after; may be nil.
 	OnEraChange func(before, after int64)
+	// OnCurrent is called with the time up to which all changes that the store acknowledged have been delivered to the
+	// watch; may be nil.
+	OnCurrent func(asOf time.Time)
 	// WatchTimeout returns the time without changes after which a watch is reopened.
 	WatchTimeout func() time.Duration
 	// ChangeBatchDelay is how long a watch collects further changes after the first one.
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -46,6 +46,8 @@
 	// stopSettings and onRun apply to the nodes and targets that are added.
 	stopSettings seamsetting.Stop
 	onRun        func(target string, r *http.Request) (ended func())
+	// reportCalls makes nodes notice whether their renewals reach the store.
+	reportCalls bool
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -181,11 +183,15 @@
 
 func (f *fleet) adapter(n *node) seamrouter.Adapter {
 	return seamrouter.Adapter{
-		Store: func(seamrouter.StoreConfig) (seamstore.LeaseStore, func()) {
-			if n.store != nil {
-				return n.store, func() {}
+		Store: func(cfg seamrouter.StoreConfig) (seamstore.LeaseStore, func()) {
+			store := n.store
+			if store == nil {
+				store = f.store
 			}
-			return f.store, func() {}
+			if f.reportCalls {
+				store = reportingStore{LeaseStore: store, onCallEnd: cfg.OnCallEnd}
+			}
+			return store, func() {}
 		},
 		RulesKey:    routesKey,
 		WatchPrefix: watchPrefix,
@@ -278,6 +284,19 @@
 	return n
 }
 
+// reportingStore reports the results of renewals.
+type reportingStore struct {
+	seamstore.LeaseStore
+	onCallEnd func(call string, err error)
+}
+
+// RenewLease implements seamstore.LeaseManager.
+func (s reportingStore) RenewLease(ctx context.Context, l seamstore.Lease) error {
+	err := s.LeaseStore.RenewLease(ctx, l)
+	s.onCallEnd("renew", err)
+	return err
+}
+
 // noWatchStore is a store whose watches report nothing. It counts the lists of the owner tables, the other lists and the
 // stale reads.
 type noWatchStore struct {
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -39,11 +39,13 @@
 
 // Node is a running router node: it serves callers and reports to the assigner for its target.
 type Node struct {
-	settings  seamsetting.Router
-	adapter   Adapter
-	self      seampeer.Peer
-	clock     *seamclock.Clock
-	started   seamclock.Instant
+	settings seamsetting.Router
+	adapter  Adapter
+	self     seampeer.Peer
+	clock    *seamclock.Clock
+	started  seamclock.Instant
+	// startedAt is the time of the start on the clocks of package time.
+	startedAt time.Time
 	metricSet *metrics.Set
 	stream    *seamevent.Stream
 	sink      *seamlog.Log
@@ -95,6 +97,7 @@
 		},
 		clock:        clock,
 		started:      clock.Now(),
+		startedAt:    time.Now(),
 		metricSet:    metrics.NewSet(),
 		stream:       seamevent.NewStream(s.Name),
 		ring:         o.Ring,
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -92,6 +92,9 @@
 func (r routeDecider) Decide(q *http.Request, service, region string) (seamrule.Decision, error) {
 	r.node.feed.SkipSettling()
 	decision, err := r.node.routes.Decide(q, service, region)
+	if isNoRoute(err) {
+		decision, err = r.node.decideCurrent(q, service, region)
+	}
 	decision.Limits.QueueLength = maxQueuedRequests
 	return decision, err
 }
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -94,6 +94,7 @@
 		OnCallEnd:        n.onStoreCallEnd,
 		OnCallDuration:   n.recordStoreCall,
 		OnEraChange:      n.onStoreRestored,
+		OnCurrent:        func(asOf time.Time) { n.feed.Confirmed(asOf) },
 		WatchTimeout:     watchTimeout,
 		ChangeBatchDelay: changeBatchDelay,
 	})
--- a/internal/platform/seamstore/lease.go
+++ b/internal/platform/seamstore/lease.go
@@ -23,11 +23,12 @@
 	SwapLeased(ctx context.Context, p Priority, key string, expect int64, value []byte, l Lease) (int64, error)
 }
 
-// LeaseStore is a Store with leases and stale reads.
+// LeaseStore is a Store with leases, stale reads and lists of changes.
 type LeaseStore interface {
 	Store
 	LeaseManager
 	StaleLister
+	ChangeLister
 }
 
 // StaleLister lists keys from possibly stale data.
--- a/internal/platform/seamstore/store.go
+++ b/internal/platform/seamstore/store.go
@@ -54,6 +54,13 @@
 	Watch(ctx context.Context, prefix string, from int64, f func([]Change)) error
 }
 
+// ChangeLister lists changes without waiting for them.
+type ChangeLister interface {
+	// Changes returns the changes of keys that start with prefix whose revision is above from, and the store's revision. The
+	// error is *CompactedError if the store has compacted those changes.
+	Changes(ctx context.Context, prefix string, from int64) ([]Change, int64, error)
+}
+
 // ConflictError reports that the key has another revision than expected. Nothing was written.
 type ConflictError struct {
 	Key    string
--- a/internal/stand/seamstandkv/store.go
+++ b/internal/stand/seamstandkv/store.go
@@ -305,11 +305,7 @@
 		}
 		var changes []seamstore.Change
 		if !s.faults.Down && !s.faults.SuppressWatches {
-			for _, c := range s.history {
-				if c.Revision > from && strings.HasPrefix(c.Key, prefix) {
-					changes = append(changes, c)
-				}
-			}
+			changes = s.changesLocked(prefix, from)
 			from = s.revision
 		}
 		s.mu.Unlock()
@@ -323,3 +319,26 @@
 		}
 	}
 }
+
+// Changes implements seamstore.ChangeLister.
+func (s *Store) Changes(_ context.Context, prefix string, from int64) ([]seamstore.Change, int64, error) {
+	defer s.mu.Unlock()
+	if err := s.lockForCall(prefix); err != nil {
+		return nil, 0, err
+	}
+	if from < s.compacted {
+		return nil, 0, &seamstore.CompactedError{Prefix: prefix, From: from, Compacted: s.compacted}
+	}
+	return s.changesLocked(prefix, from), s.revision, nil
+}
+
+// changesLocked returns the changes of keys that start with prefix whose revision is above from. The caller holds mu.
+func (s *Store) changesLocked(prefix string, from int64) []seamstore.Change {
+	var changes []seamstore.Change
+	for _, c := range s.history {
+		if c.Revision > from && strings.HasPrefix(c.Key, prefix) {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
