Use a connection to the target no longer after a refusal or a response to another request

A faulty target may write an earlier refusal once more on a connection that is kept.

Cause: a response was matched by its id only where it has one that differs; a second copy without an id, and one of the same request sent again, passed for a response. A connection on which a target has refused a request, or sent a response to another one, now ends with that request, so that no later request can read what is left. Each refusal costs a new connection.

TestSecondCopyOfARefusalIsNoResponseToAnotherRequest (in the native dialect, ids and none) and TestConnectionIsNotUsedAgainAfterARefusal failed before.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -242,6 +242,8 @@
 	switch cl.Verdict {
 	case Rejected:
 		end := c.rejectedEnd(cl, p)
+		// A second copy of a rejection would tell the caller of the next request that it was not run.
+		res.conn.lastUse = true
 		res.finish(res.drain())
 		return end
 	case Invalid, Mismatched:
--- a/internal/route/seamegress/client.go
+++ b/internal/route/seamegress/client.go
@@ -35,6 +35,8 @@
 	gate *gate
 	// reused means that the connection has carried a request before.
 	reused bool
+	// lastUse means that the connection carries no further request, because more bytes may arrive that belong to none.
+	lastUse bool
 	// idleSince is the time at which the last request ended.
 	idleSince time.Time
 	// idleLimit is the time after which the idle connection is not reused.
@@ -89,7 +91,7 @@
 	}
 	a.finished = true
 	notCancelled := a.stopWatch()
-	if complete && notCancelled && a.sent() && !a.Close && a.conn.reader.Buffered() == 0 {
+	if complete && notCancelled && a.sent() && !a.Close && !a.conn.lastUse && a.conn.reader.Buffered() == 0 {
 		a.conn.pool.put(a.conn, time.Now())
 		return
 	}
@@ -214,6 +216,7 @@
 		if err != nil || g.isMismatched == nil || !g.isMismatched(res) {
 			return res, err
 		}
+		t.lastUse = true
 		if _, err := io.CopyN(io.Discard, res.Body, maxSkippedResponseBytes); !errors.Is(err, io.EOF) {
 			return nil, errors.New("the target sent a response to another request that is too long to skip")
 		}
