--- a/internal/route/seamsession/probe.go
+++ b/internal/route/seamsession/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seamwait"
@@ -35,12 +37,29 @@
 	}
 	go func() {
 		defer s.probing.Store(false)
-		if _, err := s.mux.Ping(); err != nil && s.lastReceived().Equal(before) {
+		if err := s.ping(); err != nil && s.lastReceived().Equal(before) {
 			s.closeAsSilent(time.Now(), err, events)
 		}
 	}()
 }
 
+// ping returns nil if the peer replies within probeTimeout.
+func (s *session) ping() error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		result <- err
+	}()
+	t := time.NewTimer(s.probeTimeout)
+	defer t.Stop()
+	select {
+	case err := <-result:
+		return err
+	case <-t.C:
+		return yamux.ErrTimeout
+	}
+}
+
 // closeAsSilent closes the session after a failed probe, and logs that unless the session had already ended.
 func (s *session) closeAsSilent(now time.Time, cause error, events seamevent.Sink) {
 	if !s.mux.IsClosed() {
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -27,6 +27,10 @@
 	lastUsed atomic.Int64
 	// draining means that the session accepts no new streams.
 	draining atomic.Bool
+	// writing counts the writes of streams that are in progress.
+	writing atomic.Int32
+	// probeTimeout is the time without a reply to a probe after which the session is closed.
+	probeTimeout time.Duration
 
 	mu sync.Mutex
 	// reusable holds the open streams that are not in use, the most recently released last.
@@ -42,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{peer: peer, conn: c, mux: mux, establishedAt: time.Now()}
+	s := &session{peer: peer, conn: c, mux: mux, establishedAt: time.Now(), probeTimeout: cfg.ProbeTimeout}
 	s.markUsed(s.establishedAt)
 	return s, nil
 }
@@ -53,6 +57,10 @@
 	y.KeepAliveInterval = cfg.KeepaliveInterval
 	y.EnableKeepAlive = !cfg.LazyProbes
 	y.ConnectionWriteTimeout = cfg.ProbeTimeout
+	if cfg.LazyProbes {
+		// The pool's own probes detect an unresponsive peer; a write may take longer.
+		y.ConnectionWriteTimeout = frameWriteTimeout
+	}
 	y.MaxStreamWindowSize = streamWindow
 	y.StreamCloseTimeout = streamCloseTimeout
 	// Probes detect an unresponsive peer; a timeout per stream would cost a goroutine each.
@@ -94,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{Stream: c, session: s, kind: k}, nil
+	return &stream{muxStream: newMuxStream(c, &s.writing), session: s, kind: k}, nil
 }
 
 // drain makes the session accept no new streams and notifies the peer. The sweep
@@ -124,7 +132,7 @@
 			return
 		}
 		s.markUsed(time.Now())
-		go serve(ctx, s, c)
+		go serve(ctx, s, newMuxStream(c, &s.writing))
 	}
 }
 
@@ -157,7 +165,7 @@
 
 // stream is a stream that this side opened. It sends its kind together with its first bytes.
 type stream struct {
-	*yamux.Stream
+	*muxStream
 	session *session
 	once    sync.Once
 	kind    Kind
@@ -173,7 +181,7 @@
 	s.released = time.Now()
 	session := s.session
 	session.mu.Lock()
-	discard := len(session.reusable) >= maxReusableStreams || !session.usable()
+	discard := len(session.reusable) >= maxReusableStreams || !session.usable() || s.abandoned.Load()
 	if !discard {
 		session.reusable = append(session.reusable, s)
 	}
@@ -188,11 +196,11 @@
 	first := false
 	s.once.Do(func() { first = true })
 	if !first {
-		return s.Stream.Write(p)
+		return s.muxStream.Write(p)
 	}
 	joined := make([]byte, 0, len(p)+1)
 	joined = append(joined, byte(s.kind))
-	n, err := s.Stream.Write(append(joined, p...))
+	n, err := s.muxStream.Write(append(joined, p...))
 	return max(n-1, 0), err
 }
 
