--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -25,6 +25,8 @@
 	OnCallDuration func(call string, took time.Duration, err error)
 	// OnEraChange is called when the store has come back from a copy, with its eras before and after; may be nil.
 	OnEraChange func(before, after int64)
+	// OnItemRefused is called for each item of a response that can't be decoded; the others are used. May be nil.
+	OnItemRefused func(err error)
 	// OnCurrent is called with the time up to which all changes that the store acknowledged have been delivered to the
 	// watch; may be nil.
 	OnCurrent func(asOf time.Time)
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -94,6 +94,7 @@
 		OnCallEnd:        n.onStoreCallEnd,
 		OnCallDuration:   n.recordStoreCall,
 		OnEraChange:      n.onStoreRestored,
+		OnItemRefused:    n.onStoreItemRefused,
 		OnCurrent:        func(asOf time.Time) { n.feed.Confirmed(asOf) },
 		WatchTimeout:     watchTimeout,
 		ChangeBatchDelay: changeBatchDelay,
@@ -121,6 +122,12 @@
 	n.sink.Emit(now, seamevent.StoreUp, seamevent.Fields{"call": call})
 }
 
+// onStoreItemRefused logs an item that was passed over because it can't be decoded.
+func (n *Node) onStoreItemRefused(err error) {
+	n.metricSet.GetOrCreateCounter("cardamomseam_store_items_refused_total").Inc()
+	n.sink.Emit(time.Now(), seamevent.StoreItemRefused, seamevent.Fields{"error": err.Error()})
+}
+
 // onStoreRestored logs that the store has come back from a copy. revision is the one up to which this node knew all changes.
 func (n *Node) onStoreRestored(before, after int64) {
 	now := time.Now()
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -30,6 +30,7 @@
 	StoreDown            = "store.down"
 	StoreUp              = "store.up"
 	StoreRestored        = "store.restored"
+	StoreItemRefused     = "store.refused"
 	RequestRefused       = "request.refused"
 	RequestUnknown       = "request.unknown"
 	InvariantBroken      = "invariant.broken"
