--- a/internal/own/seamholder/holder.go
+++ b/internal/own/seamholder/holder.go
@@ -50,6 +50,9 @@
 	granting phase = iota
 	// held means that the target has confirmed a grant of the range, which may have expired since.
 	held
+	// finishing means that the range is about to be released: no further request is sent, and the grant is renewed until the
+	// running ones have ended, since a target gives up work that outlasts its grant.
+	finishing
 	// releasing means that the target is asked to release the range.
 	releasing
 	// settling means that the target has released the range, but an unanswered grant may still reach it.
@@ -86,6 +89,8 @@
 	// pendingGrants are the grants that have no answer.
 	pendingGrants []pendingGrant
 	lastGrantID   uint64
+	// running counts the requests that run at the target by key.
+	running map[uint32]int
 	// inheritedEnd is the latest expiry, on the target, of a grant from an earlier incarnation of the node.
 	inheritedEnd seamclock.Instant
 	leaving      bool
@@ -108,7 +113,7 @@
 // New returns a holder without keys for a node that started at nodeStarted. Until then an earlier incarnation of the
 // node may have sent the target grants, which are unknown to this one.
 func New(cfg Config, target seamtable.Holder, nodeStarted seamclock.Instant) *Holder {
-	h := &Holder{cfg: cfg, target: target}
+	h := &Holder{cfg: cfg, target: target, running: map[uint32]int{}}
 	h.inheritedEnd = h.latestEnd(nodeStarted.Add(cfg.GrantTTL))
 	return h
 }
@@ -253,11 +258,11 @@
 	return entry{Range: r}
 }
 
-// markReleasing marks the entries inside a range as releasing. An entry that is only partly inside it is split.
+// markReleasing marks the entries inside a range to be released. An entry that is only partly inside it is split.
 func (h *Holder) markReleasing(r seamtable.Range) {
 	var next []entry
 	for _, e := range h.entries {
-		if e.Fence != r.Fence || !e.Overlaps(r.Span) || e.phase >= releasing {
+		if e.Fence != r.Fence || !e.Overlaps(r.Span) || e.phase >= finishing {
 			next = append(next, e)
 			continue
 		}
@@ -266,7 +271,7 @@
 	h.entries = next
 }
 
-// split returns the parts of the entry, with the part inside the span marked as releasing.
+// split returns the parts of the entry, with the part inside the span marked to be released.
 func (e entry) split(s seamtable.Span) []entry {
 	var parts []entry
 	if e.From < s.From {
@@ -276,7 +281,7 @@
 	}
 	inside := e
 	inside.Span = seamtable.Span{From: max(e.From, s.From), To: min(e.To, s.To)}
-	inside.phase = releasing
+	inside.phase = finishing
 	inside.lastSent = seamclock.Instant{}
 	parts = append(parts, inside)
 	if e.To > s.To {
@@ -294,7 +299,7 @@
 	switch {
 	case e == nil:
 		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot}
-	case e.phase < releasing && seamclock.Expired(now, h.leaseEnd.Add(h.cfg.RenewalWait)):
+	case e.phase < finishing && seamclock.Expired(now, h.leaseEnd.Add(h.cfg.RenewalWait)):
 		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot, LeaseExpired: true}
 	case e.phase == granting && !seamclock.Expired(now, h.leaseEnd):
 		return grant, &seamgrant.NotOwnerError{Slot: grant.Slot, GrantPending: true}
@@ -325,6 +330,29 @@
 	return e.confirmedUntil, true
 }
 
+// RequestStarted records that a request for the key was allowed to be sent to the target.
+func (h *Holder) RequestStarted(key uint32) { h.running[key]++ }
+
+// RequestEnded records that a request for the key has ended. It reports whether that was the last one for the key.
+func (h *Holder) RequestEnded(key uint32) (last bool) {
+	h.running[key]--
+	if h.running[key] > 0 {
+		return false
+	}
+	delete(h.running, key)
+	return true
+}
+
+// isRunning reports whether a request for a key of the span runs.
+func (h *Holder) isRunning(s seamtable.Span) bool {
+	for key := range h.running {
+		if s.Contains(key) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ranges returns the ranges that the target holds or is being granted.
 func (h *Holder) Ranges() []seamtable.Range {
 	var list []seamtable.Range
--- a/internal/own/seamholder/order.go
+++ b/internal/own/seamholder/order.go
@@ -33,6 +33,7 @@
 	var due []Order
 	for i := range h.entries {
 		e := &h.entries[i]
+		h.finishIfIdle(e)
 		h.markReleasedIfExpired(now, e)
 		if !e.lastSent.Zero() && seamclock.MinElapsed(now, e.lastSent) < h.cfg.RenewInterval {
 			continue
@@ -45,7 +46,14 @@
 	return due
 }
 
-// markReleasedIfExpired marks a settling or releasing range as released once no confirmed or unanswered grant can still
+// finishIfIdle marks a finishing range as releasing once its requests have ended.
+func (h *Holder) finishIfIdle(e *entry) {
+	if e.phase == finishing && !h.isRunning(e.Span) {
+		e.phase, e.lastSent = releasing, seamclock.Instant{}
+	}
+}
+
+// markReleasedIfExpired marks a settling, finishing or releasing range as released once no confirmed or unanswered grant can still
 // be in force on the target.
 func (h *Holder) markReleasedIfExpired(now seamclock.Instant, e *entry) {
 	switch e.phase {
@@ -53,7 +61,7 @@
 		if !h.mayStillApply(now, e.Span) {
 			e.phase = released
 		}
-	case releasing:
+	case finishing, releasing:
 		expired := e.confirmedUntil.Zero() || seamclock.MinElapsed(now, h.latestEnd(e.confirmedUntil)) >= 0
 		if expired && !h.mayStillApply(now, e.Span) {
 			e.phase = released
@@ -93,7 +101,7 @@
 // nextOrder returns the order to send for the entry in its phase; false if there is none.
 func (h *Holder) nextOrder(now seamclock.Instant, e *entry) (Order, bool) {
 	switch e.phase {
-	case granting, held:
+	case granting, held, finishing:
 		r := e.Range
 		if e.heldBefore {
 			// The target already has the state of the range.
@@ -150,7 +158,7 @@
 			e.confirmedUntil = end
 		}
 		switch {
-		case e.phase < releasing:
+		case e.phase < finishing:
 			e.phase, e.heldBefore = held, true
 		case e.phase == settling:
 			// The target may have applied the grant after the release.
--- a/internal/own/seamholder/release_test.go
+++ b/internal/own/seamholder/release_test.go
@@ -11,6 +11,7 @@
 	"cardamomseam/internal/own/seamassign"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamholder"
+	"cardamomseam/internal/own/seamslot"
 	"cardamomseam/internal/own/seamtable"
 )
 
@@ -70,12 +71,24 @@
 	time.Sleep(50 * time.Millisecond) // no heartbeat is in flight, see TestUpdateIsAppliedBetweenHeartbeats
 	send(t, conn, seamassign.ReplyToWire(0, seamassign.Reply{Epoch: 1, Revision: 6, Changed: true, Ranges: ranges(span(0, 99), 3)}))
 	<-target.granted
+	_, ended, err := r.Acquire(ctx, seamslot.ID{Service: "calendar", Index: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(time.Until(target.workEnd), ended)
 	send(t, conn, seamassign.ReplyToWire(0, seamassign.Reply{Epoch: 1, Revision: 6, Release: ranges(span(0, 99), 3)}))
-	<-target.releasing
 	time.Sleep(time.Until(target.workEnd))
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	if early := target.workEnd.Sub(target.expiresAt); early > 0 {
 		t.Errorf("the target's hold of the keys ended %v before the request that was running when they began to move: its caller gets 500", early.Round(time.Millisecond))
 	}
+	if _, _, err := r.Acquire(ctx, seamslot.ID{Service: "calendar", Index: 7}); err == nil {
+		t.Error("a request was sent to keys that move")
+	}
+	select {
+	case <-target.releasing:
+	case <-time.After(time.Second):
+		t.Error("the keys were not released after the request had ended")
+	}
 }
--- a/internal/own/seamholder/runner.go
+++ b/internal/own/seamholder/runner.go
@@ -214,11 +214,15 @@
 	for {
 		r.mu.Lock()
 		grant, err := r.acquire(id)
+		release := func() {}
+		if err == nil {
+			release = r.requestStarted(id.Index)
+		}
 		changed := r.changed
 		r.mu.Unlock()
 		var notOwner *seamgrant.NotOwnerError
 		if err == nil || !errors.As(err, &notOwner) || !notOwner.GrantPending {
-			return grant, func() {}, err
+			return grant, release, err
 		}
 		if !seamwait.Until(ctx, r.cfg.RenewalWait, changed) {
 			return grant, nil, err
@@ -226,6 +230,20 @@
 	}
 }
 
+// requestStarted records that a request for the key may be sent, and returns the function that records its end. mu must be
+// held.
+func (r *Runner) requestStarted(key uint32) (release func()) {
+	h := r.holder
+	h.RequestStarted(key)
+	return sync.OnceFunc(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if h.RequestEnded(key) {
+			wake(r.ordersDue)
+		}
+	})
+}
+
 func (r *Runner) acquire(id seamslot.ID) (seamgrant.Grant, error) {
 	grant := seamgrant.Grant{Slot: id}
 	if r.holder == nil || r.incarnation.Service != id.Service {
