Find routes by their prefix and start weighted routes in bounded time

A weight of 10^9, which the store accepts, kept each node busy for tens of seconds when it compiled the routes, since it started at a random position by as many steps. A request on a host with 20,000 routes was compared with each of them. Both are bounded now: at most 1,000 steps, and one lookup for each slash of the path up to the longest prefix.

--- a/internal/rule/seamroutes/routes_test.go
+++ b/internal/rule/seamroutes/routes_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,3 +150,29 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestLargeWeightsAndManyRoutesTakeNoTime(t *testing.T) {
+	const routes, requests = 20_000, 20_000
+	d := document(1)
+	for i := range routes {
+		d.Routes = append(d.Routes, seamroutes.Route{
+			Name: fmt.Sprint(i), Host: "visits.example", Prefix: fmt.Sprintf("/many/%d/", i), MaxAttempts: 1,
+			Services: []seamroutes.WeightedService{weighted("web", 1<<40), weighted("trial", 1<<40)},
+		})
+	}
+	start := time.Now()
+	table := seamroutes.Compile(d)
+	for i := range requests {
+		want := fmt.Sprint(i % routes)
+		decision, err := table.Decide(request("http://visits.example/many/"+want+"/x/y", ""))
+		if err != nil || decision.Selector != want {
+			t.Fatalf("route %q, %v; want %s", decision.Selector, err, want)
+		}
+	}
+	if _, err := table.Decide(request("http://visits.example"+strings.Repeat("/many", 4000), "")); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(start); took > 5*time.Second {
+		t.Errorf("%d routes and %d requests took %v", routes, requests, took)
+	}
+}
--- a/internal/rule/seamroutes/table.go
+++ b/internal/rule/seamroutes/table.go
@@ -1,12 +1,10 @@
 package seamroutes
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +18,7 @@
 // Table is a document compiled for route lookups. It is safe for concurrent use.
 type Table struct {
 	Document
-	hosts    map[string][]*routeState
+	hosts    map[string]*hostRoutes
 	services map[string]Service
 }
 
@@ -35,20 +33,36 @@
 
 // Compile builds the lookup table of a document, which must be valid.
 func Compile(d Document) *Table {
-	t := &Table{Document: d, hosts: map[string][]*routeState{}, services: map[string]Service{}}
+	t := &Table{Document: d, hosts: map[string]*hostRoutes{}, services: map[string]Service{}}
 	for _, s := range d.Services {
 		t.services[s.Name] = s
 	}
 	for _, r := range d.Routes {
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], newRouteState(r))
-	}
-	for _, rows := range t.hosts {
-		slices.SortStableFunc(rows, func(a, b *routeState) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		t.add(strings.ToLower(r.Host), newRouteState(r))
 	}
 	return t
 }
 
+// hostRoutes are the routes of a host.
+type hostRoutes struct {
+	byPrefix map[string]*routeState
+	// longest is the length of the longest prefix.
+	longest int
+}
+
+func (t *Table) add(host string, r *routeState) {
+	h := t.hosts[host]
+	if h == nil {
+		h = &hostRoutes{byPrefix: map[string]*routeState{}}
+		t.hosts[host] = h
+	}
+	h.byPrefix[r.Prefix] = r
+	h.longest = max(h.longest, len(r.Prefix))
+}
+
+// maxStartSteps is the number of different positions in the weighted round-robin at which nodes start.
+const maxStartSteps = 1000
+
 func newRouteState(r Route) *routeState {
 	n := &routeState{Route: r, credit: make([]int, len(r.Services))}
 	for _, p := range r.Services {
@@ -56,8 +70,8 @@
 	}
 	// Each node starts at a random position, so that the nodes together keep to the weights from
 	// the start.
-	for range rand.N(max(n.totalWeight, 1)) {
-		if len(r.Services) > 1 {
+	if len(r.Services) > 1 {
+		for range rand.N(min(max(n.totalWeight, 1), maxStartSteps)) {
 			n.nextService()
 		}
 	}
@@ -151,8 +165,15 @@
 }
 
 func (t *Table) find(host, path string) *routeState {
-	for _, r := range t.hosts[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+	h := t.hosts[host]
+	if h == nil {
+		return nil
+	}
+	for i := min(len(path), h.longest) - 1; i >= 0; i-- {
+		if path[i] != '/' {
+			continue
+		}
+		if r := h.byPrefix[path[:i+1]]; r != nil {
 			return r
 		}
 	}
