Send no table with a reply that would not fit a message

The assigner of a large service sends its table to the holders that pass it on with the replies to their heartbeats. From about 7,000 ranges on the reply was larger than the largest message: the error of the send closed the stream, each second, at the nodes that the others follow, and a holder without heartbeats loses its keys. Above 128 KiB the table is left out; readers read it from the store once a second anyway.

TestTableOfAnySizeLeavesHeartbeatsAlive failed before with 20,000 ranges (727,292 bytes) and passes.

--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -154,6 +154,9 @@
 	// the table, and a holder whose keys have not changed gets no update: the tables of a large service would fill the
 	// link of the assigner's node.
 	maxBroadcastBytes = 64 << 10
+	// maxReplyTableBytes is the size of the largest table that is sent with a reply, in bytes. A larger one would not fit a message;
+	// readers read it from the store once a second.
+	maxReplyTableBytes = seamframe.MaxMessageSize / 2
 	// tableInterval is the minimum time between two tables that readers get above maxBroadcastBytes.
 	tableInterval = time.Second
 )
@@ -211,7 +214,7 @@
 		return
 	}
 	reply := seamassign.ReplyToWire(0, r)
-	if withTable {
+	if withTable && len(table) <= maxReplyTableBytes {
 		reply.Table = table
 	}
 	s.push(reply)
--- a/internal/own/seamelection/serve_test.go
+++ b/internal/own/seamelection/serve_test.go
@@ -11,6 +11,7 @@
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamtable"
 	wire "cardamomseam/internal/own/seamtablewire"
+	"cardamomseam/internal/route/seamframe"
 )
 
 // While many keys move between other holders, the table is written again and again. A holder whose own keys stay
@@ -37,6 +38,35 @@
 	}
 }
 
+// A reply that is too large for one message would end the stream of the heartbeats, and the holder would lose its keys.
+func TestTableOfAnySizeLeavesHeartbeatsAlive(t *testing.T) {
+	for _, ranges := range []uint32{100, 5_000, 20_000} {
+		t.Run(fmt.Sprintf("%d ranges", ranges), func(t *testing.T) {
+			at := seamclock.Instant{}
+			h := seamtable.Holder{Target: "i-1", Born: 1792134933169, Address: "10.0.0.1:8080"}
+			table := seamtable.Table{Service: "calendar", Epoch: 1, Nodes: map[seamtable.Holder]seampeer.Peer{h: {Name: "n", Address: h.Address}}}
+			for i := range ranges {
+				// Every second key belongs to another holder, so that the holder's own list stays small.
+				owner := seamtable.Holder{Target: fmt.Sprintf("i-%d", 2+i%50), Born: 1, Address: "10.0.0.2:8080"}
+				table.Assign(seamtable.Span{From: i, To: i}, owner, "")
+			}
+			heartbeat := seamassign.HeartbeatToWire("calendar", 1, seamassign.Heartbeat{Epoch: 1 << 16, Holder: h, Node: table.Nodes[h], State: seamassign.Ready})
+			heartbeat.Reader = true
+			a := seamassign.New(seamassign.DefaultConfig(), at, seamtable.Assigner{Name: "assigner", Incarnation: 1, Epoch: 1 << 16}, seamclock.Instant{}, table, 1)
+			a.Heartbeat(at, seamassign.HeartbeatFromWire(heartbeat))
+			table.Epoch = 1 << 16
+			a.WriteUncertain(at, table, 2)
+			reply, _ := seamelection.NewLeader(a, []*wire.Beat{heartbeat}).Notify(time.Unix(1000, 0))
+			if reply == 0 {
+				t.Error("no reply")
+			}
+			if reply > seamframe.MaxMessageSize {
+				t.Errorf("a reply of %d bytes; the largest message has %d", reply, seamframe.MaxMessageSize)
+			}
+		})
+	}
+}
+
 // While most keys of a large service move, the table is written many times a second. What its assigner sends must fit the
 // link of a small machine, and the nodes that pass tables on must get the last one.
 func TestTablesOfALargeServiceFitTheLink(t *testing.T) {
