Limit bodies as the routes in effect say, and split resignations over messages

The operators' limit for bodies was decoded and never used: a body of more than 32 MiB got 413 although the operators allowed 64 MB, and one beyond a smaller limit was passed on. The routes in effect decide now; without a limit there, 32 MiB. The response to a node that can't read the store had all resignations in one message, which 150 keyed services could outgrow; they are sent 100 at a time.

TestBodyIsLimitedByTheRoutesInEffect failed before (413 for 40 MiB within the limit, a larger body than 1 KiB accepted).

--- a/internal/node/seamrouter/bigconfig_test.go
+++ b/internal/node/seamrouter/bigconfig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -145,3 +146,43 @@
 		})
 	}
 }
+
+func TestBodyIsLimitedByTheRoutesInEffect(t *testing.T) {
+	f := newFleet(t, plainService)
+	n := f.nodes[0]
+	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	upload := func(size int64) int {
+		r, err := http.NewRequest(http.MethodPost, "http://"+n.settings.Ingress+"/book/x", io.LimitReader(zeros{}, size))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host, r.ContentLength = "visits.example", size
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0 // refused while the body was sent
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	for i, limit := range []int64{40 << 20, 1 << 10} {
+		d := f.routes(int64(i) + 2)
+		d.Limits.MaxBodyBytes = limit
+		f.store.Put(routesKey, f.encodeRoutes(d))
+		f.await("the routes", func() bool { return n.State(time.Now()).Routes == d.Revision })
+		if got := upload(limit); got != http.StatusOK {
+			t.Errorf("limit %d: a body of that size got %d", limit, got)
+		}
+		if got := upload(limit + 1); got == http.StatusOK {
+			t.Errorf("limit %d: a larger body was accepted", limit)
+		}
+	}
+}
+
+// zeros reads zeros without an end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -52,6 +52,7 @@
 		OriginService:      n.originService,
 		Middleware:         n.adapter.CallerMiddleware,
 		OnRulesRevision:    n.onRoutesRevision,
+		BodyLimit:          n.bodyLimit,
 	}, n.self, routeDecider{n}, directory{n}, n.sessions, egress, n.metricSet, n.sink)
 	server, err := n.ingress.Serve()
 	if err != nil {
@@ -77,6 +78,14 @@
 	return int64(n.settings.Memory) << 20 / bodyMemoryDivisor
 }
 
+// bodyLimit returns the largest request body that the routes in effect allow; 0 if they name none.
+func (n *Node) bodyLimit() int64 {
+	if t := n.routes.Current(); t != nil {
+		return t.Limits.MaxBodyBytes
+	}
+	return 0
+}
+
 // retryLimits returns the retry limits of the current settings for the current number of nodes.
 func (n *Node) retryLimits() seamretry.Limits {
 	r := n.retry.Load()
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -30,7 +30,7 @@
 	// storeCatchUpDelay is how long to wait for the store to deliver a revision that a peer reported
 	// before requesting it from the peer.
 	storeCatchUpDelay = 300 * time.Millisecond
-	// membersPerMessage is the number of members in one message of a response.
+	// membersPerMessage is the number of members, or of resignations, in one message of a response.
 	membersPerMessage = 100
 )
 
@@ -183,7 +183,7 @@
 	if request == fullState {
 		messages = append(messages, h.memberMessages()...)
 		messages = append(messages, h.tableMessages()...)
-		messages = append(messages, h.resignationMessage())
+		messages = append(messages, h.resignationMessages()...)
 	}
 	messages[len(messages)-1].Last = true
 	return messages
@@ -218,18 +218,22 @@
 	return messages
 }
 
-// resignationMessage returns the resignations that this node knows.
-func (h syncHandler) resignationMessage() *wire.Told {
-	state := &wire.Told{}
+// resignationMessages returns the resignations that this node knows.
+func (h syncHandler) resignationMessages() []*wire.Told {
+	var resignations [][]byte
 	for _, f := range h.node.registry.Resignations() {
 		value, err := proto.Marshal(f.ToWire(h.node.clock.Now()))
 		if err != nil {
 			h.logFailure(err) // the response still contains the rest
 			continue
 		}
-		state.Farewells = append(state.Farewells, value)
+		resignations = append(resignations, value)
+	}
+	var messages []*wire.Told
+	for part := range slices.Chunk(resignations, membersPerMessage) {
+		messages = append(messages, &wire.Told{Farewells: part})
 	}
-	return state
+	return messages
 }
 
 // logFailure logs an error that occurred while serving a sync request.
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -84,6 +84,8 @@
 	Address string
 	// MaxBodyBytes is the largest request body.
 	MaxBodyBytes int64
+	// BodyLimit returns the largest request body that the operators allow, 0 if they name none; nil means that they never do.
+	BodyLimit func() int64
 	// MaxHeaderBytes is the largest size of a request's headers.
 	MaxHeaderBytes int
 	// WriteTimeout bounds each write of a part of a response to the caller.
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -247,7 +247,7 @@
 	rc := http.NewResponseController(w)
 	// Connections without read deadlines, as in tests, block without a time limit.
 	_ = rc.SetReadDeadline(deadline)
-	body, err := newBody(r, i.cfg.MaxBodyBytes)
+	body, err := newBody(r, i.maxBodyBytes())
 	if err != nil {
 		return nil, refuseBody(err)
 	}
@@ -258,6 +258,16 @@
 	return body, nil
 }
 
+// maxBodyBytes returns the largest request body.
+func (i *Ingress) maxBodyBytes() int64 {
+	if i.cfg.BodyLimit != nil {
+		if limit := i.cfg.BodyLimit(); limit > 0 {
+			return limit
+		}
+	}
+	return i.cfg.MaxBodyBytes
+}
+
 // refuseBody returns the refusal of a request whose body could not be read.
 func refuseBody(err error) *refusedRequest {
 	var b *bodyError
