Tell whether routes are current also when the store has forgotten its history

A node that follows the store knew the revision of the last change only, not the one up to which its watch had looked; once the store had forgotten the history in between, it answered a list of changes with 410. The revision of each answer to a watch counts now, and a list takes the place of changes that are forgotten.

TestConfirmedAlsoIfTheStoreHasForgottenItsHistory failed before.

--- a/internal/member/seamfeed/confirm.go
+++ b/internal/member/seamfeed/confirm.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
+	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/platform/seamwait"
 )
 
@@ -56,8 +57,11 @@
 	return f.fetches.await(ctx)
 }
 
-// Confirmed records that all changes that were acknowledged before a time are known.
-func (f *Feed) Confirmed(asOf time.Time) { f.checks.confirm(asOf) }
+// Confirmed records that a watch has delivered all changes up to a revision, which are all that were acknowledged before a time.
+func (f *Feed) Confirmed(asOf time.Time, revision int64) {
+	f.replica.apply(time.Now(), nil, revision)
+	f.checks.confirm(asOf)
+}
 
 // makeCheck finds out whether there are changes that the node does not know, and applies them.
 func (f *Feed) makeCheck() error {
@@ -68,10 +72,19 @@
 	}
 	started := time.Now()
 	changes, revision, err := f.store.Changes(ctx, f.prefix, f.replica.resumeFrom())
-	if err != nil {
+	var compacted *seamstore.CompactedError
+	switch {
+	case errors.As(err, &compacted):
+		entries, revision, err := f.store.List(ctx, seamstore.Configuration, f.prefix)
+		if err != nil {
+			return err
+		}
+		f.replica.replace(time.Now(), entries, revision, revision)
+	case err != nil:
 		return err
+	default:
+		f.replica.apply(time.Now(), changes, revision)
 	}
-	f.replica.apply(time.Now(), changes, revision)
 	f.checks.confirm(started)
 	return nil
 }
--- a/internal/member/seamfeed/confirm_test.go
+++ b/internal/member/seamfeed/confirm_test.go
@@ -33,6 +33,29 @@
 	})
 }
 
+func TestConfirmedAlsoIfTheStoreHasForgottenItsHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 4)
+		time.Sleep(settleTime)
+		f.store.Put("z/other", nil)
+		synctest.Wait() // the watches have passed that revision
+		f.store.Compact()
+		time.Sleep(2 * seamfeed.MaxAge)
+		lists := f.lists.Load()
+		for _, n := range f.all() {
+			for range 3 {
+				if err := n.confirm(); err != nil {
+					t.Errorf("%s: %v", n.peer.Name, err)
+				}
+				time.Sleep(2 * seamfeed.MaxAge)
+			}
+		}
+		if n := f.lists.Load() - lists; n > seamfeed.ReadersPerDomain {
+			t.Errorf("%d lists by %d readers", n, seamfeed.ReadersPerDomain)
+		}
+	})
+}
+
 func TestNodeWithoutAnAnswerFromTheStoreIsNotConfirmed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 5)
--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -27,9 +27,9 @@
 	OnEraChange func(before, after int64)
 	// OnItemRefused is called for each item of a response that can't be decoded; the others are used. May be nil.
 	OnItemRefused func(err error)
-	// OnCurrent is called with the time up to which all changes that the store acknowledged have been delivered to the
-	// watch; may be nil.
-	OnCurrent func(asOf time.Time)
+	// OnCurrent is called when a watch has delivered all changes up to a revision, with a time before which no others were
+	// acknowledged; may be nil.
+	OnCurrent func(asOf time.Time, revision int64)
 	// WatchTimeout returns the time without changes after which a watch is reopened.
 	WatchTimeout func() time.Duration
 	// ChangeBatchDelay is how long a watch collects further changes after the first one.
--- a/internal/node/seamrouter/configsoak_test.go
+++ b/internal/node/seamrouter/configsoak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -54,7 +55,8 @@
 	served       int
 }
 
-// change writes a version that adds a route and perhaps removes one, filled up to a random size. One in six is invalid.
+// change writes a version that adds a route and perhaps removes one, filled up to a random size. One in six is invalid; a valid one
+// without its route follows at once, since an invalid version in the place of a valid one would hide that from nodes that missed it.
 func (s *configSoak) change() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +78,14 @@
 		d.Routes = append(d.Routes, plainRoute(fmt.Sprintf("/filler%d-%d/", i, s.revision%3)))
 	}
 	if added.invalid {
+		valid := d
+		valid.Routes = slices.DeleteFunc(slices.Clone(d.Routes), func(r seamroutes.Route) bool { return r.Prefix == added.path })
+		d.Routes = append(slices.Clone(d.Routes), plainRoute(added.path+"bad/"))
 		d.Routes[len(d.Routes)-1].Services[0].Service = "unknown"
+		s.fleet.store.Put(routesKey, s.fleet.encodeRoutes(d))
+		s.revision++
+		valid.Revision = s.revision
+		d = valid
 	}
 	s.fleet.store.Put(routesKey, s.fleet.encodeRoutes(d))
 	added.added = time.Now()
@@ -281,6 +290,7 @@
 			t.Parallel()
 			s := &configSoak{random: rand.New(rand.NewPCG(seed, 2)), revision: 1, incarnations: map[*node]int{}}
 			s.fleet = newFleet(t)
+			s.fleet.reportCalls = true
 			for i := range *configNodes {
 				s.fleet.addWith(fmt.Sprintf("n%d", i), plainService, &linkStore{Store: s.fleet.store})
 			}
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -95,7 +95,7 @@
 		OnCallDuration:   n.recordStoreCall,
 		OnEraChange:      n.onStoreRestored,
 		OnItemRefused:    n.onStoreItemRefused,
-		OnCurrent:        func(asOf time.Time) { n.feed.Confirmed(asOf) },
+		OnCurrent:        func(asOf time.Time, revision int64) { n.feed.Confirmed(asOf, revision) },
 		WatchTimeout:     watchTimeout,
 		ChangeBatchDelay: changeBatchDelay,
 	})
