--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -76,7 +76,7 @@
 	// retry and stop are the settings that can be reloaded at run time.
 	retry       atomic.Pointer[seamsetting.Retry]
 	stop        atomic.Pointer[seamsetting.Stop]
-	newerRoutes *newerRoutes
+	newerRoutes *revisionPeers
 	// tablesWanted is signalled when a request waits for a new owner because the known one is lost.
 	tablesWanted chan struct{}
 }
@@ -102,7 +102,7 @@
 		stream:       seamevent.NewStream(s.Name),
 		ring:         o.Ring,
 		electors:     map[string]*seamelection.Elector{},
-		newerRoutes:  newNewerRoutes(),
+		newerRoutes:  newRevisionPeers(),
 		tablesWanted: make(chan struct{}, 1),
 	}
 	n.retry.Store(&s.Retry)
