--- a/internal/node/seamrouter/bigconfig_test.go
+++ b/internal/node/seamrouter/bigconfig_test.go
@@ -66,21 +66,19 @@
 func (f *fleet) writeManyRoutes(revision int64, size int) string {
 	f.t.Helper()
 	d := f.routes(revision)
-	value, path := f.encodeRoutes(d), "/book/x"
-	for i := 0; ; i++ {
-		prefix := fmt.Sprintf("/r%d-%05d/", revision, i)
-		d.Routes = append(d.Routes, seamroutes.Route{
-			Name: prefix, Host: "visits.example", Prefix: prefix, Services: []seamroutes.WeightedService{{Service: plainService, Weight: 1}}, MaxAttempts: 2, Timeout: 5 * time.Second,
-		})
-		if i%100 != 0 {
-			continue
+	path := ""
+	for i, length := 0, len(f.encodeRoutes(d)); ; i++ {
+		r := plainRoute(fmt.Sprintf("/r%d-%05d/", revision, i))
+		encoded, err := json.Marshal(r)
+		if err != nil {
+			f.t.Fatal(err)
 		}
-		longer := f.encodeRoutes(d)
-		if len(longer) > size {
-			f.store.Put(routesKey, value)
+		if length += len(encoded) + len(","); length > size {
+			f.store.Put(routesKey, f.encodeRoutes(d))
 			return path
 		}
-		value, path = longer, prefix+"x"
+		d.Routes = append(d.Routes, r)
+		path = r.Prefix + "x"
 	}
 }
 
@@ -140,9 +138,8 @@
 	for _, size := range []int{64 << 10, maxDocumentBytes} {
 		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
 			f := newReaderFleet(t, 6)
-			acknowledged := time.Now()
 			path := f.writeManyRoutes(2, size)
-			f.checkInForce(acknowledged, path)
+			f.checkInForce(time.Now(), path)
 		})
 	}
 }
