--- a/internal/member/seamfeed/confirm.go
+++ b/internal/member/seamfeed/confirm.go
@@ -63,6 +63,9 @@
 	f.checks.confirm(asOf)
 }
 
+// CurrentAsOf returns the time before which all acknowledged changes are known; zero if that is not known of any.
+func (f *Feed) CurrentAsOf() time.Time { return f.checks.asOf() }
+
 // makeCheck finds out whether there are changes that the node does not know, and applies them.
 func (f *Feed) makeCheck() error {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
--- a/internal/node/seamrouter/current_test.go
+++ b/internal/node/seamrouter/current_test.go
@@ -1,10 +1,14 @@
 package seamrouter_test
 
 import (
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"cardamomseam/internal/node/seamrouter"
 	"cardamomseam/internal/stand/seamstandkv"
 )
 
@@ -42,6 +46,34 @@
 	return true
 }
 
+func TestMetricsTellTheRevisionInEffectAndHowCurrentItIs(t *testing.T) {
+	f := newFleet(t, plainService)
+	n := f.nodes[0]
+	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	time.Sleep(maxUnknown)
+	if res, err := f.send(n, http.MethodGet, "/nowhere/x", ""); err != nil || res.status != http.StatusNotFound {
+		t.Fatalf("got %+v, %v", res, err)
+	}
+	res, err := http.Get("http://" + n.settings.Metrics + seamrouter.MetricsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics := string(text)
+	if !strings.Contains(metrics, "cardamomseam_routes_revision 1\n") {
+		t.Error("no gauge of the revision")
+	}
+	_, rest, _ := strings.Cut(metrics, "cardamomseam_feed_age_seconds ")
+	age, err := strconv.ParseFloat(rest[:strings.IndexByte(rest+"\n", '\n')], 64)
+	if err != nil || age > maxUnknown.Seconds() {
+		t.Errorf("current as of %v s ago, %v", age, err)
+	}
+}
+
 func TestPathWithoutARouteIsTriedAgainWhileItIsNotKnownWhetherRoutesAreCurrent(t *testing.T) {
 	f := newFleet(t)
 	f.reportCalls = true
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -107,6 +107,8 @@
 	n.registration = seammembership.NewRegistration(store, seammembership.Member{Peer: n.self, Memory: n.settings.Memory}, n.sink)
 	// One watch makes fewer store calls than separate watches for the routes and the other keys.
 	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, feedNetwork{n}, n.sink)
+	n.metricSet.NewGauge("cardamomseam_routes_revision", func() float64 { return float64(n.routes.Revision()) })
+	n.metricSet.NewGauge("cardamomseam_feed_age_seconds", func() float64 { return n.feedAge(time.Now()).Seconds() })
 	return nil
 }
 
@@ -122,6 +124,14 @@
 	n.sink.Emit(now, seamevent.StoreUp, seamevent.Fields{"call": call})
 }
 
+// feedAge returns the time since this node was last known to know all changes, or since its start.
+func (n *Node) feedAge(now time.Time) time.Duration {
+	if asOf := n.feed.CurrentAsOf(); asOf.After(n.startedAt) {
+		return now.Sub(asOf)
+	}
+	return now.Sub(n.startedAt)
+}
+
 // onStoreItemRefused logs an item that was passed over because it can't be decoded.
 func (n *Node) onStoreItemRefused(err error) {
 	n.metricSet.GetOrCreateCounter("cardamomseam_store_items_refused_total").Inc()
