--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -153,10 +153,14 @@
 // startNode starts a node with the settings. It has a target if handler is not nil.
 func startNode(t testing.TB, name string, handler http.HandlerFunc, sessions seamsession.Config, cfg seamingress.Config) *node {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if sessions.Listener == nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		sessions.Listener = l
 	}
+	l := sessions.Listener
 	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: "ost", Domain: "ost-1"}
 	n := &node{
 		peer:      peer,
@@ -176,7 +180,6 @@
 		}
 	}
 	set, events := metrics.NewSet(), seamevent.NewStream(name)
-	sessions.Listener = l
 	pool, closePool, err := seamsession.New(sessions, peer, set, events)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/route/seamingress/shutdown.go
+++ b/internal/route/seamingress/shutdown.go
@@ -127,6 +127,8 @@
 		conn.SetDeadline(time.Unix(1, 0))
 		return
 	}
+	// A part of the body that waits for the link must not outlast the stop.
+	conn.SetWriteDeadline(time.Unix(1, 0))
 	conn.SetReadDeadline(time.Now().Add(cancelReportTimeout))
 	conn.Close()
 }
--- a/internal/route/seamsession/muxstream.go
+++ b/internal/route/seamsession/muxstream.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// Close implements net.Conn. It does not wait for the end of the stream to be sent while other writes are in progress.
+func (m *muxStream) Close() error {
+	if m.writing.Load() == 0 {
+		return m.Stream.Close()
+	}
+	go m.Stream.Close()
+	return nil
+}
+
 // writePart writes a part of a write, or returns yamux.ErrTimeout at the deadline.
 func (m *muxStream) writePart(p []byte) (int, error) {
 	if m.abandoned.Load() {
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -107,11 +107,14 @@
 		if err != nil {
 			return nil, err
 		}
-		c, err := s.open(k, time.Now())
+		c, err := s.open(ctx, k, time.Now())
 		if err == nil {
 			p.stats.opened.Inc()
 			return c, nil
 		}
+		if ctx.Err() != nil {
+			return nil, &UnreachableError{To: to, Cause: ctx.Err()}
+		}
 		lastErr = err
 		s.draining.Store(true)
 		p.removeRoute(s)
--- a/internal/route/seamsession/relay.go
+++ b/internal/route/seamsession/relay.go
@@ -40,7 +40,7 @@
 	if s == nil {
 		return nil, &UnreachableError{To: via, Cause: errors.New("the relay has no session")}
 	}
-	c, err := s.open(relayKind, time.Now())
+	c, err := s.open(ctx, relayKind, time.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -93,18 +93,50 @@
 }
 
 // open returns a reusable stream of the kind or a new one.
-func (s *session) open(k Kind, now time.Time) (net.Conn, error) {
+func (s *session) open(ctx context.Context, k Kind, now time.Time) (net.Conn, error) {
 	s.markUsed(now)
 	if reused := s.takeReusable(k); reused != nil {
 		return reused, nil
 	}
-	c, err := s.mux.OpenStream()
+	c, err := s.openStream(ctx)
 	if err != nil {
 		return nil, err
 	}
 	return &stream{muxStream: newMuxStream(c, &s.writing), session: s, kind: k}, nil
 }
 
+// openStream opens a stream, or returns when ctx ends: while the connection is busy, its opening waits for what is sent before.
+func (s *session) openStream(ctx context.Context) (*yamux.Stream, error) {
+	if s.writing.Load() == 0 {
+		return s.mux.OpenStream()
+	}
+	opened := make(chan *yamux.Stream, 1)
+	failed := make(chan error, 1)
+	go func() {
+		c, err := s.mux.OpenStream()
+		if err != nil {
+			failed <- err
+			return
+		}
+		opened <- c
+	}()
+	select {
+	case c := <-opened:
+		return c, nil
+	case err := <-failed:
+		return nil, err
+	case <-ctx.Done():
+		go func() {
+			select {
+			case c := <-opened:
+				c.Close()
+			case <-failed:
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
 // drain makes the session accept no new streams and notifies the peer. The sweep
 // closes it when its streams have ended.
 func (s *session) drain() {
