--- a/internal/route/seamsession/session.go
+++ b/internal/route/seamsession/session.go
@@ -110,33 +110,33 @@
 	if s.writing.Load() == 0 {
 		return s.mux.OpenStream()
 	}
-	opened := make(chan *yamux.Stream, 1)
-	failed := make(chan error, 1)
+	opened := make(chan openedStream, 1)
 	go func() {
 		c, err := s.mux.OpenStream()
-		if err != nil {
-			failed <- err
-			return
-		}
-		opened <- c
+		opened <- openedStream{c, err}
 	}()
 	select {
-	case c := <-opened:
-		return c, nil
-	case err := <-failed:
-		return nil, err
+	case o := <-opened:
+		return o.stream, o.err
 	case <-ctx.Done():
-		go func() {
-			select {
-			case c := <-opened:
-				c.Close()
-			case <-failed:
-			}
-		}()
+		go func() { (<-opened).discard() }()
 		return nil, ctx.Err()
 	}
 }
 
+// openedStream is the result of opening a stream.
+type openedStream struct {
+	stream *yamux.Stream
+	err    error
+}
+
+// discard closes a stream on which nothing was sent.
+func (o openedStream) discard() {
+	if o.err == nil {
+		o.stream.Close()
+	}
+}
+
 // drain makes the session accept no new streams and notifies the peer. The sweep
 // closes it when its streams have ended.
 func (s *session) drain() {
@@ -191,7 +191,7 @@
 	s.reusable = slices.Delete(s.reusable, 0, expired)
 	s.mu.Unlock()
 	for _, c := range closing {
-		c.Close()
+		_ = c.Close() // a stream that fails to close has ended with its session
 	}
 }
 
@@ -219,7 +219,7 @@
 	}
 	session.mu.Unlock()
 	if discard {
-		s.Close()
+		_ = s.Close() // a stream that fails to close has ended with its session
 	}
 }
 
