--- a/internal/member/seampiece/cache.go
+++ b/internal/member/seampiece/cache.go
@@ -130,18 +130,18 @@
 	}
 }
 
-// packed returns a piece in its compressed form; false if the cache lacks it.
-func (c *Cache) packed(d Digest) ([]byte, bool) {
+// packed returns a piece in its compressed form; nil if the cache lacks it.
+func (c *Cache) packed(d Digest) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pieces[d]
 	if p == nil {
-		return nil, false
+		return nil
 	}
 	if p.packed == nil {
 		p.packed = pack(p.raw)
 	}
-	return p.packed, true
+	return p.packed
 }
 
 // Assemble returns the value of a key that a manifest describes. The error is *IncompleteError if pieces are missing, and
--- a/internal/member/seampiece/export_test.go
+++ b/internal/member/seampiece/export_test.go
@@ -3,8 +3,7 @@
 // PackedSize returns the number of bytes that the pieces have as they are sent.
 func PackedSize(c *Cache, digests []Digest) (n int) {
 	for _, d := range digests {
-		packed, _ := c.packed(d)
-		n += len(packed)
+		n += len(c.packed(d))
 	}
 	return n
 }
--- a/internal/member/seampiece/serve.go
+++ b/internal/member/seampiece/serve.go
@@ -45,9 +45,8 @@
 		return err
 	}
 	for _, d := range digests {
-		packed, _ := s.Cache.packed(d)
 		conn.SetWriteDeadline(time.Now().Add(silenceTimeout))
-		if err := seamframe.Write(conn, seamframe.Piece, &wire.Piece{Packed: packed}); err != nil {
+		if err := seamframe.Write(conn, seamframe.Piece, &wire.Piece{Packed: s.Cache.packed(d)}); err != nil {
 			return err
 		}
 	}
--- a/internal/node/seamrouter/bigconfig_test.go
+++ b/internal/node/seamrouter/bigconfig_test.go
@@ -147,7 +147,7 @@
 func TestBodyIsLimitedByTheRoutesInEffect(t *testing.T) {
 	f := newFleet(t, plainService)
 	n := f.nodes[0]
-	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	f.await("routes", f.servesEverywhere)
 	upload := func(size int64) int {
 		r, err := http.NewRequest(http.MethodPost, "http://"+n.settings.Ingress+"/book/x", io.LimitReader(zeros{}, size))
 		if err != nil {
--- a/internal/node/seamrouter/current_test.go
+++ b/internal/node/seamrouter/current_test.go
@@ -17,7 +17,7 @@
 
 func TestAddedRouteIsNeverAnsweredWith404AfterItsBound(t *testing.T) {
 	f := newFleet(t, plainService, plainService, plainService, plainService)
-	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	f.await("routes", f.servesEverywhere)
 	f.store.SetFaults(seamstandkv.Faults{SuppressWatches: true})
 	for revision := int64(2); revision < 5; revision++ {
 		path := f.writeManyRoutes(revision, 40<<10)
@@ -36,10 +36,10 @@
 	}
 }
 
-// servesEverywhere reports whether each node serves the path.
-func (f *fleet) servesEverywhere(path string) bool {
+// servesEverywhere reports whether each node serves a request without a key.
+func (f *fleet) servesEverywhere() bool {
 	for _, n := range f.nodes {
-		if res, err := f.send(n, http.MethodGet, path, ""); err != nil || res.status != http.StatusOK {
+		if res, err := f.send(n, http.MethodGet, "/book/x", ""); err != nil || res.status != http.StatusOK {
 			return false
 		}
 	}
@@ -49,7 +49,7 @@
 func TestMetricsTellTheRevisionInEffectAndHowCurrentItIs(t *testing.T) {
 	f := newFleet(t, plainService)
 	n := f.nodes[0]
-	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	f.await("routes", f.servesEverywhere)
 	time.Sleep(maxUnknown)
 	if res, err := f.send(n, http.MethodGet, "/nowhere/x", ""); err != nil || res.status != http.StatusNotFound {
 		t.Fatalf("got %+v, %v", res, err)
@@ -81,7 +81,7 @@
 		f.add(name, plainService)
 	}
 	time.Sleep(2 * time.Second) // each node has renewed its lease
-	f.await("routes", func() bool { return f.servesEverywhere("/book/x") })
+	f.await("routes", f.servesEverywhere)
 	f.store.SetFaults(seamstandkv.Faults{Down: true})
 	time.Sleep(maxUnknown)
 	for _, n := range f.nodes {
