Log which requests a target was running when it crashed

A target that refuses connections after it closed one has crashed, any other has lost a response. A line for each request that was running, with path, caller, id and incarnation. No decision depends on it yet, but that a crash is noticed with the first broken request and not with the next connection.

TestRequestsThatRanAtACrashAreLogged, TestLostResponseIsNoCrash.

--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -10,6 +10,7 @@
 	TargetLost           = "target.lost"
 	TargetLeaving        = "target.leaving"
 	TargetNotice         = "target.notice"
+	TargetCrashed        = "target.crashed"
 	CellCreated          = "cell.founded"
 	CellEpoch            = "cell.epoch"
 	CellMemberJoined     = "cell.joined"
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -230,6 +230,7 @@
 	limited, cancel := context.WithCancelCause(limited)
 	defer cancel(nil)
 	g := c.newGate(limited, cancel, grant, p)
+	defer c.egress.running.add(c, g)()
 	res, err := c.roundTrip(limited, g)
 	if err != nil {
 		return c.endWithoutResponse(ctx, g, p, err)
@@ -253,6 +254,9 @@
 	}
 	end := c.forwardResponse(ctx, res, p)
 	res.finish(end.Outcome == seamoutcome.Done)
+	if end.Reason == seamoutcome.Broken {
+		c.confirmCrash(nil)
+	}
 	return end
 }
 
@@ -317,6 +321,9 @@
 	}
 	reason := incompleteReason(ctx, g.ctx)
 	p.release(true, reason == seamoutcome.Broken)
+	if reason == seamoutcome.Broken {
+		c.confirmCrash(err)
+	}
 	return seamoutcome.NewUnknown(reason, err.Error())
 }
 
--- /dev/null
+++ b/internal/route/seamegress/crash_test.go
@@ -0,0 +1,110 @@
+package seamegress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/own/seamclock"
+	"cardamomseam/internal/own/seamsketch"
+	"cardamomseam/internal/route/seamegress"
+	"cardamomseam/internal/route/seamoutcome"
+)
+
+// crashingTarget is an egress whose target does something to its own server when it gets a request.
+type crashingTarget struct {
+	egress *seamegress.Egress
+	events *seamevent.Stream
+	server *httptest.Server
+	// refused is the number of times that the target was reported to refuse connections.
+	refused atomic.Int32
+}
+
+// newCrashingTarget returns a target that runs handle for each request, and the egress in front of it.
+func newCrashingTarget(t *testing.T, handle func(g *crashingTarget, r *http.Request)) *crashingTarget {
+	t.Helper()
+	g := &crashingTarget{events: seamevent.NewStream("back")}
+	g.server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handle(g, r) }))
+	t.Cleanup(g.server.Close)
+	clock := seamclock.NewClock()
+	announced := announcedTarget{Service: "booker", Name: "t", Address: g.server.Listener.Addr().String(), MaxConcurrency: 4, Started: 7}
+	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
+	cfg := seamegress.Config{OnConnectionRefused: func(seamtarget.Announcement) { g.refused.Add(1) }}
+	e, closeEgress := seamegress.New(cfg, self, grantingOwners{clock, time.Minute}, announced, clock, keys, metrics.NewSet(), g.events)
+	t.Cleanup(closeEgress)
+	g.egress = e
+	return g
+}
+
+// crash ends the target.
+func (g *crashingTarget) crash() {
+	_ = g.server.Listener.Close() // a second crash finds it closed
+	g.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
+// run runs one request with the path.
+func (g *crashingTarget) run(t *testing.T, attempt uint64, path string) seamoutcome.End {
+	h := upload(attempt, 0)
+	h.Path, h.Request = path, path
+	return g.egress.Run(t.Context(), h, nil, &discard{header: http.Header{}})
+}
+
+// crashed returns the ids of the requests in the events of crashes.
+func (g *crashingTarget) crashed() map[string]int {
+	ids := map[string]int{}
+	for _, x := range g.events.Recent() {
+		if x.Name == seamevent.TargetCrashed {
+			ids[x.Fields["id"].(string)]++
+		}
+	}
+	return ids
+}
+
+func TestRequestsThatRanAtACrashAreLogged(t *testing.T) {
+	var running sync.WaitGroup
+	running.Add(2)
+	g := newCrashingTarget(t, func(g *crashingTarget, r *http.Request) {
+		if r.URL.Path == "/before" {
+			return
+		}
+		running.Done()
+		running.Wait()
+		g.crash()
+	})
+	if end := g.run(t, 1, "/before"); end.Outcome != seamoutcome.Done {
+		t.Fatalf("got %+v", end)
+	}
+	var ended sync.WaitGroup
+	for i, path := range []string{"/a", "/b"} {
+		ended.Go(func() {
+			if end := g.run(t, uint64(i+2), path); end.Outcome != seamoutcome.Unknown {
+				t.Errorf("%s: got %+v, want an unknown outcome", path, end)
+			}
+		})
+	}
+	ended.Wait()
+	if ids := g.crashed(); len(ids) != 2 || ids["/a"] != 1 || ids["/b"] != 1 {
+		t.Errorf("got %v, want each request that was running once", ids)
+	}
+	if n := g.refused.Load(); n != 1 {
+		t.Errorf("the crash was reported %d times, want once", n)
+	}
+}
+
+func TestLostResponseIsNoCrash(t *testing.T) {
+	g := newCrashingTarget(t, func(*crashingTarget, *http.Request) { panic(http.ErrAbortHandler) })
+	if end := g.run(t, 1, "/lost"); end.Outcome != seamoutcome.Unknown || end.Reason != seamoutcome.Broken {
+		t.Errorf("got %+v, want an unknown outcome with the reason broken", end)
+	}
+	if ids := g.crashed(); len(ids) > 0 {
+		t.Errorf("got %v, want no crash", ids)
+	}
+}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/singleflight"
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamtarget"
@@ -120,7 +121,10 @@
 	pools      *targetPools
 	counters   *seamoutcome.Counters
 	events     seamevent.Sink
-	throttle   *seamthrottle.Throttle
+	running    runningCalls
+	// probes are the connections that find out whether the target has crashed.
+	probes   singleflight.Group
+	throttle *seamthrottle.Throttle
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
