--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -119,6 +119,7 @@
 		Revision: revision,
 		Routes: []seamroutes.Route{
 			{Name: "slots", Host: "visits.example", Prefix: "/slots/", Services: []seamroutes.WeightedService{{Service: keyedService, Weight: 1}}, MaxAttempts: 2, Idempotent: true, Timeout: 5 * time.Second},
+			{Name: "report", Host: "visits.example", Prefix: "/report/", Services: []seamroutes.WeightedService{{Service: plainService, Weight: 1}}, MaxAttempts: 3, Idempotent: true, Timeout: 5 * time.Second},
 			{Name: "book", Host: "visits.example", Prefix: "/book/", Services: []seamroutes.WeightedService{{Service: plainService, Weight: 1}}, MaxAttempts: 2, Timeout: 5 * time.Second},
 		},
 		Services: []seamroutes.Service{{Name: keyedService, Keyed: true}, {Name: plainService}},
--- /dev/null
+++ b/internal/node/seamrouter/poison_test.go
@@ -0,0 +1,203 @@
+package seamrouter_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamomseam/internal/route/seamheader"
+)
+
+const (
+	// poisonMark is the part of a path that makes a target crash when it begins to run the request.
+	poisonMark = "crash"
+	// targetDowntime is the time after which a crashed target starts again.
+	targetDowntime = 400 * time.Millisecond
+	// quarantineDelay is the time from the third crash by a request on after which nodes may send it to at most
+	// maxLateRuns targets.
+	quarantineDelay = 3 * time.Second
+	maxLateRuns     = 3
+	// poisonDeadline is the deadline of the requests of a crashLab.
+	poisonDeadline = time.Second
+)
+
+// crashLab is a fleet whose targets crash when they begin to run a request with poisonMark in its path, and start again as other
+// incarnations at the same address.
+type crashLab struct {
+	*fleet
+
+	mu sync.Mutex
+	// crashes are the times of the crashes by the path of the request.
+	crashes map[string][]time.Time
+	// down are the targets that have crashed, by name.
+	down     map[string]bool
+	restarts sync.WaitGroup
+	// healed makes the targets run marked requests too.
+	healed bool
+}
+
+func newCrashLab(t *testing.T, services ...string) *crashLab {
+	t.Helper()
+	lab := &crashLab{fleet: newFleet(t), crashes: map[string][]time.Time{}, down: map[string]bool{}}
+	lab.onRun = lab.run
+	for i, service := range services {
+		lab.add(fmt.Sprint("n", i), service)
+	}
+	t.Cleanup(lab.restarts.Wait)
+	for _, n := range lab.nodes {
+		lab.await("readiness", n.Ready)
+	}
+	return lab
+}
+
+// run crashes the target if the request is marked.
+func (lab *crashLab) run(target string, r *http.Request) func() {
+	if !strings.Contains(r.URL.Path, poisonMark) {
+		return func() {}
+	}
+	if !lab.crash(target, r.URL.Path) {
+		return func() {}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// crash ends a target and starts it again later. path is that of the request that ends it. It reports false if targets are healed.
+func (lab *crashLab) crash(target, path string) bool {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	if lab.healed {
+		return false
+	}
+	if lab.down[target] {
+		return true
+	}
+	lab.down[target] = true
+	lab.crashes[path] = append(lab.crashes[path], time.Now())
+	for _, n := range lab.nodes {
+		if n.target.name == target {
+			lab.end(n)
+		}
+	}
+	return true
+}
+
+// end closes the target's connections and its listener. The caller holds mu.
+func (lab *crashLab) end(n *node) {
+	g := n.target
+	_ = g.server.Listener.Close() // a second crash of the same incarnation finds it closed
+	g.server.CloseClientConnections()
+	lab.restarts.Go(func() {
+		time.Sleep(targetDowntime)
+		lab.restartTarget(n)
+	})
+}
+
+// restartTarget starts the target of a node as another incarnation at the same address.
+func (lab *crashLab) restartTarget(n *node) {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	before := n.target
+	next := &target{name: before.name + "x", service: before.service, started: time.Now().UnixMilli(), onRun: lab.run}
+	listener, err := net.Listen("tcp", before.address())
+	if err != nil {
+		lab.t.Error(err)
+		return
+	}
+	next.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: next}} //nolint:gosec // a test
+	next.server.Start()
+	lab.t.Cleanup(next.server.Close)
+	lab.fleet.mu.Lock()
+	lab.targets[next.address()] = next
+	lab.fleet.mu.Unlock()
+	n.target = next
+	lab.announce(n, false)
+}
+
+// repeat sends a request through each node again and again, for a while. It does not wait for a response.
+func (lab *crashLab) repeat(length time.Duration, send func(n *node)) {
+	var sending sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, n := range lab.nodes {
+			sending.Go(func() { send(n) })
+		}
+	}
+	sending.Wait()
+}
+
+// late returns the crashes by a path more than quarantineDelay after the third one, and the number of all.
+func (lab *crashLab) late(path string) (late, all int) {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	times := lab.crashes[path]
+	for i, at := range times {
+		if i > 2 && at.Sub(times[2]) > quarantineDelay {
+			late++
+		}
+	}
+	return late, len(times)
+}
+
+// ask sends a request with an optional body, which is sent in chunks if chunked is true. It returns the status, 0 for no response.
+func (lab *crashLab) ask(n *node, method, path, key, body string, chunked bool) int {
+	var reader io.Reader = strings.NewReader(body)
+	if chunked {
+		reader = io.MultiReader(reader)
+	}
+	r, err := http.NewRequest(method, "http://"+n.settings.Ingress+path, reader)
+	if err != nil {
+		lab.t.Error(err)
+		return 0
+	}
+	r.Host = "visits.example"
+	r.Header.Set(seamheader.Request, fmt.Sprint(time.Now().UnixNano()))
+	r.Header.Set(seamheader.Deadline, fmt.Sprint(poisonDeadline.Milliseconds()))
+	if key != "" {
+		r.Header.Set(seamheader.Key, key)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body) // the status is all that counts
+	return res.StatusCode
+}
+
+func TestRequestThatCrashedThreeTargetsIsKeptFromFurtherOnes(t *testing.T) {
+	plain := []string{plainService, plainService, plainService, plainService, plainService}
+	for _, tt := range []struct {
+		name, method, path, key, body string
+		chunked                       bool
+		services                      []string
+	}{
+		{name: "idempotent", method: http.MethodGet, path: "/report/crash", services: plain},
+		{name: "not idempotent", method: http.MethodPost, path: "/book/crash", services: plain},
+		{name: "body with a length", method: http.MethodPost, path: "/book/crash", body: strings.Repeat("b", 1000), services: plain},
+		{name: "body in chunks", method: http.MethodPost, path: "/book/crash", body: strings.Repeat("b", 1000), chunked: true, services: plain},
+		{name: "keyed", method: http.MethodGet, path: "/slots/crash", key: "20000", services: []string{keyedService, keyedService, keyedService, plainService}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			lab := newCrashLab(t, tt.services...)
+			if tt.key != "" {
+				lab.awaitServed(lab.nodes[0])
+			}
+			lab.repeat(9*time.Second, func(n *node) { lab.ask(n, tt.method, tt.path, tt.key, tt.body, tt.chunked) })
+			late, all := lab.late(tt.path)
+			t.Logf("%d crashes, %d of them late", all, late)
+			if all < 3 {
+				t.Errorf("the request crashed %d targets, want 3 at least: the test shows nothing", all)
+			}
+			if late > maxLateRuns {
+				t.Errorf("%d targets crashed more than %v after the third crash by the same request, want at most %d; %d crashed in all",
+					late, quarantineDelay, maxLateRuns, all)
+			}
+		})
+	}
+}
