--- a/internal/member/seammembership/list.go
+++ b/internal/member/seammembership/list.go
@@ -78,6 +78,17 @@
 	return v
 }
 
+// Member returns the member with the name.
+func (l *MemberList) Member(name string) (Member, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.members[name]
+	if m == nil {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
 // Changed returns a channel that is closed at the next change.
 func (l *MemberList) Changed() <-chan struct{} {
 	l.mu.Lock()
--- a/internal/member/seammembership/member.go
+++ b/internal/member/seammembership/member.go
@@ -43,6 +43,8 @@
 	Memory int
 	// Target is the node's target; its ID is empty if there is none.
 	Target Target
+	// Poison is what the node has seen of requests that crash targets, an encoded report of package seampoison.
+	Poison string
 }
 
 // InvalidEntryError reports that an entry identifies no node: a field is missing or does not match the key of the entry.
@@ -66,6 +68,7 @@
 		Domain:      m.Peer.Domain,
 		Leaving:     m.Leaving,
 		Memory:      int32(m.Memory),
+		Poison:      []byte(m.Poison),
 	}
 	if m.Target.ID != "" {
 		e.Target = &wire.Target{
@@ -114,6 +117,7 @@
 		},
 		Leaving: e.GetLeaving(),
 		Memory:  int(e.GetMemory()),
+		Poison:  string(e.GetPoison()),
 		Target: Target{
 			Service: t.GetService(),
 			ID:      t.GetId(),
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -23,6 +23,7 @@
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
+	"cardamomseam/internal/route/seampoison"
 	"cardamomseam/internal/route/seamsession"
 	"cardamomseam/internal/rule/seamroutes"
 )
@@ -70,6 +71,8 @@
 	ingress    *seamingress.Ingress
 	server     *seamingress.Server
 
+	poison *seampoison.Guard
+
 	electorsMu sync.Mutex
 	electors   map[string]*seamelection.Elector
 	draining   atomic.Bool
@@ -105,6 +108,9 @@
 		newerRoutes:  newRevisionPeers(),
 		tablesWanted: make(chan struct{}, 1),
 	}
+	n.poison = &seampoison.Guard{Table: seampoison.New(), Begin: n.beginPoisonTrial}
+	n.metricSet.NewGauge("cardamomseam_poison_suspected", func() float64 { return float64(n.poison.Suspected()) })
+	n.metricSet.NewGauge("cardamomseam_poison_quarantined", func() float64 { return float64(len(n.poison.Records())) })
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
 	c := &seamstart.Cleanups{}
--- a/internal/node/seamrouter/operator.go
+++ b/internal/node/seamrouter/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
+	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"cardamomseam/internal/member/seamfeed"
 	"cardamomseam/internal/member/seammembership"
@@ -20,6 +21,8 @@
 	MetricsPath = "/metrics"
 	// StatePath serves the node's State as JSON.
 	StatePath = "/v1/state"
+	// PoisonPath ends the quarantine of a request on DELETE. The service and the fingerprint follow, as State has them.
+	PoisonPath = "/v1/poison"
 )
 
 // State is a node's view of the store, members, leaders and key owners.
@@ -38,6 +41,18 @@
 	Tables  map[string]Assignment   `json:"tables"`
 	// Held are the key ranges held by the node's target.
 	Held []seamtable.Range `json:"held"`
+	// Poison are the requests that are kept from the targets because they crash them.
+	Poison []PoisonRequest `json:"poison"`
+}
+
+// PoisonRequest is a quarantined request.
+type PoisonRequest struct {
+	// Key is the service and the fingerprint.
+	Key     string `json:"key"`
+	Path    string `json:"path"`
+	Caller  string `json:"caller"`
+	Crashes int    `json:"crashes"`
+	Trials  int    `json:"trials"`
 }
 
 // Assignment is the assignment of a service's key ranges to owners.
@@ -53,6 +68,20 @@
 		{Method: http.MethodGet, Path: StatePath, Handler: func(w http.ResponseWriter, _ *http.Request) {
 			httpx.WriteJson(w, http.StatusOK, n.State(time.Now()))
 		}},
+		{Method: http.MethodDelete, Path: PoisonPath + "/:service/:fingerprint", Handler: n.clearPoison},
+	}
+}
+
+// clearPoison ends the quarantine of a request. It answers 204, 404 if there is none, or 503 if the store does not answer.
+func (n *Node) clearPoison(w http.ResponseWriter, r *http.Request) {
+	vars := pathvar.Vars(r)
+	switch found, err := n.ClearPoison(r.Context(), vars["service"]+"/"+vars["fingerprint"]); {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case !found:
+		http.Error(w, "no such request is quarantined", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
 	}
 }
 
@@ -69,6 +98,7 @@
 		Leaders:    map[string]string{},
 		Tables:     map[string]Assignment{},
 		Held:       n.runner.Ranges(),
+		Poison:     n.poisonRequests(),
 	}
 	members := n.members.View().Members
 	for _, name := range slices.Sorted(maps.Keys(members)) {
--- a/internal/node/seamrouter/poison_test.go
+++ b/internal/node/seamrouter/poison_test.go
@@ -176,7 +176,7 @@
 		chunked                       bool
 		services                      []string
 	}{
-		{name: "idempotent", method: http.MethodGet, path: "/report/crash", services: plain},
+		{name: "idempotent", method: http.MethodGet, path: poisonPath, services: plain},
 		{name: "not idempotent", method: http.MethodPost, path: "/book/crash", services: plain},
 		{name: "body with a length", method: http.MethodPost, path: "/book/crash", body: strings.Repeat("b", 1000), services: plain},
 		{name: "body in chunks", method: http.MethodPost, path: "/book/crash", body: strings.Repeat("b", 1000), chunked: true, services: plain},
@@ -201,3 +201,118 @@
 		})
 	}
 }
+
+// poisonPath is the path of an idempotent request with poisonMark.
+const poisonPath = "/report/crash"
+
+// quarantine sends a request with poisonPath through each node until it is quarantined at all of them, and returns its key.
+func (lab *crashLab) quarantine() string {
+	lab.t.Helper()
+	lab.await("quarantine at all nodes", func() bool {
+		quarantined := true
+		for _, n := range lab.nodes {
+			lab.ask(n, http.MethodGet, poisonPath, "", "", false)
+			quarantined = quarantined && len(n.State(time.Now()).Poison) == 1
+		}
+		return quarantined
+	})
+	return lab.nodes[0].State(time.Now()).Poison[0].Key
+}
+
+// heal makes the targets run all requests.
+func (lab *crashLab) heal() {
+	lab.mu.Lock()
+	defer lab.mu.Unlock()
+	lab.healed = true
+}
+
+func TestQuarantinedRequestIsRefusedAtOnceAndOthersAreServed(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService)
+	lab.quarantine()
+	start := time.Now()
+	res, err := lab.send(lab.nodes[0], http.MethodGet, poisonPath, "")
+	if err != nil || res.status != http.StatusServiceUnavailable || res.header.Get(seamheader.Reason) != "poison" || res.header.Get("Retry-After") == "" {
+		t.Errorf("got %+v, %v, want a refusal with the reason poison and a Retry-After", res, err)
+	}
+	if took := time.Since(start); took > 200*time.Millisecond {
+		t.Errorf("the refusal took %v", took)
+	}
+	lab.await("service of another request", func() bool {
+		return lab.ask(lab.nodes[1], http.MethodGet, "/report/other", "", "", false) == http.StatusOK
+	})
+}
+
+func TestQuarantineOutlastsARestartOfAllNodes(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService)
+	lab.quarantine()
+	lab.restarts.Wait()
+	for _, n := range lab.nodes {
+		n.stop()
+	}
+	for _, n := range lab.nodes {
+		lab.start(n)
+	}
+	for _, n := range lab.nodes {
+		lab.await("readiness", n.Ready)
+	}
+	_, before := lab.late(poisonPath)
+	lab.repeat(4*time.Second, func(n *node) { lab.ask(n, http.MethodGet, poisonPath, "", "", false) })
+	if _, after := lab.late(poisonPath); after > before+1 {
+		t.Errorf("%d targets crashed after the restart, want at most the one of a trial", after-before)
+	}
+}
+
+func TestOperatorEndsAQuarantine(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService)
+	key := lab.quarantine()
+	lab.heal()
+	if found, err := lab.nodes[0].ClearPoison(t.Context(), key); !found || err != nil {
+		t.Fatalf("got %v, %v", found, err)
+	}
+	lab.await("service at all nodes", func() bool {
+		for _, n := range lab.nodes {
+			if lab.ask(n, http.MethodGet, poisonPath, "", "", false) != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	if found, err := lab.nodes[0].ClearPoison(t.Context(), key); found || err != nil {
+		t.Errorf("a quarantine that has ended: got %v, %v", found, err)
+	}
+}
+
+func TestTrialThatIsAnsweredEndsTheQuarantine(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService)
+	lab.quarantine()
+	lab.heal()
+	lab.await("end of the quarantine at all nodes", func() bool {
+		for _, n := range lab.nodes {
+			if lab.ask(n, http.MethodGet, poisonPath, "", "", false) != http.StatusOK || len(n.State(time.Now()).Poison) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A target that closes connections and goes on running has lost responses, and has not crashed.
+func TestLostResponsesQuarantineNothing(t *testing.T) {
+	f := newFleet(t)
+	f.onRun = func(string, *http.Request) func() { panic(http.ErrAbortHandler) }
+	for i := range 4 {
+		f.add(fmt.Sprint("n", i), plainService)
+	}
+	f.await("readiness", f.nodes[0].Ready)
+	for range 20 {
+		_, _ = f.send(f.nodes[0], http.MethodGet, "/report/lost", "")
+	}
+	for _, n := range f.nodes {
+		if records := n.State(time.Now()).Poison; len(records) > 0 {
+			t.Errorf("%s: %+v", n.settings.Name, records)
+		}
+	}
+	if res, err := f.send(f.nodes[0], http.MethodGet, "/report/lost", ""); err != nil || res.status != http.StatusBadGateway {
+		t.Errorf("got %+v, %v, want status 502", res, err)
+	}
+}
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -34,6 +34,7 @@
 		HandoverGrace:       n.settings.Stop.Linger,
 		RulesRevision:       n.routes.Revision,
 		BodyBufferBytes:     n.maxQueuedBodyBytes(),
+		Poison:              n.poison,
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
 	n.egress = egress
 	c.Add(stop)
@@ -53,6 +54,7 @@
 		Middleware:         n.adapter.CallerMiddleware,
 		OnRulesRevision:    n.onRoutesRevision,
 		BodyLimit:          n.bodyLimit,
+		Poison:             n.poison,
 	}, n.self, routeDecider{n}, directory{n}, n.sessions, egress, n.metricSet, n.sink)
 	server, err := n.ingress.Serve()
 	if err != nil {
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -17,6 +17,7 @@
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/platform/seamwait"
+	"cardamomseam/internal/route/seampoison"
 	"cardamomseam/internal/rule/seamroutes"
 )
 
@@ -160,6 +161,7 @@
 	c.Add(seamstart.Background(n.pollTables))
 	c.Add(seamstart.Background(n.registration.Run))
 	c.Add(seamstart.Background(n.sweep))
+	c.Add(seamstart.Background(n.sharePoison))
 	c.Add(seamstart.Background(n.syncFromPeers))
 	c.Add(seamstart.Background(func(ctx context.Context) { seamstall.Watch(ctx, n.sink) }))
 	return nil
@@ -203,6 +205,9 @@
 		s.node.applyRoutes(now, e)
 	case strings.HasPrefix(e.Key, seammembership.KeyPrefix):
 		s.node.members.Put(now, e)
+		s.node.hearPoison(strings.TrimPrefix(e.Key, seammembership.KeyPrefix))
+	case strings.HasPrefix(e.Key, seampoison.RecordPrefix):
+		s.node.putPoisonRecord(now, e)
 	default:
 		s.node.registry.Put(now, e)
 	}
@@ -215,6 +220,8 @@
 		s.node.sink.Emit(now, seamevent.RoutesRefused, seamevent.Fields{"key": key, "error": "the key was deleted; the current routes stay in effect"})
 	case strings.HasPrefix(key, seammembership.KeyPrefix):
 		s.node.members.Delete(now, key, timeUnknown)
+	case strings.HasPrefix(key, seampoison.RecordPrefix):
+		s.node.deletePoisonRecord(now, key)
 	default:
 		s.node.registry.Delete(now, key, timeUnknown)
 	}
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -136,6 +136,7 @@
 	for _, e := range state.GetMembers() {
 		if m, err := seammembership.MemberFromWire(e); err == nil {
 			n.members.AddUnconfirmed(now, m)
+			n.hearPoison(m.Peer.Name)
 		}
 	}
 	for _, encoded := range state.GetFarewells() {
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -90,9 +90,9 @@
 	return ok && s.Keyed
 }
 
-// originService returns the service of this instance.
+// originService returns the service of this instance, also while its target is down.
 func (n *Node) originService() string {
-	if a, ok := n.targets.Current(); ok {
+	if a, _ := n.targets.Current(); a.Service != "" {
 		return a.Service
 	}
 	return n.settings.Service
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -35,6 +35,8 @@
 	arrived time.Time
 	// bufferedBytes is the size of the body if it was buffered before admission.
 	bufferedBytes int64
+	// trial means that the request is sent although it is quarantined.
+	trial bool
 }
 
 // runDeduplicated runs the request unless it is a duplicate. It registers a request that is not idempotent in the
@@ -93,6 +95,12 @@
 		stop()
 		return *end
 	}
+	c.recordPrefix()
+	c.beginTrial(waiting)
+	if end := c.quarantined(time.Now()); end != nil {
+		stop()
+		return *end
+	}
 	v := c.egress.limiter.admit(waiting, time.Now(), c.admissionRequest())
 	cause := context.Cause(waiting)
 	stop()
@@ -254,8 +262,11 @@
 	}
 	end := c.forwardResponse(ctx, res, p)
 	res.finish(end.Outcome == seamoutcome.Done)
-	if end.Reason == seamoutcome.Broken {
-		c.confirmCrash(nil)
+	switch {
+	case end.Outcome == seamoutcome.Done:
+		c.addAnswer(time.Now())
+	case end.Reason == seamoutcome.Broken && c.confirmCrash(nil):
+		end.Reason = seamoutcome.Crashed
 	}
 	return end
 }
@@ -283,6 +294,9 @@
 	if end := c.shutdownRefusal(now); end != nil {
 		return end.Reason
 	}
+	if end := c.quarantined(now); end != nil {
+		return end.Reason
+	}
 	throttle := c.egress.throttle
 	mayStart := !p.sent && throttle.Confirm(now, p.start) || p.sent && throttle.Take(now)
 	p.sent = true
@@ -312,17 +326,22 @@
 		if errors.Is(err, syscall.ECONNREFUSED) && c.egress.cfg.OnConnectionRefused != nil {
 			c.egress.cfg.OnConnectionRefused(c.announced)
 		}
+		now := time.Now()
+		if denial == seamoutcome.Poison {
+			if end := c.quarantined(now); end != nil {
+				return *end
+			}
+		}
 		end := seamoutcome.NewRefused(denial, err.Error())
 		if denial == seamoutcome.Limit {
-			now := time.Now()
 			end.RetryAfter = c.egress.throttle.RetryAfter(now, c.egress.limiter.Load().Queued, c.admissionRequest().deadline.Sub(now))
 		}
 		return end
 	}
 	reason := incompleteReason(ctx, g.ctx)
 	p.release(true, reason == seamoutcome.Broken)
-	if reason == seamoutcome.Broken {
-		c.confirmCrash(err)
+	if reason == seamoutcome.Broken && c.confirmCrash(err) {
+		reason = seamoutcome.Crashed
 	}
 	return seamoutcome.NewUnknown(reason, err.Error())
 }
--- a/internal/route/seamegress/crash_test.go
+++ b/internal/route/seamegress/crash_test.go
@@ -16,6 +16,7 @@
 	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seampoison"
 )
 
 // crashingTarget is an egress whose target does something to its own server when it gets a request.
@@ -36,7 +37,10 @@
 	clock := seamclock.NewClock()
 	announced := announcedTarget{Service: "booker", Name: "t", Address: g.server.Listener.Addr().String(), MaxConcurrency: 4, Started: 7}
 	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
-	cfg := seamegress.Config{OnConnectionRefused: func(seamtarget.Announcement) { g.refused.Add(1) }}
+	cfg := seamegress.Config{
+		OnConnectionRefused: func(seamtarget.Announcement) { g.refused.Add(1) },
+		Poison:              &seampoison.Guard{Table: seampoison.New()},
+	}
 	e, closeEgress := seamegress.New(cfg, self, grantingOwners{clock, time.Minute}, announced, clock, keys, metrics.NewSet(), g.events)
 	t.Cleanup(closeEgress)
 	g.egress = e
@@ -85,8 +89,8 @@
 	var ended sync.WaitGroup
 	for i, path := range []string{"/a", "/b"} {
 		ended.Go(func() {
-			if end := g.run(t, uint64(i+2), path); end.Outcome != seamoutcome.Unknown {
-				t.Errorf("%s: got %+v, want an unknown outcome", path, end)
+			if end := g.run(t, uint64(i+2), path); end.Outcome != seamoutcome.Unknown || end.Reason != seamoutcome.Crashed {
+				t.Errorf("%s: got %+v, want an unknown outcome with the reason crashed", path, end)
 			}
 		})
 	}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -26,6 +26,7 @@
 	"cardamomseam/internal/route/seamdedup"
 	"cardamomseam/internal/route/seamlimit"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seampoison"
 	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/route/seamspan"
 	"cardamomseam/internal/route/seamstop"
@@ -93,6 +94,8 @@
 	BodyBufferBytes int64
 	// RulesRevision returns the revision of the rules at this node; nil means that it is not reported.
 	RulesRevision func() int64
+	// Poison decides which requests are kept from the target because they crash targets; nil means none.
+	Poison *seampoison.Guard
 }
 
 const (
@@ -252,7 +255,7 @@
 	if end != nil {
 		return e.redirect(ctx, head, *end)
 	}
-	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(timeout), arrived: arrivedWall}
+	c := &call{egress: e, head: head, body: body, out: out, announced: announced, deadline: arrived.Add(timeout), arrived: arrivedWall, trial: head.GetTrial()}
 	return c.runDeduplicated(ctx, timeout)
 }
 
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -65,6 +65,8 @@
 	streamEmpty bool
 	// unknownEnd is the end of an earlier attempt that may have run; nil if there is none.
 	unknownEnd *seamoutcome.End
+	// crashes is the number of targets that crashed while they were running the request.
+	crashes int
 	// voidState is the result of voiding the current attempt; empty if that was not tried.
 	voidState seamdedup.State
 }
@@ -76,6 +78,9 @@
 	budget.Deposit(time.Now())
 	var last *seamoutcome.End
 	for {
+		if end, quarantined := x.quarantined(); quarantined {
+			return x.finalEnd(end)
+		}
 		to, ok := x.chooseNode()
 		if !ok && x.retryAfterOwnerWait(ctx, last) {
 			continue
@@ -89,6 +94,9 @@
 		if end, overloaded := x.overloaded(); overloaded {
 			return x.finalEnd(end)
 		}
+		if end, quarantined := x.beginTrial(ctx); quarantined {
+			return x.finalEnd(end)
+		}
 		end := x.attempt(ctx, to)
 		wait, retry := x.nextAttempt(end, to, budget)
 		if !retry || !x.pause(ctx, wait) {
@@ -243,7 +251,7 @@
 	switch end.Reason {
 	case seamoutcome.Lost, seamoutcome.Session, seamoutcome.Target, seamoutcome.Draining:
 		r.Unreachable = true
-	case seamoutcome.Shed, seamoutcome.Broken:
+	case seamoutcome.Shed, seamoutcome.Broken, seamoutcome.Crashed:
 		r.Failed = true
 	case seamoutcome.Timeout:
 		r.Failed = left >= minTimeoutCountedAsFailure
@@ -258,7 +266,7 @@
 // only if the attempt had at least minTimeoutCountedAsFailure.
 func countsAsFailure(r seamoutcome.Reason, left time.Duration) bool {
 	switch r {
-	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Session, seamoutcome.Target:
+	case seamoutcome.Lost, seamoutcome.Broken, seamoutcome.Crashed, seamoutcome.Session, seamoutcome.Target:
 		return true
 	case seamoutcome.Timeout:
 		return left >= minTimeoutCountedAsFailure
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -21,6 +21,7 @@
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
+	"cardamomseam/internal/route/seampoison"
 	"cardamomseam/internal/route/seamretry"
 	"cardamomseam/internal/route/seamroutewire"
 	"cardamomseam/internal/route/seamsession"
@@ -114,6 +115,8 @@
 	Middleware func(http.Handler) http.Handler
 	// OnRulesRevision is called with the revision of the rules at another node; nil is allowed.
 	OnRulesRevision func(revision int64, at seampeer.Peer)
+	// Poison decides which requests are kept from the targets because they crash targets; nil means none.
+	Poison *seampoison.Guard
 }
 
 const (
--- a/internal/route/seamingress/retry.go
+++ b/internal/route/seamingress/retry.go
@@ -16,6 +16,9 @@
 	if !x.mayRetry(end) || x.keyUnserved(end, to) {
 		return 0, false
 	}
+	if end.Reason == seamoutcome.Crashed && !x.mayRepeatAfterCrash() {
+		return 0, false
+	}
 	if x.decision.Keyed && end.Reason == seamoutcome.Session {
 		// The recorded owner is out of date: remove it, so that the state of the cell is used.
 		x.ingress.directory.Learn(x.service, x.head.GetSlot(), seampeer.Peer{})
@@ -79,7 +82,7 @@
 	case seamoutcome.Refused:
 		return seamoutcome.Lookup(end.Reason).RetryElsewhere && x.mayLeaveNode(end.Reason)
 	case seamoutcome.Unknown:
-		return x.head.GetIdempotent() && end.Reason != seamoutcome.Cancelled
+		return x.head.GetIdempotent() && end.Reason != seamoutcome.Cancelled && !x.head.GetTrial()
 	default:
 		return x.head.GetIdempotent() && !x.decision.Keyed && x.responder.overloaded()
 	}
--- a/internal/route/seamoutcome/reason.go
+++ b/internal/route/seamoutcome/reason.go
@@ -38,6 +38,8 @@
 	Late Reason = "late"
 	// Limit means that the target gets as many requests as it accepts, by the limit that it states.
 	Limit Reason = "limit"
+	// Poison means that requests like this one have crashed the targets that ran them.
+	Poison Reason = "poison"
 	// Expired means that the deadline passed before the request started.
 	Expired Reason = "expired"
 	// Ledger means that the node's dedup table is full.
@@ -64,6 +66,8 @@
 	Timeout Reason = "timeout"
 	// Broken means that the target closed the connection or violated HTTP.
 	Broken Reason = "broken"
+	// Crashed means that the target crashed while it was running the request.
+	Crashed Reason = "crashed"
 	// Cancelled means that the caller disconnected after the request started.
 	Cancelled Reason = "cancelled"
 )
@@ -95,6 +99,7 @@
 	{Reason: Full, Outcome: Refused, Status: http.StatusTooManyRequests, RetryElsewhere: true, RetryLater: true},
 	{Reason: Late, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Limit, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
+	{Reason: Poison, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryLater: true},
 	{Reason: Expired, Outcome: Refused, Status: http.StatusGatewayTimeout},
 	{Reason: Ledger, Outcome: Refused, Status: http.StatusTooManyRequests, RetryElsewhere: true, RetryLater: true},
 	{Reason: Voided, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
@@ -106,6 +111,7 @@
 	{Reason: Lost, Outcome: Unknown, Status: http.StatusBadGateway},
 	{Reason: Timeout, Outcome: Unknown, Status: http.StatusGatewayTimeout},
 	{Reason: Broken, Outcome: Unknown, Status: http.StatusBadGateway},
+	{Reason: Crashed, Outcome: Unknown, Status: http.StatusBadGateway},
 	{Reason: Cancelled, Outcome: Unknown, Status: statusClientClosedRequest},
 }
 
