--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -67,13 +67,17 @@
 	e.limitTimer.Reset(time.Until(p.Limit))
 }
 
+// plannedStop returns the plan of the node's stop.
+func (e *Egress) plannedStop() seamstop.Plan {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopPlan
+}
+
 // mayStart reports whether the request may be started before the planned stop of the node.
 func (c *call) mayStart(now time.Time) bool {
 	e := c.egress
-	e.mu.Lock()
-	plan := e.stopPlan
-	e.mu.Unlock()
-	return plan.MayStart(now, seamstop.Request{
+	return e.plannedStop().MayStart(now, seamstop.Request{
 		Deadline:        c.admissionRequest().deadline,
 		MeanServiceTime: e.limiter.meanServiceTime(c.head),
 		Idempotent:      c.head.GetIdempotent(),
--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"sync"
@@ -75,7 +76,7 @@
 		c.info.Slot = c.head.GetSlot()
 	}
 	if timeout, ok := c.targetTimeout(ctx, grant); ok {
-		c.info.Timeout = timeout
+		c.info.Timeout = min(timeout, c.timeUntilStop(time.Now()))
 	}
 	c.egress.cfg.Dialect.SetHeaders(ctx, req.Header, c.info)
 	if _, ok := req.Header["User-Agent"]; !ok {
@@ -116,6 +117,20 @@
 	return min(remaining, granted), true
 }
 
+// timeUntilStop returns the time in which the target must respond because the ingress or this node stops. A request that may be
+// repeated is not limited by the stop of this node: another one runs it if the stop cuts it.
+func (c *call) timeUntilStop(now time.Time) time.Duration {
+	left := time.Duration(math.MaxInt64)
+	if until := c.head.GetUntil(); until > 0 {
+		left = c.arrived.Add(time.Duration(until) * time.Millisecond).Sub(now)
+	}
+	deadline := c.admissionRequest().deadline
+	if latest := c.egress.plannedStop().TargetDeadline(deadline); !c.head.GetIdempotent() && latest.Before(deadline) {
+		left = min(left, latest.Sub(now))
+	}
+	return max(left, time.Millisecond)
+}
+
 // isOverloadStatus reports whether the status indicates that the target is overloaded.
 func isOverloadStatus(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -168,6 +168,7 @@
 	left := x.deadline.Sub(start)
 	x.head.Left = left.Milliseconds()
 	x.head.Objective = x.objectiveLeft(start)
+	x.head.Until = x.ingress.shutdown.untilResponse(start, x.deadline)
 	x.addNotice(start, to)
 	i := x.ingress
 	i.countSent(start, to)
--- a/internal/route/seamingress/shutdown.go
+++ b/internal/route/seamingress/shutdown.go
@@ -67,6 +67,16 @@
 	return s.plan.Load().MayStart(now, seamstop.Request{Deadline: x.deadline, Idempotent: x.head.GetIdempotent()})
 }
 
+// untilResponse returns the milliseconds until a target must have responded to a request that is started now because the node stops;
+// 0 if the stop does not come before the deadline.
+func (s *shutdown) untilResponse(now, deadline time.Time) int64 {
+	latest := s.plan.Load().TargetDeadline(deadline)
+	if latest.Equal(deadline) {
+		return 0
+	}
+	return max(latest.Sub(now).Milliseconds(), 1)
+}
+
 // stoppingDetail tells why a request is not started.
 const stoppingDetail = "the node stops before the request is expected to end"
 
--- a/internal/route/seamstop/plan.go
+++ b/internal/route/seamstop/plan.go
@@ -11,6 +11,8 @@
 	// serviceTimes and serviceTimesOfNonIdempotent are the least numbers of mean service times in these times.
 	serviceTimes                = 2
 	serviceTimesOfNonIdempotent = 6
+	// responseTime is the time before the limit by which a target must have responded, so that its response still reaches the caller.
+	responseTime = 200 * time.Millisecond
 )
 
 // Plan holds the time of a planned stop of the node. The zero value means that no stop is planned.
@@ -42,6 +44,16 @@
 	return !now.Add(needed).After(p.Limit)
 }
 
+// TargetDeadline returns the deadline that a target is given for a request that is started after the stop was planned. What is likely
+// to end before the limit may take longer: the target then gives up and responds, instead of being cut.
+func (p Plan) TargetDeadline(deadline time.Time) time.Time {
+	latest := p.Limit.Add(-responseTime)
+	if p.Limit.IsZero() || !deadline.After(latest) {
+		return deadline
+	}
+	return latest
+}
+
 // RefusalTime returns the latest time at which a request that is not idempotent is started, unless its deadline lies before the
 // limit.
 func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-minTimeOfNonIdempotent) }
--- a/internal/route/seamstop/plan_test.go
+++ b/internal/route/seamstop/plan_test.go
@@ -38,3 +38,25 @@
 		})
 	}
 }
+
+func TestTargetsRespondBeforeTheStopCutsThem(t *testing.T) {
+	start := time.Unix(1000, 0)
+	limit := start.Add(5 * time.Second)
+	plan := seamstop.Plan{Limit: limit}
+	for _, tt := range []struct {
+		name           string
+		plan           seamstop.Plan
+		deadline, want time.Time
+	}{
+		{"no stop is planned", seamstop.Plan{}, start.Add(time.Hour), start.Add(time.Hour)},
+		{"deadline before the limit", plan, start.Add(time.Second), start.Add(time.Second)},
+		{"deadline at the limit", plan, limit, limit.Add(-200 * time.Millisecond)},
+		{"deadline after the limit", plan, limit.Add(time.Minute), limit.Add(-200 * time.Millisecond)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := tt.plan.TargetDeadline(tt.deadline); !got.Equal(tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
