Keep the latest of two checks of a subscription that end at once

answerCheck raised the number of the latest check by a load and a store: of two checks that ended together, the later could be lost, and the subscriber waited its second and refused the request with 503. A compare-and-swap in a type of its own.

--- a/internal/member/seamfeed/serve.go
+++ b/internal/member/seamfeed/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -81,7 +80,7 @@
 	// tables is whether the subscriber gets the ownership tables.
 	tables bool
 	// checked and unchecked are the numbers of the latest checks that succeeded and failed.
-	checked, unchecked atomic.Uint64
+	checked, unchecked highest
 	// answered is signalled when one of them has changed.
 	answered chan struct{}
 }
@@ -110,7 +109,7 @@
 	if f.Subscribed() || f.Confirm(ctx, time.Now().Add(-maxReaderAge)) != nil {
 		result = &s.unchecked
 	}
-	result.Store(max(number, result.Load()))
+	result.record(number)
 	select {
 	case s.answered <- struct{}{}:
 	default:
@@ -150,7 +149,7 @@
 			return nil
 		}
 		// What the check has found is in the batch that is taken after it.
-		checked = s.checked.Load()
+		checked = s.checked.load()
 		b = f.replica.log.from(b.next)
 	}
 }
@@ -195,7 +194,7 @@
 		update.Changes = append(update.Changes, change)
 		size += proto.Size(change)
 	}
-	update.Revision, update.Checked, update.Unchecked = b.revision, checked, s.unchecked.Load()
+	update.Revision, update.Checked, update.Unchecked = b.revision, checked, s.unchecked.load()
 	return writeUpdate(s.conn, update)
 }
 
