--- a/internal/node/seamrouter/poison_test.go
+++ b/internal/node/seamrouter/poison_test.go
@@ -40,6 +40,8 @@
 	restarts sync.WaitGroup
 	// healed makes the targets run marked requests too.
 	healed bool
+	// poisonBody, if set, is the body with which a marked request crashes targets; with another one it does not.
+	poisonBody string
 }
 
 func newCrashLab(t *testing.T, services ...string) *crashLab {
@@ -61,6 +63,9 @@
 	if !strings.Contains(r.URL.Path, poisonMark) {
 		return func() {}
 	}
+	if body, err := io.ReadAll(r.Body); err == nil && lab.poisonBody != "" && string(body) != lab.poisonBody {
+		return func() {}
+	}
 	if !lab.crash(target, r.URL.Path) {
 		return func() {}
 	}
@@ -316,3 +321,35 @@
 		t.Errorf("got %+v, %v, want status 502", res, err)
 	}
 }
+
+func TestOneRequestOfACallerCrashesAtMostTwoTargets(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService, plainService)
+	lab.await("service", func() bool { return lab.ask(lab.nodes[0], http.MethodGet, "/report/1", "", "", false) == http.StatusOK })
+	if status := lab.ask(lab.nodes[0], http.MethodGet, poisonPath, "", "", false); status != http.StatusBadGateway {
+		t.Errorf("got status %d, want 502", status)
+	}
+	if _, all := lab.late(poisonPath); all == 0 || all > 2 {
+		t.Errorf("one request crashed %d targets, want 1 or 2", all)
+	}
+}
+
+func TestRequestWithAnotherBodyIsServedBesideAQuarantinedOne(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService)
+	lab.poisonBody = "bad"
+	lab.await("quarantine at all nodes", func() bool {
+		quarantined := true
+		for _, n := range lab.nodes {
+			lab.ask(n, http.MethodPost, "/book/crash", "", "bad", false)
+			quarantined = quarantined && len(n.State(time.Now()).Poison) == 1
+		}
+		return quarantined
+	})
+	for _, n := range lab.nodes {
+		lab.await("service of another body", func() bool {
+			return lab.ask(n, http.MethodPost, "/book/crash", "", "fit", false) == http.StatusOK
+		})
+	}
+	if status := lab.ask(lab.nodes[0], http.MethodPost, "/book/crash", "", "bad", false); status != http.StatusServiceUnavailable {
+		t.Errorf("the quarantined body: got status %d, want 503", status)
+	}
+}
--- a/internal/route/seamingress/callerconn.go
+++ b/internal/route/seamingress/callerconn.go
@@ -31,14 +31,16 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// callerDisconnected reports whether the caller has closed or reset its connection. The HTTP library detects this
-// only while a handler runs: after a pause, a process reads requests whose callers disconnected long before.
-func callerDisconnected(ctx context.Context) bool {
+// disconnection tells by what the caller is known to have closed or reset its connection; empty if it has not. The HTTP library
+// detects this only while a handler runs: after a pause, a process reads requests whose callers disconnected long before.
+func disconnection(ctx context.Context) string {
 	if ctx.Err() != nil {
-		return true
+		return "by its context: " + context.Cause(ctx).Error()
 	}
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && seamnet.HungUp(c)
+	if c, ok := ctx.Value(connKey{}).(net.Conn); ok && seamnet.HungUp(c) {
+		return "by its socket"
+	}
+	return ""
 }
 
 // callerListener accepts the connections of callers.
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -192,8 +192,8 @@
 	}
 	w.Header().Set(seamheader.Trace, seamspan.TraceID(ctx))
 	x, refused := i.prepare(w, r, start)
-	if refused == nil && callerDisconnected(r.Context()) {
-		refused = refuse(seamoutcome.Gone, "the caller closed its connection before the request was read")
+	if refused == nil {
+		refused = refuseDisconnected(r.Context())
 	}
 	if refused != nil {
 		i.logRefused(start, r, refused)
@@ -206,6 +206,15 @@
 	i.finish(x.responder, end, seamoutcome.Lookup(end.Reason).Status, start)
 }
 
+// refuseDisconnected returns the refusal of a request whose caller has closed its connection; nil if it has not.
+func refuseDisconnected(ctx context.Context) *refusedRequest {
+	by := disconnection(ctx)
+	if by == "" {
+		return nil
+	}
+	return refuse(seamoutcome.Gone, "the caller closed its connection before the request was read, "+by)
+}
+
 // finish writes the end of the request to the caller. If the attempt failed after a part of its response was
 // written, it aborts the connection, so that the caller does not take the response as complete.
 func (i *Ingress) finish(responder *responder, end seamoutcome.End, status int, start time.Time) {
