Test that crashes at three nodes, each of which sees one, quarantine a request at all nodes

Without reports between nodes TestRequestThatCrashedThreeTargetsIsKeptFromFurtherOnes still passed, since one node soon sees three crashes by itself; this test fails then.

--- a/internal/node/seamrouter/poison_test.go
+++ b/internal/node/seamrouter/poison_test.go
@@ -38,6 +38,8 @@
 	// down are the targets that have crashed, by name.
 	down     map[string]bool
 	restarts sync.WaitGroup
+	// staysDown makes targets that crash not start again.
+	staysDown bool
 	// healed makes the targets run marked requests too.
 	healed bool
 	// poisonBody, if set, is the body with which a marked request crashes targets; with another one it does not.
@@ -97,6 +99,9 @@
 	g := n.target
 	_ = g.server.Listener.Close() // a second crash of the same incarnation finds it closed
 	g.server.CloseClientConnections()
+	if lab.staysDown {
+		return
+	}
 	lab.restarts.Go(func() {
 		time.Sleep(targetDowntime)
 		lab.restartTarget(n)
@@ -353,3 +358,26 @@
 		t.Errorf("the quarantined body: got status %d, want 503", status)
 	}
 }
+
+// Each node beside a target sees one crash only.
+func TestCrashesAtThreeNodesQuarantineARequestAtAllNodes(t *testing.T) {
+	lab := newCrashLab(t, plainService, plainService, plainService, plainService, plainService)
+	lab.staysDown = true
+	lab.await("three crashes", func() bool {
+		lab.ask(lab.nodes[0], http.MethodPost, "/book/crash", "", "", false)
+		_, all := lab.late("/book/crash")
+		return all == 3
+	})
+	third := time.Now()
+	lab.await("quarantine at all nodes", func() bool {
+		for _, n := range lab.nodes {
+			if len(n.State(time.Now()).Poison) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(third); took > quarantineDelay {
+		t.Errorf("all nodes quarantine the request %v after its third crash, want at most %v", took, quarantineDelay)
+	}
+}
