--- a/internal/route/seamegress/crash.go
+++ b/internal/route/seamegress/crash.go
@@ -1,8 +1,6 @@
 package seamegress
 
 import (
-	"bytes"
-	"context"
 	"io"
 	"sync"
 	"syscall"
@@ -12,7 +10,6 @@
 
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/observe/seamevent"
-	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampoison"
 	"cardamomseam/internal/route/seamthrottle"
 )
@@ -127,146 +124,3 @@
 	}
 	e.cfg.Poison.AddCrash(now, crash)
 }
-
-// addAnswer records that the target has answered the request.
-func (c *call) addAnswer(now time.Time) {
-	if c.egress.cfg.Poison == nil {
-		return
-	}
-	f, known := c.fingerprint()
-	if known && c.egress.cfg.Poison.AddAnswer(now, seampoison.Key{Service: c.announced.Service, Fingerprint: f}) {
-		c.egress.events.Emit(now, seamevent.PoisonCleared, seamevent.Fields{
-			"fingerprint": f.String(), "service": c.announced.Service, "target": c.announced.Name, "id": c.head.GetRequest(), "path": c.head.GetPath(),
-		})
-	}
-}
-
-// mayBePoison reports whether something may be known about requests like this one.
-func (c *call) mayBePoison() bool {
-	guard := c.egress.cfg.Poison
-	return guard != nil && !guard.Empty() && guard.MayConcern(seampoison.HeadDigest(c.head))
-}
-
-// fingerprint returns the fingerprint of the request, and false if too little of its body has arrived.
-func (c *call) fingerprint() (seampoison.Fingerprint, bool) {
-	prefix, known := c.bodyPrefix()
-	return seampoison.NewFingerprint(seampoison.HeadDigest(c.head), prefix), known
-}
-
-func (c *call) description() seampoison.Description {
-	return seampoison.Description{Path: c.head.GetPath(), Caller: c.head.GetOrigin()}
-}
-
-// bodyPrefix returns the start of the body by which requests are told apart, and false if it has not arrived yet.
-func (c *call) bodyPrefix() ([]byte, bool) {
-	switch body := c.body.(type) {
-	case *bytes.Reader:
-		prefix := make([]byte, min(body.Size(), seampoison.BodyPrefix))
-		_, err := body.ReadAt(prefix, 0)
-		return prefix, err == nil || len(prefix) == 0
-	case *prefixReader:
-		return body.prefix()
-	}
-	return nil, false
-}
-
-// recordPrefix makes the call keep the start of a body that is not in memory. If requests like this one may be poison, it reads that
-// start before the request is sent.
-func (c *call) recordPrefix() {
-	if _, inMemory := c.body.(*bytes.Reader); inMemory || c.egress.cfg.Poison == nil {
-		return
-	}
-	r := &prefixReader{source: c.body}
-	c.body = r
-	if c.mayBePoison() {
-		r.fill()
-	}
-}
-
-// quarantined returns the refusal of a request that is kept from the targets; nil if it may be sent.
-func (c *call) quarantined(now time.Time) *seamoutcome.End {
-	if c.trial || !c.mayBePoison() {
-		return nil
-	}
-	f, known := c.fingerprint()
-	if !known {
-		return nil
-	}
-	verdict := c.egress.cfg.Poison.Check(now, seampoison.Key{Service: c.announced.Service, Fingerprint: f})
-	if !verdict.Refused {
-		return nil
-	}
-	end := verdict.Refusal(f)
-	return &end
-}
-
-// beginTrial makes a quarantined request with a streamed body a trial, if one is due. The ingress, which begins those of other
-// requests, has not seen the body.
-func (c *call) beginTrial(ctx context.Context) {
-	if _, streamed := c.body.(*prefixReader); !streamed || c.trial || !c.mayBePoison() {
-		return
-	}
-	if f, known := c.fingerprint(); known {
-		_, c.trial = c.egress.cfg.Poison.Admit(ctx, time.Now(), seampoison.Key{Service: c.announced.Service, Fingerprint: f}, c.description())
-	}
-}
-
-// prefixReader keeps the first seampoison.BodyPrefix bytes that are read from a body.
-type prefixReader struct {
-	source io.Reader
-
-	mu   sync.Mutex
-	kept []byte
-	// unread is the part of kept that Read has not returned yet.
-	unread []byte
-	ended  bool
-	err    error
-}
-
-// Read returns the next bytes of the body.
-func (r *prefixReader) Read(p []byte) (int, error) {
-	r.mu.Lock()
-	if len(r.unread) > 0 {
-		defer r.mu.Unlock()
-		n := copy(p, r.unread)
-		r.unread = r.unread[n:]
-		return n, nil
-	}
-	err := r.err
-	r.mu.Unlock()
-	if err != nil {
-		return 0, err
-	}
-	n, err := r.source.Read(p)
-	r.keep(p[:n], err)
-	return n, err
-}
-
-func (r *prefixReader) keep(p []byte, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.kept = append(r.kept, p[:min(len(p), seampoison.BodyPrefix-len(r.kept))]...)
-	r.ended = r.ended || errors.Is(err, io.EOF)
-}
-
-// fill reads the start of the body. Read returns it afterwards.
-func (r *prefixReader) fill() {
-	var kept []byte
-	var err error
-	for buffer := make([]byte, seampoison.BodyPrefix); err == nil && len(kept) < seampoison.BodyPrefix; {
-		var n int
-		n, err = r.source.Read(buffer[:seampoison.BodyPrefix-len(kept)])
-		kept = append(kept, buffer[:n]...)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.kept, r.unread, r.err = kept, kept, err
-	r.ended = errors.Is(err, io.EOF)
-}
-
-// prefix returns the start of the body, and false if it has not been read yet.
-func (r *prefixReader) prefix() ([]byte, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.kept, r.ended || len(r.kept) == seampoison.BodyPrefix
-}
--- a/internal/route/seampoison/fingerprint.go
+++ b/internal/route/seampoison/fingerprint.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"fmt"
 
 	"cardamomseam/internal/route/seamroutewire"
 )
@@ -61,28 +60,6 @@
 	return hex.EncodeToString(binary.BigEndian.AppendUint64(b, f.Body))
 }
 
-// FingerprintError reports a text that is no fingerprint.
-type FingerprintError struct {
-	Text string
-}
-
-// Error gives the text.
-func (e *FingerprintError) Error() string {
-	return fmt.Sprintf("%q is no fingerprint of 32 hexadecimal digits", e.Text)
-}
-
-// ParseFingerprint returns the fingerprint with the text. The error is a *FingerprintError.
-func ParseFingerprint(text string) (Fingerprint, error) {
-	b, err := hex.DecodeString(text)
-	if err != nil || len(b) != fingerprintBytes {
-		return Fingerprint{}, &FingerprintError{Text: text}
-	}
-	return Fingerprint{Head: binary.BigEndian.Uint64(b), Body: binary.BigEndian.Uint64(b[fingerprintBytes/2:])}, nil
-}
-
-// fingerprintBytes is the length of a fingerprint in bytes.
-const fingerprintBytes = 16
-
 // String returns the service and the fingerprint.
 func (k Key) String() string { return k.Service + "/" + k.Fingerprint.String() }
 
--- a/internal/route/seampoison/record.go
+++ b/internal/route/seampoison/record.go
@@ -1,6 +1,7 @@
 package seampoison
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,7 +34,7 @@
 func (r Record) Encode() ([]byte, error) {
 	return proto.Marshal(&wire.Record{
 		Service: r.Key.Service, Head: r.Key.Head, Body: r.Key.Body,
-		Path: r.Path[:min(len(r.Path), maxPathBytes)], Caller: r.Caller, Trials: int32(r.Trials), Crashes: int32(r.Crashes),
+		Path: strings.ToValidUTF8(r.Path[:min(len(r.Path), maxPathBytes)], "?"), Caller: r.Caller, Trials: int32(r.Trials), Crashes: int32(r.Crashes),
 	})
 }
 
