End a quarantine where its trial began, and run one trial at a time at a target

Its trial was answered, but the node beside the target had not heard of the record yet, and nobody deleted it. The ingress that began the trial has the record and ends it now.

Ruled out on the way: two trials at one target at once. It cannot be excluded either, since requests that are blamed for the same crashes have their trials at the same time, so a target runs one of them (TestTargetRunsOneTrialAtATime).

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -121,6 +121,13 @@
 		defer release()
 		grant = &renewed
 	}
+	if c.trial {
+		end, ok := c.egress.running.beginTrial()
+		if !ok {
+			return *refusal(seamoutcome.Full, "a trial of another quarantined request is running")
+		}
+		defer end()
+	}
 	return c.run(ctx, grant, p)
 }
 
--- a/internal/route/seamegress/crash.go
+++ b/internal/route/seamegress/crash.go
@@ -20,6 +20,24 @@
 	calls map[*call]*gate
 	// crashed is the latest incarnation of the target that is known to have crashed.
 	crashed seamthrottle.Target
+	// trial means that a quarantined request is running.
+	trial bool
+}
+
+// beginTrial begins the run of a quarantined request, and reports false if another one is running: if the target crashed, both would
+// be blamed.
+func (r *runningCalls) beginTrial() (end func(), ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.trial {
+		return nil, false
+	}
+	r.trial = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.trial = false
+	}, true
 }
 
 // add adds a call, which is sent once its gate is open, and returns a function that removes it.
--- a/internal/route/seamegress/crash_test.go
+++ b/internal/route/seamegress/crash_test.go
@@ -112,3 +112,26 @@
 		t.Errorf("got %v, want no crash", ids)
 	}
 }
+
+func TestTargetRunsOneTrialAtATime(t *testing.T) {
+	release, running := make(chan struct{}), make(chan struct{})
+	g := newCrashingTarget(t, func(*crashingTarget, *http.Request) {
+		running <- struct{}{}
+		<-release
+	})
+	trial := func(attempt uint64, path string) seamoutcome.End {
+		h := upload(attempt, 0)
+		h.Path, h.Request, h.Trial = path, path, true
+		return g.egress.Run(t.Context(), h, nil, &discard{header: http.Header{}})
+	}
+	first := make(chan seamoutcome.End, 1)
+	go func() { first <- trial(1, "/a") }()
+	<-running
+	if end := trial(2, "/b"); end.Outcome != seamoutcome.Refused || end.Reason != seamoutcome.Full {
+		t.Errorf("got %+v, want a refusal, so that another target runs the trial", end)
+	}
+	close(release)
+	if end := <-first; end.Outcome != seamoutcome.Done {
+		t.Errorf("got %+v", end)
+	}
+}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -98,6 +98,7 @@
 			return x.finalEnd(end)
 		}
 		end := x.attempt(ctx, to)
+		x.endTrial(end)
 		wait, retry := x.nextAttempt(end, to, budget)
 		if !retry || !x.pause(ctx, wait) {
 			return x.finalEnd(refusalBeforeExpiry(end, last))
--- a/internal/route/seamingress/poison.go
+++ b/internal/route/seamingress/poison.go
@@ -42,6 +42,17 @@
 	return verdict.Refusal(key.Fingerprint), true
 }
 
+// endTrial ends the quarantine of a request whose trial a target has answered. The node beside the target may not know of the record
+// yet.
+func (x *exchange) endTrial(end seamoutcome.End) {
+	if !x.head.GetTrial() || end.Outcome != seamoutcome.Done {
+		return
+	}
+	if key, ok := x.poisonKey(); ok {
+		x.ingress.cfg.Poison.AddAnswer(time.Now(), key)
+	}
+}
+
 // poisonKey returns the key of the request among poison requests, and false if nothing is known about requests like it or its body is
 // not in memory.
 func (x *exchange) poisonKey() (seampoison.Key, bool) {
--- a/internal/route/seampoison/model_test.go
+++ b/internal/route/seampoison/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,7 +57,9 @@
 type modelRun struct {
 	fingerprint seampoison.Fingerprint
 	poison, hot bool
-	trial       bool
+	// trial means that the request is quarantined and was sent through the node nevertheless.
+	trial   bool
+	through *modelNode
 	// crashes is the number of targets that it has crashed before, or that crashed beside it.
 	crashes int
 	endsAt  time.Time
@@ -139,7 +142,7 @@
 	v := through.table.Check(m.now, key)
 	if v.Refused && v.TrialDue {
 		record, expected := through.table.Trial(key)
-		r.trial = m.write(through, record, expected)
+		r.trial, r.through = m.write(through, record, expected), through
 	}
 	if v.Refused && !r.trial {
 		return false
@@ -152,6 +155,9 @@
 		if !r.trial && door.table.Check(m.now, key).Refused {
 			return false
 		}
+		if r.trial && slices.ContainsFunc(door.running, func(x *modelRun) bool { return x.trial }) {
+			continue // a target runs one trial at a time
+		}
 		r.endsAt = m.now.Add(time.Duration(20+m.random.IntN(400)) * time.Millisecond)
 		if r.poison {
 			r.endsAt = m.now.Add(time.Duration(5+m.random.IntN(100)) * time.Millisecond)
@@ -199,7 +205,11 @@
 			if r.hot {
 				m.served++
 			}
-			n.table.AddAnswer(m.now, seampoison.Key{Service: modelService, Fingerprint: r.fingerprint})
+			key := seampoison.Key{Service: modelService, Fingerprint: r.fingerprint}
+			n.table.AddAnswer(m.now, key)
+			if r.trial {
+				r.through.table.AddAnswer(m.now, key)
+			}
 		}
 	}
 	n.running = left
