Give quarantined uploads trials

An upload that the node beside the target has in memory, but the ingress has not, got none: its quarantine ended by an operator only (TestQuarantinedUploadGetsATrial failed). The head says whether the ingress had the body.

--- a/internal/route/seamegress/crash_test.go
+++ b/internal/route/seamegress/crash_test.go
@@ -1,8 +1,11 @@
 package seamegress_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +27,7 @@
 	egress *seamegress.Egress
 	events *seamevent.Stream
 	server *httptest.Server
+	guard  *seampoison.Guard
 	// refused is the number of times that the target was reported to refuse connections.
 	refused atomic.Int32
 }
@@ -31,7 +35,7 @@
 // newCrashingTarget returns a target that runs handle for each request, and the egress in front of it.
 func newCrashingTarget(t *testing.T, handle func(g *crashingTarget, r *http.Request)) *crashingTarget {
 	t.Helper()
-	g := &crashingTarget{events: seamevent.NewStream("back")}
+	g := &crashingTarget{events: seamevent.NewStream("back"), guard: &seampoison.Guard{Table: seampoison.New()}}
 	g.server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handle(g, r) }))
 	t.Cleanup(g.server.Close)
 	clock := seamclock.NewClock()
@@ -39,7 +43,8 @@
 	keys := seamsketch.NewUsage(16, time.Minute, time.Minute)
 	cfg := seamegress.Config{
 		OnConnectionRefused: func(seamtarget.Announcement) { g.refused.Add(1) },
-		Poison:              &seampoison.Guard{Table: seampoison.New()},
+		Poison:              g.guard,
+		BodyBufferBytes:     1 << 20,
 	}
 	e, closeEgress := seamegress.New(cfg, self, grantingOwners{clock, time.Minute}, announced, clock, keys, metrics.NewSet(), g.events)
 	t.Cleanup(closeEgress)
@@ -135,3 +140,24 @@
 		t.Errorf("got %+v", end)
 	}
 }
+
+// The ingress has not seen the body, and this node has it in memory before the request is sent.
+func TestQuarantinedUploadGetsATrial(t *testing.T) {
+	g := newCrashingTarget(t, func(*crashingTarget, *http.Request) {})
+	var trials atomic.Int32
+	g.guard.Begin = func(context.Context, seampoison.Record, int64) error {
+		trials.Add(1)
+		return nil
+	}
+	body := strings.Repeat("x", 100<<10)
+	h := upload(1, len(body))
+	key := seampoison.Key{Service: "booker", Fingerprint: seampoison.NewFingerprint(seampoison.HeadDigest(h), []byte(body))}
+	g.guard.PutRecord(time.Now().Add(-time.Minute), seampoison.Record{Key: key, Revision: 1})
+	end := g.egress.Run(t.Context(), h, io.NopCloser(strings.NewReader(body)), &discard{header: http.Header{}})
+	if end.Outcome != seamoutcome.Done || trials.Load() != 1 {
+		t.Errorf("got %+v and %d trials, want one that is answered", end, trials.Load())
+	}
+	if ended := g.guard.Ended(); len(ended) != 1 {
+		t.Errorf("got %+v, want the record, which is to be deleted", ended)
+	}
+}
--- a/internal/route/seamegress/poison.go
+++ b/internal/route/seamegress/poison.go
@@ -55,10 +55,10 @@
 	return &end
 }
 
-// beginTrial makes a quarantined request with a streamed body a trial, if one is due. The ingress, which begins those of other
-// requests, has not seen the body.
+// beginTrial makes a quarantined request whose body the ingress has not seen a trial, if one is due. The ingress begins those of other
+// requests.
 func (c *call) beginTrial(ctx context.Context) {
-	if _, streamed := c.body.(*prefixReader); !streamed || c.trial || !c.mayBePoison() {
+	if c.head.GetWhole() || c.trial || !c.mayBePoison() {
 		return
 	}
 	if f, known := c.fingerprint(); known {
