--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -113,7 +113,7 @@
 	for range 2 {
 		go func() { done <- post() }()
 	}
-	for back.egress.InFlight() < 2 {
+	for load := back.egress.Load(); load.Running < 1 || load.Queued < 1; load = back.egress.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	start := time.Now()
