--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -109,3 +109,16 @@
 
 // storeAway is how long the store is away in a drill.
 const storeAway = 600 * time.Millisecond
+
+// RestartTarget ends a target at once, as a crash does, and starts it again after a pause at the same address, with another id. Its
+// first heartbeat arrives late.
+func (d *Deployment) RestartTarget(i int, id string, pause, late time.Duration) error {
+	old := d.Targets[i]
+	d.Record.Add("target %s crashes", old.ID)
+	old.Stop()
+	time.Sleep(pause)
+	t := &Target{ID: id, Service: old.Service, Zone: old.Zone, Slots: slots, Work: work, Keyed: old.Keyed, Listen: old.Address, Quiet: late}
+	d.Targets[i] = t
+	d.Record.Add("target %s starts at the address of %s", t.ID, old.ID)
+	return t.Start(d.Record, d.Ownership, d.Nodes[i].Announce)
+}
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -34,6 +34,10 @@
 	Work    time.Duration
 	Keyed   bool
 	Address string
+	// Listen is the address to listen on; empty for a free port.
+	Listen string
+	// Quiet is the time after the start at which the first heartbeat is sent.
+	Quiet time.Duration
 	// OnRun is called when a request begins to run; may be nil.
 	OnRun func(r *http.Request)
 
@@ -54,7 +58,11 @@
 
 // Start serves the target on a free port, and sends heartbeats to the announce address until Stop.
 func (t *Target) Start(record *Record, ownership *Ownership, announce string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address := t.Listen
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -81,6 +89,7 @@
 const heartbeatInterval = 870 * time.Millisecond
 
 func (t *Target) beat() {
+	time.Sleep(t.Quiet)
 	for ; ; time.Sleep(heartbeatInterval) {
 		t.mu.Lock()
 		t.sequence++
