--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -19,11 +19,13 @@
 	Fleet     *Fleet
 	Ownership *Ownership
 	Callers   *Callers
-	Nodes     []*Node
-	Targets   []*Target
+	// Slots is the number of requests that each target says to run concurrently.
+	Slots   int
+	Nodes   []*Node
+	Targets []*Target
 }
 
-// slots is the number of requests that a target runs concurrently, and work how long each takes.
+// slots is the number of requests that a target usually says to run concurrently, and work how long each takes.
 const (
 	slots = 12
 	work  = 60 * time.Millisecond
@@ -45,6 +47,7 @@
 		Store:     store,
 		Fleet:     &Fleet{Root: root, Dir: dir, Store: address, Record: record},
 		Ownership: NewOwnership(record),
+		Slots:     slots,
 		Callers: &Callers{
 			Record: record, Host: "lookup.example", Path: "/lookup/", Rate: 60, Deadline: 800 * time.Millisecond, Keyed: true,
 		},
@@ -57,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	t := &Target{ID: "i-" + p.Node, Service: p.Service, Zone: p.Zone, Slots: slots, Work: work, Keyed: p.Service == "calendar"}
+	t := &Target{ID: "i-" + p.Node, Service: p.Service, Zone: p.Zone, Slots: d.Slots, Work: work, Keyed: p.Service == "calendar"}
 	d.Nodes, d.Targets = append(d.Nodes, n), append(d.Targets, t)
 	return t.Start(d.Record, d.Ownership, n.Announce)
 }
@@ -117,7 +120,7 @@
 	d.Record.Add("target %s crashes", old.ID)
 	old.Stop()
 	time.Sleep(pause)
-	t := &Target{ID: id, Service: old.Service, Zone: old.Zone, Slots: slots, Work: work, Keyed: old.Keyed, Listen: old.Address, Quiet: late}
+	t := &Target{ID: id, Service: old.Service, Zone: old.Zone, Slots: old.Slots, Work: work, Keyed: old.Keyed, Listen: old.Address, Quiet: late}
 	d.Targets[i] = t
 	d.Record.Add("target %s starts at the address of %s", t.ID, old.ID)
 	return t.Start(d.Record, d.Ownership, d.Nodes[i].Announce)
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -38,6 +38,8 @@
 	Listen string
 	// Quiet is the time after the start at which the first heartbeat is sent.
 	Quiet time.Duration
+	// Early means that the target answers a request with a body before it has read all of it, and reads on later.
+	Early bool
 	// OnRun is called when a request begins to run; may be nil.
 	OnRun func(r *http.Request)
 
@@ -201,7 +203,13 @@
 }
 
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	if t.Early && r.ContentLength > 0 {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.CopyN(io.Discard, r.Body, r.ContentLength/2)
+		defer func() { _, _ = io.Copy(io.Discard, r.Body) }()
+	} else {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	id := r.Header.Get("Cardamomseam-Request-Id")
 	w.Header().Set("Cardamomseam-Request-Id", id)
 	if want := r.Header.Get("Cardamomseam-Target-Instance"); want != "" && want != t.ID {
@@ -224,7 +232,9 @@
 	if t.OnRun != nil {
 		t.OnRun(r)
 	}
-	time.Sleep(t.Work)
+	if !t.Early {
+		time.Sleep(t.Work)
+	}
 	if t.Keyed {
 		t.mu.Lock()
 		t.holds[key].running--
@@ -233,7 +243,12 @@
 		t.mu.Unlock()
 	}
 	w.Header().Set("Cardamomseam-Server-Signature", t.ID+"."+id)
-	_, _ = io.WriteString(w, "ran "+id+" at "+t.ID)
+	body := "ran " + id + " at " + t.ID
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+	if t.Early {
+		_ = http.NewResponseController(w).Flush()
+	}
 }
 
 // startOn records the start of a request on a key; false if the target doesn't hold the key.
