--- a/review/stand/case.go
+++ b/review/stand/case.go
@@ -83,3 +83,10 @@
 
 // Share returns the share of the requests that were served.
 func (t Tally) Share() float64 { return float64(t.Served) / float64(max(t.Sent, 1)) }
+
+// ServedFor waits for the given time and returns the share of the requests that were served in it.
+func (d *Deployment) ServedFor(wait time.Duration) float64 {
+	start := d.Callers.Tally()
+	time.Sleep(wait)
+	return d.Callers.Tally().Since(start).Share()
+}
