Use no owners of a table from before the store came back from a copy

Cause: what the store acknowledged is true in one era only, and a table did not say in which era it was written. The assigner had nothing to write after the return, its final write was dropped as a conflict, and its successor granted leases, counted tokens and counted its epoch from the table of the copy.

Why it works: a leadership belongs to one era. A successor that finds a table of an earlier era uses its counters only; holders claim what they hold if their lease was valid when they learned of the era, which excludes that another target got the keys before; unclaimed keys wait until every lease of the era before has expired. Epochs and tokens have the era in their high bits.

--- a/internal/node/seamrouter/ownership.go
+++ b/internal/node/seamrouter/ownership.go
@@ -163,6 +163,9 @@
 	return epoch, ok || ranLongEnough
 }
 
+// StoreEra returns the latest era of the store that this node knows.
+func (c assignerClient) StoreEra() int64 { return c.node.store.Era() }
+
 // Reader reports whether this node passes ownership tables on to subscribers.
 func (c assignerClient) Reader() bool { return !c.node.feed.Subscribed() }
 
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -56,6 +56,7 @@
 	LeadershipCallFailed = "office.failed"
 	LeaderResigned       = "office.resigned"
 	TableWritten         = "table.written"
+	KeysClaimed          = "table.claimed"
 	TableFailed          = "table.failed"
 	TableRefused         = "table.refused"
 	KeysListed           = "keys.listed"
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -41,6 +41,8 @@
 	cfg   Config
 	self  seamtable.Assigner
 	epoch uint64
+	// era is the era of the store in which the epoch began. An assigner acts in one era only.
+	era int64
 	// startedAt is the start time of the epoch.
 	startedAt seamclock.Instant
 	// stored is the table in the store as last known, at revision.
@@ -51,6 +53,10 @@
 	storedIndex, desiredIndex rangeIndex
 	// dirty reports whether desired differs from the last written table.
 	dirty bool
+	// unclaimed are the keys that holders may hold by a lease of an assigner that nobody knows.
+	unclaimed []seamtable.Span
+	// collecting reports that the first write waits for the claims of the holders.
+	collecting bool
 	// writing reports whether a write is in progress.
 	writing bool
 	holders map[seamtable.Holder]*holder
@@ -91,6 +97,7 @@
 	a := &Assigner{
 		cfg:                 cfg,
 		epoch:               self.Epoch,
+		era:                 seamtable.EpochEra(self.Epoch),
 		startedAt:           now,
 		stored:              found,
 		revision:            revision,
@@ -151,6 +158,9 @@
 	if hb.NoEarlierGrants {
 		a.dropEarlierIncarnations(hb.Holder)
 	}
+	if hb.Epoch == a.epoch {
+		a.adoptClaims(hb.Holder, hb.Claims)
+	}
 	for _, r := range hb.Released {
 		a.applyRelease(now, hb.Holder, r)
 	}
@@ -171,7 +181,7 @@
 }
 
 func (a *Assigner) reply(now seamclock.Instant, hb Heartbeat, h *holder) Reply {
-	if a.stored.Epoch != a.epoch || hb.State == Dead {
+	if a.stored.Epoch != a.epoch || hb.State == Dead || a.claimsPending(hb.Holder, h) {
 		return Reply{Epoch: a.epoch, Revision: a.revision}
 	}
 	r := Reply{Epoch: a.epoch, Lease: a.leaseDuration(now), Revision: a.revision}
@@ -189,7 +199,8 @@
 // Update returns the ranges and requested releases of a holder, to be sent without waiting for its next heartbeat. It
 // grants no lease, and returns false if the holder is unknown or the epoch is not stored yet.
 func (a *Assigner) Update(h seamtable.Holder) (Reply, bool) {
-	if a.stored.Epoch != a.epoch || a.holders[h] == nil {
+	known := a.holders[h]
+	if a.stored.Epoch != a.epoch || known == nil || a.claimsPending(h, known) {
 		return Reply{}, false
 	}
 	return Reply{Epoch: a.epoch, Revision: a.revision, Changed: true, Ranges: a.leasedRanges(h), Release: a.pendingReleases(h)}, true
@@ -308,7 +319,7 @@
 // revision, or false if there is nothing to write. After a call that returned true,
 // the caller reports the outcome with WriteSucceeded, WriteFailed or WriteUncertain.
 func (a *Assigner) PendingWrite() (t seamtable.Table, revision int64, ok bool) {
-	if a.writing || !a.dirty {
+	if a.writing || !a.dirty || a.collecting {
 		return seamtable.Table{}, 0, false
 	}
 	a.writing, a.dirty = true, false
@@ -341,12 +352,17 @@
 	return true
 }
 
-// adoptTable continues from a table that a predecessor wrote, and assumes that none of the listed assigners has resigned.
+// adoptTable continues from a table that a predecessor wrote. Of a table of an earlier era it uses the counters only. It assumes
+// that none of the listed assigners has resigned.
 func (a *Assigner) adoptTable(now seamclock.Instant, found seamtable.Table) {
 	nodes := a.desired.Nodes
+	a.collecting = a.ofEarlierEra(found)
+	if a.collecting {
+		found = withoutOwners(found)
+	}
 	a.desired = found.Clone()
 	a.desiredIndex.reset()
-	a.desired.Epoch = a.epoch
+	a.desired.Epoch, a.desired.Era = a.epoch, a.era
 	if a.desired.Nodes == nil {
 		a.desired.Nodes = map[seamtable.Holder]seampeer.Peer{}
 	}
@@ -356,6 +372,10 @@
 	for _, p := range found.Assigners {
 		a.predecessors = append(a.predecessors, predecessor{Assigner: p})
 	}
+	a.unclaimed = nil
+	if a.hasLostAssigner() {
+		a.unclaimed = a.desired.FreeSpans()
+	}
 	a.predecessorLeaseEnd = now.Add(a.cfg.MaxRemoteDuration(a.cfg.MaxStoreOutage + a.cfg.Lease))
 	// Earlier epochs of this incarnation of the node have ended.
 	a.PredecessorResigned(now, a.self, a.earlierLeaseEnd)
--- a/internal/own/seamassign/heartbeat.go
+++ b/internal/own/seamassign/heartbeat.go
@@ -31,6 +31,12 @@
 	Handover string
 }
 
+// Claim reports that a holder holds a span under a fencing token, by the lease of an assigner of an earlier era of the store.
+type Claim struct {
+	seamtable.Span
+	Fence uint64
+}
+
 // Heartbeat is the periodic report of a holder's node.
 type Heartbeat struct {
 	// Epoch is the highest epoch that the node has accepted.
@@ -45,7 +51,9 @@
 	// an earlier incarnation at its address.
 	NoEarlierGrants bool
 	Released        []Released
-	Load            seamtable.Load
+	// Claims are the ranges that the target held when the store came back from a copy.
+	Claims []Claim
+	Load   seamtable.Load
 }
 
 // Reply answers a heartbeat.
--- a/internal/own/seamassign/model_test.go
+++ b/internal/own/seamassign/model_test.go
@@ -20,7 +20,7 @@
 	// stepDuration is the simulated time of one step of the model.
 	stepDuration = 10 * time.Millisecond
 	// stepsPerRun is the number of steps of one run.
-	stepsPerRun = 1500
+	stepsPerRun = 2500
 	// targetCount is the number of targets, each with its node.
 	targetCount = 3
 	// clockDrift is the fraction by which the clock of a target runs slow.
@@ -41,6 +41,8 @@
 	held      []heldSpan
 	// granted are the spans granted to the current incarnation, with their fencing tokens.
 	granted []heldSpan
+	// taken are the spans that any incarnation took, with their fencing tokens.
+	taken []heldSpan
 }
 
 // grant applies a grant that arrived at the given time, which may be before now.
@@ -101,6 +103,8 @@
 	lastHeartbeat time.Duration
 	// confirmedEpoch is the epoch that this incarnation of the node read from the store.
 	confirmedEpoch uint64
+	// era is the era of the store that the node knows.
+	era int64
 	// partitionedUntil is the time until which the node reaches its target but no assigner.
 	partitionedUntil time.Duration
 }
@@ -123,6 +127,9 @@
 	stored    seamtable.Table
 	revision  int64
 	epoch     uint64
+	// era is the era of the store, which revision contains.
+	era    int64
+	copies []storeCopy
 	// resigned is the last assigner that resigned; empty once it was elected again.
 	resigned seamtable.Assigner
 	// leaseEnds maps the name of an assigner that resigned to the end of the leases that it granted.
@@ -137,6 +144,7 @@
 	*seamassign.Assigner
 	startedAt time.Duration
 	id        seamtable.Assigner
+	era       int64
 }
 
 func (m *model) clock() seamclock.Instant { return seamclock.Instant{Mono: m.now, Wall: m.now} }
@@ -166,14 +174,19 @@
 		m.schedule(m.storeDownUntil-m.now, m.elect)
 		return
 	}
-	m.epoch += 1 << 16
+	m.epoch = seamtable.NextEpoch(m.epoch, m.era, 0)
 	id := seamtable.Assigner{Name: fmt.Sprint("a", m.epoch), Incarnation: m.epoch}
 	if m.resigned.Name != "" && m.chance(3) {
 		id = m.resigned
 		m.resigned = seamtable.Assigner{} // a run holds at most one leadership at a time
 	}
 	id.Epoch = m.epoch
-	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.leaseEnds[id.Name], m.stored.Clone(), m.revision), m.now, id}
+	found := m.stored.Clone()
+	if found.Epoch == 0 && m.era > 1 {
+		// The copy is older than the first table. The elector knows of assigners of an earlier era.
+		found.Era = 1
+	}
+	a := &modelAssigner{seamassign.New(seamassign.DefaultConfig(), m.clock(), id, m.leaseEnds[id.Name], found, m.revision), m.now, id, m.era}
 	m.assigners = append(m.assigners, a)
 	m.logf("epoch %d begins", m.epoch)
 }
@@ -214,9 +227,13 @@
 		m.storeDownUntil = m.now + m.randomDelay(9000)
 		m.logf("store is unavailable until %s", m.storeDownUntil)
 	}
-	if n := len(m.assigners); n > 0 && m.now >= m.storeDownUntil {
+	if n := len(m.assigners); n > 0 && m.now >= m.storeDownUntil && m.assigners[n-1].era == m.era {
 		m.assigners[n-1].ConfirmLeadership(m.clock())
 	}
+	m.copyStore()
+	if m.chance(800) {
+		m.restoreStore()
+	}
 	if m.chance(500) {
 		m.elect()
 	}
@@ -243,7 +260,7 @@
 
 func (m *model) restartNode(n *modelNode) {
 	n.startsAt = m.now + m.randomDelay(2500)
-	n.retired, n.confirmedEpoch = nil, 0
+	n.retired, n.confirmedEpoch, n.era = nil, 0, m.era
 	started := seamclock.Instant{Mono: n.startsAt, Wall: n.startsAt}
 	incarnation := m.incarnation(n)
 	if m.chance(3) {
@@ -319,7 +336,7 @@
 		m.elect()
 		return
 	}
-	if last.Version().Revision == m.revision {
+	if last.Version().Revision == m.revision && last.era == m.era {
 		m.revision++
 		m.stored = last.FinalTable(m.clock())
 	}
@@ -345,13 +362,17 @@
 
 // resolveUncertainWrite makes an assigner continue from the stored table, or stop if a later epoch wrote it.
 func (m *model) resolveUncertainWrite(a *modelAssigner) {
-	if a.WriteUncertain(m.clock(), m.stored.Clone(), m.revision) {
+	if a.era == m.era && a.WriteUncertain(m.clock(), m.stored.Clone(), m.revision) {
 		return
 	}
+	m.removeAssigner(a)
+}
+
+func (m *model) removeAssigner(a *modelAssigner) {
 	for i, o := range m.assigners {
 		if o == a {
 			m.assigners = append(m.assigners[:i:i], m.assigners[i+1:]...)
-			m.logf("epoch %d is superseded", a.Epoch())
+			m.logf("epoch %d ends", a.Epoch())
 			return
 		}
 	}
@@ -395,6 +416,7 @@
 	if n.confirmedEpoch == 0 {
 		n.confirmedEpoch = m.epoch
 	}
+	h.ObserveEra(m.clock(), n.era)
 	h.ObserveEpoch(m.clock(), n.confirmedEpoch)
 	sent := m.clock()
 	hb := h.Heartbeat(sent)
@@ -450,6 +472,7 @@
 			m.schedule(2*time.Second+m.randomDelay(4000), func() { m.execute(n, o, arrived, d) })
 			return
 		}
+		m.checkToken(n, o)
 		accepted := m.execute(n, o, arrived, d)
 		m.schedule(m.randomDelay(8), func() {
 			if n.startsAt == started {
@@ -507,7 +530,7 @@
 func TestNoKeyHasTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		m := &model{t: t, random: rand.New(rand.NewPCG(seed, 0)), epoch: 1 << 16, leaseEnds: map[string]seamclock.Instant{}}
+		m := &model{t: t, random: rand.New(rand.NewPCG(seed, 0)), epoch: 1 << 16, era: 1, leaseEnds: map[string]seamclock.Instant{}}
 		for i := range targetCount {
 			target := &modelTarget{name: fmt.Sprint("t", i), startTime: 1000}
 			n := &modelNode{target: target}
--- a/internal/own/seamassign/ranges.go
+++ b/internal/own/seamassign/ranges.go
@@ -36,6 +36,7 @@
 }
 
 func (a *Assigner) assign(s seamtable.Span, h seamtable.Holder, handover string) {
+	a.desired.Fence = max(a.desired.Fence, seamtable.MinFence(a.era))
 	a.desired.Assign(s, h, handover)
 	a.desiredIndex.reset()
 }
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -11,6 +11,7 @@
 // Tick performs the actions that are due: it unassigns the keys of holders whose lease has
 // expired, assigns free keys, and plans moves. It does nothing until the store holds a table of this epoch.
 func (a *Assigner) Tick(now seamclock.Instant) {
+	a.endCollecting(now)
 	if a.stored.Epoch != a.epoch {
 		return
 	}
@@ -91,7 +92,7 @@
 
 // assignFreeKeys assigns the keys that have no holder.
 func (a *Assigner) assignFreeKeys(now seamclock.Instant) {
-	free := a.desired.FreeSpans()
+	free := a.freeSpans()
 	if len(free) == 0 || !a.startupSettled(now) {
 		return
 	}
--- a/internal/own/seamassign/wire.go
+++ b/internal/own/seamassign/wire.go
@@ -22,6 +22,9 @@
 	for _, r := range hb.Released {
 		w.Released = append(w.Released, &wire.Released{From: r.From, To: r.To, Fence: r.Fence, Handover: r.Handover})
 	}
+	for _, c := range hb.Claims {
+		w.Claims = append(w.Claims, &wire.Claim{From: c.From, To: c.To, Fence: c.Fence})
+	}
 	if hb.Load.MaxConcurrency > 0 {
 		w.Load = seamtable.LoadToWire(hb.Load)
 	}
@@ -45,6 +48,9 @@
 			Handover: r.GetHandover(),
 		})
 	}
+	for _, c := range w.GetClaims() {
+		hb.Claims = append(hb.Claims, Claim{Span: seamtable.Span{From: c.GetFrom(), To: c.GetTo()}, Fence: c.GetFence()})
+	}
 	return hb
 }
 
--- a/internal/own/seamelection/elector.go
+++ b/internal/own/seamelection/elector.go
@@ -40,9 +40,6 @@
 	lateCandidateDelay = time.Second
 	// retryDelay is the delay after a failed campaign or a failed read of the table.
 	retryDelay = 400 * time.Millisecond
-	// epochBits is the number of random low bits of an epoch, so that two assigners that read the same table
-	// use different epochs.
-	epochBits = 16
 )
 
 // ImmediateCandidates is the number of candidates that campaign for a vacant leadership without lateCandidateDelay.
@@ -51,6 +48,7 @@
 // Store holds the leader records and the tables.
 type Store interface {
 	seamstore.LeaseManager
+	seamstore.EraReader
 	Get(ctx context.Context, p seamstore.Priority, key string) (seamstore.Entry, error)
 	Swap(ctx context.Context, p seamstore.Priority, key string, expect int64, value []byte) (int64, error)
 }
@@ -91,6 +89,8 @@
 	mu sync.Mutex
 	// assigner is nil while this node is not the leader.
 	assigner *seamassign.Assigner
+	// era is the era of the store in which this node was elected.
+	era int64
 	// lease is the store lease on the leader record; 0 while this node is not the leader.
 	lease seamstore.Lease
 	// renewed is the time at which the last successful renewal was sent.
@@ -178,7 +178,7 @@
 // shouldCampaign reports whether this node should campaign now. If not, it first waits until the next check is due.
 func (e *Elector) shouldCampaign(ctx context.Context) bool {
 	changed := e.registry.Changed()
-	if e.previousIncarnationRevision() != 0 {
+	if e.ownRecordRevision() != 0 {
 		return true
 	}
 	now := time.Now()
@@ -195,11 +195,16 @@
 	return false
 }
 
-// previousIncarnationRevision returns the revision of the leader record if an earlier incarnation of this node wrote it;
-// 0 if not.
-func (e *Elector) previousIncarnationRevision() int64 {
+// ownRecordRevision returns the revision of the leader record if it names this node, which does not lead; 0 if not. An
+// earlier incarnation wrote it, or it stands in the copy from which the store came back.
+func (e *Elector) ownRecordRevision() int64 {
 	record, ok := e.registry.Leader(e.service)
-	if ok && record.Peer.Name == e.self.Name && record.Peer.Incarnation < e.self.Incarnation {
+	if !ok || record.Peer.Name != e.self.Name {
+		return 0
+	}
+	era, _ := seamstore.SplitEra(record.Revision)
+	ofCopy := record.Peer.Incarnation == e.self.Incarnation && seamtable.EpochEra(record.Epoch) < era
+	if record.Peer.Incarnation < e.self.Incarnation || ofCopy {
 		return record.Revision
 	}
 	return 0
@@ -228,27 +233,48 @@
 	if err != nil {
 		return err
 	}
-	table, err := e.readTable(ctx)
+	era := e.store.Era()
+	table, epoch, err := e.beginEpoch(ctx, lease, era)
 	if err != nil {
-		e.revokeLease(lease)
+		e.revokeLease(lease, era)
 		return err
 	}
-	epoch := (table.Epoch>>epochBits+1)<<epochBits | uint64(rand.N(1<<epochBits))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease, e.era = lease, era
+	e.assigner = seamassign.New(e.cfg, e.clock.Now(), e.identity(epoch), e.earlierLeaseEnd, table.Table, table.Revision)
+	e.setRenewedLocked(sent)
+	e.sink.Emit(time.Now(), seamevent.LeaderElected, seamevent.Fields{
+		"service": e.service, "epoch": epoch, "revision": table.Revision, "era": era, "written": table.Era, "former": table.Epoch,
+		"fence": table.Fence, "ranges": len(table.Ranges),
+	})
+	return nil
+}
+
+// beginEpoch reads the table and writes this node's leader record, both in the given era of the store.
+func (e *Elector) beginEpoch(ctx context.Context, lease seamstore.Lease, era int64) (table VersionedTable, epoch uint64, err error) {
+	table, err = e.readTable(ctx)
+	if err != nil {
+		return table, 0, err
+	}
+	epoch = seamtable.NextEpoch(table.Epoch, era, rand.Uint64())
 	record := LeaderRecord{Epoch: epoch, Peer: e.self}
 	value, err := proto.Marshal(record.ToWire())
 	if err != nil {
-		return err
+		return table, 0, err
 	}
-	if _, err := e.store.SwapLeased(ctx, seamstore.Takeover, LeaderPrefix+e.service, e.previousIncarnationRevision(), value, lease); err != nil {
-		e.revokeLease(lease)
-		return err
+	if _, err := e.store.SwapLeased(ctx, seamstore.Takeover, LeaderPrefix+e.service, e.ownRecordRevision(), value, lease); err != nil {
+		return table, 0, err
+	}
+	return table, epoch, e.checkEra(era)
+}
+
+// checkEra returns *seamstore.EraChangedError if the store has come back from a copy since the given era: what this node
+// read or wrote in it may be lost, and its lease too.
+func (e *Elector) checkEra(era int64) error {
+	if latest := e.store.Era(); latest != era {
+		return &seamstore.EraChangedError{From: era, To: latest}
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lease = lease
-	e.assigner = seamassign.New(e.cfg, e.clock.Now(), e.identity(epoch), e.earlierLeaseEnd, table.Table, table.Revision)
-	e.setRenewedLocked(sent)
-	e.sink.Emit(time.Now(), seamevent.LeaderElected, seamevent.Fields{"service": e.service, "epoch": epoch, "revision": table.Revision})
 	return nil
 }
 
@@ -264,7 +290,11 @@
 	return seamtable.Assigner{Name: e.self.Name, Incarnation: e.self.Incarnation, Epoch: epoch}
 }
 
-func (e *Elector) revokeLease(l seamstore.Lease) {
+// revokeLease ends a lease that the store granted in the given era. In a later era, its id may be that of another lease.
+func (e *Elector) revokeLease(l seamstore.Lease, era int64) {
+	if e.checkEra(era) != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := e.store.RevokeLease(ctx, l); err != nil {
@@ -278,12 +308,22 @@
 		return VersionedTable{}, err
 	}
 	if entry.Revision == 0 {
-		return VersionedTable{Table: seamtable.Table{Service: e.service}}, nil
+		return VersionedTable{Table: e.missingTable()}, nil
 	}
 	t, err := seamtable.Decode(entry.Value)
 	return VersionedTable{Table: t, Revision: entry.Revision}, err
 }
 
+// missingTable returns the table of a service that has none in the store. If this node knows of an assigner, the store came
+// back from a copy that is older than the first table.
+func (e *Elector) missingTable() seamtable.Table {
+	t := seamtable.Table{Service: e.service}
+	if epoch, ok := e.registry.ConfirmedEpoch(e.service); ok {
+		t.Epoch, t.Era = epoch, e.registry.firstEra(e.service)
+	}
+	return t
+}
+
 // lead runs the assigner until leadership is lost or ctx ends.
 func (e *Elector) lead(ctx context.Context) {
 	ctx, cancel := cancelOn(ctx, e.stopping)
@@ -332,16 +372,18 @@
 	e.earlierLeaseEnd = seamclock.Later(e.earlierLeaseEnd, e.assigner.LastLeaseEnd())
 	resignation := Resignation{Service: e.service, Assigner: e.identity(e.assigner.Epoch()), ExpiresAt: e.earlierLeaseEnd}
 	e.assigner = nil
-	lease := e.lease
+	lease, era := e.lease, e.era
 	e.lease = 0
 	e.mu.Unlock()
-	e.sink.Emit(time.Now(), seamevent.LeadershipLost, seamevent.Fields{"service": e.service, "epoch": final.Epoch})
-	written := authorized && reachable && e.writeFinalTable(final, revision)
+	e.sink.Emit(time.Now(), seamevent.LeadershipLost, seamevent.Fields{
+		"service": e.service, "epoch": final.Epoch, "era": era, "latest": e.store.Era(), "fence": final.Fence,
+	})
+	written := authorized && reachable && e.checkEra(era) == nil && e.writeFinalTable(final, revision)
 	if !written || slices.Contains(final.Assigners, resignation.Assigner) {
 		e.peers.AnnounceResignation(resignation)
 	}
 	if lease != 0 && reachable {
-		e.revokeLease(lease)
+		e.revokeLease(lease, era)
 	}
 }
 
@@ -373,8 +415,16 @@
 	return fmt.Sprintf("node %s is the assigner in epoch %d", e.By.Peer, e.By.Epoch)
 }
 
-// renewLoop renews the leader record. It returns when another node is the leader, or when the store has been
-// unreachable for so long that another node may soon be elected.
+// endsLeadership reports whether an error means that this node leads no more: another node was elected, or the store
+// came back from a copy, so that another one may have been elected in what it lost.
+func endsLeadership(err error) bool {
+	var superseded *supersededError
+	var eraChanged *seamstore.EraChangedError
+	return errors.As(err, &superseded) || errors.As(err, &eraChanged)
+}
+
+// renewLoop renews the leader record. It returns when another node is the leader, when the store has come back from a copy, or
+// when the store has been unreachable for so long that another node may soon be elected.
 func (e *Elector) renewLoop(ctx context.Context) {
 	for {
 		seamwait.For(ctx, renewInterval)
@@ -382,15 +432,10 @@
 			return
 		}
 		err := e.renew(ctx)
-		var superseded *supersededError
-		if errors.As(err, &superseded) {
-			e.logFailure("renew", err)
-			return
-		}
 		if err != nil {
 			e.logFailure("renew", err)
 		}
-		if !e.authorized() {
+		if endsLeadership(err) || !e.authorized() {
 			return
 		}
 	}
@@ -413,12 +458,15 @@
 	defer cancel()
 	sent := e.clock.Now()
 	e.mu.Lock()
-	lease := e.lease
+	lease, era := e.lease, e.era
 	e.mu.Unlock()
 	err := e.store.RenewLease(ctx, lease)
+	if changed := e.checkEra(era); changed != nil {
+		return changed
+	}
 	var leaseErr *seamstore.LeaseNotFoundError
 	if errors.As(err, &leaseErr) {
-		return e.restore(ctx)
+		return e.restore(ctx, era)
 	}
 	if err != nil {
 		return err
@@ -432,7 +480,7 @@
 // restore writes the leader record again under a new store lease. Then it reads the table, since another node may have been
 // elected and have lost the leadership meanwhile. If the table has no later epoch, the leadership counts as confirmed at
 // the start of that read.
-func (e *Elector) restore(ctx context.Context) error {
+func (e *Elector) restore(ctx context.Context, era int64) error {
 	lease, _, err := e.store.GrantLease(ctx, leaderLeaseTTL)
 	if err != nil {
 		return err
@@ -448,7 +496,7 @@
 	_, err = e.store.SwapLeased(ctx, seamstore.Takeover, LeaderPrefix+e.service, 0, value, lease)
 	var conflict *seamstore.ConflictError
 	if errors.As(err, &conflict) {
-		e.revokeLease(lease)
+		e.revokeLease(lease, era)
 		return &supersededError{By: conflictRecord(conflict)}
 	}
 	if err != nil {
@@ -459,8 +507,11 @@
 	if err != nil {
 		return err
 	}
+	if err := e.checkEra(era); err != nil {
+		return err
+	}
 	if table.Epoch > epoch {
-		e.revokeLease(lease)
+		e.revokeLease(lease, era)
 		return &supersededError{By: LeaderRecord{Epoch: table.Epoch}}
 	}
 	e.mu.Lock()
--- a/internal/own/seamelection/registry.go
+++ b/internal/own/seamelection/registry.go
@@ -50,6 +50,14 @@
 	Revision int64
 }
 
+// replacedBefore reports whether the store came back from a copy with this table after it had held the known one, which is as
+// late or later.
+func (t VersionedTable) replacedBefore(known VersionedTable) bool {
+	era, revision := seamstore.SplitEra(t.Revision)
+	knownEra, knownRevision := seamstore.SplitEra(known.Revision)
+	return t.Era != 0 && t.Era < era && knownEra == t.Era && knownRevision >= revision
+}
+
 // Registry tracks the leader records, tables and resignations of all services. It is safe for concurrent use.
 type Registry struct {
 	sink seamevent.Sink
@@ -59,6 +67,8 @@
 	tables  map[string]VersionedTable
 	// confirmedEpochs maps each service to the highest epoch in a leader record read from the store.
 	confirmedEpochs map[string]uint64
+	// firstEras maps each service to the earliest era of the store in which such a record was written.
+	firstEras map[string]int64
 	// resignations maps each service to the resignations of its former assigners, in the order received.
 	resignations map[string][]Resignation
 	// vacantSince maps each service without a leader record to the time since which it has had none.
@@ -77,6 +87,7 @@
 		vacantSince: map[string]time.Time{},
 
 		confirmedEpochs: map[string]uint64{},
+		firstEras:       map[string]int64{},
 		resignations:    map[string][]Resignation{},
 
 		changed: make(chan struct{}),
@@ -150,10 +161,20 @@
 	defer r.mu.Unlock()
 	r.leaders[service] = record
 	r.confirmedEpochs[service] = max(r.confirmedEpochs[service], record.Epoch)
+	if _, known := r.firstEras[service]; !known {
+		r.firstEras[service] = seamtable.EpochEra(record.Epoch)
+	}
 	delete(r.vacantSince, service)
 	r.signal()
 }
 
+// firstEra returns the earliest era in which a leader record was written that this node read; 0 if there was none.
+func (r *Registry) firstEra(service string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.firstEras[service]
+}
+
 // ConfirmedEpoch returns the highest epoch of a service in a leader record read from the store; false if there was none.
 func (r *Registry) ConfirmedEpoch(service string) (uint64, bool) {
 	r.mu.Lock()
@@ -178,7 +199,8 @@
 func (r *Registry) ObserveTable(service string, t VersionedTable) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.Revision <= r.tables[service].Revision {
+	known := r.tables[service]
+	if t.Revision <= known.Revision || t.replacedBefore(known) {
 		return
 	}
 	r.tables[service] = t
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -47,8 +47,7 @@
 		}
 		if err != nil {
 			e.logFailure("table", err)
-			var superseded *supersededError
-			if errors.As(err, &superseded) {
+			if endsLeadership(err) {
 				return
 			}
 			seamwait.For(ctx, tickInterval)
@@ -57,9 +56,14 @@
 	}
 }
 
-// tick advances the assigner and writes the table if it changed. It reports whether it wrote it.
+// tick advances the assigner and writes the table if it changed. It reports whether it wrote it. It returns an error that ends
+// the leadership if the store has come back from a copy.
 func (e *Elector) tick(ctx context.Context) (wrote bool, err error) {
 	e.mu.Lock()
+	if err := e.checkEra(e.era); err != nil {
+		e.mu.Unlock()
+		return false, err
+	}
 	now := e.clock.Now()
 	if !e.authorizedLocked() {
 		e.mu.Unlock()
@@ -143,6 +147,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err := e.checkEra(e.era); err != nil {
+		return err
+	}
 	if !e.assigner.WriteUncertain(e.clock.Now(), found, entry.Revision) {
 		return &supersededError{By: LeaderRecord{Epoch: found.Epoch}}
 	}
@@ -339,9 +346,26 @@
 		// Another node has been elected since.
 		return &wire.Reply{Number: w.GetNumber()}
 	}
+	e.logClaims(heartbeat)
 	reply := e.assigner.Heartbeat(e.clock.Now(), heartbeat)
 	if e.assigner.WritePending() {
 		e.wakeWriter()
 	}
 	return seamassign.ReplyToWire(w.GetNumber(), reply)
 }
+
+// logClaims logs what a holder claims after the store came back from a copy. mu must be held.
+func (e *Elector) logClaims(hb seamassign.Heartbeat) {
+	if len(hb.Claims) == 0 {
+		return
+	}
+	keys, fence := 0, uint64(0)
+	for _, c := range hb.Claims {
+		keys += c.Len()
+		fence = max(fence, c.Fence)
+	}
+	e.sink.Emit(time.Now(), seamevent.KeysClaimed, seamevent.Fields{
+		"service": e.service, "epoch": e.assigner.Epoch(), "accepted": hb.Epoch, "holder": hb.Holder.String(),
+		"claims": len(hb.Claims), "keys": keys, "fence": fence,
+	})
+}
--- a/internal/own/seamholder/holder.go
+++ b/internal/own/seamholder/holder.go
@@ -81,6 +81,11 @@
 	cfg    Config
 	target seamtable.Holder
 	epoch  uint64
+	// listEpoch is the epoch of the assigner that sent entries.
+	listEpoch uint64
+	// era is the latest era of the store that the node knows, and leasedEra the latest one in which the lease was still
+	// valid when the node learned of it.
+	era, leasedEra int64
 	// revision is the table revision of entries.
 	revision int64
 	// leaseEnd is the time at which the assigner's lease on all entries expires.
@@ -134,6 +139,7 @@
 
 // acceptEpoch accepts a later epoch. A lease from an earlier one expires after FormerEpochTTL at the latest.
 func (h *Holder) acceptEpoch(now seamclock.Instant, epoch uint64) {
+	h.ObserveEra(now, seamtable.EpochEra(epoch))
 	h.epoch = epoch
 	h.leaseEnd = seamclock.Earlier(h.leaseEnd, now.Add(h.cfg.FormerEpochTTL))
 }
@@ -167,6 +173,7 @@
 // Heartbeat returns the heartbeat to send to the assigner. The caller adds the load.
 func (h *Holder) Heartbeat(now seamclock.Instant) seamassign.Heartbeat {
 	hb := seamassign.Heartbeat{Epoch: h.epoch, Holder: h.target, Revision: h.revision, State: h.state(), NoEarlierGrants: h.noEarlierGrants(now)}
+	hb.Claims = h.claims()
 	for _, e := range h.entries {
 		if e.phase == released {
 			hb.Released = append(hb.Released, seamassign.Released{Span: e.Span, Fence: e.Fence, Handover: e.handover})
@@ -212,7 +219,7 @@
 	}
 	if r.Changed {
 		h.setRanges(r.Ranges)
-		h.revision = r.Revision
+		h.revision, h.listEpoch = r.Revision, r.Epoch
 	}
 	if end := sent.Add(r.Lease); h.revision == r.Revision && seamclock.MinElapsed(end, h.leaseEnd) > 0 {
 		h.leaseEnd = end
--- a/internal/own/seamholder/runner.go
+++ b/internal/own/seamholder/runner.go
@@ -76,6 +76,8 @@
 	// if none. It returns false as long as none was read and an assigner that was superseded before this incarnation
 	// started may still grant leases.
 	ConfirmedEpoch(service string) (epoch uint64, ok bool)
+	// StoreEra returns the latest era of the store that the node knows.
+	StoreEra() int64
 	// Reader reports whether the node passes ownership tables on to others.
 	Reader() bool
 	// TableReceived receives the ownership table that the assigner sent.
@@ -337,6 +339,7 @@
 	if !ok {
 		return "", seamassign.Heartbeat{}, nil
 	}
+	r.holder.ObserveEra(now, r.assigner.StoreEra())
 	r.holder.ObserveEpoch(now, epoch)
 	hb = r.holder.Heartbeat(now)
 	hb.Load = r.load.Load()
--- a/internal/own/seamholder/runner_test.go
+++ b/internal/own/seamholder/runner_test.go
@@ -24,6 +24,8 @@
 	streams chan net.Conn
 }
 
+func (fakeAssigner) StoreEra() int64 { return 0 }
+
 func (a fakeAssigner) OpenHeartbeats(ctx context.Context, _ string) (net.Conn, error) {
 	near, far := net.Pipe()
 	select {
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -54,6 +54,24 @@
 // Overlaps reports whether the spans share a key.
 func (s Span) Overlaps(o Span) bool { return s.From <= o.To && o.From <= s.To }
 
+// Subtract returns the parts of the spans that lie outside s.
+func Subtract(spans []Span, s Span) []Span {
+	var parts []Span
+	for _, p := range spans {
+		if !p.Overlaps(s) {
+			parts = append(parts, p)
+			continue
+		}
+		if p.From < s.From {
+			parts = append(parts, Span{p.From, s.From - 1})
+		}
+		if p.To > s.To {
+			parts = append(parts, Span{s.To + 1, p.To})
+		}
+	}
+	return parts
+}
+
 // Range is a span of keys assigned to one holder.
 type Range struct {
 	Span
@@ -75,6 +93,8 @@
 	Service string
 	// Epoch is the epoch of the assigner that wrote the table.
 	Epoch uint64
+	// Era is the era of the store in which the table was written; 0 if unknown.
+	Era int64
 	// Fence is the highest fencing token issued so far.
 	Fence uint64
 	// Ranges are sorted by key and do not overlap.
@@ -173,11 +193,21 @@
 func (t *Table) Assign(s Span, h Holder, handover string) Range {
 	t.Fence++
 	r := Range{Span: s, Holder: h, Fence: t.Fence, Handover: handover}
-	i, _ := slices.BinarySearchFunc(t.Ranges, s.From, func(r Range, from uint32) int { return int(r.From) - int(from) })
-	t.Ranges = slices.Insert(t.Ranges, i, r)
+	t.insert(r)
 	return r
 }
 
+// Claim assigns a span to the holder under the fencing token that it already has. The span must be free.
+func (t *Table) Claim(r Range) {
+	t.Fence = max(t.Fence, r.Fence)
+	t.insert(r)
+}
+
+func (t *Table) insert(r Range) {
+	i, _ := slices.BinarySearchFunc(t.Ranges, r.From, func(r Range, from uint32) int { return int(r.From) - int(from) })
+	t.Ranges = slices.Insert(t.Ranges, i, r)
+}
+
 // OverlapError reports that two ranges of a table overlap or are out of order. If First and Second are equal, that
 // range is itself invalid.
 type OverlapError struct {
--- a/internal/own/seamtable/wire.go
+++ b/internal/own/seamtable/wire.go
@@ -15,6 +15,7 @@
 	return proto.Marshal(&wire.Table{
 		Service:   t.Service,
 		Epoch:     t.Epoch,
+		Era:       t.Era,
 		Fence:     t.Fence,
 		Ranges:    ranges,
 		Nodes:     nodes,
@@ -31,6 +32,7 @@
 	t := Table{
 		Service: w.GetService(),
 		Epoch:   w.GetEpoch(),
+		Era:     w.GetEra(),
 		Fence:   w.GetFence(),
 		Ranges:  RangesFromWire(w.GetRanges()),
 		Nodes:   map[Holder]seampeer.Peer{},
--- a/internal/platform/seamstore/lease.go
+++ b/internal/platform/seamstore/lease.go
@@ -29,6 +29,14 @@
 	LeaseManager
 	StaleLister
 	ChangeLister
+	EraReader
+}
+
+// EraReader tells the era of a store, which rises when the store comes back from a copy.
+type EraReader interface {
+	// Era returns the latest era of the responses so far; 0 before the first one, and for a store without eras. The revisions
+	// of entries contain their era (JoinEra).
+	Era() int64
 }
 
 // StaleLister lists keys from possibly stale data.
--- a/internal/stand/seamstandkv/store.go
+++ b/internal/stand/seamstandkv/store.go
@@ -46,6 +46,8 @@
 	mu       sync.Mutex
 	faults   Faults
 	revision int64
+	// era is the era of the store, which revision contains; 0 before the first Restore.
+	era int64
 	// compacted is the revision up to which the change history is discarded.
 	compacted int64
 	entries   map[string]entry
