Write a node's entry again when the store has come back from a copy

Others kept an older state of a target (its former incarnation, "ready" of one that leaves) for as long as it did not change: the lease of the entry is in the copy, so that its renewals succeeded and nothing was written. The lease's id may also be that of another lease by now.

TestEntryIsWrittenAgainWhenTheStoreComesBackWithAnOlderOne failed before ("the entry does not name target t1 after 4s") and passes.

--- a/internal/member/seammembership/registration.go
+++ b/internal/member/seammembership/registration.go
@@ -30,6 +30,7 @@
 // Store holds the members' entries and their leases.
 type Store interface {
 	seamstore.LeaseManager
+	seamstore.EraReader
 	Get(ctx context.Context, p seamstore.Priority, key string) (seamstore.Entry, error)
 }
 
@@ -43,7 +44,9 @@
 	member Member
 
 	// The fields below are used by Run only.
-	lease       seamstore.Lease
+	lease seamstore.Lease
+	// era is the era of the store in which the lease was granted.
+	era         int64
 	revision    int64
 	lastWritten Member
 	lastRenewal time.Time
@@ -114,6 +117,10 @@
 
 // step makes the store calls that are due: it acquires or renews the lease, and writes a changed entry.
 func (r *Registration) step(ctx context.Context, now time.Time) error {
+	if r.store.Era() != r.era {
+		// The copy from which the store came back may have an older entry, and the id of the lease may be that of another one.
+		r.forgetLease()
+	}
 	if r.lease == 0 {
 		if err := r.acquireLease(ctx); err != nil {
 			return err
@@ -137,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	r.lease, r.lastRenewal, r.lastWritten = lease, sent, Member{}
+	r.lease, r.era, r.lastRenewal, r.lastWritten = lease, r.store.Era(), sent, Member{}
 	return nil
 }
 
@@ -159,10 +166,15 @@
 	var leaseErr *seamstore.LeaseNotFoundError
 	if errors.As(err, &leaseErr) {
 		// The store has removed the entry together with the lease.
-		r.lease, r.revision, r.lastWritten = 0, 0, Member{}
+		r.forgetLease()
 	}
 }
 
+// forgetLease makes step acquire a lease and write the entry.
+func (r *Registration) forgetLease() {
+	r.lease, r.revision, r.lastWritten = 0, 0, Member{}
+}
+
 func (r *Registration) write(ctx context.Context, wanted Member) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
