Take the caller service and the target from the settings, not from any heartbeat

Cause: a heartbeat with a later start replaced the node's target, whatever service and address it names, and the caller service came from the target. The settings name both, but the service was used only until the first heartbeat and the address not at all. Heartbeats of an earlier start are dropped, so that the real target's changed nothing any more.

Evidence: the node logs target.announced with the foreign service, retires the former target, and the first request afterwards has the foreign caller service. TestCallerServiceDoesNotDependOnAnnouncements failed in its three forms on the code before: the keys were not served within 30 s.

Why it works: what the operator states is compared with each heartbeat; no id, start or sequence outweighs it. Where a heartbeat can't be told from a new start, the target that it replaced returns when it goes on announcing itself and the new one does not.

--- a/internal/member/seamannounce/registry.go
+++ b/internal/member/seamannounce/registry.go
@@ -35,6 +35,35 @@
 	return fmt.Sprintf("another target is announced at this node: %s", e.Name)
 }
 
+// Expected is what the operator knows of a node's target. An empty field is not known.
+type Expected struct {
+	// Service is the service that the target serves.
+	Service string
+	// Address is the ip:port at which it accepts requests.
+	Address string
+}
+
+// ForeignError reports an announcement that is not of the node's target. The previous announcement stays valid.
+type ForeignError struct {
+	Field, Value, Expected string
+}
+
+// Error gives the field, its value and the expected one.
+func (e *ForeignError) Error() string {
+	return fmt.Sprintf("not the target of this node: %s is %q, expected %q", e.Field, e.Value, e.Expected)
+}
+
+// check returns *ForeignError if an announcement contradicts what is known of the target.
+func (e Expected) check(a seamtarget.Announcement) error {
+	switch {
+	case e.Service != "" && a.Service != e.Service:
+		return &ForeignError{Field: "service", Value: a.Service, Expected: e.Service}
+	case e.Address != "" && a.Address != e.Address:
+		return &ForeignError{Field: "address", Value: a.Address, Expected: e.Address}
+	}
+	return nil
+}
+
 // Watcher is notified of each change of the target.
 type Watcher interface {
 	// TargetChanged is called after each accepted announcement and, with present false, when
@@ -49,11 +78,14 @@
 	watcher Watcher
 
 	mu            sync.RWMutex
+	expected      Expected
 	current       seamtarget.Announcement
 	present       bool
 	lastAnnounced time.Time
 	// lastLeaving is the last target that reported that it stops.
 	lastLeaving seamtarget.Announcement
+	// earlier is an incarnation that started before the current one and goes on announcing itself.
+	earlier earlierTarget
 }
 
 // NewRegistry returns a registry without a target. An announcement expires after ttl.
@@ -68,24 +100,44 @@
 	return r.current, r.present
 }
 
+// Expect sets what is known of the target from now on.
+func (r *Registry) Expect(e Expected) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected = e
+}
+
+// Expected returns what is known of the target.
+func (r *Registry) Expected() Expected {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.expected
+}
+
 // TTL returns the time after which an announcement expires.
 func (r *Registry) TTL() time.Duration {
 	return r.ttl
 }
 
-// Announce processes an announcement. An outdated one is ignored. A target with another
-// name replaces the current target if it has the same address or a later start time.
-// Otherwise it is rejected until the current target is removed or expires.
+// Announce processes an announcement. One that contradicts what is known of the target is rejected. An outdated one is
+// ignored, unless the current target is silent meanwhile (earlierTarget). A target with another name replaces the current
+// target if it has the same address or a later start time. Otherwise it is rejected until the current target is removed or
+// expires.
 func (r *Registry) Announce(now time.Time, a seamtarget.Announcement) error {
 	if err := validate(a); err != nil {
 		return err
 	}
 	r.mu.Lock()
+	if err := r.expected.check(a); err != nil {
+		r.mu.Unlock()
+		return err
+	}
 	before, had := r.current, r.present
-	if r.outdated(a) {
+	if r.outdated(a) && !r.earlier.replaces(now, before, a) {
 		r.mu.Unlock()
 		return nil
 	}
+	r.earlier = earlierTarget{}
 	if had && before.Name != a.Name && before.Address != a.Address && a.Started <= before.Started {
 		r.mu.Unlock()
 		return &OtherTargetError{Name: before.Name}
@@ -160,7 +212,10 @@
 		r.watcher.TargetChanged(before, false)
 	}
 	if !had || before.Name != a.Name || before.Started != a.Started {
-		r.sink.Emit(now, seamevent.TargetAnnounced, seamevent.Fields{"target": a.Name, "service": a.Service, "address": a.Address})
+		r.sink.Emit(now, seamevent.TargetAnnounced, seamevent.Fields{
+			"target": a.Name, "service": a.Service, "address": a.Address, "started": a.Started, "sequence": a.Sequence,
+			"former": before.Name, "formerstart": before.Started, "present": had,
+		})
 	}
 	if a.Leaving && !before.Leaving {
 		r.sink.Emit(now, seamevent.TargetLeaving, seamevent.Fields{"target": a.Name, "service": a.Service})
--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -22,7 +22,6 @@
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamholder"
 	"cardamomseam/internal/platform/seamstore"
-	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/rule/seamroutes"
 	"cardamomseam/internal/stand/seamstandkv"
@@ -201,7 +200,7 @@
 			return d, err
 		},
 		CallerMiddleware: func(next http.Handler) http.Handler { return next },
-		Dialect:          seamegress.Native{},
+		Dialect:          callerDialect{},
 		TargetClient:     func() (seamholder.TargetClient, func()) { return targetClient{f}, func() {} },
 		AnnounceRoutes: func(targets seamrouter.Targets, _ func(string, error)) []rest.Route {
 			n.announce = targets
--- a/internal/node/seamrouter/reload.go
+++ b/internal/node/seamrouter/reload.go
@@ -49,7 +49,8 @@
 	return stamp{info.ModTime(), info.Size()}
 }
 
-// reload reads the file. Invalid settings change nothing; addresses and names apply only after a restart.
+// reload reads the file. Invalid settings change nothing; the node's own addresses and names apply only after
+// a restart.
 func (n *Node) reload(now time.Time, file, reason string) {
 	s, err := seamsetting.LoadRouter(file)
 	if err != nil {
@@ -58,11 +59,13 @@
 	}
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
+	n.targets.Expect(expectedTarget(s))
 	n.sink.Emit(now, seamevent.SettingsLoaded, seamevent.Fields{"file": file, "reason": reason, "restart": needsRestart(n.settings, s)})
 }
 
 // needsRestart reports whether a setting differs that applies only after a restart.
 func needsRestart(old, now seamsetting.Router) bool {
 	now.Retry, now.Stop = old.Retry, old.Stop
+	now.Service, now.Target = old.Service, old.Target
 	return !reflect.DeepEqual(old, now)
 }
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -25,6 +25,7 @@
 // startRequests starts the request path: the egress to the target and the ingress for callers.
 func (n *Node) startRequests(c *seamstart.Cleanups, _ Options) error {
 	n.targets = seamannounce.NewRegistry(announcementTTL, n.sink, targetWatcher{n})
+	n.targets.Expect(expectedTarget(n.settings))
 	egress, stop := seamegress.New(seamegress.Config{
 		DialTimeout:         targetDialTimeout,
 		AdmitByObjective:    true,
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -6,6 +6,7 @@
 	"cardamomseam/internal/member/seamannounce"
 	"cardamomseam/internal/member/seammembership"
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/node/seamsetting"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamholder"
 )
@@ -90,10 +91,17 @@
 	return ok && s.Keyed
 }
 
-// originService returns the service of this instance, also while its target is down.
+// originService returns the service of this instance, also while its target is down. What the target announces counts only if
+// the settings name no service.
 func (n *Node) originService() string {
-	if a, _ := n.targets.Current(); a.Service != "" {
-		return a.Service
+	if service := n.targets.Expected().Service; service != "" {
+		return service
 	}
-	return n.settings.Service
+	a, _ := n.targets.Current()
+	return a.Service
+}
+
+// expectedTarget returns what the settings tell of the node's target.
+func expectedTarget(s seamsetting.Router) seamannounce.Expected {
+	return seamannounce.Expected{Service: s.Service, Address: s.Target}
 }
--- a/internal/node/seamsetting/router.go
+++ b/internal/node/seamsetting/router.go
@@ -11,8 +11,12 @@
 	Region string `json:"region" allow:"name"`
 	// Domain is the failure domain of the instance, unique across regions. Required.
 	Domain string `json:"domain" allow:"name"`
-	// Service is the service of the node's target. Default: what the target announces.
+	// Service is the service of the node's target. Announcements of another service are rejected. Default: what the target
+	// announces.
 	Service string `json:"service,optional" allow:"name"`
+	// Target is the ip:port at which the node's target accepts requests. Announcements of another address are rejected.
+	// Default: what the target announces.
+	Target string `json:"target,optional" allow:"address"`
 	// Listen is the ip:port for sessions with other nodes. Required.
 	Listen string `json:"listen" allow:"address"`
 	// Ingress is the ip:port on which callers are served. Required.
