--- a/internal/platform/seamhttp/server.go
+++ b/internal/platform/seamhttp/server.go
@@ -17,6 +17,8 @@
 const (
 	// headerTimeout limits the time to read the headers of a request.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes limits the headers of a request. As many connections as a process has descriptors may send that many.
+	maxHeaderBytes = 16 << 10
 	// shutdownTimeout is the time that a shutdown waits for requests in flight.
 	shutdownTimeout = 2 * time.Second
 	// unlimitedWait stands for no time limit: it exceeds the lifetime of any process.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return "", nil, errors.Wrapf(err, "listen on %s", c.Listen)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = server.Serve(listener) })
 	return listener.Addr().String(), func() {
--- a/internal/platform/seamstore/client.go
+++ b/internal/platform/seamstore/client.go
@@ -51,11 +51,13 @@
 
 const (
 	maxResponseBytes = 64 << 20
-	idleTimeout      = 90 * time.Second
-	dialTimeout      = 500 * time.Millisecond
-	keepAlivePeriod  = 5 * time.Second
-	backoffInitial   = 50 * time.Millisecond
-	backoffMax       = 2 * time.Second
+	// maxHeaderBytes limits the size of the headers of a response.
+	maxHeaderBytes  = 64 << 10
+	idleTimeout     = 90 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	keepAlivePeriod = 5 * time.Second
+	backoffInitial  = 50 * time.Millisecond
+	backoffMax      = 2 * time.Second
 )
 
 // Client is a Store that uses the JSON gateway of the etcd v3 API.
@@ -136,6 +138,8 @@
 		DialContext:         d.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/route/seamegress/endless_test.go
+++ b/internal/route/seamegress/endless_test.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/stand/seamstandheap"
 )
 
 // endlessTarget answers its first request with start and then with unit again and again until the connection is closed. It
@@ -143,3 +145,45 @@
 		t.Error("the connection to the target was not closed")
 	}
 }
+
+// alwaysEndless answers every request with start and then with unit again and again until the connection is closed.
+func alwaysEndless(start, unit string) func(net.Conn) {
+	block := []byte(strings.Repeat(unit, endlessBlock/len(unit)))
+	return func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, err := c.Write([]byte(start))
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	}
+}
+
+// TestEndlessHeadsOnAllConnectionsTakeLittleMemory guards against a target that fills the memory of its node with heads without end, on all
+// connections at once.
+func TestEndlessHeadsOnAllConnectionsTakeLittleMemory(t *testing.T) {
+	const connections = 110 // that a target accepts
+	for name, answer := range map[string]struct{ start, unit string }{
+		"a status line":     {"HTTP/1.1 200 ", "x"},
+		"a header value":    {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"headers":           {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nX: x\r\n\r\n"},
+		"trailers":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEgressAt(t, listen(t, alwaysEndless(answer.start, answer.unit)), connections)
+			peak := seamstandheap.Peak(func() {
+				var running sync.WaitGroup
+				for i := range connections {
+					running.Go(func() { run(e, request(byte(i+1), http.MethodPost)) })
+				}
+				running.Wait()
+			})
+			t.Logf("%+v bytes", peak)
+			if peak.Exceeds(seamstandheap.Size{}) {
+				t.Errorf("%d requests took %+v bytes, want at most %d kept and a heap of %d", connections, peak, seamstandheap.MaxKept, seamstandheap.MaxHeap)
+			}
+		})
+	}
+}
