--- a/internal/own/seamelection/elector.go
+++ b/internal/own/seamelection/elector.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
-
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/own/seamassign"
@@ -175,109 +169,6 @@
 	}
 }
 
-// shouldCampaign reports whether this node should campaign now. If not, it first waits until the next check is due.
-func (e *Elector) shouldCampaign(ctx context.Context) bool {
-	changed := e.registry.Changed()
-	if e.ownRecordRevision() != 0 {
-		return true
-	}
-	now := time.Now()
-	since, vacant := e.registry.VacantSince(e.service, now)
-	if vacant {
-		wait := since.Add(e.campaignDelay()).Sub(now)
-		if wait <= 0 {
-			return true
-		}
-		seamwait.For(ctx, wait)
-		return false
-	}
-	seamwait.Until(ctx, pollInterval, changed)
-	return false
-}
-
-// ownRecordRevision returns the revision of the leader record if it names this node, which does not lead; 0 if not. An
-// earlier incarnation wrote it, or it stands in the copy from which the store came back.
-func (e *Elector) ownRecordRevision() int64 {
-	record, ok := e.registry.Leader(e.service)
-	if !ok || record.Peer.Name != e.self.Name {
-		return 0
-	}
-	era, _ := seamstore.SplitEra(record.Revision)
-	ofCopy := record.Peer.Incarnation == e.self.Incarnation && seamtable.EpochEra(record.Epoch) < era
-	if record.Peer.Incarnation < e.self.Incarnation || ofCopy {
-		return record.Revision
-	}
-	return 0
-}
-
-// campaignDelay returns how long a vacancy must last before this node campaigns.
-func (e *Elector) campaignDelay() time.Duration {
-	rank, known := e.peers.Rank(e.service)
-	switch {
-	case !known:
-		spread := time.Duration(xxhash.Sum64String(e.self.Name+"\x00"+e.service) % uint64(startupJitterMax))
-		return spread + time.Duration(rank)*startupJitterMax
-	case rank < ImmediateCandidates:
-		return time.Duration(rank) * rankDelayStep
-	default:
-		return lateCandidateDelay + time.Duration(rank)*rankDelayStep
-	}
-}
-
-// campaign writes this node's leader record and starts a new epoch.
-func (e *Elector) campaign(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
-	sent := e.clock.Now()
-	lease, _, err := e.store.GrantLease(ctx, leaderLeaseTTL)
-	if err != nil {
-		return err
-	}
-	era := e.store.Era()
-	table, epoch, err := e.beginEpoch(ctx, lease, era)
-	if err != nil {
-		e.revokeLease(lease, era)
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lease, e.era = lease, era
-	e.assigner = seamassign.New(e.cfg, e.clock.Now(), e.identity(epoch), e.earlierLeaseEnd, table.Table, table.Revision)
-	e.setRenewedLocked(sent)
-	e.sink.Emit(time.Now(), seamevent.LeaderElected, seamevent.Fields{
-		"service": e.service, "epoch": epoch, "revision": table.Revision, "era": era, "written": table.Era, "former": table.Epoch,
-		"fence": table.Fence, "ranges": len(table.Ranges),
-	})
-	return nil
-}
-
-// beginEpoch reads the table and writes this node's leader record, both in the given era of the store.
-func (e *Elector) beginEpoch(ctx context.Context, lease seamstore.Lease, era int64) (table VersionedTable, epoch uint64, err error) {
-	table, err = e.readTable(ctx)
-	if err != nil {
-		return table, 0, err
-	}
-	epoch = seamtable.NextEpoch(table.Epoch, era, rand.Uint64())
-	record := LeaderRecord{Epoch: epoch, Peer: e.self}
-	value, err := proto.Marshal(record.ToWire())
-	if err != nil {
-		return table, 0, err
-	}
-	if _, err := e.store.SwapLeased(ctx, seamstore.Takeover, LeaderPrefix+e.service, e.ownRecordRevision(), value, lease); err != nil {
-		return table, 0, err
-	}
-	return table, epoch, e.checkEra(era)
-}
-
-// checkEra returns *seamstore.EraChangedError if the store has come back from a copy since the given era: what this node
-// read or wrote in it may be lost, and its lease too.
-func (e *Elector) checkEra(era int64) error {
-	if latest := e.store.Era(); latest != era {
-		return &seamstore.EraChangedError{From: era, To: latest}
-	}
-	return nil
-}
-
 // setRenewedLocked records that the store confirmed the leadership by a call that was sent at the given time. mu must
 // be held.
 func (e *Elector) setRenewedLocked(sent seamclock.Instant) {
@@ -302,28 +193,6 @@
 	}
 }
 
-func (e *Elector) readTable(ctx context.Context) (VersionedTable, error) {
-	entry, err := e.store.Get(ctx, seamstore.Takeover, TablePrefix+e.service)
-	if err != nil {
-		return VersionedTable{}, err
-	}
-	if entry.Revision == 0 {
-		return VersionedTable{Table: e.missingTable()}, nil
-	}
-	t, err := seamtable.Decode(entry.Value)
-	return VersionedTable{Table: t, Revision: entry.Revision}, err
-}
-
-// missingTable returns the table of a service that has none in the store. If this node knows of an assigner, the store came
-// back from a copy that is older than the first table.
-func (e *Elector) missingTable() seamtable.Table {
-	t := seamtable.Table{Service: e.service}
-	if epoch, ok := e.registry.ConfirmedEpoch(e.service); ok {
-		t.Epoch, t.Era = epoch, e.registry.firstEra(e.service)
-	}
-	return t
-}
-
 // lead runs the assigner until leadership is lost or ctx ends.
 func (e *Elector) lead(ctx context.Context) {
 	ctx, cancel := cancelOn(ctx, e.stopping)
@@ -404,134 +273,6 @@
 	return true
 }
 
-// supersededError reports that the store holds another leader record, or a table of a later epoch.
-type supersededError struct {
-	// By is that record. If a table was found, only its Epoch is set.
-	By LeaderRecord
-}
-
-// Error implements error.
-func (e *supersededError) Error() string {
-	return fmt.Sprintf("node %s is the assigner in epoch %d", e.By.Peer, e.By.Epoch)
-}
-
-// endsLeadership reports whether an error means that this node leads no more: another node was elected, or the store
-// came back from a copy, so that another one may have been elected in what it lost.
-func endsLeadership(err error) bool {
-	var superseded *supersededError
-	var eraChanged *seamstore.EraChangedError
-	return errors.As(err, &superseded) || errors.As(err, &eraChanged)
-}
-
-// renewLoop renews the leader record. It returns when another node is the leader, when the store has come back from a copy, or
-// when the store has been unreachable for so long that another node may soon be elected.
-func (e *Elector) renewLoop(ctx context.Context) {
-	for {
-		seamwait.For(ctx, renewInterval)
-		if ctx.Err() != nil {
-			return
-		}
-		err := e.renew(ctx)
-		if err != nil {
-			e.logFailure("renew", err)
-		}
-		if endsLeadership(err) || !e.authorized() {
-			return
-		}
-	}
-}
-
-// authorized reports whether the assigner may still grant leases.
-func (e *Elector) authorized() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.authorizedLocked()
-}
-
-func (e *Elector) authorizedLocked() bool {
-	return e.assigner != nil && seamclock.MaxElapsed(e.clock.Now(), e.renewed) < e.cfg.MaxStoreOutage
-}
-
-// renew renews the store lease, or writes the record again if the lease has expired and no other node was elected.
-func (e *Elector) renew(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := e.clock.Now()
-	e.mu.Lock()
-	lease, era := e.lease, e.era
-	e.mu.Unlock()
-	err := e.store.RenewLease(ctx, lease)
-	if changed := e.checkEra(era); changed != nil {
-		return changed
-	}
-	var leaseErr *seamstore.LeaseNotFoundError
-	if errors.As(err, &leaseErr) {
-		return e.restore(ctx, era)
-	}
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.setRenewedLocked(sent)
-	return nil
-}
-
-// restore writes the leader record again under a new store lease. Then it reads the table, since another node may have been
-// elected and have lost the leadership meanwhile. If the table has no later epoch, the leadership counts as confirmed at
-// the start of that read.
-func (e *Elector) restore(ctx context.Context, era int64) error {
-	lease, _, err := e.store.GrantLease(ctx, leaderLeaseTTL)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	epoch := e.assigner.Epoch()
-	e.mu.Unlock()
-	record := LeaderRecord{Epoch: epoch, Peer: e.self}
-	value, err := proto.Marshal(record.ToWire())
-	if err != nil {
-		return err
-	}
-	_, err = e.store.SwapLeased(ctx, seamstore.Takeover, LeaderPrefix+e.service, 0, value, lease)
-	var conflict *seamstore.ConflictError
-	if errors.As(err, &conflict) {
-		e.revokeLease(lease, era)
-		return &supersededError{By: conflictRecord(conflict)}
-	}
-	if err != nil {
-		return err
-	}
-	sent := e.clock.Now()
-	table, err := e.readTable(ctx)
-	if err != nil {
-		return err
-	}
-	if err := e.checkEra(era); err != nil {
-		return err
-	}
-	if table.Epoch > epoch {
-		e.revokeLease(lease, era)
-		return &supersededError{By: LeaderRecord{Epoch: table.Epoch}}
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lease = lease
-	e.setRenewedLocked(sent)
-	e.sink.Emit(time.Now(), seamevent.LeaderElected, seamevent.Fields{"service": e.service, "epoch": epoch, "again": true})
-	return nil
-}
-
-// conflictRecord returns the leader record that was found in the store in place of the expected one.
-func conflictRecord(c *seamstore.ConflictError) LeaderRecord {
-	r := LeaderRecord{}
-	if decoded, err := decodeLeaderRecord(c.Found.Value); err == nil {
-		r = decoded
-	}
-	r.Revision = c.Found.Revision
-	return r
-}
-
 func (e *Elector) logFailure(call string, err error) {
 	e.sink.Emit(time.Now(), seamevent.LeadershipCallFailed, seamevent.Fields{"service": e.service, "call": call, "error": err.Error()})
 }
