Keep unclaimed keys in the table as those of an unknown holder

And a node that starts in the new era and finds no table took the service for a new one.

Unclaimed keys now stand in the table under LostHolder, whose lease ends with those of the lost assigners; known holders are bound by known assigners. A claim that reaches an assigner without a table shows that one is missing.

TestClaimsShowThatATableIsMissing fails without the last change. Tests with real nodes for an outage before the copy and for keys that move.

--- a/internal/node/seamrouter/restore_test.go
+++ b/internal/node/seamrouter/restore_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"testing"
 	"time"
+
+	"cardamomseam/internal/stand/seamstandkv"
 )
 
 // restoredFleet starts a fleet whose store has come back from a copy once. Nodes 0 and 1 hold keys.
@@ -157,3 +160,41 @@
 	c.watch(f, 3*time.Second)
 	f.awaitServed(f.nodes[3])
 }
+
+// restoreOutage is the time for which the store is away before it comes back from a copy. A longer one is set by hand.
+var restoreOutage = flag.Duration("restoreoutage", 3*time.Second, "time for which the store is away before it comes back from a copy")
+
+// TestKeysAreServedAgainWhenTheStoreComesBackFromACopyAfterAnOutage guards against two holders, or none, when the leases of the leader and
+// of the holders have expired meanwhile.
+func TestKeysAreServedAgainWhenTheStoreComesBackFromACopyAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	f := restoredFleet(t)
+	copied := f.store.Copy()
+	joined := f.add("n4", keyedService)
+	f.await("keys of the new target", func() bool { return len(joined.State(time.Now()).Held) > 0 })
+	c := newTokenCheck()
+	f.store.SetFaults(seamstandkv.Faults{Down: true})
+	c.watch(f, *restoreOutage)
+	f.store.Restore(copied)
+	f.store.SetFaults(seamstandkv.Faults{})
+	c.watch(f, 3*time.Second)
+	f.awaitServed(f.nodes[3])
+	c.watch(f, time.Second)
+}
+
+// TestKeysKeepOneHolderWhenTheStoreComesBackWhileTheyMove guards against a move that is half done when the table that planned it is lost.
+func TestKeysKeepOneHolderWhenTheStoreComesBackWhileTheyMove(t *testing.T) {
+	t.Parallel()
+	f := restoredFleet(t)
+	c := newTokenCheck()
+	for i := range 3 {
+		copied := f.store.Copy()
+		f.announce(f.nodes[i%2], true) // its keys move away
+		c.watch(f, time.Duration(50+100*i)*time.Millisecond)
+		f.store.Restore(copied)
+		c.watch(f, 1500*time.Millisecond)
+		f.add("n"+string(rune('5'+i)), keyedService)
+	}
+	f.awaitServed(f.nodes[3])
+	c.watch(f, time.Second)
+}
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -53,8 +53,6 @@
 	storedIndex, desiredIndex rangeIndex
 	// dirty reports whether desired differs from the last written table.
 	dirty bool
-	// unclaimed are the keys that holders may hold by a lease of an assigner that nobody knows.
-	unclaimed []seamtable.Span
 	// collecting reports that the first write waits for the claims of the holders.
 	collecting bool
 	// writing reports whether a write is in progress.
@@ -73,6 +71,8 @@
 	predecessors []predecessor
 	// predecessorLeaseEnd is the latest end of a lease granted by a predecessor.
 	predecessorLeaseEnd seamclock.Instant
+	// lostLeaseEnd is the latest end of a lease granted by an assigner that nobody knows.
+	lostLeaseEnd seamclock.Instant
 	// leadershipConfirmed is the time at which the store last confirmed the leadership.
 	leadershipConfirmed seamclock.Instant
 	// earlierLeaseEnd is the latest end of the leases that this incarnation of the node granted in earlier epochs.
@@ -129,6 +129,11 @@
 	return min(max(a.cfg.MaxStoreOutage-outage, 0)+a.cfg.Lease, a.cfg.MaxLongLease)
 }
 
+// latestLeaseEnd returns the time at which the leases of all assigners have expired whose leadership ended before now.
+func (a *Assigner) latestLeaseEnd(now seamclock.Instant) seamclock.Instant {
+	return now.Add(a.cfg.MaxRemoteDuration(a.cfg.MaxStoreOutage + a.cfg.Lease))
+}
+
 // extendLease extends the recorded lease of a holder to at least d from now.
 func (a *Assigner) extendLease(now seamclock.Instant, h *holder, d time.Duration) {
 	h.leaseEnd = seamclock.Later(h.leaseEnd, now.Add(a.cfg.MaxRemoteDuration(d)))
@@ -159,7 +164,7 @@
 		a.dropEarlierIncarnations(hb.Holder)
 	}
 	if hb.Epoch == a.epoch {
-		a.adoptClaims(hb.Holder, hb.Claims)
+		a.adoptClaims(now, hb.Holder, hb.Claims)
 	}
 	for _, r := range hb.Released {
 		a.applyRelease(now, hb.Holder, r)
@@ -372,11 +377,8 @@
 	for _, p := range found.Assigners {
 		a.predecessors = append(a.predecessors, predecessor{Assigner: p})
 	}
-	a.unclaimed = nil
-	if a.hasLostAssigner() {
-		a.unclaimed = a.desired.FreeSpans()
-	}
-	a.predecessorLeaseEnd = now.Add(a.cfg.MaxRemoteDuration(a.cfg.MaxStoreOutage + a.cfg.Lease))
+	a.predecessorLeaseEnd = a.latestLeaseEnd(now)
+	a.lostLeaseEnd = a.predecessorLeaseEnd
 	// Earlier epochs of this incarnation of the node have ended.
 	a.PredecessorResigned(now, a.self, a.earlierLeaseEnd)
 }
--- a/internal/own/seamassign/predecessor.go
+++ b/internal/own/seamassign/predecessor.go
@@ -15,6 +15,9 @@
 	leaseEnd seamclock.Instant
 }
 
+// lost reports whether the assigner is not known.
+func (p predecessor) lost() bool { return p.Assigner == seamtable.LostAssigner() }
+
 // Predecessors returns the earlier assigners that are not known to have resigned, or whose leases may outlast one of
 // Config.Lease granted now.
 func (a *Assigner) Predecessors() []seamtable.Assigner {
@@ -36,7 +39,7 @@
 }
 
 // prunePredecessors removes the resigned predecessors whose leases end no later than one of Config.Lease granted now:
-// every successor waits that long anyway. Once all predecessors have resigned, their lease ends bound the time
+// every successor waits that long anyway. Once all that are known have resigned, their lease ends bound the time
 // that this assigner waits before it reassigns the keys of holders that have not accepted its epoch.
 func (a *Assigner) prunePredecessors(now seamclock.Instant) {
 	end := now.Add(a.cfg.MaxRemoteDuration(a.cfg.Lease))
@@ -49,6 +52,9 @@
 		a.dirty = true
 	}
 	for _, p := range a.predecessors {
+		if p.lost() {
+			continue
+		}
 		if !p.resigned {
 			return
 		}
--- a/internal/own/seamassign/rebuild.go
+++ b/internal/own/seamassign/rebuild.go
@@ -16,9 +16,11 @@
 	return t.Era != 0 && t.Era < a.era
 }
 
-// withoutOwners returns a table without ranges, some of whose assigners are not known.
+// withoutOwners returns a table whose holders and assigners are not known. The unknown holder loses its keys like any other whose
+// lease has expired.
 func withoutOwners(t seamtable.Table) seamtable.Table {
-	t.Ranges, t.Nodes = nil, nil
+	all := seamtable.Span{To: seamtable.LastKey}
+	t.Ranges, t.Nodes = []seamtable.Range{{Span: all, Holder: seamtable.LostHolder()}}, nil
 	t.Assigners = []seamtable.Assigner{seamtable.LostAssigner()}
 	return t
 }
@@ -26,19 +28,7 @@
 // hasLostAssigner reports whether leases of an assigner that nobody knows may still be valid, so that a key without a
 // holder in the table may be held.
 func (a *Assigner) hasLostAssigner() bool {
-	return slices.ContainsFunc(a.predecessors, func(p predecessor) bool { return p.Assigner == seamtable.LostAssigner() })
-}
-
-// freeSpans returns the spans that have no holder and may be assigned.
-func (a *Assigner) freeSpans() []seamtable.Span {
-	free := a.desired.FreeSpans()
-	if !a.hasLostAssigner() {
-		return free
-	}
-	for _, s := range a.unclaimed {
-		free = seamtable.Subtract(free, s)
-	}
-	return free
+	return slices.ContainsFunc(a.predecessors, predecessor.lost)
 }
 
 // endCollecting permits the first write SettleDelay after the start of the epoch, when the holders have had time for
@@ -51,7 +41,12 @@
 
 // adoptClaims assigns to a holder the ranges that it claims. Its lease on them was valid when the era began, so no other
 // holder can have got them since. If two claims overlap all the same, the higher fencing token wins.
-func (a *Assigner) adoptClaims(h seamtable.Holder, claims []Claim) {
+func (a *Assigner) adoptClaims(now seamclock.Instant, h seamtable.Holder, claims []Claim) {
+	if len(claims) > 0 && a.desired.Fence == 0 && len(a.desired.Ranges) == 0 {
+		// The store had no table, since the copy is older than the first one.
+		a.adoptTable(now, withoutOwners(a.desired))
+		a.dirty = true
+	}
 	if !a.hasLostAssigner() {
 		return
 	}
@@ -60,7 +55,6 @@
 			continue
 		}
 		a.unassign(c.Span)
-		a.unclaimed = seamtable.Subtract(a.unclaimed, c.Span)
 		a.desired.Claim(seamtable.Range{Span: c.Span, Holder: h, Fence: c.Fence})
 		a.dirty = true
 	}
--- a/internal/own/seamassign/rebuild_test.go
+++ b/internal/own/seamassign/rebuild_test.go
@@ -44,6 +44,17 @@
 	})
 }
 
+// owned returns the ranges in the store whose holders are known.
+func (r *rebuilding) owned() []seamtable.Range {
+	var owned []seamtable.Range
+	for _, o := range r.stored.Ranges {
+		if o.Holder != seamtable.LostHolder() {
+			owned = append(owned, o)
+		}
+	}
+	return owned
+}
+
 func claim(from, to uint32, fence uint64) seamassign.Claim {
 	return seamassign.Claim{Span: seamtable.Span{From: from, To: to}, Fence: fence}
 }
@@ -73,16 +84,16 @@
 	for r.now < until-step {
 		r.report("t1", claim(100, 199, 7))
 		r.advance(step)
-		if n := len(r.stored.Ranges); n > 1 {
-			t.Fatalf("%d ranges are assigned after %v, the last lease may end after %v", n, r.now, until)
+		if owned := r.owned(); len(owned) > 1 {
+			t.Fatalf("%v are assigned after %v, the last lease may end after %v", owned, r.now, until)
 		}
 	}
 	for r.now < until+time.Second {
 		r.report("t1")
 		r.advance(step)
 	}
-	if free := r.stored.FreeSpans(); len(free) != 0 {
-		t.Errorf("the keys %v have no holder after %v", free, r.now)
+	if free := r.stored.FreeSpans(); len(free) != 0 || len(r.owned()) != len(r.stored.Ranges) {
+		t.Errorf("after %v the ranges are %v", r.now, r.stored.Ranges)
 	}
 	for _, o := range r.stored.Ranges {
 		if o.Fence != 7 && o.Fence <= seamtable.MinFence(2) {
@@ -121,3 +132,24 @@
 		}
 	}
 }
+
+// TestClaimsShowThatATableIsMissing guards against an assigner that never saw the era before, finds no table, and takes the service for a
+// new one.
+func TestClaimsShowThatATableIsMissing(t *testing.T) {
+	s := &harness{t: t, stored: seamtable.Table{Service: "calendar"}}
+	elected := seamtable.Assigner{Name: "a", Incarnation: 1, Epoch: seamtable.NextEpoch(0, 2, 0)}
+	s.assigner = seamassign.New(seamassign.DefaultConfig(), s.clock(), elected, seamclock.Instant{}, s.stored, s.revision)
+	r := &rebuilding{t, s}
+	r.advance(0)
+	r.report("t1", claim(100, 199, 7))
+	const step = 100 * time.Millisecond
+	for r.now < 5*time.Second {
+		r.report("t1")
+		r.report("t2")
+		r.advance(step)
+	}
+	want := []seamtable.Range{{Span: seamtable.Span{From: 100, To: 199}, Holder: firstIncarnation("t1"), Fence: 7}}
+	if diff := cmp.Diff(want, r.owned()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -23,20 +23,24 @@
 	a.balance(now)
 }
 
-// expirePredecessors removes all predecessors once the last lease that any of them granted has expired. Before that,
-// it removes those that prunePredecessors permits.
+// expirePredecessors removes the predecessors whose leases have all expired, and those that prunePredecessors permits.
 func (a *Assigner) expirePredecessors(now seamclock.Instant) {
 	if len(a.predecessors) == 0 {
 		return
 	}
-	if seamclock.MinElapsed(now, a.predecessorLeaseEnd) >= 0 {
-		a.predecessors = nil
-	}
+	a.predecessors = slices.DeleteFunc(a.predecessors, func(p predecessor) bool {
+		end := a.predecessorLeaseEnd
+		if p.lost() {
+			end = a.lostLeaseEnd
+		}
+		return seamclock.MinElapsed(now, end) >= 0
+	})
 	a.prunePredecessors(now)
 }
 
 // expireHolders unassigns the keys of holders whose lease has expired, and forgets holders without keys after their
-// lease. A holder that has not accepted this epoch may still use a lease granted by a predecessor.
+// lease. A holder that has not accepted this epoch may still use a lease granted by a predecessor. The holders in a table of
+// this era got their keys by an assigner that is known, so that those that are lost don't count for them.
 func (a *Assigner) expireHolders(now seamclock.Instant) {
 	for _, h := range a.holdersWithKeys() {
 		if seamclock.MinElapsed(now, a.leaseEndOf(h)) >= 0 {
@@ -55,6 +59,8 @@
 func (a *Assigner) leaseEndOf(h seamtable.Holder) seamclock.Instant {
 	known := a.holders[h]
 	switch {
+	case h == seamtable.LostHolder():
+		return a.lostLeaseEnd
 	case known == nil:
 		return a.predecessorLeaseEnd
 	case known.acceptedEpoch:
@@ -92,7 +98,7 @@
 
 // assignFreeKeys assigns the keys that have no holder.
 func (a *Assigner) assignFreeKeys(now seamclock.Instant) {
-	free := a.freeSpans()
+	free := a.desired.FreeSpans()
 	if len(free) == 0 || !a.startupSettled(now) {
 		return
 	}
--- a/internal/own/seamtable/era.go
+++ b/internal/own/seamtable/era.go
@@ -28,3 +28,6 @@
 // LostAssigner stands in Table.Assigners for those that were elected after the copy was made from which the store came
 // back. Nobody knows them, so none of them can be known to have resigned.
 func LostAssigner() Assigner { return Assigner{} }
+
+// LostHolder stands in a table for the holders of the keys that any of these assigners may have leased to somebody.
+func LostHolder() Holder { return Holder{} }
--- a/internal/own/seamtable/table.go
+++ b/internal/own/seamtable/table.go
@@ -54,24 +54,6 @@
 // Overlaps reports whether the spans share a key.
 func (s Span) Overlaps(o Span) bool { return s.From <= o.To && o.From <= s.To }
 
-// Subtract returns the parts of the spans that lie outside s.
-func Subtract(spans []Span, s Span) []Span {
-	var parts []Span
-	for _, p := range spans {
-		if !p.Overlaps(s) {
-			parts = append(parts, p)
-			continue
-		}
-		if p.From < s.From {
-			parts = append(parts, Span{p.From, s.From - 1})
-		}
-		if p.To > s.To {
-			parts = append(parts, Span{s.To + 1, p.To})
-		}
-	}
-	return parts
-}
-
 // Range is a span of keys assigned to one holder.
 type Range struct {
 	Span
