--- a/internal/node/seamrouter/restore_test.go
+++ b/internal/node/seamrouter/restore_test.go
@@ -22,6 +22,15 @@
 	return f
 }
 
+// copyBeforeJoin copies the store, adds a target of the keyed service and waits until it has keys, which the copy lacks.
+func (f *fleet) copyBeforeJoin() seamstandkv.Copy {
+	f.t.Helper()
+	copied := f.store.Copy()
+	joined := f.add("n4", keyedService)
+	f.await("keys of the new target", func() bool { return len(joined.State(time.Now()).Held) > 0 })
+	return copied
+}
+
 // drainAssigner stops the node of the assigner of the keyed service as planned.
 func (f *fleet) drainAssigner() {
 	f.t.Helper()
@@ -115,9 +124,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			f := restoredFleet(t)
-			copied := f.store.Copy()
-			joined := f.add("n4", keyedService)
-			f.await("keys of the new target", func() bool { return len(joined.State(time.Now()).Held) > 0 })
+			copied := f.copyBeforeJoin()
 			c := newTokenCheck()
 			c.watch(f, time.Second)
 			f.store.Restore(copied)
@@ -133,9 +140,7 @@
 func TestNoKeyIsLostOrSharedWhenTheStoreComesBackTwice(t *testing.T) {
 	t.Parallel()
 	f := restoredFleet(t)
-	copied := f.store.Copy()
-	joined := f.add("n4", keyedService)
-	f.await("keys of the new target", func() bool { return len(joined.State(time.Now()).Held) > 0 })
+	copied := f.copyBeforeJoin()
 	c := newTokenCheck()
 	for _, pause := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
 		f.store.Restore(copied)
@@ -169,9 +174,7 @@
 func TestKeysAreServedAgainWhenTheStoreComesBackFromACopyAfterAnOutage(t *testing.T) {
 	t.Parallel()
 	f := restoredFleet(t)
-	copied := f.store.Copy()
-	joined := f.add("n4", keyedService)
-	f.await("keys of the new target", func() bool { return len(joined.State(time.Now()).Held) > 0 })
+	copied := f.copyBeforeJoin()
 	c := newTokenCheck()
 	f.store.SetFaults(seamstandkv.Faults{Down: true})
 	c.watch(f, *restoreOutage)
