Let targets respond before a stop that leaves no time to repeat a request

Cause: a stopping node gave its target the whole deadline of an idempotent request, since another node may run it if the stop cuts it.

Change: the stop bounds the timeout of the target as for requests that are not idempotent, unless enough time for a repeat is left after it.

Result: the new test of the egress failed before (timeout of 5.249 s with 4.9 s to the limit).

--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -76,12 +76,16 @@
 
 // mayStart reports whether the request may be started before the planned stop of the node.
 func (c *call) mayStart(now time.Time) bool {
-	e := c.egress
-	return e.plannedStop().MayStart(now, seamstop.Request{
+	return c.egress.plannedStop().MayStart(now, c.stopRequest())
+}
+
+// stopRequest describes the request to the plan of a stop.
+func (c *call) stopRequest() seamstop.Request {
+	return seamstop.Request{
 		Deadline:        c.admissionRequest().deadline,
-		MeanServiceTime: e.limiter.meanServiceTime(c.head),
+		MeanServiceTime: c.egress.limiter.meanServiceTime(c.head),
 		Idempotent:      c.head.GetIdempotent(),
-	})
+	}
 }
 
 // errStopped is the cancellation cause of requests in flight at the limit of a planned stop.
--- a/internal/route/seamegress/stop_test.go
+++ b/internal/route/seamegress/stop_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
+	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamstop"
 )
@@ -60,3 +62,33 @@
 		t.Error("the node that sent the request is not told that the stop cuts it, and waits for its end")
 	}
 }
+
+// TestTargetRespondsBeforeAStopThatLeavesNoTimeToRepeat guards against an idempotent request that the stop cuts so shortly before its
+// deadline that no other node can run it: its caller got an unknown outcome instead of the target's response.
+func TestTargetRespondsBeforeAStopThatLeavesNoTimeToRepeat(t *testing.T) {
+	const limit = 5 * time.Second
+	for _, tt := range []struct {
+		name string
+		left time.Duration
+		// most is the longest timeout that the target may get.
+		most time.Duration
+	}{
+		{"no time to repeat", limit + 250*time.Millisecond, limit - 100*time.Millisecond},
+		{"time to repeat", limit + 10*time.Second, limit + 10*time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			timeouts := make(chan time.Duration, 1)
+			e := newBufferingEgress(t, 0, func(_ http.ResponseWriter, r *http.Request) {
+				n, _ := strconv.Atoi(r.Header.Get(seamheader.Deadline))
+				timeouts <- time.Duration(n) * time.Millisecond
+			})
+			e.PlanStop(seamstop.Plan{Limit: time.Now().Add(limit)})
+			h := upload(1, 0)
+			h.Idempotent, h.Left = true, tt.left.Milliseconds()
+			expect(t, e.Run(t.Context(), h, nil, &discard{header: http.Header{}}), seamoutcome.Done, "")
+			if got := <-timeouts; got > tt.most || got < tt.most-time.Second {
+				t.Errorf("the target got a timeout of %v, want at most %v", got, tt.most)
+			}
+		})
+	}
+}
--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -118,14 +118,14 @@
 }
 
 // timeUntilStop returns the time in which the target must respond because the ingress or this node stops. A request that may be
-// repeated is not limited by the stop of this node: another one runs it if the stop cuts it.
+// repeated in time is not limited by the stop of this node: another one runs it if the stop cuts it.
 func (c *call) timeUntilStop(now time.Time) time.Duration {
 	left := time.Duration(math.MaxInt64)
 	if until := c.head.GetUntil(); until > 0 {
 		left = c.arrived.Add(time.Duration(until) * time.Millisecond).Sub(now)
 	}
-	deadline := c.admissionRequest().deadline
-	if latest := c.egress.plannedStop().TargetDeadline(deadline); !c.head.GetIdempotent() && latest.Before(deadline) {
+	plan, r := c.egress.plannedStop(), c.stopRequest()
+	if latest := plan.TargetDeadline(r.Deadline); latest.Before(r.Deadline) && !plan.MayRepeat(r) {
 		left = min(left, latest.Sub(now))
 	}
 	return max(left, time.Millisecond)
--- a/internal/route/seamstop/plan.go
+++ b/internal/route/seamstop/plan.go
@@ -37,11 +37,20 @@
 	if p.Limit.IsZero() || !r.Deadline.After(p.Limit) {
 		return true
 	}
-	needed := max(serviceTimesOfNonIdempotent*r.MeanServiceTime, minTimeOfNonIdempotent)
+	return !now.Add(r.minTime()).After(p.Limit)
+}
+
+// minTime returns the least time that the request must have to be started.
+func (r Request) minTime() time.Duration {
 	if r.Idempotent {
-		needed = max(serviceTimes*r.MeanServiceTime, minTimeBeforeStop)
+		return max(serviceTimes*r.MeanServiceTime, minTimeBeforeStop)
 	}
-	return !now.Add(needed).After(p.Limit)
+	return max(serviceTimesOfNonIdempotent*r.MeanServiceTime, minTimeOfNonIdempotent)
+}
+
+// MayRepeat reports whether a request that the stop cuts may run again at another node and has the time for it until its deadline.
+func (p Plan) MayRepeat(r Request) bool {
+	return r.Idempotent && !p.Limit.Add(r.minTime()).After(r.Deadline)
 }
 
 // TargetDeadline returns the deadline that a target is given for a request that is started after the stop was planned. What is likely
--- a/internal/route/seamstop/plan_test.go
+++ b/internal/route/seamstop/plan_test.go
@@ -60,3 +60,25 @@
 		})
 	}
 }
+
+func TestPlanRepeatsOnlyIdempotentRequestsThatHaveTimeForIt(t *testing.T) {
+	const mean = 200 * time.Millisecond
+	limit := time.Unix(1000, 0)
+	plan := seamstop.Plan{Limit: limit}
+	for _, tt := range []struct {
+		name string
+		r    seamstop.Request
+		want bool
+	}{
+		{"two mean service times left after the stop", seamstop.Request{Deadline: limit.Add(2 * mean), MeanServiceTime: mean, Idempotent: true}, true},
+		{"less than two mean service times left", seamstop.Request{Deadline: limit.Add(2*mean - 1), MeanServiceTime: mean, Idempotent: true}, false},
+		{"less than 0.3 s left, of unknown duration", seamstop.Request{Deadline: limit.Add(299 * time.Millisecond), Idempotent: true}, false},
+		{"not idempotent", seamstop.Request{Deadline: limit.Add(time.Minute), MeanServiceTime: mean}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := plan.MayRepeat(tt.r); got != tt.want {
+				t.Errorf("got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
