Keep serving callers of a stopping node while they still connect

Cause: a stopping node closed its listener after stop.notice.

Change: after the notice, the node accepts connections as long as callers open them, until 1.5 s before its limit. What it can't finish is refused with a reason, as before.

--- a/internal/route/seamingress/listener_drain.go
+++ b/internal/route/seamingress/listener_drain.go
@@ -25,6 +25,11 @@
 	shutdownPollTimeout = time.Second
 	// firstRequestTimeout bounds the wait for the first request of a new connection.
 	firstRequestTimeout = 500 * time.Millisecond
+	// callersLeftAfter is the time without a new connection after which callers are taken to know that the node stops.
+	callersLeftAfter = 200 * time.Millisecond
+	// lastAcceptMargin is the time before the deadline of the drain at which new connections are no longer accepted, so that what
+	// was accepted can end.
+	lastAcceptMargin = 1500 * time.Millisecond
 	// tcpFlagsOffset is the offset in bytes of the flags in a TCP header.
 	tcpFlagsOffset = 13
 	// tcpFlagSYN is the SYN flag, which is set in the first segment of a connection.
@@ -40,6 +45,8 @@
 	listener net.Listener
 	// requests counts new connections and the starts of requests.
 	requests atomic.Int64
+	// connections counts new connections.
+	connections atomic.Int64
 
 	mu sync.Mutex
 	// newConns holds the connections without a request so far, with the time at which they were accepted.
@@ -51,6 +58,9 @@
 	if state == http.StateNew || state == http.StateActive {
 		d.requests.Add(1)
 	}
+	if state == http.StateNew {
+		d.connections.Add(1)
+	}
 	switch state {
 	case http.StateNew:
 		d.mu.Lock()
@@ -63,6 +73,21 @@
 	}
 }
 
+// awaitCallersLeft waits while callers open connections: where many nodes stop at once, callers may have no other node, and are served
+// or refused with a reason instead of finding no listener. It returns lastAcceptMargin before the deadline of ctx at the latest.
+func (d *listenerDrain) awaitCallersLeft(ctx context.Context) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	for last := deadline.Add(-lastAcceptMargin); time.Now().Before(last); {
+		seen := d.connections.Load()
+		if !seamwait.For(ctx, min(callersLeftAfter, time.Until(last))) || d.connections.Load() == seen {
+			return
+		}
+	}
+}
+
 // drain stops new connections, and waits until established connections have sent their first request, until
 // shutdownPollTimeout or until ctx is done.
 func (d *listenerDrain) drain(ctx context.Context) {
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -142,14 +142,15 @@
 	return s.listener.Addr().String()
 }
 
-// Drain shuts the server down. For the grace time it keeps serving and asks callers to close their
-// connections; then it accepts no new connections and closes each one when its request ends. Shortly before
+// Drain shuts the server down. For the grace time, and while callers still open connections, it keeps serving and asks callers
+// to close their connections; then it accepts no new connections and closes each one when its request ends. Shortly before
 // the deadline of ctx, requests in flight are canceled and get a response. It returns an error if requests were
 // still in flight when ctx ended; their connections are closed.
 func (s *Server) Drain(ctx context.Context, grace time.Duration) error {
 	s.ingress.draining.Store(true)
 	defer s.ingress.shutdown.planStop(ctx)()
 	seamwait.For(ctx, grace)
+	s.listenerDrain.awaitCallersLeft(ctx)
 	s.listenerDrain.drain(ctx)
 	defer s.ingress.shutdown.cancelBefore(ctx)()
 	defer s.closeHangups()
