Ask the owner of a moving key again only now and then

Cause: a request whose key moves waits for up to 0.4 s, and sent itself whole to the same owner again at each change of any table, eight a second, often in another region.

Change: the wait ends early only if the directory has another owner of the key than at the last attempt; otherwise the known owner is asked after 80, 240 and 400 ms.

--- a/internal/route/seamingress/choose.go
+++ b/internal/route/seamingress/choose.go
@@ -75,12 +75,14 @@
 // owner returns the known owner of the key. If there is none, it picks any node of
 // the service, which responds with the owner.
 func (x *exchange) owner() (seampeer.Peer, bool) {
+	i := x.ingress
+	known, ok := i.directory.Owner(x.service, x.head.GetSlot())
+	x.knownOwner = known
 	if x.hint.Address != "" {
 		return x.hint, true
 	}
-	i := x.ingress
-	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.isExcluded(p) {
-		return p, true
+	if ok && !x.isExcluded(known) {
+		return known, true
 	}
 	if i.cfg.OwnersComplete {
 		return seampeer.Peer{}, false
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -59,6 +59,10 @@
 	retries   int
 	// ownerWaitEnd is the time at which the wait for a change of owner times out; zero if the request has not waited.
 	ownerWaitEnd time.Time
+	// knownOwner is the owner of the key in the directory when the node of the current attempt was chosen.
+	knownOwner seampeer.Peer
+	// ownerRechecks is the number of times that the known owner was asked again.
+	ownerRechecks int
 	// bodyRequested is closed, and set to nil, when the node requests a body that was not sent with the head.
 	bodyRequested chan struct{}
 	// streamEmpty is true if no data follows the last response on its stream.
--- a/internal/route/seamingress/export_test.go
+++ b/internal/route/seamingress/export_test.go
@@ -50,3 +50,6 @@
 func (o Overloads) Observe(now time.Time, slot uint32, end seamoutcome.End) {
 	o.overloads.observe(now, serviceKey{"booker", slot}, end)
 }
+
+// SetOwnersChanged sets the function that notifies of changes of owners.
+func SetOwnersChanged(i *Ingress, f func() <-chan struct{}) { i.cfg.OwnersChanged = f }
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -43,9 +43,11 @@
 
 // fakeDirectory returns fixed candidates and one owner for all slots.
 type fakeDirectory struct {
-	mu         sync.Mutex
-	owner      seampeer.Peer
-	learned    []seampeer.Peer
+	mu      sync.Mutex
+	owner   seampeer.Peer
+	learned []seampeer.Peer
+	// keepOwner means that Learn does not change the owner.
+	keepOwner  bool
 	candidates []seampick.Candidate
 }
 
@@ -58,10 +60,18 @@
 func (f *fakeDirectory) Learn(_ string, _ uint32, p seampeer.Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.owner = p
+	if !f.keepOwner {
+		f.owner = p
+	}
 	f.learned = append(f.learned, p)
 }
 
+func (f *fakeDirectory) setOwner(p seampeer.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = p
+}
+
 func (f *fakeDirectory) Candidates(string) []seampick.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/route/seamingress/ownerwait.go
+++ b/internal/route/seamingress/ownerwait.go
@@ -16,10 +16,12 @@
 	defaultOwnerWaitTimeout = 2 * time.Second
 	// ownerRecheckInterval is the mean interval between checks for a new owner.
 	ownerRecheckInterval = 25 * time.Millisecond
-	// moveWaitTimeout and moveRecheckInterval replace defaultOwnerWaitTimeout and ownerRecheckInterval if the ingress is
-	// notified of owner changes.
-	moveWaitTimeout     = 400 * time.Millisecond
-	moveRecheckInterval = 80 * time.Millisecond
+	// moveWaitTimeout replaces defaultOwnerWaitTimeout if the ingress is notified of owner changes. The known owner is asked again after
+	// firstMoveRecheck, and then after twice the delay before.
+	moveWaitTimeout  = 400 * time.Millisecond
+	firstMoveRecheck = 80 * time.Millisecond
+	// minMoveRecheck is the least time left of the wait with which the known owner is asked again.
+	minMoveRecheck = 20 * time.Millisecond
 	// lossWaitTimeout replaces moveWaitTimeout if the owner's node is unreachable: its replacement
 	// takes longer than a caller should wait.
 	lossWaitTimeout = 100 * time.Millisecond
@@ -37,8 +39,8 @@
 	if x.ownerWaitEnd.IsZero() && !x.startOwnerWait(now, end.Reason) {
 		return 0, false
 	}
-	wait = x.ingress.ownerRecheckDelay()
-	if now.Add(wait).After(x.ownerWaitEnd) || !x.hasTime(wait) {
+	wait, retry = x.nextOwnerRecheck(now)
+	if !retry || !x.hasTime(wait) {
 		return 0, false
 	}
 	x.redirects, x.excluded = 0, nil
@@ -98,21 +100,41 @@
 	}
 }
 
-// ownerRecheckDelay returns the delay until the next check for an owner, with jitter if owners are polled.
-func (i *Ingress) ownerRecheckDelay() time.Duration {
-	if i.cfg.OwnersChanged != nil {
-		return moveRecheckInterval
+// nextOwnerRecheck returns the delay until the known owner is asked again, with jitter if owners are polled, and false if the wait for
+// an owner ends before. Each check sends the whole request to a node that may be in another region.
+func (x *exchange) nextOwnerRecheck(now time.Time) (delay time.Duration, ok bool) {
+	left := x.ownerWaitEnd.Sub(now)
+	if x.ingress.cfg.OwnersChanged == nil {
+		delay = ownerRecheckInterval/2 + rand.N(ownerRecheckInterval)
+		return delay, delay <= left
 	}
-	return ownerRecheckInterval/2 + rand.N(ownerRecheckInterval)
+	delay = min(firstMoveRecheck<<x.ownerRechecks, left)
+	x.ownerRechecks++
+	return delay, delay >= minMoveRecheck
 }
 
-// pause waits before the next attempt. A wait for an owner ends early when owners change. It reports false if ctx
-// is done.
+// pause waits before the next attempt. A wait for an owner ends early when the directory has another owner of the key than at the
+// last attempt. It reports false if ctx is done.
 func (x *exchange) pause(ctx context.Context, wait time.Duration) bool {
-	if x.ingress.cfg.OwnersChanged == nil || x.ownerWaitEnd.IsZero() || wait <= 0 {
+	if x.ingress.cfg.OwnersChanged == nil || x.ownerWaitEnd.IsZero() {
 		return seamwait.For(ctx, wait)
 	}
-	return seamwait.Until(ctx, wait, x.ingress.cfg.OwnersChanged())
+	for end := time.Now().Add(wait); wait > 0; wait = time.Until(end) {
+		changed := x.ingress.cfg.OwnersChanged()
+		if x.ownerReplaced() {
+			break
+		}
+		if !seamwait.Until(ctx, wait, changed) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// ownerReplaced reports whether the directory has another owner of the key than at the last attempt.
+func (x *exchange) ownerReplaced() bool {
+	owner, ok := x.ingress.directory.Owner(x.service, x.head.GetSlot())
+	return ok && owner != x.knownOwner
 }
 
 // endOwnerWait ends the wait for an owner, if the request has waited for one.
--- a/internal/route/seamingress/ownerwait_test.go
+++ b/internal/route/seamingress/ownerwait_test.go
@@ -1,15 +1,18 @@
 package seamingress_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamwait"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamingress"
 	"cardamomseam/internal/route/seamoutcome"
@@ -113,6 +116,71 @@
 	}
 }
 
+// TestOwnerIsAskedSeldomWhileOtherOwnersChange guards against a request that is sent to the same owner, often across regions, at each
+// change of the owner of any key.
+func TestOwnerIsAskedSeldomWhileOtherOwnersChange(t *testing.T) {
+	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
+	changes := newOwnerChanges()
+	seamingress.SetOwnersChanged(front.ingress, changes.channel)
+	stop := changes.every(10 * time.Millisecond)
+	defer stop()
+	back.owners.refuseNext(back.peer.Address, 1<<30)
+	post(t, front).expect(t, 503, seamoutcome.Refused, seamoutcome.Owner)
+	if calls := back.owners.acquireCount(); calls > 4 {
+		t.Errorf("the owner's node received %d attempts, want at most 4", calls)
+	}
+}
+
+// TestWaitEndsWhenTheKeyHasAnotherOwner guards against a request that waits on although its key can be served.
+func TestWaitEndsWhenTheKeyHasAnotherOwner(t *testing.T) {
+	front, back := keyedPair(t, echo)
+	changes := newOwnerChanges()
+	seamingress.SetOwnersChanged(front.ingress, changes.channel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	former := seampeer.Peer{Name: "former", Incarnation: 1, Address: l.Addr().String()}
+	l.Close()
+	front.directory.owner, front.directory.keepOwner = former, true
+	go func() {
+		for seamingress.OwnerWaiters(front.ingress) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		front.directory.setOwner(back.peer)
+		changes.notify()
+	}()
+	post(t, front).expect(t, 200, seamoutcome.Done, "")
+}
+
+// ownerChanges notifies of changes of owners.
+type ownerChanges struct {
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newOwnerChanges() *ownerChanges { return &ownerChanges{changed: make(chan struct{})} }
+
+func (o *ownerChanges) channel() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.changed
+}
+
+func (o *ownerChanges) notify() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// every notifies at each interval until the returned function is called.
+func (o *ownerChanges) every(interval time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go seamwait.Every(ctx, interval, func(time.Time) { o.notify() })
+	return cancel
+}
+
 func TestNumberOfWaitingRequestsIsBounded(t *testing.T) {
 	front, back := keyedPair(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached the target") })
 	back.owners.refuseNext(back.peer.Address, 1<<30)
