Keep the requests of restricted routes in their regions

Routes may name regions, but the router ignored them: requests ran in forbidden regions. Package seamresidency decides from a list whether a region is allowed, and the ingress applies it to each choice of a node: balancer, picker, pick by hash and its region, key owners, owner hints and retries. A session or a relay outside the regions is not used. The regions are read again before each attempt.

--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -55,6 +55,7 @@
 		Middleware:         n.adapter.CallerMiddleware,
 		OnRulesRevision:    n.onRoutesRevision,
 		BodyLimit:          n.bodyLimit,
+		Regions:            n.routes.RequestRegions,
 		Poison:             n.poison,
 	}, n.self, routeDecider{n}, directory{n}, n.sessions, egress, n.metricSet, n.sink)
 	server, err := n.ingress.Serve()
--- a/internal/route/seamingress/choose.go
+++ b/internal/route/seamingress/choose.go
@@ -52,12 +52,15 @@
 
 // dedupRegion returns the region in which duplicates of a request with a caller-chosen id are detected:
 // the region in the id's prefix "REGION/", else this node's region, else the first by name; each only if it has
-// candidates.
+// candidates and is allowed.
 func (x *exchange) dedupRegion(all []seampick.Candidate) string {
 	prefix, _, _ := strings.Cut(x.callerRequestID, "/")
 	hasOwn, first := false, ""
 	for _, c := range all {
 		region := c.Peer.Region
+		if !x.isAllowed(c.Peer) {
+			continue
+		}
 		if region == prefix {
 			return prefix
 		}
@@ -75,11 +78,12 @@
 // owner returns the known owner of the key. If there is none, it picks any node of
 // the service, which responds with the owner.
 func (x *exchange) owner() (seampeer.Peer, bool) {
-	if x.hint.Address != "" {
-		return x.hint, true
-	}
 	i := x.ingress
-	if p, ok := i.directory.Owner(x.service, x.head.GetSlot()); ok && !x.isExcluded(p) {
+	p, known := x.knownOwner()
+	if known && !x.isAllowed(p) {
+		return seampeer.Peer{}, false
+	}
+	if known && (x.hint.Address != "" || !x.isExcluded(p)) {
 		return p, true
 	}
 	if i.cfg.OwnersComplete {
@@ -88,9 +92,9 @@
 	return x.pick(i.directory.Candidates(x.service), nil)
 }
 
-// isExcluded reports whether the node must not be tried again.
+// isExcluded reports whether the node must not be tried: it is in a forbidden region, or has refused the request.
 func (x *exchange) isExcluded(p seampeer.Peer) bool {
-	return slices.ContainsFunc(x.excluded, p.Same)
+	return !x.isAllowed(p) || slices.ContainsFunc(x.excluded, p.Same)
 }
 
 // isTriedOrExcluded reports whether the node was tried or must not be tried again.
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -67,6 +67,8 @@
 	unknownEnd *seamoutcome.End
 	// crashes is the number of targets that crashed while they were running the request.
 	crashes int
+	// regionCause is the cause of the last refusal because of the allowed regions.
+	regionCause regionCause
 	// voidState is the result of voiding the current attempt; empty if that was not tried.
 	voidState seamdedup.State
 }
@@ -78,10 +80,16 @@
 	budget.Deposit(time.Now())
 	var last *seamoutcome.End
 	for {
+		x.updateRegions()
 		if end, quarantined := x.quarantined(); quarantined {
 			return x.finalEnd(end)
 		}
 		to, ok := x.chooseNode()
+		if !ok {
+			if end, refused := x.regionRefusal(); refused {
+				return x.finalEnd(end)
+			}
+		}
 		if !ok && x.retryAfterOwnerWait(ctx, last) {
 			continue
 		}
@@ -99,6 +107,7 @@
 		}
 		end := x.attempt(ctx, to)
 		x.endTrial(end)
+		end = x.checkOwnerHint(end)
 		wait, retry := x.nextAttempt(end, to, budget)
 		if !retry || !x.pause(ctx, wait) {
 			return x.finalEnd(refusalBeforeExpiry(end, last))
--- a/internal/route/seamingress/export_test.go
+++ b/internal/route/seamingress/export_test.go
@@ -5,6 +5,8 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamroutewire"
+	"cardamomseam/internal/rule/seamrule"
 )
 
 // OwnerWaitTimeout returns how long a request waits for an owner after a refusal with the reason. notified means that
@@ -34,6 +36,15 @@
 	return retry
 }
 
+// ChooseNode returns the node for the first attempt at a request with the decision, and whether there is one.
+func ChooseNode(i *Ingress, decision seamrule.Decision, requestID string) (seampeer.Peer, bool) {
+	x := &exchange{
+		ingress: i, service: "booker", decision: decision, callerRequestID: requestID, deadline: time.Now().Add(time.Minute),
+		head: &seamroutewire.RequestHead{Slot: decision.Slot, Keyed: decision.Keyed}, body: &requestBody{fullyBuffered: true},
+	}
+	return x.chooseNode()
+}
+
 // Overloads are the overloaded keys of an ingress.
 type Overloads struct{ overloads *overloads }
 
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -51,6 +51,8 @@
 type Sessions interface {
 	// Open opens a stream of the kind to the node.
 	Open(ctx context.Context, to seampeer.Peer, k seamsession.Kind) (net.Conn, error)
+	// OpenWithin opens a stream as Open does, if the node that answers and the relay, if there is one, are allowed.
+	OpenWithin(ctx context.Context, to seampeer.Peer, k seamsession.Kind, allowed func(seampeer.Peer) bool) (net.Conn, error)
 }
 
 // Local runs requests at this node's own target, and voids attempts.
@@ -115,6 +117,9 @@
 	Middleware func(http.Handler) http.Handler
 	// OnRulesRevision is called with the revision of the rules at another node; nil is allowed.
 	OnRulesRevision func(revision int64, at seampeer.Peer)
+	// Regions returns the regions that the rules in effect allow for a request to the host and path, and false if no rule matches;
+	// nil means that the regions of the decision hold until the request ends.
+	Regions func(host, path string) ([]string, bool)
 	// Poison decides which requests are kept from the targets because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -203,6 +208,7 @@
 	end := x.run(ctx)
 	seamspan.RecordEnd(span, end)
 	x.log(start, end)
+	x.countRegionRefusal(end)
 	i.finish(x.responder, end, seamoutcome.Lookup(end.Reason).Status, start)
 }
 
--- a/internal/route/seamingress/log.go
+++ b/internal/route/seamingress/log.go
@@ -7,6 +7,7 @@
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamresidency"
 )
 
 // attemptRecord describes one attempt of a request in the log.
@@ -48,6 +49,9 @@
 	if x.decision.Keyed {
 		fields["key"] = x.decision.Slot
 	}
+	if x.restricted() {
+		fields["regions"] = seamresidency.Format(x.decision.Regions)
+	}
 	if end.RetryAfter > 0 {
 		fields["after"] = end.RetryAfter.Milliseconds()
 	}
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -152,6 +152,12 @@
 
 // startNode starts a node with the settings. It has a target if handler is not nil.
 func startNode(t testing.TB, name string, handler http.HandlerFunc, sessions seamsession.Config, cfg seamingress.Config) *node {
+	t.Helper()
+	return startNodeIn(t, "ost", name, handler, sessions, cfg)
+}
+
+// startNodeIn starts a node in the region as startNode does.
+func startNodeIn(t testing.TB, region, name string, handler http.HandlerFunc, sessions seamsession.Config, cfg seamingress.Config) *node {
 	t.Helper()
 	if sessions.Listener == nil {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -161,7 +167,7 @@
 		sessions.Listener = l
 	}
 	l := sessions.Listener
-	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: "ost", Domain: "ost-1"}
+	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: region, Domain: region + "-1"}
 	n := &node{
 		peer:      peer,
 		owners:    &fakeOwners{clock: seamclock.NewClock(), leaseDuration: time.Minute},
--- a/internal/route/seamingress/outcome_test.go
+++ b/internal/route/seamingress/outcome_test.go
@@ -429,6 +429,10 @@
 	return near, nil
 }
 
+func (f scriptedSessions) OpenWithin(ctx context.Context, to seampeer.Peer, k seamsession.Kind, _ func(seampeer.Peer) bool) (net.Conn, error) {
+	return f.Open(ctx, to, k)
+}
+
 // sendToScript sends a request through a node whose only peer runs the script.
 func sendToScript(t *testing.T, script scriptedSessions) result {
 	t.Helper()
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -103,6 +103,9 @@
 func (x *exchange) open(ctx context.Context, to seampeer.Peer) (net.Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	if x.restricted() {
+		return x.ingress.sessions.OpenWithin(ctx, to, seamsession.Request, x.isAllowed)
+	}
 	return x.ingress.sessions.Open(ctx, to, seamsession.Request)
 }
 
--- a/internal/route/seamingress/stats.go
+++ b/internal/route/seamingress/stats.go
@@ -20,6 +20,8 @@
 	budgetExhausted *metrics.Counter
 	// voids counts the voided attempts, and those that could not be voided, by the resulting seamdedup.State.
 	voids map[string]*metrics.Counter
+	// regions counts the requests that were refused because of their allowed regions.
+	regions regionCounters
 }
 
 func newStats(set *metrics.Set) *stats {
@@ -30,6 +32,7 @@
 		retries:         set.NewCounter("cardamomseam_ingress_retries_total"),
 		redirects:       set.NewCounter("cardamomseam_ingress_redirects_total"),
 		budgetExhausted: set.NewCounter("cardamomseam_ingress_starved_total"),
+		regions:         newRegionCounters(set),
 		voids: map[string]*metrics.Counter{
 			"voided":    set.NewCounter(`cardamomseam_ingress_voids_total{state="voided"}`),
 			"withdrawn": set.NewCounter(`cardamomseam_ingress_voids_total{state="withdrawn"}`),
--- a/internal/route/seamoutcome/reason.go
+++ b/internal/route/seamoutcome/reason.go
@@ -30,6 +30,8 @@
 	Target Reason = "target"
 	// Owner means that the slot has no reachable owner, or that the node that received the attempt does not own it.
 	Owner Reason = "owner"
+	// Region means that no target in a region that the request may be sent to can serve it.
+	Region Reason = "region"
 	// Draining means that the node or its target is shutting down.
 	Draining Reason = "draining"
 	// Full means that the queue of the target is full.
@@ -95,6 +97,7 @@
 	{Reason: Rules, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Target, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Owner, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
+	{Reason: Region, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryLater: true},
 	{Reason: Draining, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Full, Outcome: Refused, Status: http.StatusTooManyRequests, RetryElsewhere: true, RetryLater: true},
 	{Reason: Late, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -147,6 +147,16 @@
 	return fmt.Sprintf("requested peer %s at %s, but %s answered", e.Want, e.Want.Address, e.Got)
 }
 
+// ForbiddenPeerError reports that the peer or the relay is not allowed for the stream. Nothing was sent.
+type ForbiddenPeerError struct {
+	Peer seampeer.Peer
+}
+
+// Error names the peer and its region.
+func (e *ForbiddenPeerError) Error() string {
+	return fmt.Sprintf("peer %s in region %q is not allowed for the stream", e.Peer, e.Peer.Region)
+}
+
 // UnreachableError reports that no session to the peer could be opened. Nothing was sent.
 type UnreachableError struct {
 	To    seampeer.Peer
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -91,12 +91,28 @@
 
 // Open opens a stream to a peer. Its errors include *StalePeerError and *UnreachableError.
 func (p *Pool) Open(ctx context.Context, to seampeer.Peer, k Kind) (net.Conn, error) {
+	return p.open(ctx, to, k, nil)
+}
+
+// OpenWithin opens a stream as Open does. It succeeds only if the peer that answers and the relay, if there is one, are allowed.
+func (p *Pool) OpenWithin(ctx context.Context, to seampeer.Peer, k Kind, allowed func(seampeer.Peer) bool) (net.Conn, error) {
+	return p.open(ctx, to, k, allowed)
+}
+
+func (p *Pool) open(ctx context.Context, to seampeer.Peer, k Kind, allowed func(seampeer.Peer) bool) (net.Conn, error) {
 	c, err := p.openDirect(ctx, to, k)
 	var busy *PoolFullError
 	if errors.As(err, &busy) && p.cfg.Relays != nil {
-		return p.openRelayed(ctx, to, k, err)
+		return p.openRelayed(ctx, to, k, allowed, err)
+	}
+	if err != nil || allowed == nil {
+		return c, err
+	}
+	if got := c.(*stream).Peer(); !allowed(got) {
+		c.Close()
+		return nil, &ForbiddenPeerError{Peer: got}
 	}
-	return c, err
+	return c, nil
 }
 
 func (p *Pool) openDirect(ctx context.Context, to seampeer.Peer, k Kind) (net.Conn, error) {
--- a/internal/route/seamsession/relay.go
+++ b/internal/route/seamsession/relay.go
@@ -15,10 +15,11 @@
 	"cardamomseam/internal/route/seamroutewire"
 )
 
-// openRelayed opens a stream through the first relay that reaches the peer.
-func (p *Pool) openRelayed(ctx context.Context, to seampeer.Peer, k Kind, cause error) (net.Conn, error) {
+// openRelayed opens a stream through the first relay that reaches the peer. Relays and peers that are not allowed are not used; nil
+// allows all.
+func (p *Pool) openRelayed(ctx context.Context, to seampeer.Peer, k Kind, allowed func(seampeer.Peer) bool, cause error) (net.Conn, error) {
 	for _, r := range p.cfg.Relays.Relays(to) {
-		c, err := p.openThrough(ctx, r, to, k)
+		c, err := p.openThrough(ctx, r, to, k, allowed)
 		if err == nil {
 			p.stats.relayed.Inc()
 			return c, nil
@@ -32,7 +33,7 @@
 	return nil, &UnreachableError{To: to, Cause: cause}
 }
 
-func (p *Pool) openThrough(ctx context.Context, via, to seampeer.Peer, k Kind) (net.Conn, error) {
+func (p *Pool) openThrough(ctx context.Context, via, to seampeer.Peer, k Kind, allowed func(seampeer.Peer) bool) (net.Conn, error) {
 	s, err := p.find(via, time.Now())
 	if err != nil {
 		return nil, err
@@ -40,19 +41,27 @@
 	if s == nil {
 		return nil, &UnreachableError{To: via, Cause: errors.New("the relay has no session")}
 	}
+	if allowed != nil && !allowed(s.peer) {
+		return nil, &ForbiddenPeerError{Peer: s.peer}
+	}
 	c, err := s.open(ctx, relayKind, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	if err := p.requestRelay(ctx, c, to, k); err != nil {
+	got, err := p.requestRelay(ctx, c, to, k)
+	if err == nil && allowed != nil && !allowed(got) {
+		err = &ForbiddenPeerError{Peer: got}
+	}
+	if err != nil {
 		c.Close()
 		return nil, err
 	}
 	return relayedConn{c}, nil
 }
 
-// requestRelay asks the relay to connect the stream to the peer. It waits for up to two dial timeouts.
-func (p *Pool) requestRelay(ctx context.Context, c net.Conn, to seampeer.Peer, k Kind) error {
+// requestRelay asks the relay to connect the stream to the peer, and returns the peer that answered. It waits for up to two dial
+// timeouts.
+func (p *Pool) requestRelay(ctx context.Context, c net.Conn, to seampeer.Peer, k Kind) (seampeer.Peer, error) {
 	deadline := time.Now().Add(2 * p.cfg.DialTimeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
@@ -61,20 +70,20 @@
 	defer c.SetReadDeadline(time.Time{})
 	request := &seamroutewire.RelayOpen{To: PeerToWire(to), Kind: uint32(k), From: PeerToWire(p.self)}
 	if err := seamframe.Write(c, seamframe.RelayOpen, request); err != nil {
-		return err
+		return seampeer.Peer{}, err
 	}
 	reply := new(seamroutewire.RelayOpened)
 	if err := readSingleFrame(c, seamframe.RelayOpened, reply); err != nil {
-		return err
+		return seampeer.Peer{}, err
 	}
 	got := PeerFromWire(reply.GetGot())
 	if !got.Zero() && !matchesPeer(got, to) {
-		return &StalePeerError{Want: to, Got: got}
+		return got, &StalePeerError{Want: to, Got: got}
 	}
 	if reply.GetFailure() != "" {
-		return &UnreachableError{To: to, Cause: errors.New(reply.GetFailure())}
+		return got, &UnreachableError{To: to, Cause: errors.New(reply.GetFailure())}
 	}
-	return nil
+	return got, nil
 }
 
 // relayedConn hides the session of a relayed stream: its age is that of the session with the relay, not of one
--- a/internal/rule/seamroutes/active.go
+++ b/internal/rule/seamroutes/active.go
@@ -72,6 +72,14 @@
 	return nil
 }
 
+// RequestRegions returns the regions that the current route for the host and the request URI allows, and false if there is none.
+func (a *ActiveTable) RequestRegions(host, uri string) ([]string, bool) {
+	if t := a.table.Load(); t != nil {
+		return t.RequestRegions(host, uri)
+	}
+	return nil, false
+}
+
 // Decide returns the routing decision for a request. It implements the Rules interface of seamingress.
 // The error is *DecisionError.
 func (a *ActiveTable) Decide(r *http.Request, _, _ string) (seamrule.Decision, error) {
--- a/internal/rule/seamroutes/document.go
+++ b/internal/rule/seamroutes/document.go
@@ -35,6 +35,8 @@
 	Priority int
 	// MaxAttempts is the number of targets to which one request may be sent.
 	MaxAttempts int
+	// Regions are the regions in which the requests may run; empty means no restriction. A name that no instance has is allowed.
+	Regions []string
 }
 
 // WeightedService is a service and its weight among the services of a route.
--- a/internal/rule/seamroutes/table.go
+++ b/internal/rule/seamroutes/table.go
@@ -20,6 +20,8 @@
 	Document
 	hosts    map[string]*hostRoutes
 	services map[string]Service
+	// regions are the regions that all restricted routes to a service allow.
+	regions map[string][]string
 }
 
 // routeState is a route with the state of its weighted round-robin over services.
@@ -35,7 +37,7 @@
 
 // Compile builds the lookup table of a document, which must be valid.
 func Compile(d Document) *Table {
-	t := &Table{Document: d, hosts: map[string]*hostRoutes{}, services: map[string]Service{}}
+	t := &Table{Document: d, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, regions: serviceRegions(d)}
 	for _, s := range d.Services {
 		t.services[s.Name] = s
 	}
@@ -132,12 +134,12 @@
 
 // Decide returns the routing decision for a request. The error is *DecisionError.
 func (t *Table) Decide(r *http.Request) (seamrule.Decision, error) {
-	found := t.find(hostOf(r), pathOf(r))
+	found := t.find(hostName(r.Host), pathOf(r.URL.RequestURI()))
 	if found == nil {
 		return seamrule.Decision{}, &DecisionError{
 			StatusCode:    http.StatusNotFound,
 			RefusalReason: seamoutcome.Service,
-			Detail:        fmt.Sprintf("no route in revision %d for host %s and path %s", t.Revision, r.Host, pathOf(r)),
+			Detail:        fmt.Sprintf("no route in revision %d for host %s and path %s", t.Revision, r.Host, pathOf(r.URL.RequestURI())),
 		}
 	}
 	decision := seamrule.Decision{
@@ -146,6 +148,7 @@
 		Idempotency: seamrule.AtMostOnce,
 		Priority:    found.Priority,
 		Objective:   found.Objective,
+		Regions:     found.Regions,
 		Limits: seamrule.Limits{
 			DeadlineMillis: int(found.Timeout.Milliseconds()),
 			Retries:        found.MaxAttempts - 1,
@@ -191,16 +194,17 @@
 	return nil
 }
 
-func hostOf(r *http.Request) string {
-	host := strings.ToLower(r.Host)
+// hostName returns a host in lower case and without its port.
+func hostName(host string) string {
+	host = strings.ToLower(host)
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
 	}
 	return host
 }
 
-// pathOf returns the path as the caller sent it, still escaped.
-func pathOf(r *http.Request) string {
-	path, _, _ := strings.Cut(r.URL.RequestURI(), "?")
+// pathOf returns the path of a request URI as the caller sent it, still escaped.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
 	return path
 }
--- a/internal/rule/seamrule/document.go
+++ b/internal/rule/seamrule/document.go
@@ -129,6 +129,8 @@
 	Priority int
 	// Objective is the latency objective for the response; 0 means none.
 	Objective time.Duration
+	// Regions are the regions to which the request may be sent; empty means no restriction.
+	Regions []string
 }
 
 // Idempotency states whether a request may be executed more than once.
