--- a/internal/route/seamingress/relay_test.go
+++ b/internal/route/seamingress/relay_test.go
@@ -9,6 +9,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seamingress"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamsession"
@@ -22,10 +23,16 @@
 // relayedPair returns a front node and the relay through which its requests reach the target's node. The front node may
 // have one session, which it uses for the relay.
 func relayedPair(t *testing.T, handler http.HandlerFunc) (front, relay *node) {
+	t.Helper()
+	return relayedPairIn(t, "ost", handler)
+}
+
+// relayedPairIn returns a front node and a relay in the region as relayedPair does.
+func relayedPairIn(t *testing.T, region string, handler http.HandlerFunc) (front, relay *node) {
 	t.Helper()
 	route := &fixedRelay{}
 	back := newNode(t, "back", handler)
-	relay = newNode(t, "relay", nil)
+	relay = startNodeIn(t, region, "relay", nil, seamsession.Config{}, seamingress.Config{})
 	front = newNodeWith(t, "front", nil, seamsession.Config{MaxSessions: 1, Relays: route})
 	front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
 	route.peer = relay.peer
