--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -133,9 +133,15 @@
 
 // addWith starts a node with a target. The node uses the given store, or the fleet's store if that is nil.
 func (f *fleet) addWith(name, service string, store seamstore.LeaseStore) *node {
+	f.t.Helper()
+	return f.addIn("ost", name, service, store)
+}
+
+// addIn starts a node with a target in the region as addWith does.
+func (f *fleet) addIn(region, name, service string, store seamstore.LeaseStore) *node {
 	f.t.Helper()
 	n := &node{target: f.newTarget("t-"+name, service), store: store, settings: seamsetting.Router{
-		Name: name, Region: "ost", Domain: "ost-1",
+		Name: name, Region: region, Domain: region + "-1",
 		Listen: freeAddress(f.t), Ingress: freeAddress(f.t), Announce: freeAddress(f.t), Health: freeAddress(f.t), Metrics: freeAddress(f.t),
 		Store: []string{"127.0.0.1:1"},
 		Retry: seamsetting.Retry{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -105,6 +105,7 @@
 	n.members = seammembership.New(n.self.Name, n.sink)
 	n.registry = seamelection.NewRegistry(n.sink)
 	n.routes = seamroutes.NewActiveTable(n.sink)
+	n.routes.CountSplits(n.metricSet)
 	n.registration = seammembership.NewRegistration(store, seammembership.Member{Peer: n.self, Memory: n.settings.Memory}, n.sink)
 	// One watch makes fewer store calls than separate watches for the routes and the other keys.
 	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, feedNetwork{n}, n.sink)
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -30,10 +30,15 @@
 type fakeRules struct {
 	decision seamrule.Decision
 	keyed    func(r *http.Request) bool
-	err      error
+	// decide, if set, makes the decisions instead.
+	decide func(r *http.Request) (seamrule.Decision, error)
+	err    error
 }
 
 func (f *fakeRules) Decide(r *http.Request, _, _ string) (seamrule.Decision, error) {
+	if f.decide != nil {
+		return f.decide(r)
+	}
 	d := f.decision
 	if f.keyed != nil {
 		d.Keyed = f.keyed(r)
@@ -47,6 +52,8 @@
 	owner      seampeer.Peer
 	learned    []seampeer.Peer
 	candidates []seampick.Candidate
+	// byService, if set, has the candidates of each service instead.
+	byService map[string][]seampick.Candidate
 }
 
 func (f *fakeDirectory) Owner(string, uint32) (seampeer.Peer, bool) {
@@ -62,9 +69,12 @@
 	f.learned = append(f.learned, p)
 }
 
-func (f *fakeDirectory) Candidates(string) []seampick.Candidate {
+func (f *fakeDirectory) Candidates(service string) []seampick.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.byService != nil {
+		return f.byService[service]
+	}
 	return f.candidates
 }
 
--- a/internal/route/seamingress/relay_test.go
+++ b/internal/route/seamingress/relay_test.go
@@ -24,17 +24,19 @@
 // have one session, which it uses for the relay.
 func relayedPair(t *testing.T, handler http.HandlerFunc) (front, relay *node) {
 	t.Helper()
-	return relayedPairIn(t, "ost", handler)
+	return relayedPairIn(t, "ost", "ost", handler)
 }
 
-// relayedPairIn returns a front node and a relay in the region as relayedPair does.
-func relayedPairIn(t *testing.T, region string, handler http.HandlerFunc) (front, relay *node) {
+// relayedPairIn returns a front node and a relay as relayedPair does, with the relay and the target's node in the regions. The front
+// node's directory has the target's node in the region ost.
+func relayedPairIn(t *testing.T, relayRegion, targetRegion string, handler http.HandlerFunc) (front, relay *node) {
 	t.Helper()
 	route := &fixedRelay{}
-	back := newNode(t, "back", handler)
-	relay = startNodeIn(t, region, "relay", nil, seamsession.Config{}, seamingress.Config{})
+	back := startNodeIn(t, targetRegion, "back", handler, seamsession.Config{}, seamingress.Config{})
+	relay = startNodeIn(t, relayRegion, "relay", nil, seamsession.Config{}, seamingress.Config{})
 	front = newNodeWith(t, "front", nil, seamsession.Config{MaxSessions: 1, Relays: route})
 	front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
+	front.directory.candidates[0].Peer.Region = "ost"
 	route.peer = relay.peer
 	var busy net.Conn
 	busy, err := front.pool.Open(t.Context(), relay.peer, seamsession.Void)
--- a/internal/route/seamingress/residency_owner_test.go
+++ b/internal/route/seamingress/residency_owner_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -156,14 +155,13 @@
 	expectRegion(t, post(t, front))
 }
 
-// Guards against a body that passes through a relay in a forbidden region.
+// Guards against a body that passes through a relay in a forbidden region, or through an allowed one to a node in a forbidden region.
 func TestRestrictedRequestIsNotRelayedOutsideItsRegions(t *testing.T) {
-	for _, region := range []string{"ost", "west"} {
-		front, _ := relayedPairIn(t, region, echo)
+	for _, tt := range []struct{ relay, target string }{{"ost", "ost"}, {"west", "ost"}, {"ost", "west"}} {
+		front, _ := relayedPairIn(t, tt.relay, tt.target, echo)
 		front.restrict("ost")
-		r, _ := http.NewRequest(http.MethodPost, front.url("/book"), strings.NewReader("room 3"))
-		got := do(t, r)
-		if region == "ost" {
+		got := post(t, front)
+		if tt.relay == "ost" && tt.target == "ost" {
 			got.expect(t, http.StatusOK, seamoutcome.Done, "")
 			continue
 		}
--- a/internal/rule/seamroutes/active.go
+++ b/internal/rule/seamroutes/active.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/rule/seamrule"
@@ -19,6 +21,7 @@
 
 	mu        sync.Mutex
 	listeners []func(*Table)
+	splits    splitCounters
 }
 
 // NewActiveTable returns an ActiveTable without a table.
@@ -26,6 +29,13 @@
 	return &ActiveTable{sink: sink}
 }
 
+// CountSplits counts the requests of the parts of splits in the set, from the next table on.
+func (a *ActiveTable) CountSplits(set *metrics.Set) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.splits.set = set
+}
+
 // Current returns the current table, or nil if none has been applied.
 func (a *ActiveTable) Current() *Table { return a.table.Load() }
 
@@ -62,16 +72,32 @@
 		return nil
 	}
 	t := Compile(d)
+	a.splits.attach(t)
 	a.table.Store(t)
-	a.sink.Emit(now, seamevent.RoutesApplied, seamevent.Fields{
-		"revision": d.Revision, "former": before, "from": source, "routes": len(d.Routes), "services": len(d.Services),
-	})
+	a.sink.Emit(now, seamevent.RoutesApplied, appliedFields(t, before, source))
 	for _, f := range a.listeners {
 		f(t)
 	}
 	return nil
 }
 
+// maxNamedConflicts is the number of services with conflicting regions that a log line names.
+const maxNamedConflicts = 8
+
+// appliedFields describes a table that came into effect for the log.
+func appliedFields(t *Table, former int64, source string) seamevent.Fields {
+	fields := seamevent.Fields{
+		"revision": t.Revision, "former": former, "from": source, "routes": len(t.Routes), "services": len(t.Services),
+	}
+	if n := t.restrictedRoutes(); n > 0 {
+		fields["restricted"] = n
+	}
+	if names := t.ConflictingServices(); len(names) > 0 {
+		fields["conflicts"] = names[:min(len(names), maxNamedConflicts)]
+	}
+	return fields
+}
+
 // RequestRegions returns the regions that the current route for the host and the request URI allows, and false if there is none.
 func (a *ActiveTable) RequestRegions(host, uri string) ([]string, bool) {
 	if t := a.table.Load(); t != nil {
--- a/internal/rule/seamroutes/regions.go
+++ b/internal/rule/seamroutes/regions.go
@@ -50,3 +50,14 @@
 	}
 	return found.Regions, true
 }
+
+// restrictedRoutes returns the number of routes that allow some regions only.
+func (t *Table) restrictedRoutes() int {
+	n := 0
+	for _, r := range t.Routes {
+		if len(r.Regions) > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/rule/seamroutes/table.go
+++ b/internal/rule/seamroutes/table.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
@@ -20,6 +22,8 @@
 	Document
 	hosts    map[string]*hostRoutes
 	services map[string]Service
+	// splits are the routes that have several services, in the order of the document.
+	splits []*routeState
 	// regions are the regions that all restricted routes to a service allow.
 	regions map[string][]string
 }
@@ -33,6 +37,8 @@
 	totalWeight int
 	// started is whether the first service has been chosen.
 	started bool
+	// requests counts the requests of each part of a split; empty if they are not counted.
+	requests []*metrics.Counter
 }
 
 // Compile builds the lookup table of a document, which must be valid.
@@ -42,7 +48,11 @@
 		t.services[s.Name] = s
 	}
 	for _, r := range d.Routes {
-		t.add(strings.ToLower(r.Host), newRouteState(r))
+		state := newRouteState(r)
+		t.add(strings.ToLower(r.Host), state)
+		if len(r.Services) > 1 {
+			t.splits = append(t.splits, state)
+		}
 	}
 	return t
 }
@@ -64,8 +74,9 @@
 	h.longest = max(h.longest, len(r.Prefix))
 }
 
-// maxStartSteps is the number of different positions in the weighted round-robin at which nodes start.
-const maxStartSteps = 1000
+// maxStartSteps is the number of different positions in the weighted round-robin at which nodes start. It exceeds the period of two
+// weights of up to 10,000, so that a part with a small weight gets its share also of nodes that send few requests.
+const maxStartSteps = 20_000
 
 func newRouteState(r Route) *routeState {
 	n := &routeState{Route: r, credit: make([]int, len(r.Services))}
@@ -82,11 +93,20 @@
 	}
 }
 
-// nextService returns the next service of a smooth weighted round-robin. Over any sequence of requests
-// each service receives its share to within one request.
+// nextService returns the service of the next request, and counts the request.
 func (r *routeState) nextService() string {
+	part := r.nextPart()
+	if part < len(r.requests) {
+		r.requests[part].Inc()
+	}
+	return r.Services[part].Service
+}
+
+// nextPart returns the index of the next service of a smooth weighted round-robin. Over any sequence of requests
+// each service receives its share to within one request.
+func (r *routeState) nextPart() int {
 	if len(r.Services) == 1 {
-		return r.Services[0].Service
+		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -97,8 +117,8 @@
 	return r.step()
 }
 
-// step returns the next service. The caller holds mu.
-func (r *routeState) step() string {
+// step returns the index of the next service. The caller holds mu.
+func (r *routeState) step() int {
 	best := 0
 	for i, p := range r.Services {
 		r.credit[i] += p.Weight
@@ -107,7 +127,7 @@
 		}
 	}
 	r.credit[best] -= r.totalWeight
-	return r.Services[best].Service
+	return best
 }
 
 // DecisionError reports a request that can't be routed.
