--- a/internal/route/seamingress/residency_test.go
+++ b/internal/route/seamingress/residency_test.go
@@ -174,3 +174,24 @@
 		}
 	}
 }
+
+// BenchmarkChoice measures the choice among the candidates of a large service, with and without a restriction.
+func BenchmarkChoice(b *testing.B) {
+	self := seampeer.Peer{Name: "front", Incarnation: 1, Region: "ost", Domain: "ost-1"}
+	directory := &fakeDirectory{}
+	for n := range 117 {
+		region := []string{"ost", "west", "sued"}[n%3]
+		directory.candidates = append(directory.candidates, seampick.Candidate{
+			Peer: seampeer.Peer{Name: fmt.Sprint("n", n), Incarnation: 1, Region: region, Domain: region + "-1"}, Slots: 12,
+		})
+	}
+	balancer := seambalance.New(seambalance.Config{}, self, metrics.NewSet())
+	i := seamingress.New(seamingress.Config{Balancer: balancer}, self, &fakeRules{}, directory, nil, nil, metrics.NewSet(), seamevent.NewStream("front"))
+	for name, regions := range map[string][]string{"all regions": nil, "two regions": {"west", "sued"}} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				seamingress.ChooseNode(i, seamrule.Decision{Regions: regions}, "")
+			}
+		})
+	}
+}
