--- a/internal/route/seamingress/choose.go
+++ b/internal/route/seamingress/choose.go
@@ -52,12 +52,15 @@
 
 // dedupRegion returns the region in which duplicates of a request with a caller-chosen id are detected:
 // the region in the id's prefix "REGION/", else this node's region, else the first by name; each only if it has
-// candidates.
+// candidates and is allowed.
 func (x *exchange) dedupRegion(all []seampick.Candidate) string {
 	prefix, _, _ := strings.Cut(x.callerRequestID, "/")
 	hasOwn, first := false, ""
 	for _, c := range all {
 		region := c.Peer.Region
+		if !x.isAllowed(c.Peer) {
+			continue
+		}
 		if region == prefix {
 			return prefix
 		}
@@ -76,13 +79,13 @@
 // the service, which responds with the owner.
 func (x *exchange) owner() (seampeer.Peer, bool) {
 	i := x.ingress
-	known, ok := i.directory.Owner(x.service, x.head.GetSlot())
-	x.knownOwner = known
-	if x.hint.Address != "" {
-		return x.hint, true
+	x.recordedOwner, _ = i.directory.Owner(x.service, x.head.GetSlot())
+	p, known := x.knownOwner()
+	if known && !x.isAllowed(p) {
+		return seampeer.Peer{}, false
 	}
-	if ok && !x.isExcluded(known) {
-		return known, true
+	if known && (x.hint.Address != "" || !x.isExcluded(p)) {
+		return p, true
 	}
 	if i.cfg.OwnersComplete {
 		return seampeer.Peer{}, false
@@ -90,9 +93,9 @@
 	return x.pick(i.directory.Candidates(x.service), nil)
 }
 
-// isExcluded reports whether the node must not be tried again.
+// isExcluded reports whether the node must not be tried: it is in a forbidden region, or has refused the request.
 func (x *exchange) isExcluded(p seampeer.Peer) bool {
-	return slices.ContainsFunc(x.excluded, p.Same)
+	return !x.isAllowed(p) || slices.ContainsFunc(x.excluded, p.Same)
 }
 
 // isTriedOrExcluded reports whether the node was tried or must not be tried again.
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -59,8 +59,8 @@
 	retries   int
 	// ownerWaitEnd is the time at which the wait for a change of owner times out; zero if the request has not waited.
 	ownerWaitEnd time.Time
-	// knownOwner is the owner of the key in the directory when the node of the current attempt was chosen.
-	knownOwner seampeer.Peer
+	// recordedOwner is the owner of the key in the directory when the node of the current attempt was chosen.
+	recordedOwner seampeer.Peer
 	// ownerRechecks is the number of times that the known owner was asked again.
 	ownerRechecks int
 	// bodyRequested is closed, and set to nil, when the node requests a body that was not sent with the head.
@@ -71,6 +71,8 @@
 	unknownEnd *seamoutcome.End
 	// crashes is the number of targets that crashed while they were running the request.
 	crashes int
+	// regionCause is the cause of the last refusal because of the allowed regions.
+	regionCause regionCause
 	// voidState is the result of voiding the current attempt; empty if that was not tried.
 	voidState seamdedup.State
 }
@@ -82,10 +84,16 @@
 	budget.Deposit(time.Now())
 	var last *seamoutcome.End
 	for {
+		x.updateRegions()
 		if end, quarantined := x.quarantined(); quarantined {
 			return x.finalEnd(end)
 		}
 		to, ok := x.chooseNode()
+		if !ok {
+			if end, refused := x.regionRefusal(); refused {
+				return x.finalEnd(end)
+			}
+		}
 		if !ok && x.retryAfterOwnerWait(ctx, last) {
 			continue
 		}
@@ -103,6 +111,7 @@
 		}
 		end := x.attempt(ctx, to)
 		x.endTrial(end)
+		end = x.checkOwnerHint(end)
 		wait, retry := x.nextAttempt(end, to, budget)
 		if !retry || !x.pause(ctx, wait) {
 			return x.finalEnd(refusalBeforeExpiry(end, last))
--- a/internal/route/seamingress/node_test.go
+++ b/internal/route/seamingress/node_test.go
@@ -30,10 +30,15 @@
 type fakeRules struct {
 	decision seamrule.Decision
 	keyed    func(r *http.Request) bool
-	err      error
+	// decide, if set, makes the decisions instead.
+	decide func(r *http.Request) (seamrule.Decision, error)
+	err    error
 }
 
 func (f *fakeRules) Decide(r *http.Request, _, _ string) (seamrule.Decision, error) {
+	if f.decide != nil {
+		return f.decide(r)
+	}
 	d := f.decision
 	if f.keyed != nil {
 		d.Keyed = f.keyed(r)
@@ -49,6 +54,8 @@
 	// keepOwner means that Learn does not change the owner.
 	keepOwner  bool
 	candidates []seampick.Candidate
+	// byService, if set, has the candidates of each service instead.
+	byService map[string][]seampick.Candidate
 }
 
 func (f *fakeDirectory) Owner(string, uint32) (seampeer.Peer, bool) {
@@ -72,9 +79,12 @@
 	f.owner = p
 }
 
-func (f *fakeDirectory) Candidates(string) []seampick.Candidate {
+func (f *fakeDirectory) Candidates(service string) []seampick.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.byService != nil {
+		return f.byService[service]
+	}
 	return f.candidates
 }
 
@@ -162,6 +172,12 @@
 
 // startNode starts a node with the settings. It has a target if handler is not nil.
 func startNode(t testing.TB, name string, handler http.HandlerFunc, sessions seamsession.Config, cfg seamingress.Config) *node {
+	t.Helper()
+	return startNodeIn(t, "ost", name, handler, sessions, cfg)
+}
+
+// startNodeIn starts a node in the region as startNode does.
+func startNodeIn(t testing.TB, region, name string, handler http.HandlerFunc, sessions seamsession.Config, cfg seamingress.Config) *node {
 	t.Helper()
 	if sessions.Listener == nil {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -171,7 +187,7 @@
 		sessions.Listener = l
 	}
 	l := sessions.Listener
-	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: "ost", Domain: "ost-1"}
+	peer := seampeer.Peer{Name: name, Incarnation: 1, Address: l.Addr().String(), Region: region, Domain: region + "-1"}
 	n := &node{
 		peer:      peer,
 		owners:    &fakeOwners{clock: seamclock.NewClock(), leaseDuration: time.Minute},
--- a/internal/route/seamingress/ownerwait.go
+++ b/internal/route/seamingress/ownerwait.go
@@ -134,7 +134,7 @@
 // ownerReplaced reports whether the directory has another owner of the key than at the last attempt.
 func (x *exchange) ownerReplaced() bool {
 	owner, ok := x.ingress.directory.Owner(x.service, x.head.GetSlot())
-	return ok && owner != x.knownOwner
+	return ok && owner != x.recordedOwner
 }
 
 // endOwnerWait ends the wait for an owner, if the request has waited for one.
--- a/internal/route/seamingress/relay_test.go
+++ b/internal/route/seamingress/relay_test.go
@@ -9,6 +9,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/route/seamheader"
+	"cardamomseam/internal/route/seamingress"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seampick"
 	"cardamomseam/internal/route/seamsession"
@@ -22,12 +23,20 @@
 // relayedPair returns a front node and the relay through which its requests reach the target's node. The front node may
 // have one session, which it uses for the relay.
 func relayedPair(t *testing.T, handler http.HandlerFunc) (front, relay *node) {
+	t.Helper()
+	return relayedPairIn(t, "ost", "ost", handler)
+}
+
+// relayedPairIn returns a front node and a relay as relayedPair does, with the relay and the target's node in the regions. The front
+// node's directory has the target's node in the region ost.
+func relayedPairIn(t *testing.T, relayRegion, targetRegion string, handler http.HandlerFunc) (front, relay *node) {
 	t.Helper()
 	route := &fixedRelay{}
-	back := newNode(t, "back", handler)
-	relay = newNode(t, "relay", nil)
+	back := startNodeIn(t, targetRegion, "back", handler, seamsession.Config{}, seamingress.Config{})
+	relay = startNodeIn(t, relayRegion, "relay", nil, seamsession.Config{}, seamingress.Config{})
 	front = newNodeWith(t, "front", nil, seamsession.Config{MaxSessions: 1, Relays: route})
 	front.directory.candidates = []seampick.Candidate{{Peer: back.peer, Slots: 32}}
+	front.directory.candidates[0].Peer.Region = "ost"
 	route.peer = relay.peer
 	var busy net.Conn
 	busy, err := front.pool.Open(t.Context(), relay.peer, seamsession.Void)
--- a/internal/rule/seamroutes/table.go
+++ b/internal/rule/seamroutes/table.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
@@ -20,6 +22,10 @@
 	Document
 	hosts    map[string]*hostRoutes
 	services map[string]Service
+	// splits are the routes that have several services, in the order of the document.
+	splits []*routeState
+	// regions are the regions that all restricted routes to a service allow.
+	regions map[string][]string
 }
 
 // routeState is a route with the state of its weighted round-robin over services.
@@ -31,16 +37,22 @@
 	totalWeight int
 	// started is whether the first service has been chosen.
 	started bool
+	// requests counts the requests of each part of a split; empty if they are not counted.
+	requests []*metrics.Counter
 }
 
 // Compile builds the lookup table of a document, which must be valid.
 func Compile(d Document) *Table {
-	t := &Table{Document: d, hosts: map[string]*hostRoutes{}, services: map[string]Service{}}
+	t := &Table{Document: d, hosts: map[string]*hostRoutes{}, services: map[string]Service{}, regions: serviceRegions(d)}
 	for _, s := range d.Services {
 		t.services[s.Name] = s
 	}
 	for _, r := range d.Routes {
-		t.add(strings.ToLower(r.Host), newRouteState(r))
+		state := newRouteState(r)
+		t.add(strings.ToLower(r.Host), state)
+		if len(r.Services) > 1 {
+			t.splits = append(t.splits, state)
+		}
 	}
 	return t
 }
@@ -62,8 +74,9 @@
 	h.longest = max(h.longest, len(r.Prefix))
 }
 
-// maxStartSteps is the number of different positions in the weighted round-robin at which nodes start.
-const maxStartSteps = 1000
+// maxStartSteps is the number of different positions in the weighted round-robin at which nodes start. It exceeds the period of two
+// weights of up to 10,000, so that a part with a small weight gets its share also of nodes that send few requests.
+const maxStartSteps = 20_000
 
 func newRouteState(r Route) *routeState {
 	n := &routeState{Route: r, credit: make([]int, len(r.Services))}
@@ -80,11 +93,20 @@
 	}
 }
 
-// nextService returns the next service of a smooth weighted round-robin. Over any sequence of requests
-// each service receives its share to within one request.
+// nextService returns the service of the next request, and counts the request.
 func (r *routeState) nextService() string {
+	part := r.nextPart()
+	if part < len(r.requests) {
+		r.requests[part].Inc()
+	}
+	return r.Services[part].Service
+}
+
+// nextPart returns the index of the next service of a smooth weighted round-robin. Over any sequence of requests
+// each service receives its share to within one request.
+func (r *routeState) nextPart() int {
 	if len(r.Services) == 1 {
-		return r.Services[0].Service
+		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,8 +117,8 @@
 	return r.step()
 }
 
-// step returns the next service. The caller holds mu.
-func (r *routeState) step() string {
+// step returns the index of the next service. The caller holds mu.
+func (r *routeState) step() int {
 	best := 0
 	for i, p := range r.Services {
 		r.credit[i] += p.Weight
@@ -105,7 +127,7 @@
 		}
 	}
 	r.credit[best] -= r.totalWeight
-	return r.Services[best].Service
+	return best
 }
 
 // DecisionError reports a request that can't be routed.
@@ -132,12 +154,12 @@
 
 // Decide returns the routing decision for a request. The error is *DecisionError.
 func (t *Table) Decide(r *http.Request) (seamrule.Decision, error) {
-	found := t.find(hostOf(r), pathOf(r))
+	found := t.find(hostName(r.Host), pathOf(r.URL.RequestURI()))
 	if found == nil {
 		return seamrule.Decision{}, &DecisionError{
 			StatusCode:    http.StatusNotFound,
 			RefusalReason: seamoutcome.Service,
-			Detail:        fmt.Sprintf("no route in revision %d for host %s and path %s", t.Revision, r.Host, pathOf(r)),
+			Detail:        fmt.Sprintf("no route in revision %d for host %s and path %s", t.Revision, r.Host, pathOf(r.URL.RequestURI())),
 		}
 	}
 	decision := seamrule.Decision{
@@ -146,6 +168,7 @@
 		Idempotency: seamrule.AtMostOnce,
 		Priority:    found.Priority,
 		Objective:   found.Objective,
+		Regions:     found.Regions,
 		Limits: seamrule.Limits{
 			DeadlineMillis: int(found.Timeout.Milliseconds()),
 			Retries:        found.MaxAttempts - 1,
@@ -191,16 +214,17 @@
 	return nil
 }
 
-func hostOf(r *http.Request) string {
-	host := strings.ToLower(r.Host)
+// hostName returns a host in lower case and without its port.
+func hostName(host string) string {
+	host = strings.ToLower(host)
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
 	}
 	return host
 }
 
-// pathOf returns the path as the caller sent it, still escaped.
-func pathOf(r *http.Request) string {
-	path, _, _ := strings.Cut(r.URL.RequestURI(), "?")
+// pathOf returns the path of a request URI as the caller sent it, still escaped.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
 	return path
 }
