Bound what a stopping target's node cuts while the ingress stops too

That node took a repeat for possible, though the ingress itself stops before.

Change: the time for a repeat ends with the ingress's own stop, and connections are accepted until 2.35 s before the limit, when requests that are not idempotent are no longer started either.

--- a/internal/route/seamegress/target.go
+++ b/internal/route/seamegress/target.go
@@ -120,12 +120,18 @@
 // timeUntilStop returns the time in which the target must respond because the ingress or this node stops. A request that may be
 // repeated in time is not limited by the stop of this node: another one runs it if the stop cuts it.
 func (c *call) timeUntilStop(now time.Time) time.Duration {
+	plan, r := c.egress.plannedStop(), c.stopRequest()
+	latest := plan.TargetDeadline(r.Deadline)
 	left := time.Duration(math.MaxInt64)
 	if until := c.head.GetUntil(); until > 0 {
-		left = c.arrived.Add(time.Duration(until) * time.Millisecond).Sub(now)
+		ingressStops := c.arrived.Add(time.Duration(until) * time.Millisecond)
+		left = ingressStops.Sub(now)
+		if ingressStops.Before(r.Deadline) {
+			// Another node must have run it by then.
+			r.Deadline = ingressStops
+		}
 	}
-	plan, r := c.egress.plannedStop(), c.stopRequest()
-	if latest := plan.TargetDeadline(r.Deadline); latest.Before(r.Deadline) && !plan.MayRepeat(r) {
+	if latest.Before(c.admissionRequest().deadline) && !plan.MayRepeat(r) {
 		left = min(left, latest.Sub(now))
 	}
 	return max(left, time.Millisecond)
--- a/internal/route/seamingress/listener_drain.go
+++ b/internal/route/seamingress/listener_drain.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"cardamomseam/internal/platform/seamwait"
+	"cardamomseam/internal/route/seamstop"
 )
 
 const (
@@ -27,9 +28,9 @@
 	firstRequestTimeout = 500 * time.Millisecond
 	// callersLeftAfter is the time without a new connection after which callers are taken to know that the node stops.
 	callersLeftAfter = 200 * time.Millisecond
-	// lastAcceptMargin is the time before the deadline of the drain at which new connections are no longer accepted, so that what
-	// was accepted can end.
-	lastAcceptMargin = 1500 * time.Millisecond
+	// lastAcceptMargin is the time before the deadline of the drain at which new connections are no longer accepted. Requests that
+	// are not idempotent are refused from then on.
+	lastAcceptMargin = seamstop.MinTimeOfNonIdempotent + FinalResponseMargin
 	// tcpFlagsOffset is the offset in bytes of the flags in a TCP header.
 	tcpFlagsOffset = 13
 	// tcpFlagSYN is the SYN flag, which is set in the first segment of a connection.
--- a/internal/route/seamstop/plan.go
+++ b/internal/route/seamstop/plan.go
@@ -6,8 +6,8 @@
 const (
 	// minTimeBeforeStop is the least time that a request must have before the node stops.
 	minTimeBeforeStop = 300 * time.Millisecond
-	// minTimeOfNonIdempotent is that time for a request that is not idempotent. Some run for many times the mean.
-	minTimeOfNonIdempotent = 2 * time.Second
+	// MinTimeOfNonIdempotent is that time for a request that is not idempotent. Some run for many times the mean.
+	MinTimeOfNonIdempotent = 2 * time.Second
 	// serviceTimes and serviceTimesOfNonIdempotent are the least numbers of mean service times in these times.
 	serviceTimes                = 2
 	serviceTimesOfNonIdempotent = 6
@@ -45,7 +45,7 @@
 	if r.Idempotent {
 		return max(serviceTimes*r.MeanServiceTime, minTimeBeforeStop)
 	}
-	return max(serviceTimesOfNonIdempotent*r.MeanServiceTime, minTimeOfNonIdempotent)
+	return max(serviceTimesOfNonIdempotent*r.MeanServiceTime, MinTimeOfNonIdempotent)
 }
 
 // MayRepeat reports whether a request that the stop cuts may run again at another node and has the time for it until its deadline.
@@ -65,7 +65,7 @@
 
 // RefusalTime returns the latest time at which a request that is not idempotent is started, unless its deadline lies before the
 // limit.
-func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-minTimeOfNonIdempotent) }
+func (p Plan) RefusalTime() time.Time { return p.Limit.Add(-MinTimeOfNonIdempotent) }
 
 // IdempotentRefusalTime returns the latest time at which an idempotent request with a short or unknown service time is started,
 // unless its deadline lies before the limit.
