Compress sessions between regions over narrow links

Change: both sides of a session with another region may compress it, agreed in the hello. A node offers it if its settings give a link below 1 Gbit/s, within a quarter of its memory.

--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -167,5 +167,31 @@
 )
 
 func sessionConfig(s seamsetting.Router) seamsession.Config {
-	return seamsession.Config{Address: s.Listen, MaxSessions: maxSessions, AckTimeout: peerAckTimeout, ProbeTimeout: probeReplyTimeout, LazyProbes: true}
+	return seamsession.Config{
+		Address:      s.Listen,
+		MaxSessions:  maxSessions,
+		AckTimeout:   peerAckTimeout,
+		ProbeTimeout: probeReplyTimeout,
+		LazyProbes:   true,
+		Compression:  sessionCompression(s),
+	}
+}
+
+const (
+	// narrowLink is the rate of a link, in Mbit/s, below which sessions with other regions are compressed. Over faster
+	// links the processor time weighs more than the bytes.
+	narrowLink = 1000
+	// compressionMemoryDivisor is the ratio of the node's memory limit to the memory for the state of compressed sessions.
+	compressionMemoryDivisor = 4
+	// defaultCompressionBytes is the memory for the state of compressed sessions if the node has no memory limit.
+	defaultCompressionBytes = 64 << 20
+)
+
+// sessionCompression returns which sessions are compressed by the settings.
+func sessionCompression(s seamsetting.Router) seamsession.Compression {
+	c := seamsession.Compression{OtherRegions: s.Link > 0 && s.Link < narrowLink, MaxBytes: defaultCompressionBytes}
+	if s.Memory > 0 {
+		c.MaxBytes = int64(s.Memory) << 20 / compressionMemoryDivisor
+	}
+	return c
 }
--- a/internal/node/seamsetting/router.go
+++ b/internal/node/seamsetting/router.go
@@ -35,6 +35,8 @@
 	Stop Stop `json:"stop"`
 	// Memory is the memory limit of the process, in MiB; 0 means no limit. Default: 0.
 	Memory int `json:"memory,default=0" allow:"0..1048576"`
+	// Link is the rate of the machine's network link, in Mbit/s; 0 means unknown. Default: 0.
+	Link float64 `json:"link,default=0" allow:"0..1000000"`
 	// Log configures the log.
 	Log Log `json:"log"`
 	// Trace configures the export of spans.
--- a/internal/route/seamsession/config.go
+++ b/internal/route/seamsession/config.go
@@ -76,6 +76,8 @@
 	// LazyProbes replaces the probes every KeepaliveInterval by probes of sessions with requests in flight on which
 	// nothing has arrived for probeAfterSilence.
 	LazyProbes bool
+	// Compression selects the sessions whose bytes are compressed.
+	Compression Compression
 	// Relays selects the relays to try when all sessions of a full pool are in use; may be nil.
 	Relays RelaySelector
 }
--- a/internal/route/seamsession/conn.go
+++ b/internal/route/seamsession/conn.go
@@ -23,11 +23,30 @@
 	maxCoalescedBody = 40 << 10
 )
 
-// conn counts the bytes of a session and sends each yamux header together with its
-// body in one write, so that a short frame takes one TCP segment instead of two.
-type conn struct {
+// countedConn counts the bytes of a connection.
+type countedConn struct {
 	net.Conn
 	in, out *metrics.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(n)
+	return n, err
+}
+
+// conn sends each yamux header together with its body in one write, so that a short frame takes one TCP segment instead
+// of two.
+type conn struct {
+	net.Conn
 	// pendingHeader is the header of a frame whose body is not written yet; empty if there is none.
 	pendingHeader []byte
 	// lastReceived is the time at which bytes last arrived, in nanoseconds since the Unix epoch.
@@ -37,15 +56,18 @@
 	markReadStopped func()
 }
 
-func newConn(c net.Conn, in, out *metrics.Counter) *conn {
+// newConn wraps a connection. onEnd is called once, when a read has failed or the connection is closed.
+func newConn(c net.Conn, onEnd func()) *conn {
 	stopped := make(chan struct{})
-	return &conn{Conn: c, in: in, out: out, readStopped: stopped, markReadStopped: sync.OnceFunc(func() { close(stopped) })}
+	return &conn{Conn: c, readStopped: stopped, markReadStopped: sync.OnceFunc(func() {
+		close(stopped)
+		onEnd()
+	})}
 }
 
-// Read reads from the peer and counts the bytes.
+// Read reads from the peer.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.in.Add(n)
 	if n > 0 {
 		c.lastReceived.Store(time.Now().UnixNano())
 	}
@@ -86,7 +108,6 @@
 // send writes to the peer. On an error it closes the connection and waits until reading has stopped before it returns.
 func (c *conn) send(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.out.Add(n)
 	if err != nil {
 		c.closeAndWait()
 	}
--- a/internal/route/seamsession/dial.go
+++ b/internal/route/seamsession/dial.go
@@ -89,27 +89,43 @@
 	if err != nil {
 		return nil, err
 	}
-	h, err := exchangeHello(c, &seamroutewire.Hello{Self: PeerToWire(p.self)}, p.cfg.DialTimeout)
+	offer := p.compressor.reserve(to.Region != p.self.Region)
+	h, err := exchangeHello(c, &seamroutewire.Hello{Self: PeerToWire(p.self), Compress: offer}, p.cfg.DialTimeout)
+	peer := PeerFromWire(h.GetSelf())
+	if err == nil && h.GetBusy() {
+		err = &PoolFullError{Node: peer}
+	}
+	compress := offer && err == nil && h.GetCompress()
+	if offer && !compress {
+		p.compressor.release()
+	}
 	if err != nil {
 		c.Close()
 		return nil, err
 	}
-	peer := PeerFromWire(h.GetSelf())
-	if h.GetBusy() {
-		c.Close()
-		return nil, &PoolFullError{Node: peer}
-	}
-	return p.wrap(c, peer, true)
+	return p.wrap(c, peer, true, compress)
 }
 
-func (p *Pool) wrap(c net.Conn, peer seampeer.Peer, client bool) (*session, error) {
+// wrap returns the session on a connection after its handshake. If compress is set, a session was reserved at the compressor.
+func (p *Pool) wrap(c net.Conn, peer seampeer.Peer, client, compress bool) (*session, error) {
 	setAckTimeout(c, p.cfg.AckTimeout)
 	in, out := p.stats.bytes(peer)
-	counted := newConn(c, in, out)
-	counted.lastReceived.Store(time.Now().UnixNano())
-	s, err := newSession(counted, peer, client, p.cfg)
+	var below net.Conn = &countedConn{Conn: c, in: in, out: out}
+	onEnd := func() {}
+	if compress {
+		compressed, err := newCompressedConn(below)
+		if err != nil {
+			p.compressor.release()
+			c.Close()
+			return nil, err
+		}
+		below, onEnd = compressed, p.compressor.release
+	}
+	wrapped := newConn(below, onEnd)
+	wrapped.lastReceived.Store(time.Now().UnixNano())
+	s, err := newSession(wrapped, peer, client, p.cfg)
 	if err != nil {
-		c.Close()
+		wrapped.Close()
 	}
 	return s, err
 }
--- a/internal/route/seamsession/pool.go
+++ b/internal/route/seamsession/pool.go
@@ -23,8 +23,10 @@
 	self   seampeer.Peer
 	events seamevent.Sink
 	stats  *stats
-	dials  singleflight.Group
-	ctx    context.Context
+	// compressor decides which sessions are compressed.
+	compressor compressor
+	dials      singleflight.Group
+	ctx        context.Context
 
 	mu       sync.Mutex
 	handlers map[Kind]Handler
@@ -55,17 +57,19 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
-		cfg:      cfg,
-		self:     self,
-		events:   sink,
-		ctx:      ctx,
-		handlers: map[Kind]Handler{},
-		sessions: map[*session]struct{}{},
-		listener: l,
-		routes:   map[string]*session{},
-		failures: map[string]failure{},
+		cfg:        cfg,
+		compressor: compressor{cfg: cfg.Compression},
+		self:       self,
+		events:     sink,
+		ctx:        ctx,
+		handlers:   map[Kind]Handler{},
+		sessions:   map[*session]struct{}{},
+		listener:   l,
+		routes:     map[string]*session{},
+		failures:   map[string]failure{},
 	}
 	p.stats = newStats(set, self, func() float64 { return float64(p.Len()) })
+	set.NewGauge("cardamomseam_sessions_compressed", func() float64 { return float64(p.compressor.sessions.Load()) })
 	p.handlers[relayKind] = relayHandler{p}
 	p.handlers[goAwayKind] = goAwayHandler{p}
 	var wg sync.WaitGroup
@@ -191,14 +195,18 @@
 		c.Close()
 		return
 	}
-	err = writeHello(c, &seamroutewire.Hello{Self: PeerToWire(p.self), Busy: fullErr != nil})
+	peer := PeerFromWire(hello.GetSelf())
+	compress := hello.GetCompress() && fullErr == nil && p.compressor.reserve(peer.Region != p.self.Region)
+	err = writeHello(c, &seamroutewire.Hello{Self: PeerToWire(p.self), Busy: fullErr != nil, Compress: compress})
 	if err != nil || fullErr != nil {
+		if compress {
+			p.compressor.release()
+		}
 		c.Close()
 		return
 	}
 	c.SetDeadline(time.Time{})
-	peer := PeerFromWire(hello.GetSelf())
-	s, err := p.wrap(c, peer, false)
+	s, err := p.wrap(c, peer, false, compress)
 	if err != nil {
 		return
 	}
