Evacuate failure domains on operators' request

Nodes now follow the keys op/evacuate/DOMAIN: target selection passes over the domain, the node beside a target there refuses, and the assigner moves the keys of its holders to others with handover.

--- a/internal/node/seamrouter/adapter.go
+++ b/internal/node/seamrouter/adapter.go
@@ -51,7 +51,10 @@
 	Store func(StoreConfig) (seamstore.LeaseStore, func())
 	// RulesKey is the key under which operators write the routes.
 	RulesKey string
-	// WatchPrefix is the common prefix of RulesKey and the keys of members and assigners, which share one watch.
+	// EvacuationPrefix is the prefix of the keys by which operators evacuate failure domains: the domain's name follows. Empty means
+	// that they can't.
+	EvacuationPrefix string
+	// WatchPrefix is the common prefix of RulesKey, EvacuationPrefix and the keys of members and assigners, which share one watch.
 	WatchPrefix string
 	// DecodeRoutes decodes the routes in the operators' format.
 	DecodeRoutes func(value []byte) (seamroutes.Document, error)
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -19,6 +19,7 @@
 	"cardamomseam/internal/observe/seamtrace"
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamelection"
+	"cardamomseam/internal/own/seamevacuate"
 	"cardamomseam/internal/own/seamholder"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
@@ -73,6 +74,10 @@
 
 	poison *seampoison.Guard
 
+	evacuations seamevacuate.Set
+	// assumeCold tells the egress that the target may be cold. It is nil as long as no egress limits cold targets; startRequests sets it.
+	assumeCold func(now time.Time)
+
 	electorsMu sync.Mutex
 	electors   map[string]*seamelection.Elector
 	draining   atomic.Bool
--- a/internal/node/seamrouter/operator.go
+++ b/internal/node/seamrouter/operator.go
@@ -41,6 +41,8 @@
 	Tables  map[string]Assignment   `json:"tables"`
 	// Held are the key ranges held by the node's target.
 	Held []seamtable.Range `json:"held"`
+	// Evacuations are the failure domains that operators have evacuated.
+	Evacuations []Evacuation `json:"evacuations"`
 	// Poison are the requests that are kept from the targets because they crash them.
 	Poison []PoisonRequest `json:"poison"`
 }
@@ -99,6 +101,8 @@
 		Tables:     map[string]Assignment{},
 		Held:       n.runner.Ranges(),
 		Poison:     n.poisonRequests(),
+
+		Evacuations: n.evacuationList(now),
 	}
 	members := n.members.View().Members
 	for _, name := range slices.Sorted(maps.Keys(members)) {
--- a/internal/node/seamrouter/ownership.go
+++ b/internal/node/seamrouter/ownership.go
@@ -69,6 +69,7 @@
 			continue
 		}
 		e := seamelection.New(s.Name, n.self, n.store, n.registry, n.clock, knownPeers{n}, n.sink)
+		e.UsePlacement(func() seamtable.Placement { return n.placement(s.Name) })
 		n.electors[s.Name] = e
 		added = append(added, e)
 	}
--- a/internal/node/seamrouter/store.go
+++ b/internal/node/seamrouter/store.go
@@ -109,6 +109,8 @@
 	// One watch makes fewer store calls than separate watches for the routes and the other keys.
 	n.feed = seamfeed.New(store, n.adapter.WatchPrefix, storeReader{n}, feedNetwork{n}, n.sink)
 	n.metricSet.NewGauge("cardamomseam_routes_revision", func() float64 { return float64(n.routes.Revision()) })
+	n.metricSet.NewGauge("cardamomseam_evacuated_domains", func() float64 { return float64(len(n.evacuations.Snapshot().All())) })
+	n.metricSet.NewGauge("cardamomseam_evacuated_domain_keys", func() float64 { return float64(n.keysInEvacuatedDomains()) })
 	n.metricSet.NewGauge("cardamomseam_feed_age_seconds", func() float64 { return n.feedAge(time.Now()).Seconds() })
 	return nil
 }
@@ -200,6 +202,10 @@
 
 // Put applies a written key.
 func (s storeReader) Put(now time.Time, e seamstore.Entry) {
+	if domain, ok := s.node.evacuatedDomain(e.Key); ok {
+		s.node.evacuate(now, domain, e.Revision)
+		return
+	}
 	switch {
 	case e.Key == s.node.adapter.RulesKey:
 		s.node.applyRoutes(now, e)
@@ -215,6 +221,10 @@
 
 // Delete applies the deletion of a key.
 func (s storeReader) Delete(now time.Time, key string, timeUnknown bool) {
+	if domain, ok := s.node.evacuatedDomain(key); ok {
+		s.node.reinstate(now, domain)
+		return
+	}
 	switch {
 	case key == s.node.adapter.RulesKey:
 		s.node.sink.Emit(now, seamevent.RoutesRefused, seamevent.Fields{"key": key, "error": "the key was deleted; the current routes stay in effect"})
@@ -230,6 +240,7 @@
 // Synced records that all keys have been read.
 func (s storeReader) Synced(now time.Time) {
 	s.node.registry.Synced(now)
+	s.node.evacuationsSynced(now)
 }
 
 // PutTable applies an ownership table that a reader sent.
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -38,9 +38,9 @@
 type syncRequest byte
 
 const (
-	// fullState requests the routes, members, tables and resignations of former assigners.
+	// fullState requests the routes, evacuations, members, tables and resignations of former assigners.
 	fullState syncRequest = iota
-	// routesOnly requests the routes.
+	// routesOnly requests the routes. The evacuations come with them.
 	routesOnly
 )
 
@@ -130,6 +130,7 @@
 
 // merge merges a message of a peer's response into this node's view. Large routes and tables are fetched in the background.
 func (n *Node) merge(now time.Time, peer seampeer.Peer, state *wire.Told) {
+	n.evacuateAsTold(now, peer.String(), state.GetEvacuated())
 	if state.GetRoutes() != nil {
 		n.feed.Offer(now, peer, state.GetRoutes())
 	}
@@ -176,7 +177,7 @@
 
 // response returns the messages that answer a request, each of which is small.
 func (h syncHandler) response(request syncRequest) []*wire.Told {
-	state := &wire.Told{}
+	state := &wire.Told{Evacuated: h.node.evacuations.Snapshot().Domains()}
 	if e := h.node.routesEntry.Load(); e != nil {
 		state.Routes = h.node.feed.ChangeToWire(seamstore.Change{Entry: e.Entry})
 	}
--- a/internal/own/seamassign/assigner.go
+++ b/internal/own/seamassign/assigner.go
@@ -23,6 +23,8 @@
 	acceptedEpoch bool
 	// firstSeen is the time of the first heartbeat.
 	firstSeen seamclock.Instant
+	// node is the node that sent the last heartbeat.
+	node seampeer.Peer
 }
 
 // move is a planned change of holder whose source has not released the keys yet.
@@ -33,6 +35,8 @@
 	plannedAt           seamclock.Instant
 	// rate is the request rate of the span when the move was planned.
 	rate float64
+	// waiting means that the source has not been asked to release the keys, since the destination is taking over others.
+	waiting bool
 }
 
 // Assigner assigns the keys of one service during one epoch. It is a state machine
@@ -59,6 +63,8 @@
 	writing bool
 	holders map[seamtable.Holder]*holder
 	moves   []move
+	// placement restricts the holders that may have keys.
+	placement seamtable.Placement
 	// arrivals are the moves completed within arrivalTTL.
 	arrivals []arrival
 	// lastJoin is the time at which a new holder last reported.
@@ -149,7 +155,7 @@
 // Heartbeat processes a heartbeat and returns the reply. It grants no lease before the epoch is written to the store.
 func (a *Assigner) Heartbeat(now seamclock.Instant, hb Heartbeat) Reply {
 	h := a.holderFor(now, hb)
-	h.state = hb.State
+	h.state, h.node = hb.State, hb.Node
 	a.setNode(hb.Holder, hb.Node)
 	if hb.Load.MaxConcurrency > 0 {
 		h.load = hb.Load
@@ -230,7 +236,7 @@
 func (a *Assigner) pendingReleases(h seamtable.Holder) []seamtable.Range {
 	var list []seamtable.Range
 	for i := range a.moves {
-		if m := &a.moves[i]; m.source == h {
+		if m := &a.moves[i]; m.source == h && !m.waiting {
 			list = append(list, seamtable.Range{Span: m.Span, Holder: h, Fence: m.fence})
 		}
 	}
@@ -251,7 +257,12 @@
 		a.arrivals = append(a.arrivals, arrival{holder: done.destination, rate: done.rate, at: now})
 		return
 	}
-	for _, assignment := range seamtable.Distribute([]seamtable.Span{r.Span}, a.candidates(now, h), nil) {
+	candidates := a.candidates(now, h)
+	if len(candidates) == 0 && a.returnsKeys(h) {
+		a.assign(r.Span, h, r.Handover)
+		return
+	}
+	for _, assignment := range seamtable.Distribute([]seamtable.Span{r.Span}, candidates, nil) {
 		a.assign(assignment.Span, assignment.Holder, r.Handover)
 	}
 }
@@ -277,10 +288,10 @@
 	return move{}, false
 }
 
-// acceptsKeys reports whether the holder is known and in state Ready.
+// acceptsKeys reports whether the holder is known, in state Ready and allowed by the placement.
 func (a *Assigner) acceptsKeys(h seamtable.Holder) bool {
 	known := a.holders[h]
-	return known != nil && known.state == Ready
+	return known != nil && known.state == Ready && a.placement.Allows(known.node)
 }
 
 // setNode records the node of a holder.
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -20,6 +20,7 @@
 	a.cancelStuckMoves(now)
 	a.assignFreeKeys(now)
 	a.evacuate(now)
+	a.leaveExcluded(now)
 	a.balance(now)
 }
 
@@ -75,18 +76,18 @@
 // cancelStuckMoves cancels moves whose source has not released the keys within MoveTimeout.
 func (a *Assigner) cancelStuckMoves(now seamclock.Instant) {
 	a.moves = slices.DeleteFunc(a.moves, func(m move) bool {
-		return seamclock.MinElapsed(now, m.plannedAt) >= a.cfg.MoveTimeout
+		return !m.waiting && seamclock.MinElapsed(now, m.plannedAt) >= a.cfg.MoveTimeout
 	})
 }
 
-// candidates returns the holders that may be assigned keys, except the excluded one: those that are ready and have a
-// valid lease. Their load includes the planned moves.
+// candidates returns the holders that may be assigned keys, except the excluded one: those that are ready, have a
+// valid lease and are allowed by the placement. Their load includes the planned moves.
 func (a *Assigner) candidates(now seamclock.Instant, excluded seamtable.Holder) []seamtable.Candidate {
 	var list []seamtable.Candidate
 	planned := a.plannedChanges()
 	for h, known := range a.holders {
 		leased := seamclock.MinElapsed(now, known.leaseEnd) < 0
-		if h != excluded && known.state == Ready && leased {
+		if h != excluded && known.state == Ready && leased && a.placement.Allows(known.node) {
 			list = append(list, seamtable.Candidate{Holder: h, Load: planned[h].apply(now, known.load)})
 		}
 	}
@@ -150,7 +151,7 @@
 // only if the other holders have the capacity, since its target keeps running.
 func (a *Assigner) evacuate(now seamclock.Instant) {
 	for h, known := range a.holders {
-		if known.state != Leaving && known.state != Stopping {
+		if known.state != Leaving && known.state != Stopping || a.isExcluded(known) {
 			continue
 		}
 		spans := a.spansToEvacuate(h)
@@ -200,17 +201,25 @@
 	return false
 }
 
-// planMove splits a move at the boundaries of the source's ranges, since each has its own fencing token, and adds the
-// parts that do not overlap a planned move.
+// planMove adds a move in parts, since each range of the source has its own fencing token.
 func (a *Assigner) planMove(now seamclock.Instant, m seamtable.Move) {
+	for _, planned := range a.partsOf(now, m) {
+		a.moves = append(a.moves, planned)
+		a.plannedMoves++
+	}
+}
+
+// partsOf splits a move at the boundaries of the source's ranges, and returns the parts that do not overlap a planned move.
+func (a *Assigner) partsOf(now seamclock.Instant, m seamtable.Move) []move {
+	var parts []move
 	for _, r := range a.leasedRanges(m.From) {
 		if !r.Overlaps(m.Span) {
 			continue
 		}
 		overlap := seamtable.Span{From: max(r.From, m.Span.From), To: min(r.To, m.Span.To)}
 		if !a.isMoving(overlap) {
-			a.moves = append(a.moves, move{Span: overlap, source: m.From, destination: m.To, fence: r.Fence, plannedAt: now, rate: a.spanRate(m.From, overlap)})
-			a.plannedMoves++
+			parts = append(parts, move{Span: overlap, source: m.From, destination: m.To, fence: r.Fence, plannedAt: now, rate: a.spanRate(m.From, overlap)})
 		}
 	}
+	return parts
 }
--- a/internal/own/seamelection/campaign.go
+++ b/internal/own/seamelection/campaign.go
@@ -84,6 +84,8 @@
 	defer e.mu.Unlock()
 	e.lease, e.era = lease, era
 	e.assigner = seamassign.New(e.cfg, e.clock.Now(), e.identity(epoch), e.earlierLeaseEnd, table.Table, table.Revision)
+	e.assigner.SetPlacement(e.placement())
+	e.placed = placed{}
 	e.setRenewedLocked(sent)
 	e.sink.Emit(time.Now(), seamevent.LeaderElected, seamevent.Fields{
 		"service": e.service, "epoch": epoch, "revision": table.Revision, "era": era, "written": table.Era, "former": table.Epoch,
--- a/internal/own/seamelection/elector.go
+++ b/internal/own/seamelection/elector.go
@@ -95,6 +95,9 @@
 	streams map[*heartbeatStream]bool
 	// wake is signalled when the assigner has work.
 	wake chan struct{}
+	// placement returns the restriction of the holders that may have keys.
+	placement func() seamtable.Placement
+	placed    placed
 }
 
 // New returns this node's elector for a service.
@@ -116,9 +119,13 @@
 		stopped:   make(chan struct{}),
 		streams:   map[*heartbeatStream]bool{},
 		wake:      make(chan struct{}, 1),
+		placement: func() seamtable.Placement { return seamtable.Placement{} },
 	}
 }
 
+// UsePlacement sets the function that returns the restriction of the holders that may have keys. It must be called before Run.
+func (e *Elector) UsePlacement(placement func() seamtable.Placement) { e.placement = placement }
+
 // Service returns the service whose assigner is elected.
 func (e *Elector) Service() string { return e.service }
 
--- a/internal/own/seamelection/serve.go
+++ b/internal/own/seamelection/serve.go
@@ -74,6 +74,7 @@
 			e.assigner.PredecessorResigned(now, predecessor, expiresAt)
 		}
 	}
+	e.applyPlacement(time.Now())
 	e.assigner.Tick(now)
 	table, revision, ok := e.assigner.PendingWrite()
 	e.mu.Unlock()
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 	bufferedBytes int64
 	// trial means that the request is sent although it is quarantined.
 	trial bool
+	// countEvacuated counts the request once as refused because of an evacuation.
+	countEvacuated sync.Once
 }
 
 // runDeduplicated runs the request unless it is a duplicate. It registers a request that is not idempotent in the
--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -157,10 +157,22 @@
 	return head.GetKeyed() && now.Sub(e.leavingSince) < e.cfg.HandoverGrace
 }
 
+// evacuatedDetail is the detail of refusals because of an evacuation.
+const evacuatedDetail = "the failure domain of the target is evacuated"
+
+// isEvacuated reports whether the target must not get the request because its failure domain is evacuated.
+func (e *Egress) isEvacuated(now time.Time, head *seamroutewire.RequestHead) bool {
+	return e.cfg.Evacuated != nil && e.cfg.Evacuated(now, head.GetKeyed())
+}
+
 // shutdownRefusal returns the refusal of an admitted request that must no longer be started, because the
-// target's handover grace period has ended or the node stops too soon; nil if it may start.
+// target's failure domain is evacuated, its handover grace period has ended or the node stops too soon; nil if it may start.
 func (c *call) shutdownRefusal(now time.Time) *seamoutcome.End {
 	e := c.egress
+	if e.isEvacuated(now, c.head) {
+		c.countEvacuated.Do(e.evacuated.Inc)
+		return refusal(seamoutcome.Draining, evacuatedDetail)
+	}
 	if a, ok := e.target.Current(); ok && a.Name == c.announced.Name && e.isLeaving(a) && !e.withinHandoverGrace(c.head, a, now) {
 		return refusal(seamoutcome.Draining, "the target is leaving")
 	}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -94,6 +94,9 @@
 	BodyBufferBytes int64
 	// RulesRevision returns the revision of the rules at this node; nil means that it is not reported.
 	RulesRevision func() int64
+	// Evacuated reports whether the target must get no more requests, keyed or not, because its failure domain is evacuated; nil
+	// means that it never is.
+	Evacuated func(now time.Time, keyed bool) bool
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -123,8 +126,10 @@
 	bodyMemory *memoryBudget
 	pools      *targetPools
 	counters   *seamoutcome.Counters
-	events     seamevent.Sink
-	running    runningCalls
+	// evacuated counts the requests refused because of an evacuation.
+	evacuated *metrics.Counter
+	events    seamevent.Sink
+	running   runningCalls
 	// probes are the connections that find out whether the target has crashed.
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
@@ -176,6 +181,7 @@
 		pools:      &targetPools{dial: cfg.DialTimeout},
 		bodyMemory: &memoryBudget{available: cfg.BodyBufferBytes},
 		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
+		evacuated:  set.NewCounter("cardamomseam_egress_evacuated_total"),
 		events:     sink,
 		throttle:   throttle,
 		idle:       make(chan struct{}),
@@ -281,6 +287,9 @@
 	switch {
 	case !ok:
 		return a, refusal(seamoutcome.Target, "no target is announced at this node")
+	case e.isEvacuated(time.Now(), head):
+		e.evacuated.Inc()
+		return a, refusal(seamoutcome.Draining, evacuatedDetail)
 	case e.isLeaving(a) && !e.withinHandoverGrace(head, a, time.Now()):
 		return a, refusal(seamoutcome.Draining, "the target is leaving")
 	case head.GetExpect() != "" && head.GetExpect() != a.Name:
