--- a/internal/node/seamrouter/fleet_test.go
+++ b/internal/node/seamrouter/fleet_test.go
@@ -1,6 +1,7 @@
 package seamrouter_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,7 +32,9 @@
 	keyedService = "calendar"
 	plainService = "booker"
 	routesKey    = "operator/routes"
-	// watchPrefix is the common prefix of routesKey and the nodes' own keys other than the tables.
+	// evacuationPrefix is the prefix of the keys that evacuate failure domains.
+	evacuationPrefix = "operator/evacuate/"
+	// watchPrefix is the common prefix of routesKey, evacuationPrefix and the nodes' own keys other than the tables.
 	watchPrefix = "o"
 	// waitTimeout bounds the wait for a condition that a test expects.
 	waitTimeout = 30 * time.Second
@@ -45,6 +48,8 @@
 	// stopSettings and onRun apply to the nodes and targets that are added.
 	stopSettings seamsetting.Stop
 	onRun        func(target string, r *http.Request) (ended func())
+	// domain is the failure domain of the nodes that are added; empty means ost-1.
+	domain string
 	// reportCalls makes nodes notice whether their renewals reach the store.
 	reportCalls bool
 
@@ -135,7 +140,7 @@
 func (f *fleet) addWith(name, service string, store seamstore.LeaseStore) *node {
 	f.t.Helper()
 	n := &node{target: f.newTarget("t-"+name, service), store: store, settings: seamsetting.Router{
-		Name: name, Region: "ost", Domain: "ost-1",
+		Name: name, Region: "ost", Domain: cmp.Or(f.domain, "ost-1"),
 		Listen: freeAddress(f.t), Ingress: freeAddress(f.t), Announce: freeAddress(f.t), Health: freeAddress(f.t), Metrics: freeAddress(f.t),
 		Store: []string{"127.0.0.1:1"},
 		Retry: seamsetting.Retry{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
@@ -193,8 +198,9 @@
 			}
 			return store, func() {}
 		},
-		RulesKey:    routesKey,
-		WatchPrefix: watchPrefix,
+		RulesKey:         routesKey,
+		EvacuationPrefix: evacuationPrefix,
+		WatchPrefix:      watchPrefix,
 		DecodeRoutes: func(value []byte) (d seamroutes.Document, err error) {
 			err = json.Unmarshal(value, &d)
 			return d, err
--- a/internal/own/seamassign/placement.go
+++ b/internal/own/seamassign/placement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamtable"
@@ -12,6 +13,10 @@
 // allow. Each costs its node a release, a write of the table and a grant, of which a small machine handles some tens a second.
 const maxArrivalsPerHolder = 8
 
+// arrivalTime is the time after which a range that a holder was asked to release no longer counts as arriving. Its release then waits
+// for running requests and takes nothing from its destination.
+const arrivalTime = time.Second
+
 // SetPlacement restricts the holders that may have keys. The others are not assigned any, and lose theirs with handover as
 // long as there is a holder that is allowed and ready.
 func (a *Assigner) SetPlacement(p seamtable.Placement) { a.placement = p }
@@ -121,7 +126,7 @@
 	for i := range a.moves {
 		if m := &a.moves[i]; m.waiting {
 			waiting = append(waiting, m)
-		} else {
+		} else if seamclock.MinElapsed(now, m.plannedAt) < arrivalTime {
 			arriving[m.destination]++
 		}
 	}
