--- a/internal/own/seamassign/placement_test.go
+++ b/internal/own/seamassign/placement_test.go
@@ -267,24 +267,39 @@
 	}
 }
 
-// TestMoveToADomainThatIsEvacuatedMeanwhileGoesElsewhere guards against keys that are sent from one evacuated domain to another.
+// TestMoveToADomainThatIsEvacuatedMeanwhileGoesElsewhere guards against keys that are sent from one evacuated domain to another, also when
+// they are released before the next tick of the assigner, and against ranges that are cut into pieces for it.
 func TestMoveToADomainThatIsEvacuatedMeanwhileGoesElsewhere(t *testing.T) {
-	s := newPlacedService(t, 12, 3, 10)
-	s.exclude("d0")
-	s.assigner.Tick(s.clock())
-	s.exclude("d0", "d1")
-	most := s.keysIn("d1")
-	for s.keysIn("d0")+s.keysIn("d1") > 0 && s.now < 10*time.Second {
-		s.step()
-		if n := s.keysIn("d1"); n > most {
-			t.Fatalf("the second evacuated domain has %d keys, %d before", n, most)
-		}
-		most = s.keysIn("d1")
-	}
-	if s.keysIn("d2") != seamtable.Keys {
-		t.Errorf("the domain that is left has %d keys", s.keysIn("d2"))
+	for _, tt := range []struct {
+		name      string
+		plan      func(*placedService)
+		maxRanges int
+	}{
+		{"planned", func(s *placedService) { s.assigner.Tick(s.clock()) }, 100},
+		{"released", func(s *placedService) { s.assigner.Tick(s.clock()); s.step() }, 200},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newPlacedService(t, 12, 3, 10)
+			s.exclude("d0")
+			tt.plan(s)
+			s.exclude("d0", "d1")
+			most := s.keysIn("d1")
+			for s.keysIn("d0")+s.keysIn("d1") > 0 && s.now < 10*time.Second {
+				s.step()
+				if n := s.keysIn("d1"); n > most {
+					t.Fatalf("the second evacuated domain has %d keys, %d before", n, most)
+				}
+				most = s.keysIn("d1")
+			}
+			if s.keysIn("d2") != seamtable.Keys {
+				t.Errorf("the domain that is left has %d keys", s.keysIn("d2"))
+			}
+			if n := len(s.stored.Ranges); n > tt.maxRanges {
+				t.Errorf("the table has %d ranges, 72 before", n)
+			}
+			s.checkComplete()
+		})
 	}
-	s.checkComplete()
 }
 
 // TestReinstatedDomainKeepsWhatHasNotMoved guards against moves that go on after the operators have withdrawn their request, and against
--- a/internal/route/seamegress/evacuated_test.go
+++ b/internal/route/seamegress/evacuated_test.go
@@ -17,7 +17,6 @@
 	"cardamomseam/internal/own/seamsketch"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
-	"cardamomseam/internal/route/seamroutewire"
 )
 
 // evacuatedEgress is an egress whose target has one slot and can be evacuated.
@@ -52,7 +51,7 @@
 }
 
 func (x *evacuatedEgress) run(t *testing.T, attempt uint64, keyed bool) seamoutcome.End {
-	var h *seamroutewire.RequestHead = upload(attempt, 4)
+	h := upload(attempt, 4)
 	h.Keyed = keyed
 	return x.Run(t.Context(), h, strings.NewReader("body"), &discard{header: http.Header{}})
 }
