Limit the requests to a cold target by the rate of its service

Cause: a target that had just started got the normal rate until it stated a limit. The throttle beside the target has a second source of a limit; the lower one applies and each ends by itself. Reports to other nodes carry the time left. AssumeCold makes a target cold until its next announcement. Admissions carry their time, since a goroutine may run later than the announcement that makes the target cold. Throttle.Limited and Rate take the time, as a warm-up ends by time alone; their tests pass it.

--- a/internal/member/seamannounce/registry.go
+++ b/internal/member/seamannounce/registry.go
@@ -142,6 +142,7 @@
 		r.mu.Unlock()
 		return &OtherTargetError{Name: before.Name}
 	}
+	a.ArrivedAt = now
 	r.current, r.present, r.lastAnnounced = a, true, now
 	r.mu.Unlock()
 	r.report(now, before, had, a)
--- a/internal/member/seamtarget/announcement.go
+++ b/internal/member/seamtarget/announcement.go
@@ -1,6 +1,8 @@
 // Package seamtarget defines the messages between a target and its node: announcements, grants and handovers.
 package seamtarget
 
+import "time"
+
 // Announcement is the body of PUT /v1/target on the announcement address of a node. A target repeats it before it expires;
 // the field "life" of each response is the time for which the announcement is valid.
 type Announcement struct {
@@ -20,6 +22,8 @@
 	Capabilities []string `json:"can,omitempty"`
 	// ColdStart reports whether the target starts with empty caches and needs a slow start.
 	ColdStart bool `json:"cold,omitempty"`
+	// WarmupLeft is the time for which the target is still cold; 0 means that it is not. A negative one counts as 0.
+	WarmupLeft time.Duration `json:"warmup,omitempty"`
 	// Leaving reports whether the target is about to stop and accepts no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// Started is the start time of this incarnation of the target, in milliseconds since the Unix epoch; 0 if unknown.
@@ -32,6 +36,8 @@
 	// them, and it has not handed them over. A restarted node reads from this list
 	// which slots' state its target has.
 	RetainedSlots []RetainedSlot `json:"kept,omitempty"`
+	// ArrivedAt is the time at which the node accepted the announcement; it is no part of it.
+	ArrivedAt time.Time `json:"-"`
 }
 
 // RetainedSlot is a slot whose state the target has.
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -36,6 +36,7 @@
 		RulesRevision:       n.routes.Revision,
 		BodyBufferBytes:     n.maxQueuedBodyBytes(),
 		Poison:              n.poison,
+		Warmup:              n.warmup,
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
 	n.egress = egress
 	c.Add(stop)
--- a/internal/node/seamrouter/target.go
+++ b/internal/node/seamrouter/target.go
@@ -42,6 +42,16 @@
 	return defaultMaxConnections
 }
 
+// warmup returns the warm-up settings of a service; zeros if it has none.
+func (n *Node) warmup(service string) (rate float64, duration time.Duration) {
+	t := n.routes.Current()
+	if t == nil {
+		return 0, 0
+	}
+	s, _ := t.Service(service)
+	return s.WarmupRate, s.Warmup
+}
+
 func (n *Node) announcementRefused(id string, err error) {
 	n.sink.Emit(time.Now(), seamevent.HeartbeatRefused, seamevent.Fields{"target": id, "error": err.Error()})
 }
@@ -70,6 +80,9 @@
 			Leaving: a.Leaving,
 		}
 	}
+	if present {
+		n.egress.TargetAnnounced(time.Now(), a)
+	}
 	n.registration.Update(func(m *seammembership.Member) { m.Target = target })
 	incarnation := seamholder.Incarnation{}
 	if n.isKeyed(target.Service) {
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -10,6 +10,7 @@
 	TargetLost           = "target.lost"
 	TargetLeaving        = "target.leaving"
 	TargetNotice         = "target.notice"
+	TargetWarmup         = "target.warmup"
 	TargetCrashed        = "target.crashed"
 	PoisonQuarantined    = "poison.quarantined"
 	PoisonCleared        = "poison.cleared"
--- a/internal/own/seamassign/hotload_test.go
+++ b/internal/own/seamassign/hotload_test.go
@@ -267,7 +267,7 @@
 // heartbeat sends a heartbeat and applies the reply.
 func (m *loadModel) heartbeat(target *loadTarget) {
 	load := seamtable.Load{Concurrency: float64(len(target.running) + len(target.queue)), MaxConcurrency: m.slots, ServiceTime: target.service}
-	if rate, limited := target.throttle.Rate(); limited {
+	if rate, limited := target.throttle.Rate(loadTime(m.now)); limited {
 		load.MaxRate = rate
 	}
 	load.Chunks, load.Rate = target.usage.Chunks(loadTime(m.now), target.ranges, chunkUtilization*load.Capacity())
--- a/internal/route/seamadmit/limiter.go
+++ b/internal/route/seamadmit/limiter.go
@@ -138,6 +138,7 @@
 // deliver sends verdicts to the waiting requests, and sets the timer of the next start. The caller must hold mu.
 func (l *Limiter) deliver(now time.Time, decisions []Decision) {
 	for _, d := range decisions {
+		d.AdmittedAt = now
 		l.verdicts[d.ID] <- d.Verdict
 		delete(l.verdicts, d.ID)
 	}
--- a/internal/route/seamadmit/queue.go
+++ b/internal/route/seamadmit/queue.go
@@ -30,6 +30,8 @@
 	Reason seamoutcome.Reason
 	// RetryAfter is the delay after which the caller may retry.
 	RetryAfter time.Duration
+	// AdmittedAt is the time of the admission, set by a Limiter.
+	AdmittedAt time.Time
 }
 
 // Decision is the verdict on the request with the given ID.
@@ -110,7 +112,7 @@
 // Submit adds a request. The returned decisions cover this request, unless it has to wait, and any other
 // request that is decided now.
 func (q *Queue) Submit(now time.Time, id uint64, r Request) []Decision {
-	q.throttled = q.throttle.Limited()
+	q.throttled = q.throttle.Limited(now)
 	w := newWaiter(id, r)
 	q.countKey(now, r)
 	if d, refused := q.evaluate(now, w); refused {
@@ -125,7 +127,7 @@
 
 // Forecast reports whether a request would be refused now, and with which verdict, without queueing it.
 func (q *Queue) Forecast(now time.Time, r Request) (v Verdict, refused bool) {
-	q.throttled = q.throttle.Limited()
+	q.throttled = q.throttle.Limited(now)
 	d, refused := q.evaluate(now, newWaiter(0, r))
 	if refused {
 		// It is not submitted.
@@ -156,7 +158,7 @@
 	}
 	wait := q.waitBehind(now, q.countAhead(w))
 	w.late = !q.canMeetObjective(now, w, wait)
-	if w.late && (q.saturated(w) || !q.hasRoomForLate(w) || !q.canMeetDeadline(now, w, q.waitBehind(now, len(q.waiting)))) {
+	if w.late && (q.saturated(now, w) || !q.hasRoomForLate(w) || !q.canMeetDeadline(now, w, q.waitBehind(now, len(q.waiting)))) {
 		return q.refuse(now, w, wait), true
 	}
 	return Decision{}, false
@@ -256,8 +258,8 @@
 
 // concurrency returns the number of requests that run when the target is fully used: as many as its slots, or as start within
 // one mean service time.
-func (q *Queue) concurrency() int {
-	rate, throttled := q.throttle.Rate()
+func (q *Queue) concurrency(now time.Time) int {
+	rate, throttled := q.throttle.Rate(now)
 	if !throttled {
 		return q.slots
 	}
@@ -266,14 +268,14 @@
 
 // saturated reports whether at least as many waiting requests as run concurrently can still meet their objectives. They then
 // wait longer than one request takes, and the late request w would only delay them.
-func (q *Queue) saturated(w *waiter) bool {
+func (q *Queue) saturated(now time.Time, w *waiter) bool {
 	n := 0
 	for _, o := range q.waiting {
 		if !o.late && q.runsBefore(o, w) {
 			n++
 		}
 	}
-	return n >= q.concurrency()
+	return n >= q.concurrency(now)
 }
 
 // lateSlotDivisor bounds the late requests in the queue: their total service time is at most
@@ -331,7 +333,7 @@
 
 // dispatch refuses waiters that can no longer be served in time and admits others into the free slots.
 func (q *Queue) dispatch(now time.Time) []Decision {
-	q.throttled = q.throttle.Limited()
+	q.throttled = q.throttle.Limited(now)
 	decisions := q.refuseUnservable(now)
 	for q.running < q.slots && len(q.waiting) > 0 && q.throttle.Take(now) {
 		best := 0
@@ -365,7 +367,7 @@
 	for _, w := range q.waiting {
 		becameLate := !w.late && !q.canMeetObjective(now, w, 0)
 		w.late = w.late || becameLate
-		if becameLate && (q.saturated(w) || !q.hasRoomForLate(w)) || !q.canMeetDeadline(now, w, w.startWait) {
+		if becameLate && (q.saturated(now, w) || !q.hasRoomForLate(w)) || !q.canMeetDeadline(now, w, w.startWait) {
 			decisions = append(decisions, q.refuse(now, w, q.waitBehind(now, len(q.waiting))))
 			continue
 		}
--- a/internal/route/seamcall/notice.go
+++ b/internal/route/seamcall/notice.go
@@ -13,13 +13,15 @@
 		return nil
 	}
 	return &seamroutewire.Notice{
-		Target:  r.Target.Name,
-		Born:    r.Target.Started,
-		Limited: r.Limited,
-		Rate:    r.Rate,
-		Age:     r.Age.Milliseconds(),
-		Leaving: r.Leaving,
-		Since:   r.LeavingAge.Milliseconds(),
+		Target:   r.Target.Name,
+		Born:     r.Target.Started,
+		Limited:  r.Limited,
+		Rate:     r.Rate,
+		Age:      r.Age.Milliseconds(),
+		Leaving:  r.Leaving,
+		Since:    r.LeavingAge.Milliseconds(),
+		Warmup:   r.WarmupLeft.Milliseconds(),
+		Coldrate: r.WarmupRate,
 	}
 }
 
@@ -32,5 +34,7 @@
 		Age:        time.Duration(n.GetAge()) * time.Millisecond,
 		Leaving:    n.GetLeaving(),
 		LeavingAge: time.Duration(n.GetSince()) * time.Millisecond,
+		WarmupLeft: time.Duration(n.GetWarmup()) * time.Millisecond,
+		WarmupRate: n.GetColdrate(),
 	}
 }
--- a/internal/route/seamegress/admission.go
+++ b/internal/route/seamegress/admission.go
@@ -56,7 +56,7 @@
 
 func (p objectiveAdmission) admit(ctx context.Context, now time.Time, a admissionRequest) seamlimit.Verdict {
 	v := p.Admit(ctx, now, a.objectiveRequest())
-	return seamlimit.Verdict{Admitted: v.Admitted, Reason: v.Reason, RetryAfter: v.RetryAfter, Waited: time.Since(now)}
+	return seamlimit.Verdict{Admitted: v.Admitted, Reason: v.Reason, RetryAfter: v.RetryAfter, Waited: time.Since(now), AdmittedAt: v.AdmittedAt}
 }
 
 func (p objectiveAdmission) meanServiceTime(head *seamroutewire.RequestHead) time.Duration {
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -107,7 +107,7 @@
 	if !v.Admitted {
 		return c.endOfWait(ctx, cause, v)
 	}
-	p := &permit{limiter: c.egress.limiter, head: c.head, start: time.Now()}
+	p := &permit{limiter: c.egress.limiter, head: c.head, start: time.Now(), admittedAt: v.AdmittedAt}
 	defer p.release(false, false)
 	if end := c.shutdownRefusal(p.start); end != nil {
 		return *end
@@ -211,6 +211,9 @@
 	limiter admission
 	head    *seamroutewire.RequestHead
 	start   time.Time
+	// admittedAt is the time at which the request was admitted. It may be before start by the time for which this goroutine waited
+	// to run, in which a limit may have begun.
+	admittedAt time.Time
 	// latency is the time until the head of the response; 0 before it arrived.
 	latency  time.Duration
 	released bool
@@ -305,7 +308,7 @@
 		return end.Reason
 	}
 	throttle := c.egress.throttle
-	mayStart := !p.sent && throttle.Confirm(now, p.start) || p.sent && throttle.Take(now)
+	mayStart := !p.sent && throttle.Confirm(now, p.admittedAt) || p.sent && throttle.Take(now)
 	p.sent = true
 	if !mayStart {
 		return seamoutcome.Limit
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -94,6 +94,9 @@
 	BodyBufferBytes int64
 	// RulesRevision returns the revision of the rules at this node; nil means that it is not reported.
 	RulesRevision func() int64
+	// Warmup returns the number of requests per second that a cold target of a service can handle, 0 if that is not limited, and the
+	// time for which a target is cold after a start, 0 if that is unknown; nil means that no service has such a limit.
+	Warmup func(service string) (rate float64, duration time.Duration)
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -128,6 +131,7 @@
 	// probes are the connections that find out whether the target has crashed.
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
+	warmups  warmupMetrics
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
@@ -178,6 +182,7 @@
 		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		events:     sink,
 		throttle:   throttle,
+		warmups:    newWarmupMetrics(set, throttle),
 		idle:       make(chan struct{}),
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
@@ -209,7 +214,7 @@
 // Load returns the current load of the target.
 func (e *Egress) Load() seamlimit.Load {
 	load := e.limiter.Load()
-	if rate, limited := e.throttle.Rate(); limited {
+	if rate, limited := e.throttle.Rate(time.Now()); limited {
 		load.MaxRate = rate
 	}
 	return load
@@ -225,6 +230,7 @@
 	end.InFlight, end.Slots = load.Running+load.Queued, load.Slots
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
+	e.addWarmup(time.Now(), &end)
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
 		end.RulesRevision = e.cfg.RulesRevision()
--- a/internal/route/seamegress/notice.go
+++ b/internal/route/seamegress/notice.go
@@ -45,13 +45,6 @@
 	}
 }
 
-// syncThrottle tells the throttle which target the node has.
-func (e *Egress) syncThrottle(now time.Time, a seamtarget.Announcement) {
-	if e.throttle.SetTarget(throttleTarget(a)) {
-		e.limiter.Tick(now)
-	}
-}
-
 // noticeChanged acts on a change of what is known about the target.
 func (e *Egress) noticeChanged(now time.Time, a seamtarget.Announcement, before seamthrottle.State) {
 	s := e.throttle.State()
@@ -99,7 +92,7 @@
 
 // report returns what is known about the target, for the node that sent the request; nil if that says nothing new to it.
 func (e *Egress) report(now time.Time, head *seamroutewire.RequestHead) *seamthrottle.Report {
-	r := e.throttle.State().Report(now)
+	r := e.throttle.Report(now)
 	endsNotice := head.GetNotice() != nil && r.Target == seamcall.NoticeFromWire(head.GetNotice()).Target
 	if !r.Matters() && !endsNotice {
 		return nil
--- /dev/null
+++ b/internal/route/seamegress/warmup.go
@@ -0,0 +1,110 @@
+package seamegress
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/route/seamoutcome"
+	"cardamomseam/internal/route/seamthrottle"
+)
+
+// Causes for which a target counts as cold or ceases to, as logged and counted.
+const (
+	warmupAnnounced = "announced"
+	warmupAssumed   = "assumed"
+	warmupDoubted   = "doubted"
+)
+
+// warmupMetrics counts what the warm-ups of targets do to requests.
+type warmupMetrics struct {
+	begun   map[string]*metrics.Counter
+	refused *metrics.Counter
+}
+
+func newWarmupMetrics(set *metrics.Set, throttle *seamthrottle.Throttle) warmupMetrics {
+	m := warmupMetrics{
+		begun:   map[string]*metrics.Counter{},
+		refused: set.NewCounter("cardamomseam_target_warmup_refused_total"),
+	}
+	for _, cause := range []string{warmupAnnounced, warmupAssumed, warmupDoubted} {
+		m.begun[cause] = set.NewCounter(`cardamomseam_target_warmups_total{cause="` + cause + `"}`)
+	}
+	set.NewGauge("cardamomseam_target_warmup_seconds", func() float64 { return throttle.Report(time.Now()).WarmupLeft.Seconds() })
+	set.NewGauge("cardamomseam_target_warmup_limit", func() float64 {
+		if r := throttle.Report(time.Now()); r.WarmupLeft > 0 {
+			return r.WarmupRate
+		}
+		return seamthrottle.NoLimit
+	})
+	return m
+}
+
+// TargetAnnounced applies an announcement of the target to the requests that wait.
+func (e *Egress) TargetAnnounced(now time.Time, a seamtarget.Announcement) { e.syncThrottle(now, a) }
+
+// AssumeCold makes the target count as cold from now until the next announcement that arrives after now says otherwise.
+func (e *Egress) AssumeCold(now time.Time) {
+	a, ok := e.target.Current()
+	if !ok {
+		// The first announcement decides.
+		return
+	}
+	e.syncThrottle(now, a)
+	if e.throttle.AssumeCold(now) {
+		e.warmupChanged(now, a, warmupAssumed)
+	}
+}
+
+// syncThrottle tells the throttle which target the node has, and whether it is cold.
+func (e *Egress) syncThrottle(now time.Time, a seamtarget.Announcement) {
+	warmup := seamthrottle.Announcement{Target: throttleTarget(a), ArrivedAt: a.ArrivedAt, Left: a.WarmupLeft}
+	if e.cfg.Warmup != nil {
+		warmup.Rate, warmup.Duration = e.cfg.Warmup(a.Service)
+	}
+	wasCold := e.throttle.Cold(now)
+	if !e.throttle.Announce(now, warmup) {
+		return
+	}
+	if wasCold || e.throttle.Cold(now) {
+		e.warmupChanged(now, a, warmupAnnounced)
+		return
+	}
+	e.limiter.Tick(now)
+}
+
+// doubtTarget makes the target count as cold until its next announcement, because it may have started again. Until then, a node knows
+// of a restart at the same address only by connections that are refused or closed.
+func (e *Egress) doubtTarget(now time.Time, a seamtarget.Announcement) {
+	if e.throttle.DoubtTarget(now, throttleTarget(a)) {
+		e.warmupChanged(now, a, warmupDoubted)
+	}
+}
+
+// warmupChanged logs and counts that the target has become cold or has ceased to be, and applies it to the requests that wait.
+func (e *Egress) warmupChanged(now time.Time, a seamtarget.Announcement, cause string) {
+	r := e.throttle.Report(now)
+	cold := e.throttle.Cold(now)
+	if cold {
+		e.warmups.begun[cause].Inc()
+	}
+	e.events.Emit(now, seamevent.TargetWarmup, seamevent.Fields{
+		"target": a.Name, "service": a.Service, "started": a.Started, "cold": cold, "cause": cause,
+		"rate": r.WarmupRate, "left": r.WarmupLeft.Milliseconds(),
+	})
+	e.limiter.Tick(now)
+}
+
+// addWarmup adds to the end of a request what the nodes that choose targets must know of a cold target, and counts its refusals.
+func (e *Egress) addWarmup(now time.Time, end *seamoutcome.End) {
+	wait := e.throttle.ReportedWait(now)
+	if wait <= 0 {
+		return
+	}
+	end.QueueWait = max(end.QueueWait, wait)
+	if end.Reason == seamoutcome.Limit {
+		e.warmups.refused.Inc()
+	}
+}
--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -248,7 +248,7 @@
 		Class:            x.head.GetClass(),
 		ClassServiceTime: end.ClassServiceTime,
 		QueueWait:        end.QueueWait,
-		Limited:          end.Notice != nil && end.Notice.Limited,
+		Limited:          end.Notice != nil && end.Notice.LimitsRequests(),
 	}
 	switch end.Reason {
 	case seamoutcome.Lost, seamoutcome.Session, seamoutcome.Target, seamoutcome.Draining:
--- a/internal/route/seamlimit/limiter.go
+++ b/internal/route/seamlimit/limiter.go
@@ -62,6 +62,8 @@
 	RetryAfter time.Duration
 	// Waited is the time that the request spent in the queue.
 	Waited time.Duration
+	// AdmittedAt is the time of the admission.
+	AdmittedAt time.Time
 }
 
 // Limiter admits requests to one target. It is safe for concurrent use.
@@ -212,7 +214,7 @@
 	}
 	if l.queue.Len() == 0 && l.running < l.currentLimit(now) && l.throttle.Take(now) {
 		l.running++
-		return nil, Verdict{Admitted: true}
+		return nil, Verdict{Admitted: true, AdmittedAt: now}
 	}
 	ahead := l.queue.Ahead(r.Caller, r.Deadline)
 	if !l.canMeetDeadline(now, ahead, r.Deadline) {
@@ -337,6 +339,6 @@
 			continue
 		}
 		l.running++
-		w.verdict <- Verdict{Admitted: true}
+		w.verdict <- Verdict{Admitted: true, AdmittedAt: now}
 	}
 }
--- a/internal/route/seamthrottle/bucket.go
+++ b/internal/route/seamthrottle/bucket.go
@@ -8,8 +8,8 @@
 const (
 	// burstPeriod is the time whose share of the limit may start at once after a pause.
 	burstPeriod = 250 * time.Millisecond
-	// minRate is the rate, in requests per second, at which requests start even if the limit is lower. Without a response,
-	// it would never be known that the limit has ended.
+	// minRate is the rate, in requests per second, at which requests start even if the stated limit is lower. Without a
+	// response, it would never be known that the limit has ended.
 	minRate = 0.2
 )
 
@@ -23,13 +23,13 @@
 
 // newBucket returns an empty bucket for a limit.
 func newBucket(now time.Time, limit float64) bucket {
-	return bucket{rate: max(limit, minRate), filledAt: now}
+	return bucket{rate: limit, filledAt: now}
 }
 
 // setLimit applies another limit from now on.
 func (b *bucket) setLimit(now time.Time, limit float64) {
 	b.fill(now)
-	b.rate = max(limit, minRate)
+	b.rate = limit
 	b.fill(now)
 }
 
--- a/internal/route/seamthrottle/report.go
+++ b/internal/route/seamthrottle/report.go
@@ -16,10 +16,17 @@
 	// Leaving reports whether the target is about to stop, and LeavingAge since when.
 	Leaving    bool
 	LeavingAge time.Duration
+	// WarmupLeft is the time for which WarmupRate, in requests per second, limits the requests because the target is or was
+	// cold; 0 if it does not.
+	WarmupLeft time.Duration
+	WarmupRate float64
 }
 
 // Matters reports whether the report says more than that nothing is known.
-func (r Report) Matters() bool { return r.Limited || r.Leaving }
+func (r Report) Matters() bool { return r.LimitsRequests() || r.Leaving }
+
+// LimitsRequests reports whether the target limits its requests, or its warm-up does.
+func (r Report) LimitsRequests() bool { return r.Limited || r.WarmupLeft > 0 }
 
 // Report returns the state as a report.
 func (s State) Report(now time.Time) Report {
@@ -44,7 +51,8 @@
 	byAddress map[string]State
 }
 
-// Record records the report of the node with the address. What an older report says about the limit is ignored; a target that
+// Record records the report of the node with the address. The warm-up is left out: it ends by itself, and the announcement of the
+// target decides it at the node beside it. What an older report says about the limit is ignored; a target that
 // is leaving stays so.
 func (r *Reports) Record(now time.Time, address string, report Report) {
 	r.mu.Lock()
--- a/internal/route/seamthrottle/throttle.go
+++ b/internal/route/seamthrottle/throttle.go
@@ -15,6 +15,10 @@
 // maxStartDelay is the time after its admission for which a request needs no further permission to start.
 const maxStartDelay = 500 * time.Millisecond
 
+// maxColdStartDelay is the same for a cold target. With burstPeriod, it bounds the starts within any second to 1.45 times
+// those that the limit allows, and one.
+const maxColdStartDelay = 200 * time.Millisecond
+
 // State is what a node knows about its target.
 type State struct {
 	Target Target
@@ -40,19 +44,26 @@
 	return s.Rate
 }
 
-// Throttle decides when the next request to a target may start, by the limit that the target states. It reads no clock. It is
-// safe for concurrent use. The zero value has no limit.
+// Throttle decides when the next request to a target may start, by the limit that the target states and that of its warm-up; the
+// lower one applies. It reads no clock. It is safe for concurrent use. The zero value has no limit.
 type Throttle struct {
-	mu    sync.Mutex
-	state State
-	// limitedAt is the time since which the limit applies.
+	mu     sync.Mutex
+	state  State
+	warmup warmup
+	// limited and cold report whether a limit applied and the target was cold at the last decision.
+	limited, cold bool
+	// limitedAt is the time since which the limit applies. Requests that were admitted before are counted again.
 	limitedAt time.Time
+	// startedAt is the time of the last start that was permitted.
+	startedAt time.Time
 	bucket    bucket
 	// promisedUntil is the time up to which the starts were promised to callers that were refused.
 	promisedUntil time.Time
+	// reportedUntil is the time up to which the starts of a cold target were reported to nodes that choose targets.
+	reportedUntil time.Time
 }
 
-// State returns what is known about the target.
+// State returns what the target is known to have stated.
 func (t *Throttle) State() State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,13 +74,43 @@
 func (t *Throttle) SetTarget(target Target) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.setTarget(target)
+}
+
+func (t *Throttle) setTarget(target Target) (changed bool) {
 	if t.state.Target == target {
 		return false
 	}
-	t.state = State{Target: target}
+	t.state, t.warmup = State{Target: target}, warmup{}
 	return true
 }
 
+// refresh applies the limit that is in effect now.
+func (t *Throttle) refresh(now time.Time) {
+	rate, limited := t.effectiveLimit(now)
+	switch {
+	case limited && !t.limited:
+		t.bucket, t.promisedUntil = newBucket(now, rate), now
+		t.limitedAt = later(now, t.startedAt)
+	case limited && rate != t.bucket.rate:
+		t.bucket.setLimit(now, rate)
+	}
+	cold := t.warmup.cold(now)
+	if cold && !t.cold {
+		t.limitedAt, t.reportedUntil = later(now, t.startedAt), now
+	}
+	t.limited, t.cold = limited, cold
+}
+
+// effectiveLimit returns the lower of the limits.
+func (t *Throttle) effectiveLimit(now time.Time) (rate float64, limited bool) {
+	rate, limited = t.warmup.limitAt(now)
+	if stated := max(t.state.Rate, minRate); t.state.Limited && (!limited || stated < rate) {
+		return stated, true
+	}
+	return rate, limited
+}
+
 // Response is a response of a target.
 type Response struct {
 	Target Target
@@ -100,6 +141,7 @@
 		changed = t.limit(now, n.Rate) || changed
 	case !n.Limited && n.Invalid == "" && later:
 		changed = t.state.Limited || changed
+		t.refresh(now)
 		t.state.Limited, t.state.Rate = false, 0
 	default:
 		return changed
@@ -108,17 +150,14 @@
 	return changed
 }
 
-// limit applies a limit and reports whether it differs from the one before.
+// limit applies a stated limit and reports whether it differs from the one before.
 func (t *Throttle) limit(now time.Time, rate float64) (changed bool) {
-	switch {
-	case !t.state.Limited:
-		t.bucket, t.limitedAt, t.promisedUntil = newBucket(now, rate), now, now
-	case t.state.Rate != rate:
-		t.bucket.setLimit(now, rate)
-	default:
+	if t.state.Limited && t.state.Rate == rate {
 		return false
 	}
+	t.refresh(now)
 	t.state.Limited, t.state.Rate = true, rate
+	t.refresh(now)
 	return true
 }
 
@@ -144,38 +183,53 @@
 }
 
 // Limited reports whether a limit applies.
-func (t *Throttle) Limited() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.state.Limited
+func (t *Throttle) Limited(now time.Time) bool {
+	_, limited := t.Rate(now)
+	return limited
 }
 
 // Rate returns the rate at which requests may start, in requests per second, and false if it is not limited.
-func (t *Throttle) Rate() (rate float64, limited bool) {
+func (t *Throttle) Rate(now time.Time) (rate float64, limited bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.bucket.rate, t.state.Limited
+	t.refresh(now)
+	return t.bucket.rate, t.limited
 }
 
 // Wait returns the time until a request may start that has the given number of others before it.
 func (t *Throttle) Wait(now time.Time, ahead int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refresh(now)
 	return t.wait(now, ahead)
 }
 
+// wait returns the same for the limit that is in effect. The wait is not longer than that for the end of a warm-up.
 func (t *Throttle) wait(now time.Time, ahead int) time.Duration {
-	if !t.state.Limited {
+	if !t.limited {
 		return 0
 	}
-	return t.bucket.wait(now, ahead)
+	wait := t.bucket.wait(now, ahead)
+	left := t.warmup.left(now)
+	switch {
+	case left <= 0:
+		return wait
+	case t.state.Limited:
+		left += duration(float64(ahead+1) / max(t.state.Rate, minRate))
+	}
+	return min(wait, left)
 }
 
 // Take counts the start of a request, and reports false if it may not start now.
 func (t *Throttle) Take(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.state.Limited || t.bucket.take(now)
+	t.refresh(now)
+	if t.limited && !t.bucket.take(now) {
+		return false
+	}
+	t.startedAt = later(t.startedAt, now)
+	return true
 }
 
 // Confirm reports whether a request for which Take returned true at the time of its admission may still start. A request that was
@@ -183,7 +237,12 @@
 func (t *Throttle) Confirm(now, admitted time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.state.Limited || admitted.After(t.limitedAt) && now.Sub(admitted) <= maxStartDelay {
+	t.refresh(now)
+	longest := maxStartDelay
+	if t.cold {
+		longest = maxColdStartDelay
+	}
+	if !t.limited || admitted.After(t.limitedAt) && now.Sub(admitted) <= longest {
 		return true
 	}
 	return t.bucket.take(now)
@@ -194,16 +253,27 @@
 func (t *Throttle) RetryAfter(now time.Time, waiting int, left time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.state.Limited {
+	t.refresh(now)
+	if !t.limited {
 		return 0
 	}
-	due := now.Add(t.wait(now, waiting))
-	if t.promisedUntil.After(due) {
-		due = t.promisedUntil
-	}
+	due := later(now.Add(t.wait(now, waiting)), t.promisedUntil)
 	delay := due.Sub(now)
 	if delay < left {
-		t.promisedUntil = due.Add(duration(1 / t.bucket.rate))
+		t.promisedUntil = due.Add(t.promiseInterval(now, delay))
 	}
 	return delay
 }
+
+// warmRateFactor times the rate of a cold target is that at which starts after the warm-up are promised. The rate of the warm
+// target is not known here.
+const warmRateFactor = 8
+
+// promiseInterval returns the time between promised starts after the delay.
+func (t *Throttle) promiseInterval(now time.Time, delay time.Duration) time.Duration {
+	rate := t.bucket.rate
+	if left := t.warmup.left(now); left > 0 && delay >= left && !t.state.Limited {
+		rate = warmRateFactor * t.warmup.rate
+	}
+	return duration(1 / rate)
+}
--- a/internal/route/seamthrottle/throttle_test.go
+++ b/internal/route/seamthrottle/throttle_test.go
@@ -112,7 +112,7 @@
 	restarted := seamthrottle.Target{Name: target.Name, Started: target.Started + 1}
 	throttle.SetTarget(restarted)
 	throttle.Hear(at(100), response(at(50), limitOf(1)))
-	if throttle.Limited() {
+	if throttle.Limited(at(100)) {
 		t.Fatal("the limit of the incarnation before applies")
 	}
 }
@@ -124,7 +124,7 @@
 		t.Fatal("no request may ever start")
 	}
 	throttle.Hear(now.Add(time.Second), response(now, seamthrottle.Notice{}))
-	if throttle.Limited() {
+	if throttle.Limited(now.Add(time.Second)) {
 		t.Fatal("the limit did not end")
 	}
 }
@@ -138,14 +138,14 @@
 	if throttle.Learn(start, "n2", other) {
 		t.Error("the report about another incarnation was used")
 	}
-	if !throttle.Learn(start, "n2", report) || !throttle.Limited() {
+	if !throttle.Learn(start, "n2", report) || !throttle.Limited(start) {
 		t.Error("the report was not used")
 	}
 	if report.Rate = 2; !throttle.Learn(start, "n3", report) {
 		t.Error("the lower limit in another report was not used")
 	}
 	throttle.Hear(at(500), response(at(100), seamthrottle.Notice{}))
-	if throttle.Learn(at(600), "n2", report) || throttle.Limited() {
+	if throttle.Learn(at(600), "n2", report) || throttle.Limited(at(600)) {
 		t.Error("a report was used although the target had been heard")
 	}
 }
--- a/internal/rule/seamroutes/document.go
+++ b/internal/rule/seamroutes/document.go
@@ -50,6 +50,11 @@
 	Keyed bool
 	// MaxConnections is the number of connections that a target accepts; 0 means unknown.
 	MaxConnections int
+	// WarmupRate is the number of requests per second that a cold target can handle from all nodes together; 0 means that a cold target
+	// is not limited.
+	WarmupRate float64
+	// Warmup is the time for which a target is cold after a start; 0 means unknown.
+	Warmup time.Duration
 }
 
 // Limits bounds the size and timing of callers' requests.
