Treat a target as cold after its connections were refused or closed, until it announces itself

Cause: a target that crashed and started again at the same address got the normal rate until its next announcement. Change: a refused connection, a started request without a complete response, and an idle connection that was closed within 2 s of its last request make the target count as cold. An announcement that arrives at least 1 s later refutes it; the pause until the next suspicion doubles then, as some targets often close connections. A retry over another connection is counted already.

--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -333,8 +333,8 @@
 			denial = gateFailureReason(ctx, g)
 		}
 		p.release(denial == seamoutcome.Target, denial == seamoutcome.Target)
-		if errors.Is(err, syscall.ECONNREFUSED) && c.egress.cfg.OnConnectionRefused != nil {
-			c.egress.cfg.OnConnectionRefused(c.announced)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.egress.connectionRefused(c.announced)
 		}
 		now := time.Now()
 		if denial == seamoutcome.Poison {
--- a/internal/route/seamegress/client.go
+++ b/internal/route/seamegress/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/route/seamthrottle"
 )
 
 const (
@@ -37,6 +39,8 @@
 	reused bool
 	// lastUse means that the connection carries no further request, because more bytes may arrive that belong to none.
 	lastUse bool
+	// incarnation is that of the target to which the connection was opened.
+	incarnation seamthrottle.Target
 	// idleSince is the time at which the last request ended.
 	idleSince time.Time
 	// idleLimit is the time after which the idle connection is not reused.
@@ -44,7 +48,7 @@
 }
 
 func newTargetConn(c net.Conn, p *targetPool) *targetConn {
-	t := &targetConn{Conn: c, pool: p, headerLimit: &io.LimitedReader{R: c}}
+	t := &targetConn{Conn: c, pool: p, incarnation: p.currentIncarnation(), headerLimit: &io.LimitedReader{R: c}}
 	t.reader = bufio.NewReader(t.headerLimit)
 	t.writer = bufio.NewWriterSize(gatedWriter{t}, writeBufferSize)
 	return t
@@ -116,7 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
+	idle := time.Since(c.idleSince)
 	a, err := c.exchange(ctx, r, g)
+	if err != nil && c.reused && ctx.Err() == nil && idle < shortIdleTime && g.hasStarted() && connectionEnded(err) {
+		p.onClosed(c.incarnation)
+	}
 	if err == nil || !c.reused || ctx.Err() != nil || !g.mayRetry() || !rewind(r) {
 		return a, err
 	}
--- a/internal/route/seamegress/crash.go
+++ b/internal/route/seamegress/crash.go
@@ -83,7 +83,11 @@
 // connections; one that does not has lost the response. err is the error of the call, nil if that is not known.
 func (c *call) confirmCrash(err error) bool {
 	e := c.egress
-	if e.cfg.Poison == nil || e.isLeaving(c.announced) || !connectionEnded(err) {
+	if e.isLeaving(c.announced) || !connectionEnded(err) {
+		return false
+	}
+	e.doubtTarget(time.Now(), c.announced, false)
+	if e.cfg.Poison == nil {
 		return false
 	}
 	target := throttleTarget(c.announced)
@@ -124,9 +128,7 @@
 
 // reportCrash records which requests the target was running when it crashed.
 func (e *Egress) reportCrash(now time.Time, a seamtarget.Announcement, running []*call) {
-	if e.cfg.OnConnectionRefused != nil {
-		defer e.cfg.OnConnectionRefused(a)
-	}
+	defer e.connectionRefused(a)
 	crash := seampoison.Crash{Service: a.Service, Incarnation: seampoison.NewIncarnation(a.Name, a.Started)}
 	for _, c := range running {
 		f, known := c.fingerprint()
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -168,6 +168,7 @@
 		cfg.HandoverGrace = defaultHandoverGrace
 	}
 	throttle := new(seamthrottle.Throttle)
+	pools := &targetPools{dial: cfg.DialTimeout}
 	e := &Egress{
 		cfg:        cfg,
 		self:       self,
@@ -177,7 +178,7 @@
 		keys:       keys,
 		dedup:      seamdedup.New(cfg.MaxRecords),
 		limiter:    newAdmission(cfg, throttle, set),
-		pools:      &targetPools{dial: cfg.DialTimeout},
+		pools:      pools,
 		bodyMemory: &memoryBudget{available: cfg.BodyBufferBytes},
 		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		events:     sink,
@@ -185,6 +186,7 @@
 		warmups:    newWarmupMetrics(set, throttle),
 		idle:       make(chan struct{}),
 	}
+	pools.onClosed = e.connectionClosed
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_target_limit", func() float64 { return throttle.State().StatedLimit() })
 	set.NewGauge("cardamomseam_target_leaving", func() float64 { return leavingGauge(throttle.State()) })
--- a/internal/route/seamegress/pool.go
+++ b/internal/route/seamegress/pool.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/route/seamthrottle"
 )
 
 const (
@@ -18,6 +19,9 @@
 	connIdleTimeout = 15 * time.Second
 	// defaultMaxConnections is the limit for a target that announces no limit.
 	defaultMaxConnections = 1024
+	// shortIdleTime is the time after a request in which a target seldom closes the connection, so that its process may have
+	// ended. Common idle time-outs are longer.
+	shortIdleTime = 2 * time.Second
 )
 
 // targetPool is the connection pool of one incarnation of the target.
@@ -26,8 +30,12 @@
 	address string
 	// permits holds one token for each open connection.
 	permits chan struct{}
+	// onClosed is called with the incarnation of a target that closed a connection it had just served.
+	onClosed func(seamthrottle.Target)
 
 	mu sync.Mutex
+	// incarnation is the current one of the target.
+	incarnation seamthrottle.Target
 	// idle holds the connections without a request, the most recently used last.
 	idle   []*targetConn
 	closed bool
@@ -38,7 +46,19 @@
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
-	return &targetPool{dialer: net.Dialer{Timeout: dial}, address: a.Address, permits: make(chan struct{}, limit)}
+	return &targetPool{dialer: net.Dialer{Timeout: dial}, address: a.Address, permits: make(chan struct{}, limit), incarnation: throttleTarget(a)}
+}
+
+func (p *targetPool) setIncarnation(t seamthrottle.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.incarnation = t
+}
+
+func (p *targetPool) currentIncarnation() seamthrottle.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.incarnation
 }
 
 // get returns an idle connection that is still open, or a new one.
@@ -48,10 +68,14 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if now.Sub(c.idleSince) < c.idleLimit && isReusable(c.Conn) {
+		open, closed := peek(c.Conn)
+		if now.Sub(c.idleSince) < c.idleLimit && open {
 			c.reused = true
 			return c, nil
 		}
+		if closed && now.Sub(c.idleSince) < shortIdleTime {
+			p.onClosed(c.incarnation)
+		}
 		p.drop(c)
 	}
 }
@@ -130,29 +154,31 @@
 	}
 }
 
-// isReusable reports whether an idle connection is open and has no unread data.
-func isReusable(c net.Conn) bool {
+// peek reports whether an idle connection is open and has no unread data, or was closed by the target without any.
+func peek(c net.Conn) (open, closed bool) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = errors.Is(err, syscall.EAGAIN)
+		closed = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
 		return true
 	})
-	return err == nil && open
+	return err == nil && open, err == nil && closed
 }
 
 // targetPools holds the connection pool of the target's current incarnation.
 type targetPools struct {
 	dial time.Duration
+	// onClosed is called with the incarnation of a target that closed a connection it had just served.
+	onClosed func(seamthrottle.Target)
 
 	mu    sync.Mutex
 	name  string
@@ -166,6 +192,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pool != nil && t.name == a.Name && t.limit == a.Connections && t.pool.address == a.Address {
+		t.pool.setIncarnation(throttleTarget(a))
 		return t.pool
 	}
 	if t.pool != nil {
@@ -173,6 +200,7 @@
 	}
 	t.name, t.limit = a.Name, a.Connections
 	t.pool = newTargetPool(t.dial, a)
+	t.pool.onClosed = t.onClosed
 	return t.pool
 }
 
--- a/internal/route/seamegress/warmup.go
+++ b/internal/route/seamegress/warmup.go
@@ -76,13 +76,28 @@
 }
 
 // doubtTarget makes the target count as cold until its next announcement, because it may have started again. Until then, a node knows
-// of a restart at the same address only by connections that are refused or closed.
-func (e *Egress) doubtTarget(now time.Time, a seamtarget.Announcement) {
-	if e.throttle.DoubtTarget(now, throttleTarget(a)) {
+// of a restart at the same address only by connections that are refused (ended) or closed.
+func (e *Egress) doubtTarget(now time.Time, a seamtarget.Announcement, ended bool) {
+	if e.throttle.DoubtTarget(now, throttleTarget(a), ended) {
 		e.warmupChanged(now, a, warmupDoubted)
 	}
 }
 
+// connectionClosed records that the incarnation of the target closed a connection that it had just served.
+func (e *Egress) connectionClosed(incarnation seamthrottle.Target) {
+	if a, ok := e.target.Current(); ok && throttleTarget(a) == incarnation && !e.isLeaving(a) {
+		e.doubtTarget(time.Now(), a, false)
+	}
+}
+
+// connectionRefused records that the target's process has ended.
+func (e *Egress) connectionRefused(a seamtarget.Announcement) {
+	e.doubtTarget(time.Now(), a, true)
+	if e.cfg.OnConnectionRefused != nil {
+		e.cfg.OnConnectionRefused(a)
+	}
+}
+
 // warmupChanged logs and counts that the target has become cold or has ceased to be, and applies it to the requests that wait.
 func (e *Egress) warmupChanged(now time.Time, a seamtarget.Announcement, cause string) {
 	r := e.throttle.Report(now)
--- a/internal/route/seamthrottle/cold.go
+++ b/internal/route/seamthrottle/cold.go
@@ -19,24 +19,27 @@
 
 // AssumeCold makes the target count as cold until an announcement arrives after now, and reports whether it has become cold.
 func (t *Throttle) AssumeCold(now time.Time) (changed bool) {
-	return t.suspect(now, (*warmup).assume)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	before := t.cold
+	t.warmup.assume(now)
+	t.refresh(now)
+	return t.cold != before
 }
 
 // DoubtTarget makes the target count as cold until an announcement shows whether it has started again at the same address, and
-// reports whether it has become cold. It has no effect for some time after an announcement has shown that the target did not.
-func (t *Throttle) DoubtTarget(now time.Time, target Target) (changed bool) {
-	if t.State().Target != target {
-		return false
-	}
-	return t.suspect(now, (*warmup).doubt)
-}
-
-func (t *Throttle) suspect(now time.Time, suspect func(*warmup, time.Time)) (changed bool) {
+// reports whether it has become cold. Unless ended says that its process has ended for certain, it has no effect for some time after
+// an announcement has shown that the target did not start again.
+func (t *Throttle) DoubtTarget(now time.Time, target Target, ended bool) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.state.Target != target {
+		return false
+	}
 	t.refresh(now)
 	before := t.cold
-	suspect(&t.warmup, now)
+	t.warmup.doubt(now, ended)
 	t.refresh(now)
 	return t.cold != before
 }
--- a/internal/route/seamthrottle/throttle.go
+++ b/internal/route/seamthrottle/throttle.go
@@ -92,6 +92,10 @@
 	case limited && !t.limited:
 		t.bucket, t.promisedUntil = newBucket(now, rate), now
 		t.limitedAt = later(now, t.startedAt)
+		if t.warmup.cold(now) {
+			// A target that is asked for nothing is not overloaded by one request at once.
+			t.bucket.tokens = 1
+		}
 	case limited && rate != t.bucket.rate:
 		t.bucket.setLimit(now, rate)
 	}
--- a/internal/route/seamthrottle/warmup.go
+++ b/internal/route/seamthrottle/warmup.go
@@ -102,9 +102,10 @@
 	w.assumedUntil, w.distrustedUntil, w.doubted = now.Add(w.longest()), later(w.distrustedUntil, now), false
 }
 
-// doubt makes the target count as cold until an announcement shows whether it has started again.
-func (w *warmup) doubt(now time.Time) {
-	if now.Before(w.trustedUntil) || now.Before(w.assumedUntil) {
+// doubt makes the target count as cold until an announcement shows whether it has started again. ended means that its process has
+// ended for certain.
+func (w *warmup) doubt(now time.Time, ended bool) {
+	if !ended && now.Before(w.trustedUntil) || now.Before(w.assumedUntil) {
 		return
 	}
 	longest := w.duration
--- a/internal/route/seamthrottle/warmup_test.go
+++ b/internal/route/seamthrottle/warmup_test.go
@@ -177,7 +177,7 @@
 // Until it announces itself, a target that has crashed and started again at the same address got the normal rate.
 func TestDoubtedTargetIsColdUntilItsNextAnnouncementShowsWhetherItHasStartedAgain(t *testing.T) {
 	throttle := coldThrottle(0)
-	if throttle.DoubtTarget(at(1000), seamthrottle.Target{Name: "before"}) || !throttle.DoubtTarget(at(1000), target) {
+	if throttle.DoubtTarget(at(1000), seamthrottle.Target{Name: "before"}, false) || !throttle.DoubtTarget(at(1000), target, false) {
 		t.Fatal("want a target that is cold once it is doubted")
 	}
 	throttle.Announce(at(1200), announced(1200, 0))
@@ -188,16 +188,20 @@
 	if throttle.Limited(at(2100)) {
 		t.Error("the target is still doubted")
 	}
-	if throttle.DoubtTarget(at(3000), target) {
+	if throttle.DoubtTarget(at(3000), target, false) {
 		t.Error("a target that often closes connections is doubted again and again")
 	}
-	if !throttle.DoubtTarget(at(20_000), target) {
+	if !throttle.DoubtTarget(at(20_000), target, false) {
 		t.Error("a target is never doubted again")
 	}
-	a := announced(20_100, 0)
+	throttle.Announce(at(21_100), announced(21_100, 0))
+	if !throttle.DoubtTarget(at(21_200), target, true) {
+		t.Error("a target that refuses connections is not doubted")
+	}
+	a := announced(21_300, 0)
 	a.Target.Started++
-	throttle.Announce(at(20_100), a)
-	if throttle.Limited(at(20_100)) {
+	throttle.Announce(at(21_300), a)
+	if throttle.Limited(at(21_300)) {
 		t.Error("the doubt outlasts the incarnation")
 	}
 }
