--- a/internal/member/seamannounce/registry_test.go
+++ b/internal/member/seamannounce/registry_test.go
@@ -148,3 +148,29 @@
 		t.Error("the next incarnation is leaving")
 	}
 }
+
+// What an announcement says about a warm-up counts from its arrival, and one that is superseded must not.
+func TestAnnouncementsHaveTheTimeOfTheirArrival(t *testing.T) {
+	r := seamannounce.NewRegistry(time.Minute, seamevent.NewStream("n"), ignoreChanges{})
+	now := time.Unix(1000, 0)
+	a := seamtarget.Announcement{
+		Service: "booker", Name: "t", Address: "127.0.0.1:80", MaxConcurrency: 1, Connections: 1, Started: 5, Sequence: 2, WarmupLeft: time.Second,
+	}
+	if err := r.Announce(now, a); err != nil {
+		t.Fatal(err)
+	}
+	late := a
+	late.Sequence, late.WarmupLeft = 1, time.Minute
+	if err := r.Announce(now.Add(time.Second), late); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := r.Current(); !got.ArrivedAt.Equal(now) || got.WarmupLeft != time.Second {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// ignoreChanges ignores the changes of the target.
+type ignoreChanges struct{}
+
+// TargetChanged implements seamannounce.Watcher.
+func (ignoreChanges) TargetChanged(seamtarget.Announcement, bool) {}
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -232,7 +232,7 @@
 	end.InFlight, end.Slots = load.Running+load.Queued, load.Slots
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
-	e.addWarmup(time.Now(), &end)
+	e.countRefusal(time.Now(), end)
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
 		end.RulesRevision = e.cfg.RulesRevision()
--- a/internal/route/seamegress/warmup.go
+++ b/internal/route/seamegress/warmup.go
@@ -11,7 +11,8 @@
 	"cardamomseam/internal/route/seamthrottle"
 )
 
-// Causes for which a target counts as cold or ceases to, as logged and counted.
+// Causes of a change between cold and warm, as logged and counted. The end of a warm-up by time is logged with the next request or
+// announcement.
 const (
 	warmupAnnounced = "announced"
 	warmupAssumed   = "assumed"
@@ -64,15 +65,13 @@
 	if e.cfg.Warmup != nil {
 		warmup.Rate, warmup.Duration = e.cfg.Warmup(a.Service)
 	}
-	wasCold := e.throttle.Cold(now)
-	if !e.throttle.Announce(now, warmup) {
-		return
-	}
-	if wasCold || e.throttle.Cold(now) {
+	replaced, coldChanged := e.throttle.Announce(now, warmup)
+	switch {
+	case coldChanged || replaced && e.throttle.Cold(now):
 		e.warmupChanged(now, a, warmupAnnounced)
-		return
+	case replaced:
+		e.limiter.Tick(now)
 	}
-	e.limiter.Tick(now)
 }
 
 // doubtTarget makes the target count as cold until its next announcement, because it may have started again. Until then, a node knows
@@ -112,14 +111,9 @@
 	e.limiter.Tick(now)
 }
 
-// addWarmup adds to the end of a request what the nodes that choose targets must know of a cold target, and counts its refusals.
-func (e *Egress) addWarmup(now time.Time, end *seamoutcome.End) {
-	wait := e.throttle.ReportedWait(now)
-	if wait <= 0 {
-		return
-	}
-	end.QueueWait = max(end.QueueWait, wait)
-	if end.Reason == seamoutcome.Limit {
+// countRefusal counts a refusal because the target is cold.
+func (e *Egress) countRefusal(now time.Time, end seamoutcome.End) {
+	if end.Reason == seamoutcome.Limit && e.throttle.Cold(now) {
 		e.warmups.refused.Inc()
 	}
 }
--- a/internal/route/seamthrottle/cold.go
+++ b/internal/route/seamthrottle/cold.go
@@ -2,30 +2,33 @@
 
 import "time"
 
-// Announce records the target and its warm-up, and reports whether the target is another one, has become cold or has ceased to be.
-// An announcement that is known already only updates the settings of the service.
-func (t *Throttle) Announce(now time.Time, a Announcement) (changed bool) {
+// Announce records the target and its warm-up. It reports whether the target is another one than before, and whether one has become
+// cold or ceased to be since this was last reported. An announcement that is known already only updates the settings of the service.
+func (t *Throttle) Announce(now time.Time, a Announcement) (replaced, coldChanged bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.warmup.announced && a.ArrivedAt.Before(t.warmup.arrivedAt) {
-		return false
+		return false, false
 	}
-	before := t.cold
-	changed = t.setTarget(a.Target)
+	replaced = t.setTarget(a.Target)
 	t.warmup.announce(now, a)
+	return replaced, t.coldChanged(now)
+}
+
+// coldChanged applies the limit that is in effect now, and reports whether the target has become cold or ceased to be.
+func (t *Throttle) coldChanged(now time.Time) bool {
 	t.refresh(now)
-	return changed || t.cold != before
+	changed := t.cold != t.reportedCold
+	t.reportedCold = t.cold
+	return changed
 }
 
 // AssumeCold makes the target count as cold until an announcement arrives after now, and reports whether it has become cold.
 func (t *Throttle) AssumeCold(now time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.refresh(now)
-	before := t.cold
 	t.warmup.assume(now)
-	t.refresh(now)
-	return t.cold != before
+	return t.coldChanged(now) && t.cold
 }
 
 // DoubtTarget makes the target count as cold until an announcement shows whether it has started again at the same address, and
@@ -37,11 +40,8 @@
 	if t.state.Target != target {
 		return false
 	}
-	t.refresh(now)
-	before := t.cold
 	t.warmup.doubt(now, ended)
-	t.refresh(now)
-	return t.cold != before
+	return t.coldChanged(now) && t.cold
 }
 
 // Cold reports whether the target counts as cold.
@@ -62,22 +62,29 @@
 	return r
 }
 
-// ReportedWait returns the wait for a start of a cold target that a node which chooses targets is told; 0 if the target is not cold.
-// Each report gets another start, so that the nodes don't all choose the target at the same moment. Once the starts up to the end
-// of the warm-up were reported, the first ones are reported again: many are not used.
-func (t *Throttle) ReportedWait(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	rate, limited := t.warmup.limitAt(now)
-	if !limited {
-		return 0
+// warmRateFactor times the rate of a cold target is that at which starts after the warm-up are promised. The rate of the warm
+// target is not known here.
+const warmRateFactor = 8
+
+// promiseInterval returns the time between promised starts after the delay.
+func (t *Throttle) promiseInterval(now time.Time, delay time.Duration) time.Duration {
+	rate := t.bucket.rate
+	if left := t.warmup.left(now); left > 0 && delay >= left && !t.state.Limited {
+		rate = warmRateFactor * t.warmup.rate
 	}
+	return duration(1 / rate)
+}
+
+// spreadDelay returns when a caller returns to which no start is promised: after the delay, and spread over the rest of the warm-up.
+func (t *Throttle) spreadDelay(now time.Time, delay time.Duration) time.Duration {
 	left := t.warmup.left(now)
-	interval := duration(1 / rate)
-	wait := later(t.reportedUntil, now).Sub(now) + interval
-	if wait > left {
-		wait = min(interval, left)
+	if delay >= left {
+		return delay
+	}
+	next := later(t.spreadUntil, now.Add(delay)).Add(duration(1 / t.bucket.rate))
+	if next.Sub(now) > left {
+		next = now.Add(delay)
 	}
-	t.reportedUntil = now.Add(wait)
-	return wait
+	t.spreadUntil = next
+	return next.Sub(now)
 }
--- a/internal/route/seamthrottle/throttle.go
+++ b/internal/route/seamthrottle/throttle.go
@@ -52,6 +52,8 @@
 	warmup warmup
 	// limited and cold report whether a limit applied and the target was cold at the last decision.
 	limited, cold bool
+	// reportedCold is the value of cold that Announce, AssumeCold or DoubtTarget last reported.
+	reportedCold bool
 	// limitedAt is the time since which the limit applies. Requests that were admitted before are counted again.
 	limitedAt time.Time
 	// startedAt is the time of the last start that was permitted.
@@ -59,8 +61,8 @@
 	bucket    bucket
 	// promisedUntil is the time up to which the starts were promised to callers that were refused.
 	promisedUntil time.Time
-	// reportedUntil is the time up to which the starts of a cold target were reported to nodes that choose targets.
-	reportedUntil time.Time
+	// spreadUntil is the last return that a caller without a promised start was told during a warm-up.
+	spreadUntil time.Time
 }
 
 // State returns what the target is known to have stated.
@@ -101,7 +103,7 @@
 	}
 	cold := t.warmup.cold(now)
 	if cold && !t.cold {
-		t.limitedAt, t.reportedUntil = later(now, t.startedAt), now
+		t.limitedAt = later(now, t.startedAt)
 	}
 	t.limited, t.cold = limited, cold
 }
@@ -263,21 +265,9 @@
 	}
 	due := later(now.Add(t.wait(now, waiting)), t.promisedUntil)
 	delay := due.Sub(now)
-	if delay < left {
-		t.promisedUntil = due.Add(t.promiseInterval(now, delay))
+	if delay >= left {
+		return t.spreadDelay(now, delay)
 	}
+	t.promisedUntil = due.Add(t.promiseInterval(now, delay))
 	return delay
 }
-
-// warmRateFactor times the rate of a cold target is that at which starts after the warm-up are promised. The rate of the warm
-// target is not known here.
-const warmRateFactor = 8
-
-// promiseInterval returns the time between promised starts after the delay.
-func (t *Throttle) promiseInterval(now time.Time, delay time.Duration) time.Duration {
-	rate := t.bucket.rate
-	if left := t.warmup.left(now); left > 0 && delay >= left && !t.state.Limited {
-		rate = warmRateFactor * t.warmup.rate
-	}
-	return duration(1 / rate)
-}
