--- a/internal/node/seamrouter/warmup_test.go
+++ b/internal/node/seamrouter/warmup_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/stand/seamstandkv"
 )
 
 const (
@@ -122,3 +124,52 @@
 	}
 	t.Logf("%d while cold, %d in a second afterwards; statuses %v, reasons %v", cold, warm, p.statuses, p.reasons)
 }
+
+// When all targets of a service start again at once, each must get its rate, also before its announcement arrives, and the store has
+// no part in it.
+func TestAllTargetsColdAtOnceServeTheirRatesAndTheRestIsRefused(t *testing.T) {
+	const warmup, perSecond, unannounced = 3 * time.Second, 30, 800 * time.Millisecond
+	f := newFleet(t, plainService, plainService, plainService)
+	f.writeColdRate(2, warmup)
+	for _, n := range f.nodes {
+		f.await("service", func() bool {
+			res, err := f.send(n, http.MethodGet, "/book/x", "")
+			return err == nil && res.status == http.StatusOK
+		})
+	}
+	p := f.press(f.nodes, perSecond, "/book/x?work=50ms", "", "")
+	time.Sleep(time.Second)
+	f.store.SetFaults(seamstandkv.Faults{Down: true})
+	coldUntil := time.Now().Add(warmup)
+	for _, n := range f.nodes {
+		// The target starts again at the same address.
+		n.target.recordArrivals()
+		n.target.started++
+		n.target.server.CloseClientConnections()
+	}
+	time.Sleep(unannounced)
+	for _, n := range f.nodes {
+		defer f.repeatAnnouncements(n, coldUntil)()
+	}
+	time.Sleep(time.Until(coldUntil))
+	p.stop()
+	for _, n := range f.nodes {
+		got := n.target.recorded()
+		if most := mostWhileCold(got, coldUntil); float64(most) > coldFactor*coldRate+coldSlack {
+			t.Errorf("%s got %d requests in one second", n.target.name, most)
+		}
+		if least := 0.6 * coldRate * warmup.Seconds(); float64(len(got)) < least {
+			t.Errorf("%s got %d requests in %v, want at least %v", n.target.name, len(got), warmup, least)
+		}
+	}
+	limited := 0
+	for reason, count := range p.reasons {
+		if strings.HasPrefix(reason, "limit") {
+			limited += count
+		}
+	}
+	if limited == 0 || p.statuses[http.StatusOK] == 0 {
+		t.Errorf("statuses %v, reasons %v", p.statuses, p.reasons)
+	}
+	t.Logf("statuses %v, reasons %v", p.statuses, p.reasons)
+}
