--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -75,7 +75,7 @@
 	poison *seampoison.Guard
 
 	evacuations seamevacuate.Set
-	// assumeCold tells the egress that the target may be cold. It is nil as long as no egress limits cold targets; startRequests sets it.
+	// assumeCold tells the egress that the target may be cold; nil until the egress has started.
 	assumeCold func(now time.Time)
 
 	electorsMu sync.Mutex
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -37,8 +37,9 @@
 		BodyBufferBytes:     n.maxQueuedBodyBytes(),
 		Poison:              n.poison,
 		Evacuated:           n.targetEvacuated,
+		Warmup:              n.warmup,
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
-	n.egress = egress
+	n.egress, n.assumeCold = egress, egress.AssumeCold
 	c.Add(stop)
 	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.VoidHandler{Egress: egress})
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -97,6 +97,9 @@
 	// Evacuated reports whether the target must get no more requests, keyed or not, because its failure domain is evacuated; nil
 	// means that it never is.
 	Evacuated func(now time.Time, keyed bool) bool
+	// Warmup returns the number of requests per second that a cold target of a service can handle, 0 if that is not limited, and the
+	// time for which a target is cold after a start, 0 if that is unknown; nil means that no service has such a limit.
+	Warmup func(service string) (rate float64, duration time.Duration)
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -133,6 +136,7 @@
 	// probes are the connections that find out whether the target has crashed.
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
+	warmups  warmupMetrics
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
@@ -169,6 +173,7 @@
 		cfg.HandoverGrace = defaultHandoverGrace
 	}
 	throttle := new(seamthrottle.Throttle)
+	pools := &targetPools{dial: cfg.DialTimeout}
 	e := &Egress{
 		cfg:        cfg,
 		self:       self,
@@ -178,14 +183,16 @@
 		keys:       keys,
 		dedup:      seamdedup.New(cfg.MaxRecords),
 		limiter:    newAdmission(cfg, throttle, set),
-		pools:      &targetPools{dial: cfg.DialTimeout},
+		pools:      pools,
 		bodyMemory: &memoryBudget{available: cfg.BodyBufferBytes},
 		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		evacuated:  set.NewCounter("cardamomseam_egress_evacuated_total"),
 		events:     sink,
 		throttle:   throttle,
+		warmups:    newWarmupMetrics(set, throttle),
 		idle:       make(chan struct{}),
 	}
+	pools.onClosed = e.connectionClosed
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_target_limit", func() float64 { return throttle.State().StatedLimit() })
 	set.NewGauge("cardamomseam_target_leaving", func() float64 { return leavingGauge(throttle.State()) })
@@ -215,7 +222,7 @@
 // Load returns the current load of the target.
 func (e *Egress) Load() seamlimit.Load {
 	load := e.limiter.Load()
-	if rate, limited := e.throttle.Rate(); limited {
+	if rate, limited := e.throttle.Rate(time.Now()); limited {
 		load.MaxRate = rate
 	}
 	return load
@@ -231,6 +238,7 @@
 	end.InFlight, end.Slots = load.Running+load.Queued, load.Slots
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
+	e.countRefusal(time.Now(), end)
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
 		end.RulesRevision = e.cfg.RulesRevision()
