Add a policy that evens the load of targets by forecasts

The present policy picks the highest utility by the last reports, so nodes with the same report pick the same target until the next one. The policy even forecasts the load of a target from the last report and its long-term load, learns how far its forecasts hold, and adds noise in proportion to their errors. Targets with free slots in the domain and region stay preferred. It is enabled by balance.policy; the default, utility, picks as before. With it, the node beside a target passes on the load that the target states in its responses.

--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -9,6 +9,7 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/node/seamstart"
+	"cardamomseam/internal/observe/seamevent"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/route/seambalance"
 	"cardamomseam/internal/route/seamegress"
@@ -36,15 +37,18 @@
 		RulesRevision:       n.routes.Revision,
 		BodyBufferBytes:     n.maxQueuedBodyBytes(),
 		Poison:              n.poison,
+		PassOnStatedLoad:    n.settings.Balance.Policy == string(seambalance.Even),
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
 	n.egress = egress
 	c.Add(stop)
 	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.VoidHandler{Egress: egress})
+	policy := seambalance.Policy(n.settings.Balance.Policy)
+	n.sink.Emit(time.Now(), seamevent.BalancePolicy, seamevent.Fields{"policy": n.settings.Balance.Policy})
 	budgets := seamretry.NewWindowBudgets(n.retryLimits)
 	n.ingress = seamingress.New(seamingress.Config{
 		Address:            n.settings.Ingress,
-		Balancer:           seambalance.New(seambalance.Config{}, n.self, n.metricSet),
+		Balancer:           seambalance.New(seambalance.Config{Policy: policy}, n.self, n.metricSet),
 		Budget:             func(service string) seamingress.Budget { return budgets.For(service) },
 		UniqueAttemptIDs:   true,
 		OmitOptionalFields: true,
--- a/internal/node/seamsetting/router.go
+++ b/internal/node/seamsetting/router.go
@@ -33,6 +33,8 @@
 	Retry Retry `json:"retry"`
 	// Stop configures the timing of graceful stops.
 	Stop Stop `json:"stop"`
+	// Balance configures the choice of targets for requests without a key.
+	Balance Balance `json:"balance"`
 	// Memory is the memory limit of the process, in MiB; 0 means no limit. Default: 0.
 	Memory int `json:"memory,default=0" allow:"0..1048576"`
 	// Log configures the log.
@@ -51,6 +53,12 @@
 	Window time.Duration `json:"window,default=10s" allow:"100ms..10m"`
 }
 
+// Balance configures the choice of targets for requests without a key.
+type Balance struct {
+	// Policy is the way of choosing: by utility, or evenly by forecasts of the load. Default: utility.
+	Policy string `json:"policy,default=utility" allow:"utility|even"`
+}
+
 // Stop configures the timing of graceful stops.
 type Stop struct {
 	// Notice is how long callers are told to use other nodes before the node stops. Default: 2200ms.
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -71,5 +71,6 @@
 	TargetDown           = "target.down"
 	SettingsLoaded       = "settings.loaded"
 	SettingsRefused      = "settings.refused"
+	BalancePolicy        = "balance.policy"
 	ProcessStalled       = "process.stalled"
 )
--- a/internal/route/seambalance/balancer.go
+++ b/internal/route/seambalance/balancer.go
@@ -21,6 +21,8 @@
 
 // Config holds the weights of a Balancer. Zero fields take the defaults.
 type Config struct {
+	// Policy is the way of choosing; empty means Utility.
+	Policy Policy
 	// CostPerKilobyte is the cost of sending a kilobyte to another failure domain, as a fraction of the
 	// utility of a response within the objective.
 	CostPerKilobyte float64
@@ -72,6 +74,8 @@
 	lookups map[*seampick.Candidate][]*node
 	// times is a buffer of Pick.
 	times []float64
+	// even is nil unless the policy is Even.
+	even *even
 
 	ejections *metrics.Counter
 	crossings *metrics.Counter
@@ -88,7 +92,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	return &Balancer{
+	b := &Balancer{
 		cfg:       cfg,
 		self:      self,
 		nodes:     map[key]*node{},
@@ -96,13 +100,39 @@
 		ejections: set.NewCounter("cardamomseam_choice_ejections_total"),
 		crossings: set.NewCounter("cardamomseam_choice_crossings_total"),
 	}
+	if cfg.Policy == Even {
+		b.even = newEven(set, &b.mu)
+	}
+	return b
 }
 
-// Pick returns the candidate with the highest utility among those that are neither draining nor skipped.
+// Pick returns the candidate that the policy prefers among those that are neither draining nor skipped.
 // Unreachable nodes are picked only if there is no other. The elements of all must not change afterwards.
 func (b *Balancer) Pick(now time.Time, all []seampick.Candidate, q Query, skip func(seampeer.Peer) bool) (seampick.Candidate, bool) {
+	var buffer [128]bool
+	var skipped []bool
+	if b.even != nil {
+		skipped = skippedCandidates(all, skip, buffer[:0])
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var best int
+	if b.even != nil {
+		best = b.pickEven(now, all, q, skipped)
+	} else {
+		best = b.pickByUtility(now, all, q, skip)
+	}
+	if best < 0 {
+		return seampick.Candidate{}, false
+	}
+	if all[best].Peer.Domain != b.self.Domain {
+		b.crossings.Inc()
+	}
+	return all[best], true
+}
+
+// pickByUtility returns the index of the candidate with the highest utility, -1 if there is none.
+func (b *Balancer) pickByUtility(now time.Time, all []seampick.Candidate, q Query, skip func(seampeer.Peer) bool) int {
 	nodes := b.findNodes(all)
 	median := b.medianServiceTime(nodes, q.Class)
 	best, highest := -1, math.Inf(-1)
@@ -116,13 +146,7 @@
 			best, highest = i, u
 		}
 	}
-	if best < 0 {
-		return seampick.Candidate{}, false
-	}
-	if all[best].Peer.Domain != b.self.Domain {
-		b.crossings.Inc()
-	}
-	return all[best], true
+	return best
 }
 
 // maxLookups is the number of lists of candidates whose states are kept.
--- a/internal/route/seambalance/bench_test.go
+++ b/internal/route/seambalance/bench_test.go
@@ -5,14 +5,22 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cardamomseam/internal/route/seambalance"
 	"cardamomseam/internal/route/seampick"
 )
 
-// BenchmarkPick measures one choice among the targets of a large service, all of which have reported their load.
+// BenchmarkPick measures one choice by each policy among the targets of a large service, all of which have reported their load.
 func BenchmarkPick(b *testing.B) {
+	for _, policy := range []seambalance.Policy{seambalance.Utility, seambalance.Even} {
+		b.Run(string(policy), func(b *testing.B) { benchmarkPick(b, policy) })
+	}
+}
+
+func benchmarkPick(b *testing.B, policy seambalance.Policy) {
 	const domains, perDomain = 9, 13
-	c := newBalancer()
+	c := seambalance.New(seambalance.Config{Policy: policy}, self, metrics.NewSet())
 	var all []seampick.Candidate
 	for d := range domains {
 		for i := range perDomain {
--- a/internal/route/seambalance/node.go
+++ b/internal/route/seambalance/node.go
@@ -65,6 +65,7 @@
 	failureRateAt time.Time
 	lastUsed      time.Time
 	health        health
+	othersLoad
 }
 
 // classTime is the last reported mean service time of a class at a target, in seconds.
@@ -123,6 +124,7 @@
 // report records the result of a request.
 func (n *node) report(now time.Time, r Result) {
 	if r.Reported {
+		n.recordOthers(now, r)
 		n.inFlight, n.slots, n.ownAtReport, n.reportedAt = r.InFlight, r.Slots, n.ownInFlight, now
 		n.wait, n.limitedUntil = r.QueueWait.Seconds(), time.Time{}
 		if r.Limited {
--- a/internal/route/seambalance/policies_test.go
+++ b/internal/route/seambalance/policies_test.go
@@ -61,10 +61,13 @@
 			return &baseline{draws: n, random: r, own: map[string]int{}, rest: map[string]int{}}
 		}
 	}
-	return []string{"present", "random", "two", "least"}, map[string]func(seampeer.Peer, *rand.Rand) chooser{
+	return []string{"present", "random", "two", "least", "even"}, map[string]func(seampeer.Peer, *rand.Rand) chooser{
 		"present": func(p seampeer.Peer, r *rand.Rand) chooser {
 			return seambalance.New(seambalance.Config{Random: r.Float64}, p, metrics.NewSet())
 		},
+		"even": func(p seampeer.Peer, r *rand.Rand) chooser {
+			return seambalance.New(seambalance.Config{Policy: seambalance.Even, Random: r.Float64}, p, metrics.NewSet())
+		},
 		"random": draw(1),
 		"two":    draw(2),
 		"least":  draw(0),
@@ -78,12 +81,12 @@
 		nodes, loads = []int{1, 10, 60, 300}, []float64{0.3, 0.6, 0.8, 0.95}
 	}
 	names, byName := policies()
-	t.Logf("%6s %5s %6s %5s %-8s %8s %8s %6s %7s %7s", "report", "nodes", "age", "load", "policy", "p50", "p99", "idle", "busiest", "refused")
+	t.Logf("%6s %5s %6s %5s %-8s %8s %8s %6s %6s %7s %7s", "report", "nodes", "age", "load", "policy", "p50", "p99", "idle", "wasted", "busiest", "refused")
 	for _, run := range trials(nodes, loads) {
 		for _, name := range names {
 			m := run.run(byName[name])
-			t.Logf("%v %-8s %8v %8v %6.3f %7.2f %7d", run, name,
-				m.p50.Round(time.Millisecond), m.p99.Round(time.Millisecond), m.idle, m.busiest, m.refused)
+			t.Logf("%v %-8s %8v %8v %6.3f %6.3f %7.2f %7d", run, name,
+				m.p50.Round(time.Millisecond), m.p99.Round(time.Millisecond), m.idle, m.wasted, m.busiest, m.refused)
 			if math.IsNaN(m.busiest) || m.busiest < 1 {
 				t.Errorf("%v with %s: busiest target has %v times the mean", run, name, m.busiest)
 			}
@@ -114,3 +117,41 @@
 	}
 	return all
 }
+
+// TestEvenSpreadsLoadByOldReports guards against a policy that herds: at each age the p99 wait and the slots wasted must be no
+// higher than those of two random choices by the same reports.
+func TestEvenSpreadsLoadByOldReports(t *testing.T) {
+	_, byName := policies()
+	const seeds = 4
+	mean := func(run trial, policy string) (p99, wasted float64) {
+		for seed := range uint64(seeds) {
+			run.seed = seed + 1
+			m := run.run(byName[policy])
+			p99 += m.p99.Seconds() / seeds
+			wasted += m.wasted / seeds
+		}
+		return p99, wasted
+	}
+	for _, run := range trials([]int{60}, []float64{0.8}) {
+		p99, wasted := mean(run, "even")
+		twoP99, twoWasted := mean(run, "two")
+		t.Logf("%v: p99 %.3f s and wasted %.3f, two random choices %.3f s and %.3f", run, p99, wasted, twoP99, twoWasted)
+		if p99 > twoP99 || wasted > twoWasted {
+			t.Errorf("%v: p99 %.3f s and wasted %.3f, two random choices %.3f s and %.3f", run, p99, wasted, twoP99, twoWasted)
+		}
+	}
+}
+
+// TestEvenStaysNearWhileThereIsRoom guards against requests that leave their domain or region for targets that are only emptier.
+func TestEvenStaysNearWhileThereIsRoom(t *testing.T) {
+	_, byName := policies()
+	for _, load := range []float64{0.3, 0.5, 0.8} {
+		run := trial{nodes: 60, domains: 6, age: 500 * time.Millisecond, span: 35 * time.Second, load: load, seed: 1}
+		even, present, two := run.run(byName["even"]), run.run(byName["present"]), run.run(byName["two"])
+		t.Logf("load %.1f: other domain %.3f, other region %.3f, p99 %v, idle %.3f; present policy %.3f, %.3f, %v, %.3f; two random choices %.3f, %.3f, %v, %.3f", load,
+			even.other, even.far, even.p99, even.wasted, present.other, present.far, present.p99, present.wasted, two.other, two.far, two.p99, two.wasted)
+		if load <= 0.5 && even.far > 0.05+present.far {
+			t.Errorf("load %.1f: %.3f of the requests ran in another region, %.3f by the present policy", load, even.far, present.far)
+		}
+	}
+}
--- a/internal/route/seambalance/trial_test.go
+++ b/internal/route/seambalance/trial_test.go
@@ -13,8 +13,7 @@
 )
 
 // trial describes one run of a policy. Reports are old in one of two ways: a node takes a report from a target at most once
-// per age, or, with shared set, each target renews its report once per age and all nodes get the same one until then,
-// without knowing how old it is.
+// per age, or, with shared set, each target renews its report once per age, and each node takes it with the next response.
 type trial struct {
 	nodes, domains int
 	shared         bool
@@ -42,6 +41,8 @@
 	p50, p99 time.Duration
 	// idle is the share of slots that were idle while requests waited at another target.
 	idle float64
+	// wasted is the share of slots that were idle although a waiting request could have used them.
+	wasted float64
 	// busiest is the ratio of the busiest target's work to the mean, each relative to the target's speed.
 	busiest float64
 	refused int
@@ -76,7 +77,8 @@
 	service time.Duration
 	work    float64
 	// shared is the report that all nodes get if they share reports.
-	shared seambalance.Result
+	shared   seambalance.Result
+	sharedAt time.Duration
 }
 
 // report returns what the node beside the target reports with a response.
@@ -103,6 +105,7 @@
 	waits  []time.Duration
 	sent   [3]int
 	idle   float64
+	wasted float64
 	out    measured
 }
 
@@ -116,7 +119,7 @@
 	for i := range trialTargets {
 		s := &site{speed: []float64{0.5, 1, 1.5}[i%3], service: trialService}
 		s.peer = seampeer.Peer{Name: fmt.Sprint("t", i), Address: fmt.Sprint("a", i)}
-		s.peer.Region, s.peer.Domain = placeOf(i/3, t.domains)
+		s.peer.Region, s.peer.Domain = placeOf(i/2, t.domains)
 		l.sites = append(l.sites, s)
 		all = append(all, seampick.Candidate{Peer: s.peer, Slots: trialSlots})
 	}
@@ -163,7 +166,7 @@
 }
 
 func (l *loop) renew(s *site) {
-	s.shared = s.report()
+	s.shared, s.sharedAt = s.report(), l.now
 	l.after(l.age.Seconds(), func() { l.renew(s) })
 }
 
@@ -172,15 +175,16 @@
 	if l.now < trialWarmUp {
 		return
 	}
-	idle, waiting := 0, false
+	idle, waiting := 0, 0
 	for _, s := range l.sites {
 		idle += trialSlots - s.running
-		waiting = waiting || len(s.queue) > 0
+		waiting += len(s.queue)
 		s.work += float64(s.running) * (until - l.now).Seconds()
 	}
-	if waiting {
+	if waiting > 0 {
 		l.idle += float64(idle) * (until - l.now).Seconds()
 	}
+	l.wasted += float64(min(idle, waiting)) * (until - l.now).Seconds()
 }
 
 func (l *loop) result() measured {
@@ -188,6 +192,7 @@
 	r := l.out
 	r.p50, r.p99 = l.waits[len(l.waits)/2], l.waits[len(l.waits)*99/100]
 	r.idle = l.idle / (l.span - trialWarmUp).Seconds() / (trialTargets * trialSlots)
+	r.wasted = l.wasted / (l.span - trialWarmUp).Seconds() / (trialTargets * trialSlots)
 	total := 0.0
 	for _, s := range l.sites {
 		total += s.work
@@ -281,22 +286,18 @@
 
 // respond delivers a response. Its report is taken out if the node has one from the target that is younger than the age.
 func (c *caller) respond(i int, r seambalance.Result) {
+	at := c.now
 	if c.shared {
 		served := r.Served
-		r = c.sites[i].shared
+		r, at = c.sites[i].shared, c.sites[i].sharedAt
 		r.Served = served
 	}
 	c.after(trialRoundTrip.Seconds()/2, func() {
-		if c.shared {
-			c.policy.Ended(c.clock(), c.sites[i].peer, r)
-			return
-		}
-		if c.reported[i] > 0 && c.now-c.reported[i] < c.age {
+		if c.reported[i] > 0 && at-c.reported[i] < c.age {
 			r = seambalance.Result{Served: r.Served}
 		} else {
-			c.reported[i] = c.now
+			c.reported[i] = at
 		}
 		c.policy.Ended(c.clock(), c.sites[i].peer, r)
 	})
 }
-
--- a/internal/route/seamegress/dialect.go
+++ b/internal/route/seamegress/dialect.go
@@ -51,6 +51,8 @@
 	Reason seamoutcome.Reason
 	// RetryAfter is the Retry-After delay that the target asks for, or 0.
 	RetryAfter time.Duration
+	// Load is the load that the target states, zero if it states none.
+	Load StatedLoad
 }
 
 // isFromTarget reports whether the response comes from the intended target: a rejection may come from another target that has
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -94,6 +94,8 @@
 	BodyBufferBytes int64
 	// RulesRevision returns the revision of the rules at this node; nil means that it is not reported.
 	RulesRevision func() int64
+	// PassOnStatedLoad passes the load that the target states in its responses on to the nodes that choose targets.
+	PassOnStatedLoad bool
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -128,6 +130,7 @@
 	// probes are the connections that find out whether the target has crashed.
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
+	stated   statedLoads
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
@@ -181,6 +184,8 @@
 		idle:       make(chan struct{}),
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
+	set.NewGauge("cardamomseam_target_slots", func() float64 { return float64(e.limiter.Load().Slots) })
+	set.NewGauge("cardamomseam_target_pace", func() float64 { return e.stated.pace(time.Now()) })
 	set.NewGauge("cardamomseam_target_limit", func() float64 { return throttle.State().StatedLimit() })
 	set.NewGauge("cardamomseam_target_leaving", func() float64 { return leavingGauge(throttle.State()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.dedup.Len()) })
@@ -225,6 +230,9 @@
 	end.InFlight, end.Slots = load.Running+load.Queued, load.Slots
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
+	if a, ok := e.target.Current(); ok && e.cfg.PassOnStatedLoad {
+		e.stated.apply(time.Now(), throttleTarget(a), &end)
+	}
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
 		end.RulesRevision = e.cfg.RulesRevision()
