--- a/internal/node/seamsetting/load_test.go
+++ b/internal/node/seamsetting/load_test.go
@@ -236,6 +236,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if s.Balance.Policy != "utility" {
+		t.Errorf("the default policy is %q", s.Balance.Policy)
+	}
 	if s.Retry.Ratio != 0.3 || s.Retry.Slack != 58 || s.Stop.Notice <= 0 || s.Memory != 284 || s.Log.Level != "info" {
 		t.Errorf("got %+v", s)
 	}
@@ -247,6 +250,7 @@
 		"address twice":      {"health: 127.0.0.1:7101\n", "health"},
 		"no address":         {"listen: somewhere\n", "listen"},
 		"notice above limit": {"stop: {notice: 10s, limit: 1s}\n", "stop.notice"},
+		"unknown policy":     {"balance: {policy: random}\n", "balance.policy"},
 		"negative ratio":     {"retry: {ratio: -1}\n", "retry.ratio"},
 	} {
 		content := tt.change
