--- a/internal/route/seambalance/even.go
+++ b/internal/route/seambalance/even.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,6 +45,8 @@
 	priorTrust, priorTrustWeight = 0.7, 0.5
 	// medianTTL is the time for which the median service time of a service is kept.
 	medianTTL = 100 * time.Millisecond
+	// maxMedians is the number of kept medians. Each keeps its list of candidates, some 14 kB, in memory.
+	maxMedians = 128
 	// rankSample is the number of picks of which one is ranked for the metrics, since ranking takes as long as picking.
 	rankSample = 64
 )
@@ -70,10 +73,8 @@
 // rankBounds are the highest ranks of the buckets of the metric; the best candidate by the forecasts alone has rank 1.
 var rankBounds = [...]int{1, 3, 10}
 
-func newEven(set *metrics.Set, mu interface {
-	Lock()
-	Unlock()
-}) *even {
+// newEven returns the state and registers its metrics, which are read under the lock of the Balancer.
+func newEven(set *metrics.Set, mu *sync.Mutex) *even {
 	e := &even{medians: map[medianKey]cachedMedian{}}
 	for i, name := range [...]string{"1", "2-3", "4-10", "above"} {
 		e.ranks[i] = set.NewCounter(`cardamomseam_choice_rank_total{rank="` + name + `"}`)
@@ -216,7 +217,7 @@
 	if age := now.Sub(known.at); ok && age >= 0 && age < medianTTL {
 		return known.seconds
 	}
-	if !ok && len(b.even.medians) >= maxLookups*maxClasses {
+	if !ok && len(b.even.medians) >= maxMedians {
 		clear(b.even.medians)
 	}
 	known = cachedMedian{b.medianServiceTime(nodes, class), now}
--- a/internal/route/seambalance/forecast.go
+++ b/internal/route/seambalance/forecast.go
@@ -27,7 +27,7 @@
 	average float64
 	// reported is the time of the last report, in seconds from clockStart.
 	reported float64
-	// refused means that the last report came with a refusal.
+	// refused means that the target did not serve the request with which the last report came.
 	refused bool
 	// lastTime is the service time of lastClass, the class that was looked up last, if lookedUp is set. The look-up in the map
 	// takes longer than the rest of a forecast.
--- a/internal/route/seamegress/call.go
+++ b/internal/route/seamegress/call.go
@@ -254,7 +254,7 @@
 	cl := c.egress.cfg.Dialect.Classify(res.Response, c.info)
 	if cl.isFromTarget() {
 		c.hear(time.Now(), p.start, res.Response, cl.Verdict)
-		c.egress.stated.record(time.Now(), throttleTarget(c.announced), cl.Load)
+		c.egress.stated.Record(time.Now(), throttleTarget(c.announced), cl.Load)
 	}
 	switch cl.Verdict {
 	case Rejected:
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -130,7 +130,7 @@
 	// probes are the connections that find out whether the target has crashed.
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
-	stated   statedLoads
+	stated   StatedLoads
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
@@ -185,7 +185,7 @@
 	}
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
 	set.NewGauge("cardamomseam_target_slots", func() float64 { return float64(e.limiter.Load().Slots) })
-	set.NewGauge("cardamomseam_target_pace", func() float64 { return e.stated.pace(time.Now()) })
+	set.NewGauge("cardamomseam_target_pace", func() float64 { return e.stated.Pace(time.Now()) })
 	set.NewGauge("cardamomseam_target_limit", func() float64 { return throttle.State().StatedLimit() })
 	set.NewGauge("cardamomseam_target_leaving", func() float64 { return leavingGauge(throttle.State()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.dedup.Len()) })
@@ -231,7 +231,7 @@
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
 	if a, ok := e.target.Current(); ok && e.cfg.PassOnStatedLoad {
-		e.stated.apply(time.Now(), throttleTarget(a), &end)
+		e.stated.Apply(time.Now(), throttleTarget(a), &end)
 	}
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
--- a/internal/route/seamegress/stated.go
+++ b/internal/route/seamegress/stated.go
@@ -27,16 +27,16 @@
 	minPace, maxPace = 0.1, 10
 )
 
-// statedLoads holds the last load that the target stated. It is safe for concurrent use. The zero value is empty.
-type statedLoads struct {
+// StatedLoads holds the last load that the target stated. It is safe for concurrent use. The zero value is empty.
+type StatedLoads struct {
 	mu     sync.Mutex
 	target seamthrottle.Target
 	load   StatedLoad
 	at     time.Time
 }
 
-// record records the load of the target; one without slots is none.
-func (s *statedLoads) record(now time.Time, target seamthrottle.Target, load StatedLoad) {
+// Record records the load of the target; one without slots is none.
+func (s *StatedLoads) Record(now time.Time, target seamthrottle.Target, load StatedLoad) {
 	if load.Slots <= 0 {
 		return
 	}
@@ -45,8 +45,8 @@
 	s.target, s.load, s.at = target, load, now
 }
 
-// apply adjusts what the end of a request reports about the load by what the target has stated.
-func (s *statedLoads) apply(now time.Time, target seamthrottle.Target, end *seamoutcome.End) {
+// Apply adjusts what the end of a request reports about the load by what the target has stated.
+func (s *StatedLoads) Apply(now time.Time, target seamthrottle.Target, end *seamoutcome.End) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.at.IsZero() || s.target != target {
@@ -61,14 +61,14 @@
 	end.ClassServiceTime = time.Duration(float64(end.ClassServiceTime) * pace)
 }
 
-// pace returns the stated pace with a weight that decreases with its age.
-func (s *statedLoads) pace(now time.Time) float64 {
+// Pace returns the stated pace with a weight that decreases with its age.
+func (s *StatedLoads) Pace(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.paceLocked(now)
 }
 
-func (s *statedLoads) paceLocked(now time.Time) float64 {
+func (s *StatedLoads) paceLocked(now time.Time) float64 {
 	if s.load.Pace <= 0 {
 		return 1
 	}
--- a/internal/route/seamegress/stated_test.go
+++ b/internal/route/seamegress/stated_test.go
@@ -1,9 +1,10 @@
-package seamegress
+package seamegress_test
 
 import (
 	"testing"
 	"time"
 
+	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamoutcome"
 	"cardamomseam/internal/route/seamthrottle"
 )
@@ -11,12 +12,12 @@
 // TestStatedLoadIsPassedOnWhileFresh guards against reports that repeat an old statement, or that of a former incarnation.
 func TestStatedLoadIsPassedOnWhileFresh(t *testing.T) {
 	target, other := seamthrottle.Target{Name: "a", Started: 1}, seamthrottle.Target{Name: "a", Started: 2}
-	busy := StatedLoad{Running: 6, Waiting: 3, Slots: 8, Pace: 2}
+	busy := seamegress.StatedLoad{Running: 6, Waiting: 3, Slots: 8, Pace: 2}
 	own := seamoutcome.End{InFlight: 4, Slots: 12, ServiceTime: 100 * time.Millisecond, ClassServiceTime: 200 * time.Millisecond}
 	for _, tt := range []struct {
 		name            string
 		target          seamthrottle.Target
-		load            StatedLoad
+		load            seamegress.StatedLoad
 		age             time.Duration
 		inFlight, slots int
 		service         time.Duration
@@ -26,16 +27,16 @@
 		{"old", target, busy, 5 * time.Second, 4, 12, 100 * time.Millisecond},
 		{"from the future", target, busy, -time.Second, 9, 8, 200 * time.Millisecond},
 		{"another incarnation", other, busy, 0, 4, 12, 100 * time.Millisecond},
-		{"fewer requests than this node knows of", target, StatedLoad{Slots: 12}, 0, 4, 12, 100 * time.Millisecond},
-		{"absurd pace", target, StatedLoad{Slots: 12, Pace: 1e6}, 0, 4, 12, time.Second},
-		{"no load", target, StatedLoad{Pace: 2}, 0, 4, 12, 100 * time.Millisecond},
+		{"fewer requests than this node knows of", target, seamegress.StatedLoad{Slots: 12}, 0, 4, 12, 100 * time.Millisecond},
+		{"absurd pace", target, seamegress.StatedLoad{Slots: 12, Pace: 1e6}, 0, 4, 12, time.Second},
+		{"no load", target, seamegress.StatedLoad{Pace: 2}, 0, 4, 12, 100 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			var s statedLoads
+			var s seamegress.StatedLoads
 			at := time.Unix(1000, 0)
-			s.record(at, tt.target, tt.load)
+			s.Record(at, tt.target, tt.load)
 			end := own
-			s.apply(at.Add(tt.age), target, &end)
+			s.Apply(at.Add(tt.age), target, &end)
 			if end.InFlight != tt.inFlight || end.Slots != tt.slots || end.ServiceTime.Round(time.Millisecond) != tt.service {
 				t.Errorf("reports %d in flight, %d slots and a service time of %v", end.InFlight, end.Slots, end.ServiceTime)
 			}
