--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -100,6 +100,8 @@
 	// Warmup returns the number of requests per second that a cold target of a service can handle, 0 if that is not limited, and the
 	// time for which a target is cold after a start, 0 if that is unknown; nil means that no service has such a limit.
 	Warmup func(service string) (rate float64, duration time.Duration)
+	// PassOnStatedLoad passes the load that the target states in its responses on to the nodes that choose targets.
+	PassOnStatedLoad bool
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
 	Poison *seampoison.Guard
 }
@@ -137,6 +139,7 @@
 	probes   singleflight.Group
 	throttle *seamthrottle.Throttle
 	warmups  warmupMetrics
+	stated   StatedLoads
 
 	mu sync.Mutex
 	// refusingUnkeyed means that requests without a key are refused; draining means that all are.
@@ -194,6 +197,8 @@
 	}
 	pools.onClosed = e.connectionClosed
 	set.NewGauge("cardamomseam_egress_inflight", func() float64 { return float64(e.InFlight()) })
+	set.NewGauge("cardamomseam_target_slots", func() float64 { return float64(e.limiter.Load().Slots) })
+	set.NewGauge("cardamomseam_target_pace", func() float64 { return e.stated.Pace(time.Now()) })
 	set.NewGauge("cardamomseam_target_limit", func() float64 { return throttle.State().StatedLimit() })
 	set.NewGauge("cardamomseam_target_leaving", func() float64 { return leavingGauge(throttle.State()) })
 	set.NewGauge("cardamomseam_ledger_records", func() float64 { return float64(e.dedup.Len()) })
@@ -239,6 +244,9 @@
 	end.ServiceTime, end.QueueWait = load.ServiceTime, load.QueueWait
 	end.ClassServiceTime = e.limiter.meanServiceTime(head)
 	e.countRefusal(time.Now(), end)
+	if a, ok := e.target.Current(); ok && e.cfg.PassOnStatedLoad {
+		e.stated.Apply(time.Now(), throttleTarget(a), &end)
+	}
 	end.Notice = e.report(time.Now(), head)
 	if e.cfg.RulesRevision != nil {
 		end.RulesRevision = e.cfg.RulesRevision()
