Take bytes that are no response for none, and a response cut by a reset for incomplete

Cause: the write of an upload receives the error of a reset, so that the read of a response without length sees an end and the partial body counted as whole. net/http accepts the statuses 000 to 099, 600 to 999, '+20' and a doubled space; below 200 they counted as interim. Chunks in HTTP/1.0 were passed on as body. A head of a peer with such a status ended the handler with a panic, or was passed on. A response that broke off ended properly for callers that use HTTP/1.0. The store client took a write without a status for one not carried out, the target client an order for one rejected.

Change: package seamanswer reads and checks heads; a body without length counts as whole only if the request was sent or the target closed its side without a reset; a broken response in HTTP/1.0 ends with a reset; an upload in HTTP/1.0 gets no response without length before its end.

--- a/internal/route/seamegress/client.go
+++ b/internal/route/seamegress/client.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cardamomseam/internal/platform/seamnet"
+	"cardamomseam/internal/route/seamanswer"
 )
 
 const (
@@ -148,6 +151,10 @@
 		res, readErr := t.readMatchingResponse(r, g) //nolint:bodyclose // finish closes the connection that the body is read from
 		if readErr == nil {
 			t.idleLimit = idleLimit(res.Header)
+			t.lastUse = t.lastUse || seamanswer.MayCarryBody(res)
+			if seamanswer.IsDelimitedByClose(res) {
+				res.Body = &closeDelimitedBody{ReadCloser: res.Body, conn: t, sent: sent}
+			}
 			return &response{Response: res, conn: t, stopWatch: stop, sent: sent}, nil
 		}
 		err = errors.CombineErrors(err, readErr)
@@ -178,6 +185,26 @@
 	return done.Load, nil
 }
 
+// errResetDuringRequest reports a response without length whose connection was reset before the request was sent.
+var errResetDuringRequest = errors.New("the target reset the connection before the end of the request, so that its response may be incomplete")
+
+// closeDelimitedBody is the body of a response that ends where its connection does. While the request is being sent, its write may receive
+// the error of a reset, and the read that follows it sees an end as of a complete body.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *targetConn
+	sent func() bool
+}
+
+// Read returns io.EOF only if the target has closed its side of the connection without a reset.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.sent() && !seamnet.ClosedByPeer(b.conn.Conn) {
+		return n, errResetDuringRequest
+	}
+	return n, err
+}
+
 func isDenied(err error) bool {
 	var d *deniedError
 	return errors.As(err, &d)
@@ -231,7 +258,7 @@
 func (t *targetConn) readFinalResponse(r *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
 		t.headerLimit.N = maxResponseHeaderBytes
-		res, err := http.ReadResponse(t.reader, r)
+		res, err := seamanswer.Read(t.reader, r)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/route/seamingress/body.go
+++ b/internal/route/seamingress/body.go
@@ -40,6 +40,8 @@
 	buffered      []byte
 	// bytesRead is the number of bytes read from the source.
 	bytesRead atomic.Int64
+	// ended means that a streamed body has been read to its end.
+	ended atomic.Bool
 	// failure is the first error of the source.
 	failure atomic.Pointer[bodyError]
 	// onEOF is called when a streamed body has been read to its end.
@@ -74,6 +76,7 @@
 	case count > b.limit:
 		return 0, b.fail(seamoutcome.Large, errors.Newf("body exceeds the limit of %d bytes", b.limit))
 	case errors.Is(err, io.EOF):
+		b.ended.Store(true)
 		if b.onEOF != nil {
 			b.onEOF()
 		}
@@ -93,6 +96,9 @@
 	return err
 }
 
+// fullyRead reports whether the caller has sent the whole body.
+func (b *requestBody) fullyRead() bool { return b.fullyBuffered || b.ended.Load() }
+
 // replayable reports whether the body can still be sent from its start.
 func (b *requestBody) replayable() bool {
 	return b.fullyBuffered || b.bytesRead.Load() == 0 && b.failure.Load() == nil
--- a/internal/route/seamingress/callerconn.go
+++ b/internal/route/seamingress/callerconn.go
@@ -31,6 +31,13 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// markBroken makes the caller's connection, if the context has one, end with a reset.
+func markBroken(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		c.broken.Store(true)
+	}
+}
+
 // disconnection tells by what the caller is known to have closed or reset its connection; empty if it has not. The HTTP library
 // detects this only while a handler runs: after a pause, a process reads requests whose callers disconnected long before.
 func disconnection(ctx context.Context) string {
@@ -67,6 +74,8 @@
 	// release ends the watch for the caller's close.
 	release func()
 	closed  atomic.Bool
+	// broken means that the connection is reset when it is closed.
+	broken atomic.Bool
 }
 
 // watch returns a context for the connection's requests that ends when the caller closes the connection. The HTTP library
@@ -96,6 +105,10 @@
 		return net.ErrClosed
 	}
 	c.release()
+	if c.broken.Load() {
+		_ = c.SetLinger(0) // an error means that the connection is closed already
+		return c.TCPConn.Close()
+	}
 	if seamnet.Unread(c.TCPConn) == 0 {
 		return c.TCPConn.Close()
 	}
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -203,6 +203,10 @@
 	end := x.run(ctx)
 	seamspan.RecordEnd(span, end)
 	x.log(start, end)
+	if x.responder.started && end.Outcome != seamoutcome.Done && !r.ProtoAtLeast(1, 1) {
+		// In HTTP/1.0 a body may end where the connection does: only a reset shows that it is incomplete.
+		markBroken(r.Context())
+	}
 	i.finish(x.responder, end, seamoutcome.Lookup(end.Reason).Status, start)
 }
 
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -13,6 +13,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/platform/seamwait"
+	"cardamomseam/internal/route/seamanswer"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamdedup"
 	"cardamomseam/internal/route/seamframe"
@@ -254,11 +255,26 @@
 	if a.head != nil || !x.isCurrentAttempt(head.GetAttempt()) {
 		return &seamframe.Error{Fault: "response head of another attempt, or a second one", Type: f.Type}
 	}
+	if err := x.checkHead(head); err != nil {
+		return err
+	}
 	a.head = head
 	x.recordHeadNotice(time.Now(), head)
 	return x.responder.WriteHead(head)
 }
 
+// checkHead returns an error for a head without a final status, or one that announces a body too long to be buffered.
+func (x *exchange) checkHead(head *seamroutewire.AnswerHead) error {
+	if !seamanswer.IsFinalStatus(int(head.GetStatus())) {
+		return &seamframe.Error{Fault: "response head without a final status", Type: seamframe.AnswerHead}
+	}
+	buffered := head.GetWhole() && x.head.GetMethod() != http.MethodHead
+	if length := head.GetLength(); buffered && (length < 0 || length > seamcall.MaxWholeBody) {
+		return &seamframe.Error{Fault: "body too long for a response in one piece", Type: seamframe.AnswerHead, Length: uint64(length)}
+	}
+	return nil
+}
+
 func (x *exchange) receiveChunk(f seamframe.Frame, a *responseState) error {
 	a.length += int64(len(f.Payload))
 	if a.head == nil || a.head.GetLength() >= 0 && a.length > a.head.GetLength() {
--- a/internal/route/seamingress/responder.go
+++ b/internal/route/seamingress/responder.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
@@ -25,6 +27,8 @@
 	server   string
 	head     *seamroutewire.AnswerHead
 	buffered []byte
+	// mayBreakUnseen reports whether the caller could take the start of a body without length for the whole; nil means that it never could.
+	mayBreakUnseen func() bool
 	// started is true once a part of the response has been written to the caller.
 	started bool
 }
@@ -38,9 +42,16 @@
 	a.server, a.head, a.buffered = server, nil, a.buffered[:0]
 }
 
+// errBreakUnseen reports a response without length to a caller that uses HTTP/1.0 and still sends its request. Its write could receive
+// the error of a reset, and the read that follows would see an end as of a complete body.
+var errBreakUnseen = errors.New("a response without length is not passed on in HTTP/1.0 before the end of the request")
+
 // WriteHead receives the status and headers of the response. They are written immediately unless the response is
 // buffered.
 func (a *responder) WriteHead(h *seamroutewire.AnswerHead) error {
+	if !h.GetWhole() && h.GetLength() < 0 && a.mayBreakUnseen != nil && a.mayBreakUnseen() {
+		return errBreakUnseen
+	}
 	a.head = h
 	if !h.GetWhole() {
 		a.sendHead()
