--- a/internal/route/seamanswer/answer_test.go
+++ b/internal/route/seamanswer/answer_test.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return answer{}, err
 	}
+	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
 	return answer{res.StatusCode, body, seamanswer.IsDelimitedByClose(res), source.Len() + r.Buffered()}, err
 }
--- a/internal/route/seamingress/answer_test.go
+++ b/internal/route/seamingress/answer_test.go
@@ -88,7 +88,9 @@
 					if err != nil {
 						continue
 					}
-					if body, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
+					body, err := io.ReadAll(res.Body)
+					res.Body.Close()
+					if err == nil && res.StatusCode == http.StatusOK {
 						t.Errorf("node %s: the caller got %q to its end", n.peer.Name, body)
 					}
 				}
