--- a/internal/node/seamrouter/warmup_test.go
+++ b/internal/node/seamrouter/warmup_test.go
@@ -1,13 +1,17 @@
 package seamrouter_test
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"cardamomseam/internal/member/seamtarget"
+	"cardamomseam/internal/own/seamtable"
 	"cardamomseam/internal/stand/seamstandkv"
 )
 
@@ -173,3 +177,34 @@
 	}
 	t.Logf("statuses %v, reasons %v", p.statuses, p.reasons)
 }
+
+// Requests for the keys of a cold target must not be refused for as long as it is cold.
+func TestKeysMoveAwayFromAColdTarget(t *testing.T) {
+	const warmup = 25 * time.Second
+	f := newFleet(t, keyedService, keyedService, keyedService)
+	f.writeColdRate(2, warmup)
+	f.awaitServed(f.nodes[2])
+	owner := slices.IndexFunc(f.nodes, func(n *node) bool { return n.target.has(0) })
+	var held []string
+	for key := uint32(0); key < seamtable.Keys; key += 500 {
+		if f.nodes[owner].target.has(key) {
+			held = append(held, fmt.Sprint(key))
+		}
+	}
+	defer f.repeatAnnouncements(f.nodes[owner], time.Now().Add(warmup))()
+	f.await("keys to move away from a cold target that gets more requests than it can handle", func() bool {
+		var refused atomic.Int32
+		var sending sync.WaitGroup
+		for i := range 50 {
+			sending.Go(func() {
+				res, err := f.send(f.nodes[(owner+1)%3], http.MethodGet, "/slots/x", held[i%len(held)])
+				if err != nil || res.status != http.StatusOK {
+					refused.Add(1)
+				}
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		sending.Wait()
+		return refused.Load() == 0
+	})
+}
