Let the target of a stopping owner respond to keyed requests before the stop

The node expected another one to run it, but a key keeps its owner while that stops, so that the repeat found nobody.

Change: keyed requests are not taken for repeatable; their target responds before the limit.

Result: the new cases of the tests of the plan and the egress failed before.

--- a/internal/route/seamegress/drain.go
+++ b/internal/route/seamegress/drain.go
@@ -85,6 +85,7 @@
 		Deadline:        c.admissionRequest().deadline,
 		MeanServiceTime: c.egress.limiter.meanServiceTime(c.head),
 		Idempotent:      c.head.GetIdempotent(),
+		Keyed:           c.head.GetKeyed(),
 	}
 }
 
--- a/internal/route/seamegress/stop_test.go
+++ b/internal/route/seamegress/stop_test.go
@@ -72,12 +72,14 @@
 		left time.Duration
 		// until is the time until the ingress stops; 0 if it doesn't.
 		until time.Duration
+		keyed bool
 		// most is the longest timeout that the target may get.
 		most time.Duration
 	}{
-		{"no time to repeat", limit + 250*time.Millisecond, 0, limit - 100*time.Millisecond},
-		{"time to repeat", limit + 10*time.Second, 0, limit + 10*time.Second},
-		{"the ingress stops too", limit + 10*time.Second, limit + 250*time.Millisecond, limit - 100*time.Millisecond},
+		{"no time to repeat", limit + 250*time.Millisecond, 0, false, limit - 100*time.Millisecond},
+		{"time to repeat", limit + 10*time.Second, 0, false, limit + 10*time.Second},
+		{"the ingress stops too", limit + 10*time.Second, limit + 250*time.Millisecond, false, limit - 100*time.Millisecond},
+		{"the owner of the key stops", limit + 10*time.Second, 0, true, limit - 100*time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			timeouts := make(chan time.Duration, 1)
@@ -87,7 +89,7 @@
 			})
 			e.PlanStop(seamstop.Plan{Limit: time.Now().Add(limit)})
 			h := upload(1, 0)
-			h.Idempotent, h.Left, h.Until = true, tt.left.Milliseconds(), tt.until.Milliseconds()
+			h.Idempotent, h.Keyed, h.Left, h.Until = true, tt.keyed, tt.left.Milliseconds(), tt.until.Milliseconds()
 			expect(t, e.Run(t.Context(), h, nil, &discard{header: http.Header{}}), seamoutcome.Done, "")
 			if got := <-timeouts; got > tt.most || got < tt.most-time.Second {
 				t.Errorf("the target got a timeout of %v, want at most %v", got, tt.most)
--- a/internal/route/seamstop/plan.go
+++ b/internal/route/seamstop/plan.go
@@ -28,6 +28,8 @@
 	MeanServiceTime time.Duration
 	// Idempotent requests may be repeated if the stop cuts them.
 	Idempotent bool
+	// Keyed requests run at the owner of their key only.
+	Keyed bool
 }
 
 // MayStart reports whether the request may be started at the given time. The stop cuts no request whose deadline lies before
@@ -48,9 +50,10 @@
 	return max(serviceTimesOfNonIdempotent*r.MeanServiceTime, MinTimeOfNonIdempotent)
 }
 
-// MayRepeat reports whether a request that the stop cuts may run again at another node and has the time for it until its deadline.
+// MayRepeat reports whether a request that the stop cuts may run again at another node and has the time for it until its deadline. The
+// key of a keyed request keeps its owner during the stop, or gets another one too late.
 func (p Plan) MayRepeat(r Request) bool {
-	return r.Idempotent && !p.Limit.Add(r.minTime()).After(r.Deadline)
+	return r.Idempotent && !r.Keyed && !p.Limit.Add(r.minTime()).After(r.Deadline)
 }
 
 // TargetDeadline returns the deadline that a target is given for a request that is started after the stop was planned. What is likely
--- a/internal/route/seamstop/plan_test.go
+++ b/internal/route/seamstop/plan_test.go
@@ -74,6 +74,7 @@
 		{"less than two mean service times left", seamstop.Request{Deadline: limit.Add(2*mean - 1), MeanServiceTime: mean, Idempotent: true}, false},
 		{"less than 0.3 s left, of unknown duration", seamstop.Request{Deadline: limit.Add(299 * time.Millisecond), Idempotent: true}, false},
 		{"not idempotent", seamstop.Request{Deadline: limit.Add(time.Minute), MeanServiceTime: mean}, false},
+		{"keyed", seamstop.Request{Deadline: limit.Add(time.Minute), MeanServiceTime: mean, Idempotent: true, Keyed: true}, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			if got := plan.MayRepeat(tt.r); got != tt.want {
