Name functions after what they do

Some names of the change since were figurative or private: keys "leave" and depart, peers are told, a response breaks unseen, tests have news and a picture. Rename them to the usual terms: moving keys of excluded holders, evacuations put by a peer, truncation, reset on close, reports and a comparison of policies. No behaviour changes.

--- a/internal/node/seamrouter/evacuation.go
+++ b/internal/node/seamrouter/evacuation.go
@@ -33,10 +33,10 @@
 	}
 }
 
-// evacuateAsTold applies the evacuations that another node has told.
-func (n *Node) evacuateAsTold(now time.Time, peer string, domains []string) {
+// evacuateFromPeer applies the evacuations that another node has told.
+func (n *Node) evacuateFromPeer(now time.Time, peer string, domains []string) {
 	for _, domain := range domains {
-		if n.evacuations.Tell(now, domain) {
+		if n.evacuations.PutFromPeer(now, domain) {
 			n.sink.Emit(now, seamevent.DomainEvacuated, seamevent.Fields{"domain": domain, "from": peer})
 		}
 	}
--- a/internal/node/seamrouter/sync.go
+++ b/internal/node/seamrouter/sync.go
@@ -130,7 +130,7 @@
 
 // merge merges a message of a peer's response into this node's view. Large routes and tables are fetched in the background.
 func (n *Node) merge(now time.Time, peer seampeer.Peer, state *wire.Told) {
-	n.evacuateAsTold(now, peer.String(), state.GetEvacuated())
+	n.evacuateFromPeer(now, peer.String(), state.GetEvacuated())
 	if state.GetRoutes() != nil {
 		n.feed.Offer(now, peer, state.GetRoutes())
 	}
--- a/internal/own/seamassign/placement.go
+++ b/internal/own/seamassign/placement.go
@@ -45,21 +45,21 @@
 	return known != nil && known.state == Ready
 }
 
-// leaveExcluded plans to move all keys of the holders that the placement does not allow. It plans them together, so that the keys
+// moveExcludedKeys plans to move all keys of the holders that the placement does not allow. It plans them together, so that the keys
 // of a whole failure domain are divided among all others in proportion to their free capacity and into few ranges.
-func (a *Assigner) leaveExcluded(now seamclock.Instant) {
-	a.cancelNeedlessMoves()
+func (a *Assigner) moveExcludedKeys(now seamclock.Instant) {
+	a.cancelObsoleteMoves()
 	a.redirectMoves(now)
 	sources, spans, chunks := a.excludedKeys()
 	if len(spans) > 0 {
-		a.planDeparture(now, sources, spans, chunks)
+		a.planExcludedMoves(now, sources, spans, chunks)
 	}
 	a.startMoves(now)
 }
 
-// cancelNeedlessMoves cancels the moves that wait although the placement allows their source again, or whose destination takes
+// cancelObsoleteMoves cancels the moves that wait although the placement allows their source again, or whose destination takes
 // no keys any more.
-func (a *Assigner) cancelNeedlessMoves() {
+func (a *Assigner) cancelObsoleteMoves() {
 	a.moves = slices.DeleteFunc(a.moves, func(m move) bool {
 		known := a.holders[m.source]
 		return m.waiting && (known == nil || !a.isExcluded(known) || !a.acceptsKeys(m.destination))
@@ -100,8 +100,8 @@
 	return sources, spans, chunks
 }
 
-// planDeparture plans moves of the spans, which the sources hold, to the candidates.
-func (a *Assigner) planDeparture(now seamclock.Instant, sources []seamtable.Holder, spans []seamtable.Span, chunks []seamtable.Chunk) {
+// planExcludedMoves plans moves of the spans, which the sources hold, to the candidates.
+func (a *Assigner) planExcludedMoves(now seamclock.Instant, sources []seamtable.Holder, spans []seamtable.Span, chunks []seamtable.Chunk) {
 	candidates := a.candidates(now, seamtable.Holder{})
 	if len(candidates) == 0 {
 		return
--- a/internal/own/seamassign/tick.go
+++ b/internal/own/seamassign/tick.go
@@ -20,7 +20,7 @@
 	a.cancelStuckMoves(now)
 	a.assignFreeKeys(now)
 	a.evacuate(now)
-	a.leaveExcluded(now)
+	a.moveExcludedKeys(now)
 	a.balance(now)
 }
 
--- a/internal/own/seamevacuate/set.go
+++ b/internal/own/seamevacuate/set.go
@@ -51,9 +51,9 @@
 	return s.add(now, domain, true)
 }
 
-// Tell records an evacuation that another node has told, and reports whether it is new to this node. What is told after a
+// PutFromPeer records an evacuation that another node has reported, and reports whether it is new to this node. What is told after a
 // complete list is ignored, since that node may not know its end yet.
-func (s *Set) Tell(now time.Time, domain string) bool {
+func (s *Set) PutFromPeer(now time.Time, domain string) bool {
 	return s.add(now, domain, false)
 }
 
--- a/internal/own/seamevacuate/set_test.go
+++ b/internal/own/seamevacuate/set_test.go
@@ -58,7 +58,7 @@
 func TestRestartedNodeGivesNoGrace(t *testing.T) {
 	for name, learn := range map[string]func(*seamevacuate.Set){
 		"store": func(s *seamevacuate.Set) { s.Put(start, "d1") },
-		"peer":  func(s *seamevacuate.Set) { s.Tell(start, "d1") },
+		"peer":  func(s *seamevacuate.Set) { s.PutFromPeer(start, "d1") },
 	} {
 		s := &seamevacuate.Set{}
 		learn(s)
@@ -73,7 +73,7 @@
 func TestListEndsWhatOnlyPeersTold(t *testing.T) {
 	s := &seamevacuate.Set{}
 	for _, domain := range []string{"d1", "d2", "d3"} {
-		s.Tell(start, domain)
+		s.PutFromPeer(start, domain)
 	}
 	s.Put(start, "d2")
 	s.Put(start, "d4")
@@ -84,7 +84,7 @@
 	if len(ended) != 2 || !cmp.Equal(s.Snapshot().Domains(), []string{"d2", "d4"}) {
 		t.Errorf("ended %v, known %v", ended, s.Snapshot().Domains())
 	}
-	if s.Tell(start, "d1") || len(s.Synced()) > 0 {
+	if s.PutFromPeer(start, "d1") || len(s.Synced()) > 0 {
 		t.Error("a peer's state is used after the store's")
 	}
 }
--- a/internal/route/seambalance/even_test.go
+++ b/internal/route/seambalance/even_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestEvenSharesBySpeedWithoutNews guards against equal shares for targets of different speed when all reports are old.
-func TestEvenSharesBySpeedWithoutNews(t *testing.T) {
+// TestEvenSharesBySpeedWithoutReports guards against equal shares for targets of different speed when all reports are old.
+func TestEvenSharesBySpeedWithoutReports(t *testing.T) {
 	c := newEven(metrics.NewSet())
 	slow, fast := candidate("slow", "ost", "ost-1"), candidate("fast", "ost", "ost-1")
 	for i := range 40 {
--- a/internal/route/seambalance/policies_test.go
+++ b/internal/route/seambalance/policies_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// TestPicture prints the table of all policies. It guards against a trial that shows no difference between them.
-func TestPicture(t *testing.T) {
+// TestPolicyComparison prints the table of all policies. It guards against a trial that shows no difference between them.
+func TestPolicyComparison(t *testing.T) {
 	nodes, loads := []int{60}, []float64{0.8}
 	if testing.Verbose() {
 		nodes, loads = []int{1, 10, 60, 300}, []float64{0.3, 0.6, 0.8, 0.95}
--- a/internal/route/seamingress/callerconn.go
+++ b/internal/route/seamingress/callerconn.go
@@ -31,10 +31,10 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// markBroken makes the caller's connection, if the context has one, end with a reset.
-func markBroken(ctx context.Context) {
+// resetOnClose makes the caller's connection, if the context has one, end with a reset.
+func resetOnClose(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		c.broken.Store(true)
+		c.resetOnClose.Store(true)
 	}
 }
 
@@ -74,8 +74,8 @@
 	// release ends the watch for the caller's close.
 	release func()
 	closed  atomic.Bool
-	// broken means that the connection is reset when it is closed.
-	broken atomic.Bool
+	// resetOnClose means that Close sends a reset.
+	resetOnClose atomic.Bool
 }
 
 // watch returns a context for the connection's requests that ends when the caller closes the connection. The HTTP library
@@ -105,7 +105,7 @@
 		return net.ErrClosed
 	}
 	c.release()
-	if c.broken.Load() {
+	if c.resetOnClose.Load() {
 		_ = c.SetLinger(0) // an error means that the connection is closed already
 		return c.TCPConn.Close()
 	}
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -211,7 +211,7 @@
 	x.countRegionRefusal(end)
 	if x.responder.started && end.Outcome != seamoutcome.Done && !r.ProtoAtLeast(1, 1) {
 		// In HTTP/1.0 a body may end where the connection does: only a reset shows that it is incomplete.
-		markBroken(r.Context())
+		resetOnClose(r.Context())
 	}
 	i.finish(x.responder, end, seamoutcome.Lookup(end.Reason).Status, start)
 }
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -80,7 +80,7 @@
 	x.body = body
 	x.head.Length = body.length
 	if !r.ProtoAtLeast(1, 1) {
-		x.responder.mayBreakUnseen = func() bool { return !body.fullyRead() }
+		x.responder.mayTruncateUnnoticed = func() bool { return !body.fullyRead() }
 	}
 	return x, nil
 }
--- a/internal/route/seamingress/responder.go
+++ b/internal/route/seamingress/responder.go
@@ -27,8 +27,8 @@
 	server   string
 	head     *seamroutewire.AnswerHead
 	buffered []byte
-	// mayBreakUnseen reports whether the caller could take the start of a body without length for the whole; nil means that it never could.
-	mayBreakUnseen func() bool
+	// mayTruncateUnnoticed reports whether the caller could take the start of a body without length for the whole; nil means that it never could.
+	mayTruncateUnnoticed func() bool
 	// started is true once a part of the response has been written to the caller.
 	started bool
 }
@@ -42,15 +42,15 @@
 	a.server, a.head, a.buffered = server, nil, a.buffered[:0]
 }
 
-// errBreakUnseen reports a response without length to a caller that uses HTTP/1.0 and still sends its request. Its write could receive
+// errTruncationUnnoticed reports a response without length to a caller that uses HTTP/1.0 and still sends its request. Its write could receive
 // the error of a reset, and the read that follows would see an end as of a complete body.
-var errBreakUnseen = errors.New("a response without length is not passed on in HTTP/1.0 before the end of the request")
+var errTruncationUnnoticed = errors.New("a response without length is not passed on in HTTP/1.0 before the end of the request")
 
 // WriteHead receives the status and headers of the response. They are written immediately unless the response is
 // buffered.
 func (a *responder) WriteHead(h *seamroutewire.AnswerHead) error {
-	if !h.GetWhole() && h.GetLength() < 0 && a.mayBreakUnseen != nil && a.mayBreakUnseen() {
-		return errBreakUnseen
+	if !h.GetWhole() && h.GetLength() < 0 && a.mayTruncateUnnoticed != nil && a.mayTruncateUnnoticed() {
+		return errTruncationUnnoticed
 	}
 	a.head = h
 	if !h.GetWhole() {
