Shorten comments of the placement and load changes

Several comments told how a value was tuned or measured, or used private phrases. Give the plain reason instead. Correct three that did not match the code: newView does not store the average (score does), confirmCrash also makes the target count as cold, and trustedUntil holds for closed connections only.

--- a/internal/node/seamrouter/evacuation.go
+++ b/internal/node/seamrouter/evacuation.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// evacuateFromPeer applies the evacuations that another node has told.
+// evacuateFromPeer applies the evacuations that another node knows.
 func (n *Node) evacuateFromPeer(now time.Time, peer string, domains []string) {
 	for _, domain := range domains {
 		if n.evacuations.PutFromPeer(now, domain) {
@@ -58,7 +58,7 @@
 	}
 }
 
-// evacuationsSynced ends the evacuations that another node has told and that are not in the store.
+// evacuationsSynced ends the evacuations that only another node has reported and that are not in the store.
 func (n *Node) evacuationsSynced(now time.Time) {
 	for _, e := range n.evacuations.Synced() {
 		n.reinstated(now, e)
@@ -101,7 +101,7 @@
 	return keys
 }
 
-// evacuationList returns the evacuations for the operators.
+// evacuationList returns the evacuations that the operators see in the state of the node.
 func (n *Node) evacuationList(now time.Time) []Evacuation {
 	list := []Evacuation{}
 	for _, e := range n.evacuations.Snapshot().All() {
--- a/internal/own/seamassign/placement.go
+++ b/internal/own/seamassign/placement.go
@@ -13,8 +13,8 @@
 // allow. Each costs its node a release, a write of the table and a grant, of which a small machine handles some tens a second.
 const maxArrivalsPerHolder = 8
 
-// arrivalTime is the time after which a range that a holder was asked to release no longer counts as arriving. Its release then waits
-// for running requests and takes nothing from its destination.
+// arrivalTime is the time after which a range that a holder was asked to release no longer counts as arriving. Its release then
+// waits for running requests and costs its destination nothing.
 const arrivalTime = time.Second
 
 // SetPlacement restricts the holders that may have keys. The others are not assigned any, and lose theirs with handover as
@@ -32,8 +32,8 @@
 	return n
 }
 
-// isExcluded reports whether the holder is to lose its keys because of the placement. A target that leaves does so anyway, but
-// one whose node restarts would otherwise keep them if the others lack capacity.
+// isExcluded reports whether the holder must lose its keys because of the placement. A leaving holder loses them anyway; a
+// stopping one would keep them if the others lack capacity.
 func (a *Assigner) isExcluded(known *holder) bool {
 	return (known.state == Ready || known.state == Stopping) && !a.placement.Allows(known.node)
 }
--- a/internal/own/seamevacuate/set.go
+++ b/internal/own/seamevacuate/set.go
@@ -32,7 +32,7 @@
 // entry is an evacuation with its origin.
 type entry struct {
 	Evacuation
-	// confirmed is whether the store has named it, instead of another node only.
+	// confirmed reports whether the store has it; otherwise only another node has reported it.
 	confirmed bool
 }
 
@@ -51,8 +51,8 @@
 	return s.add(now, domain, true)
 }
 
-// PutFromPeer records an evacuation that another node has reported, and reports whether it is new to this node. What is told after a
-// complete list is ignored, since that node may not know its end yet.
+// PutFromPeer records an evacuation that another node knows, and reports whether it is new to this node. It has no effect once a
+// complete list of the store has been read, since the other node may not know yet that the evacuation has ended.
 func (s *Set) PutFromPeer(now time.Time, domain string) bool {
 	return s.add(now, domain, false)
 }
--- a/internal/route/seamanswer/answer.go
+++ b/internal/route/seamanswer/answer.go
@@ -1,4 +1,4 @@
-// Package seamanswer reads HTTP responses more strictly than package http does: bytes that HTTP does not define as a response are none.
+// Package seamanswer reads HTTP responses more strictly than package http does: it rejects what HTTP does not define as a response.
 package seamanswer
 
 import (
@@ -76,7 +76,7 @@
 func peekLine(r *bufio.Reader) ([]byte, error) {
 	for n := 1; ; n = r.Buffered() + 1 {
 		_, err := r.Peek(n)
-		read, _ := r.Peek(r.Buffered()) // what is buffered can be peeked
+		read, _ := r.Peek(r.Buffered()) // peeking at buffered bytes can't fail
 		if end := bytes.IndexByte(read, '\n'); end >= 0 {
 			return bytes.TrimSuffix(read[:end], []byte("\r")), nil
 		}
@@ -111,7 +111,7 @@
 // IsFinalStatus reports whether a status is one of a final response.
 func IsFinalStatus(status int) bool { return http.StatusOK <= status && status <= maxStatus }
 
-// Check returns a *StatusError if what package http has read as a final response is none.
+// Check returns a *StatusError for a response from package http whose status line is not that of a final response.
 func Check(res *http.Response) error {
 	line := res.Proto + " " + res.Status
 	if !isStatusLine([]byte(line)) || !IsFinalStatus(res.StatusCode) {
@@ -125,7 +125,7 @@
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
 }
 
-// MayCarryBody reports whether bytes of a body may follow a response that has none. They would be read as the next response.
+// MayCarryBody reports whether a response that can't have a body announces one. Its bytes would be read as the next response.
 func MayCarryBody(res *http.Response) bool {
 	switch res.StatusCode {
 	case http.StatusNoContent:
--- a/internal/route/seambalance/even.go
+++ b/internal/route/seambalance/even.go
@@ -23,21 +23,22 @@
 )
 
 const (
-	// fillCost is subtracted from the utility in proportion to the share of slots in use. It is lower than the difference of
-	// the network costs of the same and of another region (0.01875 at 1.5 kB), so that no request leaves the domain or the
+	// fillCost is subtracted from the utility in proportion to the share of slots in use. For a request of 1.5 kB it is lower
+	// than the difference of the network costs of the same and of another region, so that no request leaves the domain or the
 	// region for a target that is only emptier.
 	fillCost = 0.015
-	// waitCost is subtracted from the utility for an expected wait as long as the objective. With 1 a wait of 7.5 % of the
-	// objective outweighs the cost of another domain, and of 9.4 % that of another region, for a request of 1.5 kB.
+	// waitCost is subtracted from the utility for an expected wait as long as the objective, so that a wait of less than a
+	// tenth of the objective outweighs the network cost of another domain or region for a request of 1.5 kB.
 	waitCost = 1
-	// promptUtility is the utility above which targets count as equally prompt. Without it all nodes prefer the fastest
-	// targets, and the busiest one had 1.25 to 1.45 times the mean load.
+	// promptUtility is the utility above which targets count as equally prompt. Without it all nodes would prefer the
+	// fastest targets and overload them.
 	promptUtility = 0.9
-	// noiseFactor and noiseTrust set the noise from the error of the forecasts and from the trust in them. Of the values
-	// tried, these had the lowest p99 wait at short ages without a herd at an age of 5 s.
+	// noiseFactor scales the noise by the error of the forecasts, and noiseTrust is the part of it that full trust in them
+	// removes. Less noise makes nodes with the same old reports choose the same target; more lengthens waits when reports are recent.
 	noiseFactor = 0.3
 	noiseTrust  = 0.7
-	// averageWeight is the weight of the service's average fill in the long-term load of a target, against the target's own.
+	// averageWeight is the weight of the service's average fill in the long-term load of a target. The rest is that of the
+	// target's own long-term load.
 	averageWeight = 0.8
 	// priorError and priorErrors are the squared error assumed before any forecast was compared, and its weight.
 	priorError, priorErrors = 0.1, 2
@@ -45,9 +46,9 @@
 	priorTrust, priorTrustWeight = 0.7, 0.5
 	// medianTTL is the time for which the median service time of a service is kept.
 	medianTTL = 100 * time.Millisecond
-	// maxMedians is the number of kept medians. Each keeps its list of candidates, some 14 kB, in memory.
+	// maxMedians bounds the kept medians, since each keeps its list of candidates in memory.
 	maxMedians = 128
-	// rankSample is the number of picks of which one is ranked for the metrics, since ranking takes as long as picking.
+	// rankSample is the number of picks of which one is ranked for the metrics, since ranking scores all candidates again.
 	rankSample = 64
 )
 
@@ -92,7 +93,7 @@
 }
 
 // draws are the logarithms of numbers with exponential distribution, by which equal targets are picked in proportion to their
-// speed. They are a table because computing two logarithms for each candidate takes a third of a pick.
+// speed. They are a table because two logarithms for each candidate would dominate the cost of a pick.
 var draws = func() (t [1024]float64) {
 	for i := range t {
 		t[i] = math.Log(-math.Log(1 - (float64(i)+0.5)/float64(len(t))))
@@ -144,7 +145,7 @@
 	return best
 }
 
-// newView returns the view of the candidates, and tells their states the average.
+// newView returns the view of the candidates.
 func (b *Balancer) newView(now time.Time, all []seampick.Candidate, nodes []*node, q Query) view {
 	others, slots := 0.0, 0.0
 	sum := forecastErrors{samples: priorErrors, squared: priorErrors * priorError, variance: priorTrustWeight, covariance: priorTrustWeight * priorTrust}
@@ -167,7 +168,8 @@
 	return v
 }
 
-// score returns the utility of the candidate by its forecast load, with noise in proportion to draw.
+// score returns the utility of the candidate by its forecast load, with noise in proportion to draw. It stores the average of
+// the service in n, with which the next report is compared.
 func (b *Balancer) score(v *view, candidate *seampick.Candidate, n *node, draw float64) float64 {
 	rtt, cost := b.networkCost(&candidate.Peer, v.query)
 	slots, service, mean := float64(max(candidate.Slots, 1)), v.median, v.median
@@ -207,7 +209,7 @@
 	return min(prompt+lateUtility*late, promptUtility)
 }
 
-// cachedMedian returns the median service time, which takes longer to find than a pick.
+// cachedMedian returns the median service time. It is cached because finding it takes longer than a pick.
 func (b *Balancer) cachedMedian(now time.Time, all []seampick.Candidate, nodes []*node, class uint32) float64 {
 	if len(all) == 0 {
 		return defaultServiceTime
--- a/internal/route/seambalance/forecast.go
+++ b/internal/route/seambalance/forecast.go
@@ -12,7 +12,7 @@
 	errorDecay = 20 * time.Second
 )
 
-// clockStart is the origin of the times in seconds. Subtracting times for each candidate takes a fifth of a pick.
+// clockStart is the origin of the times in seconds, which are cheaper to subtract for each candidate than times.
 var clockStart = time.Now()
 
 func secondsOf(t time.Time) float64 { return t.Sub(clockStart).Seconds() }
@@ -29,8 +29,8 @@
 	reported float64
 	// refused means that the target did not serve the request with which the last report came.
 	refused bool
-	// lastTime is the service time of lastClass, the class that was looked up last, if lookedUp is set. The look-up in the map
-	// takes longer than the rest of a forecast.
+	// lastTime is the service time of lastClass, the class that was looked up last, if lookedUp is set. It saves the costly
+	// look-up in the map.
 	lastTime float64
 	// lastAt is the time at which lastTime was reported, in seconds from clockStart.
 	lastAt    float64
@@ -126,7 +126,7 @@
 	expLimit = 12
 )
 
-// exps holds exp(-x) for the middle of each step. Two calls of math.Exp for each candidate take half of a pick.
+// exps holds exp(-x) for the middle of each step. Calls of math.Exp for each candidate would dominate the cost of a pick.
 var exps = func() (t [expLimit * expSteps]float64) {
 	for i := range t {
 		t[i] = math.Exp(-(float64(i) + 0.5) / expSteps)
--- a/internal/route/seamegress/crash.go
+++ b/internal/route/seamegress/crash.go
@@ -80,7 +80,8 @@
 }
 
 // confirmCrash reports whether the target of a call that got no complete response has crashed. A target that has crashed refuses
-// connections; one that does not has lost the response. err is the error of the call, nil if that is not known.
+// connections; one that does not has lost the response. The target counts as cold meanwhile, since it may have started again.
+// err is the error of the call, nil if that is not known.
 func (c *call) confirmCrash(err error) bool {
 	e := c.egress
 	if e.isLeaving(c.announced) || !connectionEnded(err) {
--- a/internal/route/seamegress/stated.go
+++ b/internal/route/seamegress/stated.go
@@ -20,10 +20,10 @@
 const (
 	// statedTTL is the time for which the stated numbers of requests and slots are used.
 	statedTTL = time.Second
-	// paceDecay is the time constant with which the stated pace returns to the usual one. Targets state another one many times a
-	// second, so that one older than a second says nothing.
+	// paceDecay is the time constant with which the stated pace returns to the usual one. It is short, since the pace changes
+	// many times a second.
 	paceDecay = 300 * time.Millisecond
-	// minPace and maxPace bound the pace, so that one absurd figure makes no target look idle or dead.
+	// minPace and maxPace bound the pace, so that one absurd value does not make a target look idle or unusable.
 	minPace, maxPace = 0.1, 10
 )
 
@@ -35,7 +35,7 @@
 	at     time.Time
 }
 
-// Record records the load of the target; one without slots is none.
+// Record records the load of the target. A load without slots is ignored.
 func (s *StatedLoads) Record(now time.Time, target seamthrottle.Target, load StatedLoad) {
 	if load.Slots <= 0 {
 		return
--- a/internal/route/seamegress/warmup.go
+++ b/internal/route/seamegress/warmup.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// doubtTarget makes the target count as cold until its next announcement, because it may have started again. Until then, a node knows
-// of a restart at the same address only by connections that are refused (ended) or closed.
+// doubtTarget makes the target count as cold until its next announcement, because connections that were refused or closed show that
+// it may have started again at the same address. ended means that its process has ended for certain.
 func (e *Egress) doubtTarget(now time.Time, a seamtarget.Announcement, ended bool) {
 	if e.throttle.DoubtTarget(now, throttleTarget(a), ended) {
 		e.warmupChanged(now, a, warmupDoubted)
--- a/internal/route/seamingress/responder.go
+++ b/internal/route/seamingress/responder.go
@@ -27,7 +27,8 @@
 	server   string
 	head     *seamroutewire.AnswerHead
 	buffered []byte
-	// mayTruncateUnnoticed reports whether the caller could take the start of a body without length for the whole; nil means that it never could.
+	// mayTruncateUnnoticed reports whether the caller could take the start of a body without length for the whole; nil means
+	// that it never could.
 	mayTruncateUnnoticed func() bool
 	// started is true once a part of the response has been written to the caller.
 	started bool
@@ -42,8 +43,8 @@
 	a.server, a.head, a.buffered = server, nil, a.buffered[:0]
 }
 
-// errTruncationUnnoticed reports a response without length to a caller that uses HTTP/1.0 and still sends its request. Its write could receive
-// the error of a reset, and the read that follows would see an end as of a complete body.
+// errTruncationUnnoticed reports a response without length to a caller that uses HTTP/1.0 and still sends its request. The
+// caller's write could receive the error of a reset, so that its next read would see the end of a complete body.
 var errTruncationUnnoticed = errors.New("a response without length is not passed on in HTTP/1.0 before the end of the request")
 
 // WriteHead receives the status and headers of the response. They are written immediately unless the response is
--- a/internal/route/seamresidency/regions.go
+++ b/internal/route/seamresidency/regions.go
@@ -7,8 +7,7 @@
 	"strings"
 )
 
-// noRegion is the only name in a list that allows no region. Such a list is not empty, since an empty one is no restriction, and code
-// that copies lists doesn't tell an empty list from a missing one.
+// noRegion is the only entry of a list that allows no region. Such a list can't be empty, since an empty list is no restriction.
 const noRegion = ""
 
 // Allows reports whether a request that is restricted to the regions may be sent to a node in the region. An empty list is no
--- a/internal/route/seamthrottle/cold.go
+++ b/internal/route/seamthrottle/cold.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Announce records the target and its warm-up. It reports whether the target is another one than before, and whether one has become
+// Announce records the target and its warm-up. It reports whether the target is another one than before, and whether it has become
 // cold or ceased to be since this was last reported. An announcement that is known already only updates the settings of the service.
 func (t *Throttle) Announce(now time.Time, a Announcement) (replaced, coldChanged bool) {
 	t.mu.Lock()
@@ -62,8 +62,8 @@
 	return r
 }
 
-// warmRateFactor times the rate of a cold target is that at which starts after the warm-up are promised. The rate of the warm
-// target is not known here.
+// warmRateFactor is the ratio of the rate at which starts after the warm-up are promised to that of the cold target. The rate of
+// the warm target is not known here.
 const warmRateFactor = 8
 
 // promiseInterval returns the time between promised starts after the delay.
@@ -75,13 +75,14 @@
 	return duration(1 / rate)
 }
 
-// spreadDelay returns when a caller returns to which no start is promised: after the delay, and spread over the rest of the warm-up.
+// spreadDelay returns the retry delay of a caller that is promised no start. It is at least delay, and spreads such callers over the
+// rest of the warm-up.
 func (t *Throttle) spreadDelay(now time.Time, delay time.Duration) time.Duration {
 	left := t.warmup.left(now)
 	if delay >= left {
 		return delay
 	}
-	next := later(t.spreadUntil, now.Add(delay)).Add(duration(1 / t.bucket.rate))
+	next := latest(t.spreadUntil, now.Add(delay)).Add(duration(1 / t.bucket.rate))
 	if next.Sub(now) > left {
 		next = now.Add(delay)
 	}
--- a/internal/route/seamthrottle/throttle.go
+++ b/internal/route/seamthrottle/throttle.go
@@ -15,8 +15,8 @@
 // maxStartDelay is the time after its admission for which a request needs no further permission to start.
 const maxStartDelay = 500 * time.Millisecond
 
-// maxColdStartDelay is the same for a cold target. With burstPeriod, it bounds the starts within any second to 1.45 times
-// those that the limit allows, and one.
+// maxColdStartDelay replaces maxStartDelay for a cold target. With burstPeriod, it bounds the starts within any second to 1.45
+// times those that the limit allows, plus one.
 const maxColdStartDelay = 200 * time.Millisecond
 
 // State is what a node knows about its target.
@@ -93,9 +93,9 @@
 	switch {
 	case limited && !t.limited:
 		t.bucket, t.promisedUntil = newBucket(now, rate), now
-		t.limitedAt = later(now, t.startedAt)
+		t.limitedAt = latest(now, t.startedAt)
 		if t.warmup.cold(now) {
-			// A target that is asked for nothing is not overloaded by one request at once.
+			// One immediate request does not overload an idle target.
 			t.bucket.tokens = 1
 		}
 	case limited && rate != t.bucket.rate:
@@ -103,7 +103,7 @@
 	}
 	cold := t.warmup.cold(now)
 	if cold && !t.cold {
-		t.limitedAt = later(now, t.startedAt)
+		t.limitedAt = latest(now, t.startedAt)
 	}
 	t.limited, t.cold = limited, cold
 }
@@ -210,7 +210,7 @@
 	return t.wait(now, ahead)
 }
 
-// wait returns the same for the limit that is in effect. The wait is not longer than that for the end of a warm-up.
+// wait returns the result of Wait. t must be refreshed. A warm-up does not delay a start beyond its end.
 func (t *Throttle) wait(now time.Time, ahead int) time.Duration {
 	if !t.limited {
 		return 0
@@ -234,7 +234,7 @@
 	if t.limited && !t.bucket.take(now) {
 		return false
 	}
-	t.startedAt = later(t.startedAt, now)
+	t.startedAt = latest(t.startedAt, now)
 	return true
 }
 
@@ -263,7 +263,7 @@
 	if !t.limited {
 		return 0
 	}
-	due := later(now.Add(t.wait(now, waiting)), t.promisedUntil)
+	due := latest(now.Add(t.wait(now, waiting)), t.promisedUntil)
 	delay := due.Sub(now)
 	if delay >= left {
 		return t.spreadDelay(now, delay)
--- a/internal/route/seamthrottle/warmup.go
+++ b/internal/route/seamthrottle/warmup.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// rampTime is the time after a warm-up in which the limit still rises. The nodes that choose targets would otherwise
-	// return at the same moment.
+	// rampTime is the time after a warm-up in which the limit rises until it ends. Without it, all nodes that choose targets
+	// would return at the same moment.
 	rampTime = 1500 * time.Millisecond
-	// rampDoubling is the time in which the limit doubles meanwhile.
+	// rampDoubling is the time in which the limit doubles during the ramp.
 	rampDoubling = 250 * time.Millisecond
 	// maxWarmupFactor times the warm-up of a service, or maxUnstatedWarmup without one, is the longest time that an
 	// announcement or an assumption keeps a target cold.
@@ -18,7 +18,7 @@
 	// restartDelay is the time after a suspected restart in which announcements of the same incarnation may have been sent
 	// before it. Targets announce themselves more often.
 	restartDelay = time.Second
-	// unstatedRestartDoubt bounds the assumption of a restart if the service states no warm-up.
+	// unstatedRestartDoubt bounds the suspicion of a restart if the service states no warm-up.
 	unstatedRestartDoubt = 10 * time.Second
 	// minDoubtInterval is the time for which no restart is suspected after an announcement has refuted one. It doubles with
 	// each refutation, up to maxDoubtInterval: some targets often close connections.
@@ -51,8 +51,8 @@
 	// assumedUntil is the time up to which the target counts as cold whatever was announced before; an announcement that arrives
 	// after distrustedUntil ends that.
 	assumedUntil, distrustedUntil time.Time
-	// doubted reports whether the assumption is that of a restart. doubts counts those that were refuted, and no further one
-	// begins before trustedUntil.
+	// doubted reports whether a restart is suspected. doubts counts the suspicions that an announcement has refuted; closed
+	// connections raise none before trustedUntil.
 	doubted      bool
 	doubts       int
 	trustedUntil time.Time
@@ -99,7 +99,7 @@
 
 // assume makes the target count as cold until an announcement arrives after now.
 func (w *warmup) assume(now time.Time) {
-	w.assumedUntil, w.distrustedUntil, w.doubted = now.Add(w.longest()), later(w.distrustedUntil, now), false
+	w.assumedUntil, w.distrustedUntil, w.doubted = now.Add(w.longest()), latest(w.distrustedUntil, now), false
 }
 
 // doubt makes the target count as cold until an announcement shows whether it has started again. ended means that its process has
@@ -138,12 +138,12 @@
 	}
 	end := w.assumedUntil
 	if !w.until.IsZero() {
-		end = later(end, w.until.Add(rampTime))
+		end = latest(end, w.until.Add(rampTime))
 	}
 	return max(end.Sub(now), 0)
 }
 
-func later(a, b time.Time) time.Time {
+func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
 	}
