Remove Throttle.SetTarget, which only tests called

Nodes set the target by Throttle.Announce since it also records the warm-up. The tests now go the same way as nodes do, with an announcement without a warm-up; what they check is unchanged.

--- a/internal/own/seamassign/hotload_test.go
+++ b/internal/own/seamassign/hotload_test.go
@@ -160,7 +160,7 @@
 func (m *loadModel) applyLimits() {
 	for i, limit := range m.limits {
 		target := seamthrottle.Target{Name: m.holders[i].holder.Target}
-		m.holders[i].throttle.SetTarget(target)
+		m.holders[i].throttle.Announce(loadTime(m.now), seamthrottle.Announcement{Target: target})
 		m.holders[i].throttle.Hear(loadTime(m.now), seamthrottle.Response{Target: target, Notice: seamthrottle.Notice{Limited: true, Rate: limit}})
 	}
 }
--- a/internal/route/seamadmit/throttle_test.go
+++ b/internal/route/seamadmit/throttle_test.go
@@ -32,7 +32,7 @@
 	begin := time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
 	target := seamthrottle.Target{Name: "t"}
 	throttle := new(seamthrottle.Throttle)
-	throttle.SetTarget(target)
+	throttle.Announce(begin, seamthrottle.Announcement{Target: target})
 	throttle.Hear(begin, seamthrottle.Response{Target: target, Notice: seamthrottle.Notice{Limited: true, Rate: limit}})
 	q := seamadmit.NewQueue(slots, throttle)
 	q.Observe(1, service)
@@ -100,7 +100,7 @@
 	now := time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
 	target := seamthrottle.Target{Name: "t"}
 	throttle := new(seamthrottle.Throttle)
-	throttle.SetTarget(target)
+	throttle.Announce(now, seamthrottle.Announcement{Target: target})
 	throttle.Hear(now, seamthrottle.Response{Target: target, Notice: seamthrottle.Notice{Limited: true, Rate: 2}})
 	q := seamadmit.NewQueue(12, throttle)
 	if wait := q.QueueWait(now); wait != 500*time.Millisecond {
--- a/internal/route/seamlimit/limiter_test.go
+++ b/internal/route/seamlimit/limiter_test.go
@@ -191,8 +191,8 @@
 	const rate, length = 50.0, time.Second
 	target := seamthrottle.Target{Name: "t"}
 	throttle := new(seamthrottle.Throttle)
-	throttle.SetTarget(target)
 	begin := time.Now()
+	throttle.Announce(begin, seamthrottle.Announcement{Target: target})
 	throttle.Hear(begin, seamthrottle.Response{Target: target, Notice: seamthrottle.Notice{Limited: true, Rate: rate}})
 	l := seamlimit.New(0, throttle, metrics.NewSet())
 	l.Resize(begin, seamlimit.Capacity{Name: "t", Slots: 100})
--- a/internal/route/seamthrottle/model_test.go
+++ b/internal/route/seamthrottle/model_test.go
@@ -197,7 +197,7 @@
 		default:
 			m.epoch++
 			m.throttle = new(seamthrottle.Throttle)
-			m.throttle.SetTarget(m.target)
+			m.throttle.Announce(m.time(), seamthrottle.Announcement{Target: m.target})
 		}
 	})
 }
@@ -245,7 +245,7 @@
 			m := &model{rand: rand.New(rand.NewPCG(seed, 29)), throttle: new(seamthrottle.Throttle), target: target, limit: -1}
 			m.meanService = 20*time.Millisecond + m.within(600*time.Millisecond)
 			m.load = 1 + 20*m.rand.Float64()
-			m.throttle.SetTarget(m.target)
+			m.throttle.Announce(m.time(), seamthrottle.Announcement{Target: m.target})
 			for i := range 2 + m.rand.IntN(6) {
 				n := &ingressNode{name: fmt.Sprint("n", i), reports: new(seamthrottle.Reports), told: -1}
 				m.nodes = append(m.nodes, n)
--- a/internal/route/seamthrottle/throttle.go
+++ b/internal/route/seamthrottle/throttle.go
@@ -72,13 +72,8 @@
 	return t.state
 }
 
-// SetTarget sets the incarnation of the target, and reports whether it is another one than before, which has stated nothing yet.
-func (t *Throttle) SetTarget(target Target) (changed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.setTarget(target)
-}
-
+// setTarget sets the incarnation of the target, and reports whether it is another one than before, which has stated nothing yet. mu
+// must be held.
 func (t *Throttle) setTarget(target Target) (changed bool) {
 	if t.state.Target == target {
 		return false
--- a/internal/route/seamthrottle/throttle_test.go
+++ b/internal/route/seamthrottle/throttle_test.go
@@ -22,7 +22,7 @@
 // newThrottle returns the throttle of a node whose target has stated the limit at start.
 func newThrottle(rate float64) *seamthrottle.Throttle {
 	t := new(seamthrottle.Throttle)
-	t.SetTarget(target)
+	t.Announce(start, seamthrottle.Announcement{Target: target})
 	t.Hear(start, response(start.Add(-time.Second), limitOf(rate)))
 	return t
 }
@@ -110,7 +110,7 @@
 func TestAnotherIncarnationHasNoLimit(t *testing.T) {
 	throttle := newThrottle(1)
 	restarted := seamthrottle.Target{Name: target.Name, Started: target.Started + 1}
-	throttle.SetTarget(restarted)
+	throttle.Announce(at(100), seamthrottle.Announcement{Target: restarted})
 	throttle.Hear(at(100), response(at(50), limitOf(1)))
 	if throttle.Limited(at(100)) {
 		t.Fatal("the limit of the incarnation before applies")
@@ -132,7 +132,7 @@
 func TestReportOfAnotherNodeCountsOnlyUntilTheTargetIsHeard(t *testing.T) {
 	report := seamthrottle.Report{Target: target, Limited: true, Rate: 4, Age: time.Second}
 	throttle := new(seamthrottle.Throttle)
-	throttle.SetTarget(target)
+	throttle.Announce(start, seamthrottle.Announcement{Target: target})
 	other := report
 	other.Target.Started++
 	if throttle.Learn(start, "n2", other) {
@@ -152,7 +152,7 @@
 
 func TestOldReportIsIgnoredOnceTheTargetAnsweredWithoutALimit(t *testing.T) {
 	throttle := new(seamthrottle.Throttle)
-	throttle.SetTarget(target)
+	throttle.Announce(start, seamthrottle.Announcement{Target: target})
 	throttle.Hear(at(500), response(at(100), seamthrottle.Notice{}))
 	old := seamthrottle.Report{Target: target, Limited: true, Rate: 0.2, Age: time.Minute}
 	if throttle.Learn(at(600), "n2", old) || throttle.Wait(at(600), 0) > 0 {
