--- a/internal/route/seamegress/warmup.go
+++ b/internal/route/seamegress/warmup.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// doubtTarget makes the target count as cold until its next announcement, because connections that were refused or closed show that
-// it may have started again at the same address. ended means that its process has ended for certain.
+// doubtTarget makes the target count as cold until an announcement shows whether it has started again at the same address, which
+// refused or closed connections suggest. ended means that its process has ended for certain.
 func (e *Egress) doubtTarget(now time.Time, a seamtarget.Announcement, ended bool) {
 	if e.throttle.DoubtTarget(now, throttleTarget(a), ended) {
 		e.warmupChanged(now, a, warmupDoubted)
