--- a/internal/route/seambalance/even_test.go
+++ b/internal/route/seambalance/even_test.go
@@ -114,6 +114,7 @@
 	}
 }
 
+// TestEvenPicksAmongManyAndNone guards against a failure without candidates, and against noise that favours a few of many equal targets.
 func TestEvenPicksAmongManyAndNone(t *testing.T) {
 	c := newEven(metrics.NewSet())
 	if _, ok := c.Pick(now, nil, lookup, nil); ok {
--- a/internal/route/seamegress/warmup_test.go
+++ b/internal/route/seamegress/warmup_test.go
@@ -125,6 +125,8 @@
 	return ends
 }
 
+// TestColdTargetGetsItsRateAndNoMore guards against a cold target that gets more than it can handle or is left idle, and against
+// refusals that don't tell the sender of the warm-up.
 func TestColdTargetGetsItsRateAndNoMore(t *testing.T) {
 	for name, byObjective := range map[string]bool{"by objective": true, "fair": false} {
 		t.Run(name, func(t *testing.T) {
@@ -176,6 +178,8 @@
 	}
 }
 
+// TestAssumedWarmupIsLoggedAndEndsWithAnAnnouncement guards against an assumed warm-up that does not limit the target, outlasts the
+// next announcement, or has no log line for its begin or end.
 func TestAssumedWarmupIsLoggedAndEndsWithAnAnnouncement(t *testing.T) {
 	w := newWarmingTarget(t, true, coldRate)
 	w.announce(2, 0)
--- a/internal/route/seamsession/compress_test.go
+++ b/internal/route/seamsession/compress_test.go
@@ -83,6 +83,8 @@
 		rand.Uint64(), i%7, strings.Repeat("header-that-repeats: value; ", 12))
 }
 
+// TestSessionsBetweenRegionsAreCompressedIfBothSidesDo guards against peers that don't agree on the compression, and against compressed
+// sessions within a region or beyond the memory for them.
 func TestSessionsBetweenRegionsAreCompressedIfBothSidesDo(t *testing.T) {
 	const requests = 200
 	on := seamsession.Compression{OtherRegions: true, MaxBytes: 64 << 20}
--- a/internal/route/seamstop/plan_test.go
+++ b/internal/route/seamstop/plan_test.go
@@ -61,6 +61,8 @@
 	}
 }
 
+// TestPlanRepeatsOnlyIdempotentRequestsThatHaveTimeForIt guards against counting on a repetition for which a request has no time, or
+// that could run it twice.
 func TestPlanRepeatsOnlyIdempotentRequestsThatHaveTimeForIt(t *testing.T) {
 	const mean = 200 * time.Millisecond
 	limit := time.Unix(1000, 0)
--- a/internal/route/seamthrottle/warmup_test.go
+++ b/internal/route/seamthrottle/warmup_test.go
@@ -54,6 +54,8 @@
 	}
 }
 
+// TestAnnouncedWarmupsAreCappedAndEnd guards against odd, late or repeated announcements and odd settings that keep a target cold for too
+// long, or end its warm-up early.
 func TestAnnouncedWarmupsAreCappedAndEnd(t *testing.T) {
 	minutes := func(n int) int { return n * 60_000 }
 	for name, x := range map[string]struct {
@@ -241,6 +243,7 @@
 	}
 }
 
+// TestReportOfAWarmupEndsByItself guards against a report of a warm-up that is kept or applied after its end.
 func TestReportOfAWarmupEndsByItself(t *testing.T) {
 	throttle := coldThrottle(1000)
 	r := throttle.Report(at(400))
@@ -262,6 +265,8 @@
 	}
 }
 
+// TestRefusedCallersReturnSpreadOverTheWarmupAndNotLongAfterIt guards against refused callers that return all at once, or long after the
+// target can serve them.
 func TestRefusedCallersReturnSpreadOverTheWarmupAndNotLongAfterIt(t *testing.T) {
 	throttle := coldThrottle(2000)
 	returns := map[int]int{}
