--- a/internal/route/seamsession/dial.go
+++ b/internal/route/seamsession/dial.go
@@ -125,7 +125,7 @@
 	wrapped.lastReceived.Store(time.Now().UnixNano())
 	s, err := newSession(wrapped, peer, client, p.cfg)
 	if err != nil {
-		wrapped.Close()
+		_ = wrapped.Close() // it returns no error
 	}
 	return s, err
 }
