--- a/internal/own/seamassign/placement.go
+++ b/internal/own/seamassign/placement.go
@@ -13,8 +13,8 @@
 // allow. Each costs its node a release, a write of the table and a grant, of which a small machine handles some tens a second.
 const maxArrivalsPerHolder = 8
 
-// arrivalTime is the time after which a range that a holder was asked to release no longer counts as arriving. Its release then waits
-// for running requests and takes nothing from its destination.
+// arrivalTime is the time after which a range that a holder was asked to release no longer counts as arriving. Its release then
+// waits for running requests and costs its destination nothing.
 const arrivalTime = time.Second
 
 // SetPlacement restricts the holders that may have keys. The others are not assigned any, and lose theirs with handover as
@@ -32,8 +32,8 @@
 	return n
 }
 
-// isExcluded reports whether the holder is to lose its keys because of the placement. A target that leaves does so anyway, but
-// one whose node restarts would otherwise keep them if the others lack capacity.
+// isExcluded reports whether the holder must lose its keys because of the placement. A leaving holder loses them anyway; a
+// stopping one would keep them if the others lack capacity.
 func (a *Assigner) isExcluded(known *holder) bool {
 	return (known.state == Ready || known.state == Stopping) && !a.placement.Allows(known.node)
 }
@@ -45,21 +45,21 @@
 	return known != nil && known.state == Ready
 }
 
-// leaveExcluded plans to move all keys of the holders that the placement does not allow. It plans them together, so that the keys
+// moveExcludedKeys plans to move all keys of the holders that the placement does not allow. It plans them together, so that the keys
 // of a whole failure domain are divided among all others in proportion to their free capacity and into few ranges.
-func (a *Assigner) leaveExcluded(now seamclock.Instant) {
-	a.cancelNeedlessMoves()
+func (a *Assigner) moveExcludedKeys(now seamclock.Instant) {
+	a.cancelObsoleteMoves()
 	a.redirectMoves(now)
 	sources, spans, chunks := a.excludedKeys()
 	if len(spans) > 0 {
-		a.planDeparture(now, sources, spans, chunks)
+		a.planExcludedMoves(now, sources, spans, chunks)
 	}
 	a.startMoves(now)
 }
 
-// cancelNeedlessMoves cancels the moves that wait although the placement allows their source again, or whose destination takes
+// cancelObsoleteMoves cancels the moves that wait although the placement allows their source again, or whose destination takes
 // no keys any more.
-func (a *Assigner) cancelNeedlessMoves() {
+func (a *Assigner) cancelObsoleteMoves() {
 	a.moves = slices.DeleteFunc(a.moves, func(m move) bool {
 		known := a.holders[m.source]
 		return m.waiting && (known == nil || !a.isExcluded(known) || !a.acceptsKeys(m.destination))
@@ -100,8 +100,8 @@
 	return sources, spans, chunks
 }
 
-// planDeparture plans moves of the spans, which the sources hold, to the candidates.
-func (a *Assigner) planDeparture(now seamclock.Instant, sources []seamtable.Holder, spans []seamtable.Span, chunks []seamtable.Chunk) {
+// planExcludedMoves plans moves of the spans, which the sources hold, to the candidates.
+func (a *Assigner) planExcludedMoves(now seamclock.Instant, sources []seamtable.Holder, spans []seamtable.Span, chunks []seamtable.Chunk) {
 	candidates := a.candidates(now, seamtable.Holder{})
 	if len(candidates) == 0 {
 		return
