Prefer short waits once the objective of a request has passed

The policy even divides the expected wait by the time left to the objective. That is negative once the objective has passed, as before a retry, so that the target with the longest wait had the highest utility.

The wait is now divided by the time left to the deadline then.

TestEvenAvoidsWaitsAfterTheObjective failed before: the full target was picked 1 s, 1 ms and 1 ns after the objective. It passes now.

--- a/internal/route/seambalance/even.go
+++ b/internal/route/seambalance/even.go
@@ -27,8 +27,9 @@
 	// the network costs of the same and of another region (0.01875 at 1.5 kB), so that no request leaves the domain or the
 	// region for a target that is only emptier.
 	fillCost = 0.015
-	// waitCost is subtracted from the utility for an expected wait as long as the objective. With 1 a wait of 7.5 % of the
-	// objective outweighs the cost of another domain, and of 9.4 % that of another region, for a request of 1.5 kB.
+	// waitCost is subtracted from the utility for an expected wait as long as the objective, or as the deadline once the
+	// objective has passed. With 1 a wait of 7.5 % of the objective outweighs the cost of another domain, and of 9.4 % that of
+	// another region, for a request of 1.5 kB.
 	waitCost = 1
 	// promptUtility is the utility above which targets count as equally prompt. Without it all nodes prefer the fastest
 	// targets, and the busiest one had 1.25 to 1.45 times the mean load.
@@ -109,6 +110,8 @@
 	seconds                     float64
 	query                       Query
 	objective, deadline, median float64
+	// waitScale is the time to which waits are compared: the objective, or the deadline once the objective has passed.
+	waitScale float64
 	// average is the mean fill of the targets by the requests of other nodes.
 	average float64
 	// trust, from 0 to 1, is the share of a forecast deviation from the average that is observed later.
@@ -157,6 +160,14 @@
 		sum.add(n.errors)
 	}
 	v := view{now: now, seconds: secondsOf(now), query: q, objective: secondsOr(q.Objective, defaultObjective), deadline: secondsOr(q.Deadline, defaultDeadline)}
+	switch {
+	case v.objective > 0:
+		v.waitScale = v.objective
+	case v.deadline > 0:
+		v.waitScale = v.deadline
+	default:
+		v.waitScale = defaultDeadline
+	}
 	v.median = b.cachedMedian(now, all, nodes, q.Class)
 	if slots > 0 {
 		v.average = others / slots
@@ -189,7 +200,7 @@
 	wait = max(wait, (fill-1)*mean)
 	latency := rtt + wait + service
 	u := n.successRate(v.now)*v.promptness(latency) - cost
-	u -= fillCost*min(max(fill, -1), 1) + waitCost*wait/v.objective
+	u -= fillCost*min(max(fill, -1), 1) + waitCost*wait/v.waitScale
 	if n != nil && !n.health.ejectedUntil.IsZero() && n.health.Ejected(v.now) {
 		u -= unreachablePenalty
 	}
--- a/internal/route/seambalance/even_test.go
+++ b/internal/route/seambalance/even_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// TestEvenAvoidsWaitsAfterTheObjective guards against a request whose objective has passed, as before a retry, and that is sent to the
+// target with the longest wait, since the cost of a wait is relative to the time left.
+func TestEvenAvoidsWaitsAfterTheObjective(t *testing.T) {
+	peer := candidate("peer", "ost", "ost-1")
+	busy := report(90*time.Millisecond, 0)
+	busy.InFlight = 30
+	for _, left := range []time.Duration{-time.Second, -time.Millisecond, -1} {
+		c := newEven(metrics.NewSet())
+		for range 5 {
+			complete(c, now, near.Peer, busy)
+			complete(c, now, peer.Peer, report(90*time.Millisecond, 0))
+		}
+		q := lookup
+		q.Objective, q.Deadline = left, 2*time.Second
+		for range 200 {
+			if got, _ := c.Pick(now, []seampick.Candidate{near, peer}, q, nil); got.Peer.Name != "peer" {
+				t.Errorf("%v after the objective, the full target was picked", -left)
+				break
+			}
+		}
+	}
+}
+
 // TestEvenCountsRanks guards against metrics that count another number of picks than one in 64.
 func TestEvenCountsRanks(t *testing.T) {
 	set := metrics.NewSet()
