Let later signs of a restart prolong the distrust of announcements

A doubt was ignored while the target already counted as cold. When a target was assumed to be cold, or had closed a connection, and its process ended up to a second later, an announcement that it had sent before its end stopped the assumption, and the restarted target got the normal rate until it announced itself.

A refused connection now always restarts the distrust, and a closed one does so once after an assumption. A target that goes on closing connections prolongs nothing, so that it does not stay limited.

TestLaterSignsOfARestartProlongTheDistrustOfAnnouncements failed in its three cases before and passes now.

--- a/internal/route/seamthrottle/warmup.go
+++ b/internal/route/seamthrottle/warmup.go
@@ -103,16 +103,16 @@
 }
 
 // doubt makes the target count as cold until an announcement shows whether it has started again. ended means that its process has
-// ended for certain.
+// ended for certain. Without that, a doubt does not prolong another one, since a target may go on closing connections.
 func (w *warmup) doubt(now time.Time, ended bool) {
-	if !ended && now.Before(w.trustedUntil) || now.Before(w.assumedUntil) {
+	if !ended && (now.Before(w.trustedUntil) || w.doubted && now.Before(w.assumedUntil)) {
 		return
 	}
 	longest := w.duration
 	if longest <= 0 {
 		longest = unstatedRestartDoubt
 	}
-	w.assumedUntil, w.distrustedUntil, w.doubted = now.Add(longest), now.Add(restartDelay), true
+	w.assumedUntil, w.distrustedUntil, w.doubted = later(w.assumedUntil, now.Add(longest)), now.Add(restartDelay), true
 }
 
 // cold reports whether the target counts as cold.
--- a/internal/route/seamthrottle/warmup_test.go
+++ b/internal/route/seamthrottle/warmup_test.go
@@ -221,6 +221,44 @@
 	}
 }
 
+// An announcement that was sent before the target started again ended an assumption that had begun earlier, so that the cold target got
+// the normal rate until it announced itself.
+func TestLaterSignsOfARestartProlongTheDistrustOfAnnouncements(t *testing.T) {
+	for name, begin := range map[string]func(*seamthrottle.Throttle){
+		"assumed, then refused": func(throttle *seamthrottle.Throttle) {
+			throttle.AssumeCold(at(1000))
+			throttle.DoubtTarget(at(1900), target, true)
+		},
+		"assumed, then closed": func(throttle *seamthrottle.Throttle) {
+			throttle.AssumeCold(at(1000))
+			throttle.DoubtTarget(at(1900), target, false)
+		},
+		"closed, then refused": func(throttle *seamthrottle.Throttle) {
+			throttle.DoubtTarget(at(1000), target, false)
+			throttle.DoubtTarget(at(1900), target, true)
+		},
+	} {
+		throttle := coldThrottle(0)
+		begin(throttle)
+		throttle.Announce(at(2100), announced(2100, 0))
+		if !throttle.Cold(at(2100)) {
+			t.Errorf("%s: an announcement that may have been sent before the restart ended the doubt", name)
+		}
+		throttle.Announce(at(3000), announced(3000, 0))
+		if throttle.Limited(at(3000)) {
+			t.Errorf("%s: the target is still doubted", name)
+		}
+	}
+	throttle := coldThrottle(0)
+	for ms := 1000; ms < 2100; ms += 100 {
+		throttle.DoubtTarget(at(ms), target, false)
+	}
+	throttle.Announce(at(2100), announced(2100, 0))
+	if throttle.Limited(at(2100)) {
+		t.Error("a target that goes on closing connections stays limited")
+	}
+}
+
 // The starts of requests that were admitted before the target became cold added to those that the warm-up allows.
 func TestRequestsAdmittedBeforeTheWarmupAreCountedAgain(t *testing.T) {
 	throttle := coldThrottle(0)
