Count a target as cold before its domain accepts requests again

When an evacuation ended, the node first removed it, then logged that, and only then told the egress that its target may be cold. Requests that arrived in between, or that waited, started at the rate of a warm target. The function that tells the egress was also set without synchronization, while the feed may already deliver changes.

The set of evacuations now calls BeforeEnd before the end is visible, and the function is held in an atomic pointer.

--- a/internal/node/seamrouter/evacuation.go
+++ b/internal/node/seamrouter/evacuation.go
@@ -49,12 +49,16 @@
 	}
 }
 
-// reinstated logs the end of an evacuation. The target beside this node may have restarted in the meantime without an announcement
-// that says so.
+// reinstated logs the end of an evacuation.
 func (n *Node) reinstated(now time.Time, e seamevacuate.Evacuation) {
 	n.sink.Emit(now, seamevent.DomainReinstated, seamevent.Fields{"domain": e.Domain, "after": now.Sub(e.LearnedAt).Milliseconds()})
-	if e.Domain == n.self.Domain && n.assumeCold != nil {
-		n.assumeCold(now)
+}
+
+// beforeReinstatement tells the egress that the target beside this node may be cold: it may have restarted during the evacuation
+// without an announcement that says so. Requests are refused until this returns, so that none starts at the rate of a warm target.
+func (n *Node) beforeReinstatement(e seamevacuate.Evacuation) {
+	if assume := n.assumeCold.Load(); assume != nil && e.Domain == n.self.Domain {
+		(*assume)(time.Now())
 	}
 }
 
--- a/internal/node/seamrouter/evacuation_test.go
+++ b/internal/node/seamrouter/evacuation_test.go
@@ -114,13 +114,19 @@
 }
 
 // TestEvacuatedDomainGetsNoRequestAndReturns guards against requests that reach a domain from 5 s after the operators' write, against
-// callers that are refused although the other domain has room, and against a domain that gets none after it was reinstated.
+// callers that are refused although the other domain has room, against a domain that gets none after it was reinstated, and against
+// requests that a reinstated target gets before it counts as cold.
 func TestEvacuatedDomainGetsNoRequestAndReturns(t *testing.T) {
 	t.Parallel()
 	f := newEvacuatedFleet(t)
 	var cold atomic.Int32
 	for _, n := range f.nodes {
-		n.OnAssumeCold(func(time.Time) { cold.Add(1) })
+		n.OnAssumeCold(func(now time.Time) {
+			cold.Add(1)
+			if !n.TargetEvacuated(now, false) {
+				t.Errorf("%s accepted requests before its target counted as cold", n.target.name)
+			}
+		})
 	}
 	acknowledged := f.evacuate("ost-1")
 	for time.Since(acknowledged) < 4*time.Second && len(f.in[0].State(time.Now()).Held) > 0 {
--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -76,7 +76,7 @@
 
 	evacuations seamevacuate.Set
 	// assumeCold tells the egress that the target may be cold; nil until the egress has started.
-	assumeCold func(now time.Time)
+	assumeCold atomic.Pointer[func(now time.Time)]
 
 	electorsMu sync.Mutex
 	electors   map[string]*seamelection.Elector
@@ -113,6 +113,7 @@
 		newerRoutes:  newRevisionPeers(),
 		tablesWanted: make(chan struct{}, 1),
 	}
+	n.evacuations.BeforeEnd = n.beforeReinstatement
 	n.poison = &seampoison.Guard{Table: seampoison.New(), Begin: n.beginPoisonTrial}
 	n.metricSet.NewGauge("cardamomseam_poison_suspected", func() float64 { return float64(n.poison.Suspected()) })
 	n.metricSet.NewGauge("cardamomseam_poison_quarantined", func() float64 { return float64(len(n.poison.Records())) })
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -41,7 +41,9 @@
 		Warmup:              n.warmup,
 		PassOnStatedLoad:    n.settings.Balance.Policy == string(seambalance.Even),
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
-	n.egress, n.assumeCold = egress, egress.AssumeCold
+	n.egress = egress
+	assumeCold := egress.AssumeCold
+	n.assumeCold.Store(&assumeCold)
 	c.Add(stop)
 	n.sessions.Register(seamsession.Request, egress)
 	n.sessions.Register(seamsession.Void, seamegress.VoidHandler{Egress: egress})
--- a/internal/own/seamevacuate/set.go
+++ b/internal/own/seamevacuate/set.go
@@ -38,6 +38,10 @@
 
 // Set holds the evacuated domains that a node knows. It is safe for concurrent use; the zero value is empty.
 type Set struct {
+	// BeforeEnd is called before a known evacuation ends, while requests are still refused; nil is allowed. It must be set before
+	// the first use and must not change the Set.
+	BeforeEnd func(Evacuation)
+
 	mu      sync.Mutex
 	entries map[string]entry
 	// synced is whether the node has read a complete list of the store.
@@ -87,7 +91,7 @@
 	defer s.mu.Unlock()
 	known, ok := s.entries[domain]
 	if ok {
-		delete(s.entries, domain)
+		s.end(known.Evacuation)
 		s.publish()
 	}
 	return known.Evacuation, ok
@@ -100,10 +104,10 @@
 	defer s.mu.Unlock()
 	s.synced = true
 	var ended []Evacuation
-	for domain, e := range s.entries {
+	for _, e := range s.entries {
 		if !e.confirmed {
 			ended = append(ended, e.Evacuation)
-			delete(s.entries, domain)
+			s.end(e.Evacuation)
 		}
 	}
 	if len(ended) > 0 {
@@ -112,6 +116,14 @@
 	return ended
 }
 
+// end removes an evacuation. The caller holds mu, and publishes the change afterwards.
+func (s *Set) end(e Evacuation) {
+	if s.BeforeEnd != nil {
+		s.BeforeEnd(e)
+	}
+	delete(s.entries, e.Domain)
+}
+
 // publish replaces the snapshot. The caller holds mu.
 func (s *Set) publish() {
 	list := make([]Evacuation, 0, len(s.entries))
--- a/internal/own/seamevacuate/set_test.go
+++ b/internal/own/seamevacuate/set_test.go
@@ -128,3 +128,26 @@
 	}
 	running.Wait()
 }
+
+// TestEndIsToldBeforeItIsVisible guards against requests that are accepted before the node has prepared for them.
+func TestEndIsToldBeforeItIsVisible(t *testing.T) {
+	for name, end := range map[string]func(*seamevacuate.Set){
+		"deleted": func(s *seamevacuate.Set) { s.Delete("d1") },
+		"synced":  func(s *seamevacuate.Set) { s.Synced() },
+	} {
+		s := &seamevacuate.Set{}
+		told := 0
+		s.BeforeEnd = func(e seamevacuate.Evacuation) {
+			told++
+			if _, ok := s.Snapshot().Find("d1"); !ok || e.Domain != "d1" {
+				t.Errorf("%s: told of the end of %q, with d1 evacuated: %v", name, e.Domain, ok)
+			}
+		}
+		s.Tell(start, "d1")
+		end(s)
+		s.Delete("d1")
+		if _, ok := s.Snapshot().Find("d1"); ok || told != 1 {
+			t.Errorf("%s: told %d times, still evacuated: %v", name, told, ok)
+		}
+	}
+}
