--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -20,6 +20,7 @@
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamholder"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -72,6 +73,8 @@
 	server     *seamingress.Server
 
 	poison *seampoison.Guard
+	// guard bounds the memory and the connections of callers.
+	guard *seamguard.Guard
 
 	electorsMu sync.Mutex
 	electors   map[string]*seamelection.Elector
@@ -111,6 +114,7 @@
 	n.poison = &seampoison.Guard{Table: seampoison.New(), Begin: n.beginPoisonTrial}
 	n.metricSet.NewGauge("cardamomseam_poison_suspected", func() float64 { return float64(n.poison.Suspected()) })
 	n.metricSet.NewGauge("cardamomseam_poison_quarantined", func() float64 { return float64(len(n.poison.Records())) })
+	n.guard = seamguard.New(int64(s.Memory)<<20, n.metricSet, n.reportLimit)
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
 	c := &seamstart.Cleanups{}
--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -9,6 +9,8 @@
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/node/seamstart"
+	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/route/seambalance"
 	"cardamomseam/internal/route/seamegress"
@@ -36,6 +38,7 @@
 		RulesRevision:       n.routes.Revision,
 		BodyBufferBytes:     n.maxQueuedBodyBytes(),
 		Poison:              n.poison,
+		Guard:               n.guard,
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
 	n.egress = egress
 	c.Add(stop)
@@ -56,6 +59,7 @@
 		OnRulesRevision:    n.onRoutesRevision,
 		BodyLimit:          n.bodyLimit,
 		Poison:             n.poison,
+		Guard:              n.guard,
 	}, n.self, routeDecider{n}, directory{n}, n.sessions, egress, n.metricSet, n.sink)
 	server, err := n.ingress.Serve()
 	if err != nil {
@@ -158,6 +162,7 @@
 		{Listen: n.settings.Health, Routes: n.adapter.HealthRoutes(n.Ready)},
 		{Listen: n.settings.Metrics, Routes: n.operatorRoutes()},
 	} {
+		s.Guard = n.guard
 		_, stop, err := seamhttp.Serve(s)
 		if err != nil {
 			return err
@@ -167,6 +172,11 @@
 	return nil
 }
 
+// reportLimit logs that callers have reached a limit.
+func (n *Node) reportLimit(now time.Time, l seamguard.Limit, times int) {
+	n.sink.Emit(now, seamevent.LimitReached, seamevent.Fields{"limit": string(l), "times": times, "reserved": n.guard.Reserved(), "connections": n.guard.Connections()})
+}
+
 // Ready reports whether the node serves callers: it has routes and is not draining.
 func (n *Node) Ready() bool {
 	return !n.draining.Load() && n.routes.Current() != nil
--- a/internal/observe/seamevent/names.go
+++ b/internal/observe/seamevent/names.go
@@ -66,6 +66,7 @@
 	RoutesApplied        = "routes.applied"
 	RoutesRefused        = "routes.refused"
 	HeartbeatRefused     = "beat.refused"
+	LimitReached         = "limit.reached"
 	PeerDown             = "peer.down"
 	PeerUp               = "peer.up"
 	TargetDown           = "target.down"
--- a/internal/platform/seamhttp/server.go
+++ b/internal/platform/seamhttp/server.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
+
+	"cardamomseam/internal/platform/seamguard"
 )
 
 const (
@@ -19,6 +21,11 @@
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes limits the headers of a request. As many connections as a process has descriptors may send that many.
 	maxHeaderBytes = 16 << 10
+	// idleTimeout is the time after which a connection without a request is closed.
+	idleTimeout = 2 * time.Minute
+	// bodyTimeout bounds the time to read the body of a request, and responseTimeout that to write a response.
+	bodyTimeout     = 10 * time.Second
+	responseTimeout = 30 * time.Second
 	// shutdownTimeout is the time that a shutdown waits for requests in flight.
 	shutdownTimeout = 2 * time.Second
 	// unlimitedWait stands for no time limit: it exceeds the lifetime of any process.
@@ -39,6 +46,8 @@
 	Routes []rest.Route
 	// MaxBodyBytes limits the size of a request body; 0 means no limit.
 	MaxBodyBytes int64
+	// Guard bounds the memory and the connections of callers; nil means no limits.
+	Guard *seamguard.Guard
 }
 
 // Serve starts a server and returns its address. cleanup shuts it down, and closes
@@ -52,9 +61,16 @@
 	if err != nil {
 		return "", nil, errors.Wrapf(err, "listen on %s", c.Listen)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{
+		Handler:           guarded{handler},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         connStateChanged,
+		ConnContext:       connContext,
+	}
 	var serving sync.WaitGroup
-	serving.Go(func() { _ = server.Serve(listener) })
+	serving.Go(func() { _ = server.Serve(guardedListener{listener, c.Guard}) })
 	return listener.Addr().String(), func() {
 		shutdown(server)
 		serving.Wait()
--- a/internal/route/seamegress/buffer.go
+++ b/internal/route/seamegress/buffer.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/route/seamlimit"
 	"cardamomseam/internal/route/seamoutcome"
 )
@@ -53,6 +54,8 @@
 
 // memoryBudget bounds the total size of buffered bodies. It is safe for concurrent use.
 type memoryBudget struct {
+	// guard bounds the memory of all callers of the process; nil means no limit.
+	guard     *seamguard.Guard
 	mu        sync.Mutex
 	available int64
 }
@@ -61,7 +64,7 @@
 func (r *memoryBudget) reserve(n int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n > r.available {
+	if n > r.available || !r.guard.Reserve(time.Now(), seamguard.Bodies, n) {
 		return false
 	}
 	r.available -= n
@@ -71,5 +74,6 @@
 func (r *memoryBudget) release(n int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.guard.Release(n)
 	r.available += n
 }
--- a/internal/route/seamegress/egress.go
+++ b/internal/route/seamegress/egress.go
@@ -21,6 +21,7 @@
 	"cardamomseam/internal/own/seamclock"
 	"cardamomseam/internal/own/seamgrant"
 	"cardamomseam/internal/own/seamslot"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/route/seamadmit"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamdedup"
@@ -92,6 +93,8 @@
 	// BodyBufferBytes is the memory for bodies that are buffered before admission; 0 means that bodies are
 	// streamed to the target as they arrive.
 	BodyBufferBytes int64
+	// Guard bounds the memory of all callers of the process; nil means no limit.
+	Guard *seamguard.Guard
 	// RulesRevision returns the revision of the rules at this node; nil means that it is not reported.
 	RulesRevision func() int64
 	// Poison decides which requests are kept from the target because they crash targets; nil means none.
@@ -174,7 +177,7 @@
 		dedup:      seamdedup.New(cfg.MaxRecords),
 		limiter:    newAdmission(cfg, throttle, set),
 		pools:      &targetPools{dial: cfg.DialTimeout},
-		bodyMemory: &memoryBudget{available: cfg.BodyBufferBytes},
+		bodyMemory: &memoryBudget{available: cfg.BodyBufferBytes, guard: cfg.Guard},
 		counters:   seamoutcome.NewCounters(set, "cardamomseam_egress_requests_total"),
 		events:     sink,
 		throttle:   throttle,
--- a/internal/route/seamegress/stream.go
+++ b/internal/route/seamegress/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/member/seampeer"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamoutcome"
@@ -71,12 +72,7 @@
 	body := &streamBody{conn: conn, reader: reader, onClosed: cancel}
 	response, done := newStreamResponse(conn)
 	defer done()
-	var end seamoutcome.End
-	if in, err := body.open(head); err != nil {
-		end = seamoutcome.NewRefused(seamoutcome.Malformed, err.Error())
-	} else {
-		end = e.Run(ctx, head, in, response)
-	}
+	end := e.runStreamed(ctx, head, body, response)
 	// A caller that does not receive the end treats the response as truncated.
 	if err := response.end(seamcall.EncodeEnd(head, end)); err != nil {
 		body.stop()
@@ -85,6 +81,22 @@
 	return body.nextFrame()
 }
 
+// runStreamed runs a request whose body comes from a stream. One that was sent whole with the head is read only if there is memory for it.
+func (e *Egress) runStreamed(ctx context.Context, head *seamroutewire.RequestHead, body *streamBody, response *streamResponse) seamoutcome.End {
+	if head.GetWhole() {
+		length := min(max(head.GetLength(), 0), seamcall.MaxWholeBody)
+		if !e.cfg.Guard.Reserve(time.Now(), seamguard.Bodies, length) {
+			return seamoutcome.NewRefused(seamoutcome.Memory, "the target's node has no memory left for the body")
+		}
+		defer e.cfg.Guard.Release(length)
+	}
+	in, err := body.open(head)
+	if err != nil {
+		return seamoutcome.NewRefused(seamoutcome.Malformed, err.Error())
+	}
+	return e.Run(ctx, head, in, response)
+}
+
 // streamBody reads the body of a request from its stream, and then watches
 // whether the ingress closes the stream.
 type streamBody struct {
--- a/internal/route/seamingress/body.go
+++ b/internal/route/seamingress/body.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cardamomseam/internal/route/seamcall"
+	"cardamomseam/internal/route/seamframe"
 	"cardamomseam/internal/route/seamoutcome"
 )
 
@@ -44,12 +46,32 @@
 	ended atomic.Bool
 	// failure is the first error of the source.
 	failure atomic.Pointer[bodyError]
-	// onEOF is called when a streamed body has been read to its end.
-	onEOF func()
+	// deadline limits each wait for the caller; nil means that none does.
+	deadline *readDeadline
+	// onRelease returns the memory of the body; nil if none is reserved.
+	onRelease func()
 }
 
-func newBody(r *http.Request, limit int64) (*requestBody, error) {
-	b := &requestBody{source: r.Body, limit: limit, length: r.ContentLength}
+// streamMemory is the memory in which a streamed body is passed on, in bytes.
+const streamMemory = 2 * seamframe.MaxChunkSize
+
+// bodyMemory returns the memory that the body of the length takes.
+func bodyMemory(length int64) int64 {
+	if length < 0 || length > seamcall.MaxWholeBody {
+		return streamMemory
+	}
+	return length
+}
+
+// releaseMemory returns the memory that is reserved for the body.
+func (b *requestBody) releaseMemory() {
+	if b.onRelease != nil {
+		b.onRelease()
+	}
+}
+
+func newBody(r *http.Request, limit int64, deadline *readDeadline) (*requestBody, error) {
+	b := &requestBody{source: r.Body, limit: limit, length: r.ContentLength, deadline: deadline}
 	if b.length > limit {
 		return nil, &bodyError{Reason: seamoutcome.Large, Cause: errors.Newf("body of %d bytes exceeds the limit of %d bytes", b.length, limit)}
 	}
@@ -70,6 +92,7 @@
 
 // Read reads from the caller's connection. Errors other than io.EOF are of type *bodyError.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.deadline.extend(time.Now())
 	n, err := b.source.Read(p)
 	count := b.bytesRead.Add(int64(n))
 	switch {
@@ -77,9 +100,7 @@
 		return 0, b.fail(seamoutcome.Large, errors.Newf("body exceeds the limit of %d bytes", b.limit))
 	case errors.Is(err, io.EOF):
 		b.ended.Store(true)
-		if b.onEOF != nil {
-			b.onEOF()
-		}
+		b.deadline.remove()
 		return n, io.EOF
 	case err == nil:
 		return n, nil
--- a/internal/route/seamingress/callerconn.go
+++ b/internal/route/seamingress/callerconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/platform/seamnet"
 )
 
@@ -31,6 +33,12 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// beginRequest reserves the memory of a request, and reports false if none is left for it.
+func beginRequest(r *http.Request, now time.Time) bool {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	return !ok || c.share.Begin(now, r.Header)
+}
+
 // markBroken makes the caller's connection, if the context has one, end with a reset.
 func markBroken(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*callerConn); ok {
@@ -53,17 +61,27 @@
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	*net.TCPListener
+	guard *seamguard.Guard
 	// lingering are the connections that were closed and still discard data.
 	lingering sync.WaitGroup
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{TCPConn: tcp, lingering: &l.lingering, release: func() {}}
+		share, ok := l.guard.Admit(time.Now(), c.evict)
+		if !ok {
+			_ = tcp.Close()
+			continue
+		}
+		c.share = share
+		return c, nil
 	}
-	return &callerConn{TCPConn: c, lingering: &l.lingering, release: func() {}}, nil
 }
 
 // callerConn is the connection of a caller. If it is closed while requests are unread, it first discards them: the kernel
@@ -71,6 +89,8 @@
 type callerConn struct {
 	*net.TCPConn
 	lingering *sync.WaitGroup
+	// share is that of the connection in the limits of the process; nil means that there are none.
+	share *seamguard.Conn
 	// release ends the watch for the caller's close.
 	release func()
 	closed  atomic.Bool
@@ -93,7 +113,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if c.closed.Load() {
+	if c.closed.Load() || !c.share.Read(time.Now(), p[:n]) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -106,20 +126,32 @@
 	}
 	c.release()
 	if c.broken.Load() {
+		c.share.End()
 		_ = c.SetLinger(0) // an error means that the connection is closed already
 		return c.TCPConn.Close()
 	}
 	if seamnet.Unread(c.TCPConn) == 0 {
+		c.share.End()
 		return c.TCPConn.Close()
 	}
+	c.share.Idle(time.Now())
 	err := c.CloseWrite()
 	c.lingering.Go(c.linger)
 	return err
 }
 
+// evict closes the connection at once, also one that lingers.
+func (c *callerConn) evict() {
+	c.broken.Store(true)
+	if c.Close() != nil {
+		_ = c.TCPConn.Close()
+	}
+}
+
 // linger discards what the caller sends until it has closed the connection, has sent lingerBytes, or neither sends nor
 // acknowledges anything for lingerIdleTimeout.
 func (c *callerConn) linger() {
+	defer c.share.End()
 	defer c.TCPConn.Close()
 	stop := time.AfterFunc(lingerTimeout, func() { _ = c.TCPConn.Close() })
 	defer stop.Stop()
--- a/internal/route/seamingress/ingress.go
+++ b/internal/route/seamingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"cardamomseam/internal/member/seampeer"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/route/seambalance"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamdedup"
@@ -117,6 +118,8 @@
 	OnRulesRevision func(revision int64, at seampeer.Peer)
 	// Poison decides which requests are kept from the targets because they crash targets; nil means none.
 	Poison *seampoison.Guard
+	// Guard bounds the memory and the connections of callers; nil means no limits.
+	Guard *seamguard.Guard
 }
 
 const (
@@ -191,7 +194,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set(seamheader.Trace, seamspan.TraceID(ctx))
+	if r.ContentLength != 0 {
+		// The HTTP library reads the rest of a short body before it answers a request that is refused. Each read of the body replaces this deadline.
+		_ = http.NewResponseController(w).SetReadDeadline(start.Add(unreadBodyTimeout))
+	}
 	x, refused := i.prepare(w, r, start)
+	if x != nil {
+		defer x.body.releaseMemory()
+	}
 	if refused == nil {
 		refused = refuseDisconnected(r.Context())
 	}
--- a/internal/route/seamingress/prepare.go
+++ b/internal/route/seamingress/prepare.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/route/seamcall"
 	"cardamomseam/internal/route/seamheader"
 	"cardamomseam/internal/route/seamoutcome"
@@ -40,6 +41,9 @@
 
 // prepare validates a request, applies the routing rules and reads a short body.
 func (i *Ingress) prepare(w http.ResponseWriter, r *http.Request, now time.Time) (*exchange, *refusedRequest) {
+	if !beginRequest(r, now) {
+		return nil, refuse(seamoutcome.Memory, "the node has no memory left for the request")
+	}
 	if refused := i.checkRequest(r); refused != nil {
 		return nil, refused
 	}
@@ -247,16 +251,18 @@
 	if r.ContentLength == 0 {
 		return &requestBody{fullyBuffered: true}, nil
 	}
-	rc := http.NewResponseController(w)
-	// Connections without read deadlines, as in tests, block without a time limit.
-	_ = rc.SetReadDeadline(deadline)
-	body, err := newBody(r, i.maxBodyBytes())
+	memory := bodyMemory(r.ContentLength)
+	if !i.cfg.Guard.Reserve(time.Now(), seamguard.Bodies, memory) {
+		return nil, refuse(seamoutcome.Memory, "the node has no memory left for the body")
+	}
+	body, err := newBody(r, i.maxBodyBytes(), &readDeadline{rc: http.NewResponseController(w), whole: deadline})
 	if err != nil {
+		i.cfg.Guard.Release(memory)
 		return nil, refuseBody(err)
 	}
-	body.onEOF = func() { _ = rc.SetReadDeadline(time.Time{}) }
+	body.onRelease = func() { i.cfg.Guard.Release(memory) }
 	if body.fullyBuffered {
-		body.onEOF()
+		body.deadline.remove()
 	}
 	return body, nil
 }
--- a/internal/route/seamingress/remote.go
+++ b/internal/route/seamingress/remote.go
@@ -185,7 +185,7 @@
 	case <-time.After(time.Millisecond):
 	}
 	conn.Close()
-	x.responder.stopReading()
+	x.body.deadline.interrupt()
 	<-sent
 }
 
--- a/internal/route/seamingress/responder.go
+++ b/internal/route/seamingress/responder.go
@@ -148,9 +148,3 @@
 	}
 	return false
 }
-
-// stopReading interrupts a pending read of the request body. The connection
-// can't be reused for another request.
-func (a *responder) stopReading() {
-	_ = a.rc.SetReadDeadline(time.Unix(1, 0))
-}
--- a/internal/route/seamingress/server.go
+++ b/internal/route/seamingress/server.go
@@ -23,6 +23,8 @@
 	readHeaderTimeout = 5 * time.Second
 	// idleConnTimeout is the time after which an idle connection of a caller is closed.
 	idleConnTimeout = 2 * time.Minute
+	// unreadBodyTimeout bounds the time in which a caller sends the body of a request that was refused before its body was read.
+	unreadBodyTimeout = 5 * time.Second
 	// headerBytesMargin is what the HTTP library accepts beyond MaxHeaderBytes, so that
 	// a request just beyond the limit gets a response with a reason.
 	headerBytesMargin = 32 << 10
@@ -77,7 +79,7 @@
 	}
 	s := &Server{
 		ingress:       i,
-		listener:      &callerListener{TCPListener: listener.(*net.TCPListener)},
+		listener:      &callerListener{TCPListener: listener.(*net.TCPListener), guard: i.cfg.Guard},
 		listenerDrain: listenerDrain{listener: listener, newConns: map[net.Conn]time.Time{}},
 		hangups:       hangups,
 		closeHangups:  sync.OnceFunc(closeHangups),
@@ -117,7 +119,7 @@
 		h.ReadHeaderTimeout = readHeaderTimeout
 		h.ReadTimeout, h.WriteTimeout = 0, 0
 		h.IdleTimeout = idleConnTimeout
-		h.ConnState = s.listenerDrain.connStateChanged
+		h.ConnState = s.connStateChanged
 		h.ConnContext = s.connContext
 		h.MaxHeaderBytes = s.ingress.cfg.MaxHeaderBytes + headerBytesMargin
 		started <- h
@@ -129,6 +131,14 @@
 	})
 }
 
+// connStateChanged is the ConnState hook of the HTTP server.
+func (s *Server) connStateChanged(c net.Conn, state http.ConnState) {
+	s.listenerDrain.connStateChanged(c, state)
+	if conn, ok := c.(*callerConn); ok && state == http.StateIdle {
+		conn.share.Idle(time.Now())
+	}
+}
+
 // connContext returns the context of the requests of a caller's connection.
 func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
 	if conn, ok := c.(*callerConn); ok {
--- a/internal/route/seamoutcome/reason.go
+++ b/internal/route/seamoutcome/reason.go
@@ -38,6 +38,8 @@
 	Late Reason = "late"
 	// Limit means that the target gets as many requests as it accepts, by the limit that it states.
 	Limit Reason = "limit"
+	// Memory means that the node has no memory left for the request.
+	Memory Reason = "memory"
 	// Poison means that requests like this one have crashed the targets that ran them.
 	Poison Reason = "poison"
 	// Expired means that the deadline passed before the request started.
@@ -99,6 +101,7 @@
 	{Reason: Full, Outcome: Refused, Status: http.StatusTooManyRequests, RetryElsewhere: true, RetryLater: true},
 	{Reason: Late, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Limit, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
+	{Reason: Memory, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryElsewhere: true, RetryLater: true},
 	{Reason: Poison, Outcome: Refused, Status: http.StatusServiceUnavailable, RetryLater: true},
 	{Reason: Expired, Outcome: Refused, Status: http.StatusGatewayTimeout},
 	{Reason: Ledger, Outcome: Refused, Status: http.StatusTooManyRequests, RetryElsewhere: true, RetryLater: true},
