--- a/internal/node/seamrouter/requests.go
+++ b/internal/node/seamrouter/requests.go
@@ -10,6 +10,7 @@
 	"cardamomseam/internal/member/seamtarget"
 	"cardamomseam/internal/node/seamstart"
 	"cardamomseam/internal/observe/seamevent"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/platform/seamhttp"
 	"cardamomseam/internal/route/seambalance"
 	"cardamomseam/internal/route/seamegress"
@@ -40,6 +41,7 @@
 		Evacuated:           n.targetEvacuated,
 		Warmup:              n.warmup,
 		PassOnStatedLoad:    n.settings.Balance.Policy == string(seambalance.Even),
+		Guard:               n.guard,
 	}, n.self, ownerHints{n.runner, n}, n.targets, n.clock, n.runner, n.metricSet, n.sink)
 	n.egress, n.assumeCold = egress, egress.AssumeCold
 	c.Add(stop)
@@ -63,6 +65,7 @@
 		BodyLimit:          n.bodyLimit,
 		Regions:            n.routes.RequestRegions,
 		Poison:             n.poison,
+		Guard:              n.guard,
 	}, n.self, routeDecider{n}, directory{n}, n.sessions, egress, n.metricSet, n.sink)
 	server, err := n.ingress.Serve()
 	if err != nil {
@@ -165,6 +168,7 @@
 		{Listen: n.settings.Health, Routes: n.adapter.HealthRoutes(n.Ready)},
 		{Listen: n.settings.Metrics, Routes: n.operatorRoutes()},
 	} {
+		s.Guard = n.guard
 		_, stop, err := seamhttp.Serve(s)
 		if err != nil {
 			return err
@@ -174,6 +178,11 @@
 	return nil
 }
 
+// reportLimit logs that callers have reached a limit.
+func (n *Node) reportLimit(now time.Time, l seamguard.Limit, times int) {
+	n.sink.Emit(now, seamevent.LimitReached, seamevent.Fields{"limit": string(l), "times": times, "reserved": n.guard.Reserved(), "connections": n.guard.Connections()})
+}
+
 // Ready reports whether the node serves callers: it has routes and is not draining.
 func (n *Node) Ready() bool {
 	return !n.draining.Load() && n.routes.Current() != nil
