--- a/internal/node/seamrouter/node.go
+++ b/internal/node/seamrouter/node.go
@@ -21,6 +21,7 @@
 	"cardamomseam/internal/own/seamelection"
 	"cardamomseam/internal/own/seamevacuate"
 	"cardamomseam/internal/own/seamholder"
+	"cardamomseam/internal/platform/seamguard"
 	"cardamomseam/internal/platform/seamstore"
 	"cardamomseam/internal/route/seamegress"
 	"cardamomseam/internal/route/seamingress"
@@ -73,6 +74,8 @@
 	server     *seamingress.Server
 
 	poison *seampoison.Guard
+	// guard bounds the memory and the connections of callers.
+	guard *seamguard.Guard
 
 	evacuations seamevacuate.Set
 	// assumeCold tells the egress that the target may be cold; nil until the egress has started.
@@ -117,6 +120,7 @@
 	n.poison = &seampoison.Guard{Table: seampoison.New(), Begin: n.beginPoisonTrial}
 	n.metricSet.NewGauge("cardamomseam_poison_suspected", func() float64 { return float64(n.poison.Suspected()) })
 	n.metricSet.NewGauge("cardamomseam_poison_quarantined", func() float64 { return float64(len(n.poison.Records())) })
+	n.guard = seamguard.New(int64(s.Memory)<<20, n.metricSet, n.reportLimit)
 	n.retry.Store(&s.Retry)
 	n.stop.Store(&s.Stop)
 	c := &seamstart.Cleanups{}
