Divide the weights of a split by their common divisor

Change: weights are divided by their greatest common divisor, so that the period is no longer than it must be.

--- a/internal/rule/seamroutes/table.go
+++ b/internal/rule/seamroutes/table.go
@@ -32,9 +32,11 @@
 type routeState struct {
 	Route
 	mu sync.Mutex
-	// credit is the current weight of each service in the smooth weighted round-robin.
-	credit      []int
+	// weights are those of the services, divided by their greatest common divisor.
+	weights     []int
 	totalWeight int
+	// credit is the current weight of each service in the smooth weighted round-robin.
+	credit []int
 	// started is whether the first service has been chosen.
 	started bool
 	// requests counts the requests of each part of a split; empty if they are not counted.
@@ -80,12 +82,24 @@
 
 func newRouteState(r Route) *routeState {
 	n := &routeState{Route: r, credit: make([]int, len(r.Services))}
+	divisor := 0
+	for _, p := range r.Services {
+		divisor = greatestCommonDivisor(divisor, p.Weight)
+	}
 	for _, p := range r.Services {
-		n.totalWeight += p.Weight
+		n.weights = append(n.weights, p.Weight/max(divisor, 1))
+		n.totalWeight += p.Weight / max(divisor, 1)
 	}
 	return n
 }
 
+func greatestCommonDivisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // start moves to a random position, so that the nodes together keep to the weights from the start. The caller holds mu.
 func (r *routeState) start() {
 	for range rand.N(min(max(r.totalWeight, 1), maxStartSteps)) {
@@ -120,8 +134,8 @@
 // step returns the index of the next service. The caller holds mu.
 func (r *routeState) step() int {
 	best := 0
-	for i, p := range r.Services {
-		r.credit[i] += p.Weight
+	for i, weight := range r.weights {
+		r.credit[i] += weight
 		if r.credit[i] > r.credit[best] {
 			best = i
 		}
