Ask the known owner of a moving key each 80 ms

Cause: the delays doubled, also after the key had got another owner, whose grant comes within tens of milliseconds.

Change: a constant delay; the wait still ends at once only when the key has another owner in the directory.

--- a/internal/route/seamingress/exchange.go
+++ b/internal/route/seamingress/exchange.go
@@ -61,8 +61,6 @@
 	ownerWaitEnd time.Time
 	// recordedOwner is the owner of the key in the directory when the node of the current attempt was chosen.
 	recordedOwner seampeer.Peer
-	// ownerRechecks is the number of times that the known owner was asked again.
-	ownerRechecks int
 	// bodyRequested is closed, and set to nil, when the node requests a body that was not sent with the head.
 	bodyRequested chan struct{}
 	// streamEmpty is true if no data follows the last response on its stream.
--- a/internal/route/seamingress/ownerwait.go
+++ b/internal/route/seamingress/ownerwait.go
@@ -16,10 +16,10 @@
 	defaultOwnerWaitTimeout = 2 * time.Second
 	// ownerRecheckInterval is the mean interval between checks for a new owner.
 	ownerRecheckInterval = 25 * time.Millisecond
-	// moveWaitTimeout replaces defaultOwnerWaitTimeout if the ingress is notified of owner changes. The known owner is asked again after
-	// firstMoveRecheck, and then after twice the delay before.
-	moveWaitTimeout  = 400 * time.Millisecond
-	firstMoveRecheck = 80 * time.Millisecond
+	// moveWaitTimeout replaces defaultOwnerWaitTimeout if the ingress is notified of owner changes. The known owner is asked again each
+	// moveRecheckInterval, since the keys of a new owner are granted within some tens of milliseconds.
+	moveWaitTimeout     = 400 * time.Millisecond
+	moveRecheckInterval = 80 * time.Millisecond
 	// minMoveRecheck is the least time left of the wait with which the known owner is asked again.
 	minMoveRecheck = 20 * time.Millisecond
 	// lossWaitTimeout replaces moveWaitTimeout if the owner's node is unreachable: its replacement
@@ -108,8 +108,7 @@
 		delay = ownerRecheckInterval/2 + rand.N(ownerRecheckInterval)
 		return delay, delay <= left
 	}
-	delay = min(firstMoveRecheck<<x.ownerRechecks, left)
-	x.ownerRechecks++
+	delay = min(moveRecheckInterval, left)
 	return delay, delay >= minMoveRecheck
 }
 
