review: case 6, a second owner after the store came back from a copy

Promise: OWNER, no key has two holders for over half a second, and each fencing token is above those of other holders.

Done: three nodes start for the first time. The store is away for 1.5 s and comes back, in the next era, from a copy of before the first election of an assigner; one process is killed and started again.

Seen: one upstream is granted all keys while the other still holds half of them, for over half a second, with tokens of both eras. About every second fleet.

--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -127,26 +127,41 @@
 	return nil
 }
 
-// restart ends the node's process with the signal and starts it again after a short time.
-func (n *node) restart(s syscall.Signal) error {
+// restart ends the node's process with the signal and starts it again after a time.
+func (n *node) restart(s syscall.Signal, after time.Duration) error {
 	n.signal(s)
 	<-n.exited
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(after)
 	return n.start()
 }
 
-// startAll starts a node with an upstream of the service in each of the zones, and waits until all nodes are ready.
-func (f *fleet) startAll(ctx context.Context, service string, zones []string) ([]*upstream, error) {
+// place is a machine: its zone and the service of its upstream.
+type place struct {
+	zone, service string
+}
+
+// places returns machines with the same service in the zones.
+func places(service string, zones ...string) []place {
+	var list []place
+	for _, zone := range zones {
+		list = append(list, place{zone, service})
+	}
+	return list
+}
+
+// startAll starts a node with its upstream at each of the places, and waits until all nodes are ready.
+func (f *fleet) startAll(ctx context.Context, at []place) ([]*upstream, error) {
 	var upstreams []*upstream
-	for i, zone := range zones {
-		n, err := f.addNode(fmt.Sprintf("node-%d", i+1), "erie", zone, service)
+	for i, p := range at {
+		n, err := f.addNode(fmt.Sprintf("node-%d", i+1), "erie", p.zone, p.service)
 		if err != nil {
 			return nil, err
 		}
-		u, err := startUpstream(fmt.Sprintf("i-%d", i+1), service, zone, n.app, n.announce, 50*time.Millisecond, f.rec)
+		u, err := startUpstream(fmt.Sprintf("i-%d", i+1), p.service, p.zone, n.app, n.announce, 50*time.Millisecond, f.rec)
 		if err != nil {
 			return nil, err
 		}
+		f.stops = append(f.stops, u.exit)
 		upstreams = append(upstreams, u)
 		if err := n.start(); err != nil {
 			return nil, err
@@ -230,9 +245,9 @@
 }
 
 // configuration is the operator's configuration.
-func configuration(version int, routes, services []map[string]any) map[string]any {
+func configuration(routes, services []map[string]any) map[string]any {
 	return map[string]any{
-		"version": fmt.Sprintf("r%d", version), "routes": routes, "services": services,
+		"version": "r7", "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
--- a/review/stand2/keys.go
+++ b/review/stand2/keys.go
@@ -21,6 +21,10 @@
 
 // holdings are the keys that an upstream holds.
 type holdings struct {
+	// id is the upstream's id, and owners compares it with others; nil if nothing does.
+	id     string
+	owners *owners
+
 	mu sync.Mutex
 	// fence is the highest fencing token that was seen on a key, and until the end of its hold.
 	fence [keyCount]uint64
@@ -36,6 +40,20 @@
 	return h
 }
 
+// watch reports the grants that are taken from now on.
+func (h *holdings) watch(id string, o *owners) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.id, h.owners = id, o
+}
+
+// holds reports whether the key is held, and with which fencing token.
+func (h *holdings) holds(key int, now time.Time) (token uint64, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fence[key], now.Before(h.until[key])
+}
+
 // grant takes keys unless a higher fencing token was seen on one of them.
 func (h *holdings) grant(arrived time.Time, o keyOrder) (status int) {
 	h.mu.Lock()
@@ -112,5 +130,12 @@
 		w.Header().Set("Cardamomseam-Handover", "h-"+strconv.Itoa(o.From))
 		return
 	}
-	w.WriteHeader(h.grant(arrived, o))
+	status := h.grant(arrived, o)
+	h.mu.Lock()
+	id, watching := h.id, h.owners
+	h.mu.Unlock()
+	if status == http.StatusOK && watching != nil {
+		watching.taken(id, o)
+	}
+	w.WriteHeader(status)
 }
--- a/review/stand2/left.go
+++ b/review/stand2/left.go
@@ -42,7 +42,7 @@
 	return playDeparture(c, func(d *departure, late int) error {
 		if d.c.trouble {
 			time.Sleep(300 * time.Millisecond)
-			if err := d.beside.restart(syscall.SIGKILL); err != nil {
+			if err := d.beside.restart(syscall.SIGKILL, 300*time.Millisecond); err != nil {
 				return err
 			}
 			d.inTouch = time.Now().Add(stableWindow)
@@ -67,7 +67,7 @@
 // playDeparture has one of four upstreams leave under load and calls disrupt after the acknowledgement, with the sequence number of
 // a heartbeat that was sent before. It counts the requests that reach the upstream when it must get none.
 func playDeparture(c *caseRun, disrupt func(d *departure, late int) error) (int, error) {
-	f, err := newFleet(c.program, c.rec, configuration(7,
+	f, err := newFleet(c.program, c.rec, configuration(
 		[]map[string]any{route("book", "unsafe", "booker", 1000)}, []map[string]any{service("booker", false)}))
 	if err != nil {
 		return notRun, err
@@ -75,7 +75,7 @@
 	defer f.stop(c.keep)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	upstreams, err := f.startAll(ctx, "booker", []string{"erie-a", "erie-b", "erie-a", "erie-b"})
+	upstreams, err := f.startAll(ctx, places("booker", "erie-a", "erie-b", "erie-a", "erie-b"))
 	if err != nil {
 		return notRun, err
 	}
@@ -100,7 +100,6 @@
 	time.Sleep(time.Until(d.acknowledged.Add(servesOn)))
 	stopTraffic()
 	clients.Wait()
-	d.upstream.exit()
 	return d.judge(), nil
 }
 
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -45,6 +45,11 @@
 	leases   map[int64]*kvLease
 	next     int64
 	changed  chan struct{}
+	// era counts how often the store came back from a copy; away means that it answers nothing.
+	era  int64
+	away bool
+	// dropped is the revision up to which the history is gone.
+	dropped int64
 	// lost is the share of the writes that are carried out and not answered.
 	lost float64
 	rec  *recorder
@@ -52,7 +57,7 @@
 
 // newStore returns an empty store whose leases expire.
 func newStore(rec *recorder) *kvStore {
-	s := &kvStore{revision: 100, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, next: 7000, changed: make(chan struct{}), rec: rec}
+	s := &kvStore{revision: 100, era: 1, items: map[string]kvItem{}, leases: map[int64]*kvLease{}, next: 7000, changed: make(chan struct{}), rec: rec}
 	go func() {
 		for now := range time.Tick(20 * time.Millisecond) {
 			s.expire(now)
@@ -115,7 +120,15 @@
 
 // ServeHTTP answers the calls of the store's protocol.
 func (s *kvStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	era, away := s.era, s.away
+	s.mu.Unlock()
+	if away {
+		<-r.Context().Done()
+		return
+	}
 	time.Sleep(storeLatency)
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	q := r.URL.Query()
 	switch {
 	case r.URL.Path == "/kv-key":
@@ -183,6 +196,11 @@
 	defer timer.Stop()
 	for over := false; ; {
 		s.mu.Lock()
+		if after < s.dropped || after > s.revision {
+			s.mu.Unlock()
+			writeJSON(w, http.StatusGone, map[string]any{})
+			return
+		}
 		events := []kvEvent{}
 		for _, e := range s.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
--- a/review/stand2/twice.go
+++ b/review/stand2/twice.go
@@ -13,7 +13,7 @@
 
 // playSecondSignal stops a node with SIGTERM while its clients wait for answers, and sends the signal again.
 func playSecondSignal(c *caseRun) (int, error) {
-	f, err := newFleet(c.program, c.rec, configuration(7,
+	f, err := newFleet(c.program, c.rec, configuration(
 		[]map[string]any{route("book", "unsafe", "booker", 2000)}, []map[string]any{service("booker", false)}))
 	if err != nil {
 		return notRun, err
@@ -21,7 +21,7 @@
 	defer f.stop(c.keep)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	upstreams, err := f.startAll(ctx, "booker", []string{"erie-a", "erie-b", "erie-a"})
+	upstreams, err := f.startAll(ctx, places("booker", "erie-a", "erie-b", "erie-a"))
 	if err != nil {
 		return notRun, err
 	}
--- a/review/stand2/unheard.go
+++ b/review/stand2/unheard.go
@@ -62,7 +62,7 @@
 
 // playUnheard kills all nodes while the store loses answers to writes, and looks whether keys are served again.
 func playUnheard(c *caseRun) (int, error) {
-	f, err := newFleet(c.program, c.rec, configuration(7,
+	f, err := newFleet(c.program, c.rec, configuration(
 		[]map[string]any{route("look", "safe", "calendar", 800)}, []map[string]any{service("calendar", true)}))
 	if err != nil {
 		return notRun, err
@@ -70,7 +70,7 @@
 	defer f.stop(c.keep)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if _, err := f.startAll(ctx, "calendar", []string{"erie-a", "erie-b", "erie-a", "erie-b", "erie-a", "erie-b"}); err != nil {
+	if _, err := f.startAll(ctx, places("calendar", "erie-a", "erie-b", "erie-a", "erie-b", "erie-a", "erie-b")); err != nil {
 		return notRun, err
 	}
 	l := &lookups{}
