review: case 9, a drill of the store lets a request that crashes upstreams go

Done: six nodes with an upstream each. A request crashes three upstreams and is quarantined.

Seen: it crashes three more upstreams and two in trials.

--- a/review/stand2/drilled.go
+++ b/review/stand2/drilled.go
@@ -15,8 +15,10 @@
 	// drillAfter is the time after the copy at which the store goes away, and awayFor for how long.
 	drillAfter = 4 * time.Second
 	awayFor    = 1500 * time.Millisecond
-	// killAfter is the time after the return of the store at which a process is killed, and killedFor for how long it is down.
-	killAfter = 400 * time.Millisecond
+	// killAfter is the time after the return of the store at which a process is killed in the first of three plays, later by killStep in
+	// each of the two others; killedFor is for how long it is down.
+	killAfter = 300 * time.Millisecond
+	killStep  = 100 * time.Millisecond
 	killedFor = 100 * time.Millisecond
 	// compareFor is the time for which the owners are compared after the process has started again.
 	compareFor = 4 * time.Second
@@ -28,7 +30,7 @@
 // is killed and started again.
 func playDrill(c *caseRun) (int, error) {
 	for i := range maxPlays {
-		breaches, err := c.drill()
+		breaches, err := c.drill(killAfter + time.Duration(i%3)*killStep)
 		if err != nil {
 			return notRun, err
 		}
@@ -40,8 +42,8 @@
 	return held, nil
 }
 
-// drill plays one fleet and returns the number of breaches.
-func (c *caseRun) drill() (breaches int, err error) {
+// drill plays one fleet, with the kill at a time after the return of the store, and returns the number of breaches.
+func (c *caseRun) drill(kill time.Duration) (breaches int, err error) {
 	f, err := newFleet(c.program, c.rec, configuration(
 		[]map[string]any{route("look", "safe", "calendar", 800)}, []map[string]any{service("calendar", true), service("booker", false)}))
 	if err != nil {
@@ -58,20 +60,19 @@
 	}
 	before := <-copies
 	o := newOwners(c.rec, upstreams, ctx.Done())
-	l := &lookups{}
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	for _, n := range f.nodes {
-		clients.Go(func() { l.run(traffic, c.rec, n, "d") })
+		clients.Go(func() { lookups(traffic, c.rec, n) })
 	}
 	time.Sleep(time.Until(before.made.Add(drillAfter)))
 	if c.trouble {
 		f.store.goAway()
 		time.Sleep(awayFor)
 		f.store.comeBack(before)
-		time.Sleep(killAfter)
+		time.Sleep(kill)
 		if err := f.nodes[0].restart(syscall.SIGKILL, killedFor); err != nil {
 			return 0, err
 		}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -30,7 +30,7 @@
 }
 
 func main() {
-	plays := map[string]play{"second-owner": playDrill, "unheard-assigner": playUnheard, "second-signal": playSecondSignal, "late-beat": playLateBeat, "foreign-beat": playForeignBeat}
+	plays := map[string]play{"poison": playPoison, "second-owner": playDrill, "second-signal": playSecondSignal, "late-beat": playLateBeat, "foreign-beat": playForeignBeat}
 	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE PROGRAM FOLDER")
 		os.Exit(notRun)
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -50,9 +49,7 @@
 	away bool
 	// dropped is the revision up to which the history is gone.
 	dropped int64
-	// lost is the share of the writes that are carried out and not answered.
-	lost float64
-	rec  *recorder
+	rec     *recorder
 }
 
 // newStore returns an empty store whose leases expire.
@@ -244,36 +241,9 @@
 		return
 	}
 	status, v := s.transact(t)
-	s.mu.Lock()
-	lost := rand.Float64() < s.lost
-	s.mu.Unlock()
-	if lost {
-		s.rec.note("the store loses its answer %d to the write of %s", status, t.target())
-		<-r.Context().Done()
-		return
-	}
 	writeJSON(w, status, v)
 }
 
-// loseAnswers sets the share of the writes whose answers are lost from now on.
-func (s *kvStore) loseAnswers(share float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lost = share
-	s.rec.note("the store loses the answers to %.0f%% of the writes", 100*share)
-}
-
-// target names the key that the transaction writes or deletes first.
-func (t kvTxn) target() string {
-	if len(t.Puts) > 0 {
-		return t.Puts[0].Key
-	}
-	if len(t.Deletes) > 0 {
-		return t.Deletes[0]
-	}
-	return "no key"
-}
-
 func (s *kvStore) transact(t kvTxn) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/stand2/upstream.go
+++ b/review/stand2/upstream.go
@@ -27,6 +27,8 @@
 	mu       sync.Mutex
 	sequence int
 	silent   bool
+	// poisoned is signalled when a request begins to run that crashes it.
+	poisoned chan struct{}
 	// began are the times at which runs began, by request id.
 	began map[string][]time.Time
 }
@@ -35,7 +37,7 @@
 func startUpstream(id, service, zone, address, control string, work time.Duration, rec *recorder) (*upstream, error) {
 	u := &upstream{
 		id: id, service: service, address: address, zone: zone, control: control, born: time.Now().UnixMilli(),
-		work: work, rec: rec, slots: make(chan struct{}, 12), began: map[string][]time.Time{}, keys: newHoldings(),
+		work: work, rec: rec, slots: make(chan struct{}, 12), began: map[string][]time.Time{}, keys: newHoldings(), poisoned: make(chan struct{}, 1),
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -190,6 +192,14 @@
 	}
 	defer func() { <-u.slots }()
 	u.runs(id, r, len(body))
+	if r.URL.Path == poisonPath {
+		select {
+		case u.poisoned <- struct{}{}:
+		default:
+		}
+		<-r.Context().Done()
+		return
+	}
 	u.mu.Lock()
 	work := u.work
 	u.mu.Unlock()
